--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Targets for contributors. CI runs `make test`.
+
+DEPLOYMENT ?= seri-kenanga
+BENCH_TIME ?= 1s
+RACE_PACKAGES = ./internal/entry/... ./internal/agent/... ./internal/link/... ./internal/platform/... ./internal/config/...
+
+.PHONY: build test lint unit race scenario demo bench fmt
+
+build:
+	go build -o bin/ ./cmd/...
+
+test: lint unit race scenario
+
+lint:
+	./scripts/lint
+
+unit:
+	./scripts/gotest ./...
+
+race:
+	./scripts/gotest -race $(RACE_PACKAGES)
+
+scenario: build
+	./scripts/gotest -tags scenario -timeout 20m ./test/scenario/...
+
+demo: build
+	./scripts/demo $(DEPLOYMENT)
+
+bench: build
+	./scripts/bench
+
+fmt:
+	go tool gofumpt -w $$(git ls-files '*.go')
--- /dev/null
+++ b/internal/platform/store.go
@@ -0,0 +1,93 @@
+// Package platform is the client of the platform's object API, where everything
+// that must outlive a process is kept.
+//
+// The API holds small values under string keys. Each write gives the object a new
+// version; a write may require the version that the writer last saw. A watch
+// reports the changes after a revision, and may miss or repeat events.
+package platform
+
+import (
+	"context"
+	"time"
+)
+
+// MaxValueSize bounds one object's value in bytes.
+const MaxValueSize = 1 << 20
+
+// AnyVersion lets Put succeed whatever version the object has.
+const AnyVersion = ^uint64(0)
+
+// Object is one stored value.
+type Object struct {
+	// Key is the object's name.
+	Key string
+	// Value is the stored bytes, at most MaxValueSize.
+	Value []byte
+	// Version is the object's version; it grows with each write. Zero means that the object does not exist.
+	Version uint64
+}
+
+// Event is one change reported by a watch.
+type Event struct {
+	// Object is the changed object; its Value is empty for a deletion.
+	Object Object
+	// Deleted tells that the object was removed.
+	Deleted bool
+}
+
+// WatchResult is the answer of one Watch call.
+type WatchResult struct {
+	// Events are the changes after the asked revision, oldest first; empty when the wait ended without one.
+	Events []Event
+	// Revision is the revision to watch from next.
+	Revision uint64
+}
+
+// ListResult is the answer of one List call.
+type ListResult struct {
+	// Objects are sorted by key.
+	Objects []Object
+	// Revision is the store's revision to watch from.
+	Revision uint64
+}
+
+// InstanceState is the platform's view of an instance.
+type InstanceState string
+
+// The instance states.
+const (
+	// InstanceLive marks an instance that runs.
+	InstanceLive InstanceState = "live"
+	// InstanceLeaving marks an instance that is being stopped.
+	InstanceLeaving InstanceState = "leaving"
+)
+
+// Instance is one row of the platform's lagging instance list.
+type Instance struct {
+	Name             string        `json:"name"`
+	Role             string        `json:"role"`
+	AvailabilityZone string        `json:"availability_zone"`
+	Address          string        `json:"address"`
+	State            InstanceState `json:"state"`
+}
+
+// Store is the object API. Its methods fail with the errors of this
+// package: ErrNotFound, ErrConflict, ErrCompacted, ErrUnavailable, ErrUnclear, ErrTooLarge.
+type Store interface {
+	// Get returns the object under key, or ErrNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// Put writes value if the object's version is ifVersion (zero: if it does not
+	// exist) and returns the new version. ErrConflict means that nothing was
+	// written; ErrUnavailable that the request never reached the platform;
+	// ErrUnclear that the write may have taken effect.
+	Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error)
+	// Delete removes the object under the same rules as Put.
+	Delete(ctx context.Context, key string, ifVersion uint64) error
+	// List returns all objects whose key starts with prefix.
+	List(ctx context.Context, prefix string) (ListResult, error)
+	// Watch waits up to wait for changes under prefix after revision. ErrCompacted
+	// means that the revision is too old: List again.
+	Watch(ctx context.Context, prefix string, revision uint64, wait time.Duration) (WatchResult, error)
+	// Instances returns the platform's lagging list of instances.
+	Instances(ctx context.Context) ([]Instance, error)
+}
