--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 DEPLOYMENT ?= seri-kenanga
 BENCH_TIME ?= 1s
-RACE_PACKAGES = ./internal/entry/... ./internal/agent/... ./internal/link/... ./internal/platform/... ./internal/config/...
+RACE_PACKAGES = ./internal/...
 
 .PHONY: build test lint unit race scenario demo bench fmt
 
