Add links: WebSocket frames on gnet, opened with a mutual proof of the key

A Node accepts and dials links. Frames queued before the event loop gets to a link leave in one write; a full queue fails Send with ErrFull. Keepalive counts its own ticks, so a process that was paused does not close its links on waking.

--- /dev/null
+++ b/internal/link/node.go
@@ -0,0 +1,233 @@
+package link
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// drainPoll is the interval at which Close checks for unsent output.
+const drainPoll = 5 * time.Millisecond
+
+// Node accepts and dials links of one process.
+type Node struct {
+	cfg     Config
+	handler Handler
+	client  *gnet.Client
+	stats   counters
+
+	ctx    context.Context // ends when Close begins
+	cancel context.CancelFunc
+	wg     sync.WaitGroup // dialling and keepalive goroutines
+
+	mu      sync.Mutex
+	links   map[*link]struct{}            // open connections; guarded by mu
+	pending int                           // accepted connections that are not authenticated; guarded by mu
+	dials   map[string]context.CancelFunc // by address; guarded by mu
+	server  gnet.Engine                   // guarded by mu
+	served  chan error                    // result of the accepting engine; nil before Listen; guarded by mu
+	addr    string                        // bound address; guarded by mu
+}
+
+type counters struct {
+	framesIn, bytesIn, bytesOut atomic.Uint64
+}
+
+// Stats holds totals over all links of a Node since its start.
+type Stats struct {
+	FramesIn uint64 `json:"frames_in"`
+	BytesIn  uint64 `json:"bytes_in"`
+	BytesOut uint64 `json:"bytes_out"`
+}
+
+// Info describes one authenticated link for a state dump.
+type Info struct {
+	Peer    message.Identity `json:"peer"`
+	Dialled bool             `json:"dialled"`
+	Remote  string           `json:"remote"`
+	Queued  int              `json:"queued_bytes"`
+}
+
+// New returns a Node that can dial at once and accepts links after Listen.
+func New(cfg Config, h Handler) (*Node, error) {
+	cfg, err := cfg.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{cfg: cfg, handler: h, links: map[*link]struct{}{}, dials: map[string]context.CancelFunc{}}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.client, err = gnet.NewClient(&events{node: n}, gnet.WithOptions(n.engineOptions()))
+	if err != nil {
+		return nil, &Error{Reason: ReasonConfig, Detail: "dialling engine", Cause: err}
+	}
+	if err := n.client.Start(); err != nil {
+		return nil, &Error{Reason: ReasonConfig, Detail: "dialling engine", Cause: err}
+	}
+	n.wg.Go(n.keepalive)
+	return n, nil
+}
+
+func (n *Node) engineOptions() gnet.Options {
+	return gnet.Options{
+		NumEventLoop: n.cfg.EventLoops,
+		Logger:       engineLogger{n.cfg.Logger},
+		LogLevel:     logging.ErrorLevel,
+	}
+}
+
+// Listen accepts links on addr, an IP address and port; port 0 picks a free one.
+func (n *Node) Listen(addr string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.served != nil || n.ctx.Err() != nil {
+		return &Error{Reason: ReasonConfig, Detail: "the node listens already or is closed"}
+	}
+	ev := &events{node: n, boot: make(chan gnet.Engine, 1)}
+	served := make(chan error, 1)
+	go func() { served <- gnet.Run(ev, "tcp://"+addr, gnet.WithOptions(n.engineOptions())) }()
+	select {
+	case err := <-served:
+		return &Error{Reason: ReasonConfig, Detail: "listen on " + addr, Cause: err}
+	case n.server = <-ev.boot:
+	}
+	n.served = served
+	var err error
+	n.addr, err = boundAddr(n.server)
+	return err
+}
+
+// boundAddr returns the address of eng's listener.
+func boundAddr(eng gnet.Engine) (string, error) {
+	fd, err := eng.Dup()
+	if err != nil {
+		return "", &Error{Reason: ReasonConfig, Detail: "listener address", Cause: err}
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	defer func() { _ = file.Close() }()
+	ln, err := net.FileListener(file)
+	if err != nil {
+		return "", &Error{Reason: ReasonConfig, Detail: "listener address", Cause: err}
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String(), nil
+}
+
+// Addr returns the address that Listen bound, or the empty string.
+func (n *Node) Addr() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.addr
+}
+
+// Stats returns the totals over all links.
+func (n *Node) Stats() Stats {
+	return Stats{
+		FramesIn: n.stats.framesIn.Load(),
+		BytesIn:  n.stats.bytesIn.Load(),
+		BytesOut: n.stats.bytesOut.Load(),
+	}
+}
+
+// Links describes the authenticated links in no particular order.
+func (n *Node) Links() []Info {
+	var infos []Info
+	for _, l := range n.snapshot() {
+		if l.up.Load() {
+			infos = append(infos, Info{Peer: l.identity, Dialled: l.dialled, Remote: l.addr, Queued: l.Queued()})
+		}
+	}
+	return infos
+}
+
+// Close stops dialling, sends what is queued as far as ctx allows, and ends all
+// links. Handler.Down is called for each.
+func (n *Node) Close(ctx context.Context) error {
+	n.cancel()
+	n.wg.Wait()
+	n.drain(ctx)
+	err := n.client.Stop()
+	n.mu.Lock()
+	server, served := n.server, n.served
+	n.mu.Unlock()
+	if served == nil {
+		return err
+	}
+	if stopErr := server.Stop(ctx); stopErr != nil {
+		return stopErr
+	}
+	return <-served
+}
+
+// drain waits until no link has unsent output or ctx ends.
+func (n *Node) drain(ctx context.Context) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for n.unsent() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) unsent() bool {
+	for _, l := range n.snapshot() {
+		if l.up.Load() && !l.closed.Load() && l.Queued() > 0 {
+			l.refresh()
+			return true
+		}
+	}
+	return false
+}
+
+// add registers an open connection; it fails when too many handshakes are open.
+func (n *Node) add(l *link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[l] = struct{}{}
+	if l.dialled {
+		return true
+	}
+	n.pending++
+	return n.pending <= n.cfg.MaxPending
+}
+
+func (n *Node) remove(l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.links, l)
+	if !l.dialled && !l.up.Load() {
+		n.pending--
+	}
+}
+
+// established marks l as authenticated and reports it.
+func (n *Node) established(l *link) {
+	n.mu.Lock()
+	l.up.Store(true)
+	if !l.dialled {
+		n.pending--
+	}
+	n.mu.Unlock()
+	n.logUp(l)
+	n.handler.Up(l)
+}
+
+func (n *Node) snapshot() []*link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := make([]*link, 0, len(n.links))
+	for l := range n.links {
+		all = append(all, l)
+	}
+	return all
+}
