--- /dev/null
+++ b/internal/agent/relay.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/target"
+)
+
+const (
+	// maxChunk is the most body bytes in one ResponseData frame.
+	maxChunk = 32 << 10
+	// fullRetry is the wait before a frame is offered again to a full link queue.
+	fullRetry = time.Millisecond
+)
+
+// relay copies a target's answer to the link within the receiver's window and
+// returns the number of body bytes sent. keep, if not nil, sees each piece.
+func relay(j *job, r *target.Response, keep func([]byte)) (int64, *apierr.Error) {
+	head := &message.ResponseHead{ID: j.req.ID, Status: r.Status, Headers: r.Headers, Length: r.Length}
+	if err := send(j.ctx, j.peer, head); err != nil {
+		return 0, err
+	}
+	var sent int64
+	buf := make([]byte, maxChunk)
+	for {
+		n, err := r.Body.Read(buf)
+		if n > 0 {
+			if keep != nil {
+				keep(buf[:n])
+			}
+			if e := sendData(j, buf[:n], sent); e != nil {
+				return sent, e
+			}
+			sent += int64(n)
+		}
+		if errors.Is(err, io.EOF) {
+			return sent, nil
+		}
+		if err != nil {
+			return sent, bodyFailure(j.ctx, err)
+		}
+	}
+}
+
+// sendData sends p, which starts at offset in the body, in pieces that fit the window.
+func sendData(j *job, p []byte, offset int64) *apierr.Error {
+	for len(p) > 0 {
+		n, err := j.window.take(j.ctx, len(p))
+		if err != nil {
+			return bodyFailure(j.ctx, err)
+		}
+		data := &message.ResponseData{ID: j.req.ID, Offset: offset, Data: p[:n]}
+		if e := send(j.ctx, j.peer, data); e != nil {
+			return e
+		}
+		p = p[n:]
+		offset += int64(n)
+	}
+	return nil
+}
+
+// send queues m, waiting while the link's queue is full.
+func send(ctx context.Context, p link.Peer, m message.Message) *apierr.Error {
+	for {
+		err := p.Send(m)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, link.ErrFull) {
+			return apierr.Wrap(apierr.KindLinkLost, p.Identity().Name, err)
+		}
+		select {
+		case <-time.After(fullRetry):
+		case <-ctx.Done():
+			return bodyFailure(ctx, ctx.Err())
+		}
+	}
+}
+
+// bodyFailure maps an error while the answer's body was read or sent.
+func bodyFailure(ctx context.Context, err error) *apierr.Error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return apierr.Wrap(apierr.KindTimeout, "answer", err)
+	case ctx.Err() != nil:
+		return apierr.Wrap(apierr.KindCancelled, "answer", err)
+	default:
+		return apierr.Wrap(apierr.KindTruncated, "answer", err)
+	}
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -211,10 +211,9 @@
 
 // Failure is the link form of an apierr.Error.
 type Failure struct {
-	Kind       apierr.Kind    `cbor:"1,keyasint"`
-	Detail     string         `cbor:"2,keyasint,omitempty"`
-	Outcome    apierr.Outcome `cbor:"3,keyasint"`
-	RetryAfter time.Duration  `cbor:"4,keyasint,omitempty"`
+	Kind       apierr.Kind   `cbor:"1,keyasint"`
+	Detail     string        `cbor:"2,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // ResponseEnd ends an answer. Failure is nil exactly when the answer is whole.
--- /dev/null
+++ b/internal/standin/plain/plain.go
@@ -0,0 +1,132 @@
+// Package plain is a stand-in for a plain service whose calls may not be
+// repeated, for trials and tests only. It records each run, so that tests can
+// compare what callers were told with what happened.
+package plain
+
+import (
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Service is one stand-in service.
+type Service struct {
+	start string
+
+	mu      sync.Mutex
+	runs    []Run
+	running int
+	faults  Faults
+}
+
+// Run is one recorded run.
+type Run struct {
+	Mark string `json:"mark"`
+	Path string `json:"path"`
+	Key  string `json:"key,omitempty"`
+}
+
+// Faults are set through POST /admin/faults.
+type Faults struct {
+	// Delay is the time in milliseconds between the record and the answer.
+	DelayMS int `json:"delay_ms"`
+	// ResetBefore closes that many next connections without running the request.
+	ResetBefore int `json:"reset_before"`
+	// ResetAfter runs that many next requests and closes the connection without an answer.
+	ResetAfter int `json:"reset_after"`
+}
+
+// New returns a service without runs.
+func New() *Service { return &Service{start: strconv.FormatInt(time.Now().UnixNano(), 16)} }
+
+// Handle serves the HTTP interface.
+func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/load":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(ctx, load{StartID: s.start, State: "warm", Running: s.running})
+	case "/runs":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(ctx, s.runs)
+	case "/admin/faults":
+		s.setFaults(ctx)
+	default:
+		s.run(ctx)
+	}
+}
+
+func (s *Service) setFaults(ctx *fasthttp.RequestCtx) {
+	var f Faults
+	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// answer is the body of an answer.
+type answer struct {
+	Mark string `json:"mark"`
+	Run  int    `json:"run"`
+	Path string `json:"path"`
+}
+
+func (s *Service) run(ctx *fasthttp.RequestCtx) {
+	r := Run{
+		Mark: string(ctx.Request.Header.Peek("X-Mark")),
+		Path: string(ctx.Path()),
+		Key:  string(ctx.Request.Header.Peek("Idempotency-Key")),
+	}
+	s.mu.Lock()
+	if s.faults.ResetBefore > 0 {
+		s.faults.ResetBefore--
+		s.mu.Unlock()
+		reset(ctx)
+		return
+	}
+	s.running++
+	if !ctx.IsGet() {
+		s.runs = append(s.runs, r)
+	}
+	n := len(s.runs)
+	delay := time.Duration(s.faults.DelayMS) * time.Millisecond
+	drop := s.faults.ResetAfter > 0
+	if drop {
+		s.faults.ResetAfter--
+	}
+	s.mu.Unlock()
+
+	time.Sleep(delay)
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	if drop {
+		reset(ctx)
+		return
+	}
+	writeJSON(ctx, answer{Mark: r.Mark, Run: n, Path: r.Path})
+}
+
+// reset closes the connection without an answer.
+func reset(ctx *fasthttp.RequestCtx) {
+	_ = ctx.Conn().Close()
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	ctx.SetContentType("application/json")
+	_ = json.NewEncoder(ctx).Encode(v)
+}
+
+// load is the service's load report.
+type load struct {
+	StartID string `json:"start_id"`
+	State   string `json:"state"`
+	Running int    `json:"running"`
+}
--- /dev/null
+++ b/internal/target/client_test.go
@@ -0,0 +1,105 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// serve answers each connection with raw after it has read one request; each
+// accepted connection is counted.
+func serve(t *testing.T, raw string, accepted *int) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			*accepted++
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+			}
+			_, _ = io.WriteString(c, raw)
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func request(idempotent bool) *message.Request {
+	return &message.Request{Method: "POST", Path: "/x", Body: []byte("b"), Idempotent: idempotent}
+}
+
+func do(t *testing.T, addr string) ([]byte, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, e := New(addr).Do(ctx, request(false))
+	if e != nil {
+		return nil, e
+	}
+	defer r.Close()
+	return io.ReadAll(r.Body)
+}
+
+func TestTruncatedAnswersAreErrors(t *testing.T) {
+	for name, raw := range map[string]string{
+		"short length":    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+		"missing chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"short chunk":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc",
+		"no framing":      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc",
+		"no head":         "HTTP/1.1 200 OK\r\nContent-Le",
+		"nothing":         "",
+		"not HTTP at all": "\x00\x01garbage\r\n\r\n",
+	} {
+		n := 0
+		_, err := do(t, serve(t, raw, &n))
+		assert.Assert(t, err != nil, name)
+		assert.Equal(t, n, 1, "%s: the request was repeated", name)
+	}
+}
+
+func TestCompleteAnswersAreRead(t *testing.T) {
+	for name, raw := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	} {
+		n := 0
+		got, err := do(t, serve(t, raw, &n))
+		assert.NilError(t, err, name)
+		assert.Equal(t, string(got), "abc", name)
+	}
+}
+
+func TestFailedDialProvesNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().String()
+	assert.NilError(t, l.Close())
+	_, e := New(addr).Do(context.Background(), request(false))
+	assert.Equal(t, e.Kind, apierr.KindTargetUnreachable)
+	assert.Equal(t, e.Answer().Outcome, apierr.OutcomeNotRun)
+}
+
+func TestNonIdempotentRequestNeverUsesAnOldConnection(t *testing.T) {
+	c := New("127.0.0.1:1")
+	c.release(&conn{})
+	assert.Assert(t, c.idle != nil)
+	_, e := c.Do(context.Background(), request(false))
+	assert.Equal(t, e.Kind, apierr.KindTargetUnreachable)
+	assert.Equal(t, len(c.idle), 1)
+}
