Fix the policy packages' API: fairness, warmup, admission, routing, retry

The entry and the agent are written against these types. All five are pure: time comes in as a duration since any fixed instant, randomness as *rand.Rand, and effects go out as values.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,258 @@
+// Package admission decides, at the only door to one target, which requests run
+// now, which wait and which are refused at once.
+//
+// A Controller runs no more requests than the warm-up limit allows, shares the
+// places between organisations by weight, bounds its queue in count and time,
+// and refuses a request as soon as it can be seen to miss its deadline. It holds
+// no clock: every call carries the time since any fixed instant.
+package admission
+
+import (
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/fairness"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/warmup"
+)
+
+// Config bounds a Controller.
+type Config struct {
+	// Limit is the most requests that a warm target runs at once.
+	Limit int
+	// ColdLimit is the most requests that a target runs at once just after its start.
+	ColdLimit int
+	// QueueLimit is the most requests that wait.
+	QueueLimit int
+	// OrganisationQueueLimit is the most requests of one organisation that wait; zero means QueueLimit.
+	OrganisationQueueLimit int
+	// MaxWait is the longest time that a request waits; zero means that only its deadline bounds it.
+	MaxWait time.Duration
+	// ServiceTime is assumed until the first request has completed.
+	ServiceTime time.Duration
+}
+
+// Item is a request that asks to run.
+type Item struct {
+	// ID is unique among the requests that wait or run.
+	ID uint64
+	// Organisation is charged for the request.
+	Organisation string
+	// Weight is the organisation's share; values below 1 count as 1.
+	Weight int
+	// Priority orders the waiting requests of one organisation; higher goes first.
+	Priority int
+	// Deadline is the time by which the answer must be complete.
+	Deadline time.Duration
+}
+
+// Verdict is what happens to an offered request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Refuse means that the request did not run and never will; Decision.Err says why.
+	Refuse Verdict = iota
+	// Queue means that the request waits; a later Effects names it.
+	Queue
+	// Run means that the request must be started now.
+	Run
+)
+
+// Decision answers Offer.
+type Decision struct {
+	// Verdict is what happens to the offered request.
+	Verdict Verdict
+	// Err is set exactly when Verdict is Refuse.
+	Err *apierr.Error
+	// Effects names the other requests that the offer displaced.
+	Effects Effects
+}
+
+// Refused is a waiting request that will never run.
+type Refused struct {
+	// ID names the request.
+	ID uint64
+	// Err is the answer to the caller.
+	Err *apierr.Error
+}
+
+// Effects lists what the caller of a Controller has to do.
+type Effects struct {
+	// Start lists the waiting requests that must be started now.
+	Start []uint64
+	// Refused lists the waiting requests that must be answered now.
+	Refused []Refused
+}
+
+// Result describes the end of a running request.
+type Result struct {
+	// ServiceTime is the time from start to end.
+	ServiceTime time.Duration
+	// Work is the request's size for the latency baseline, for example generated tokens; zero means one.
+	Work float64
+	// OK is false when the target failed: reset, unreachable or overloaded.
+	// An answer with an error status that the request itself deserves is OK.
+	OK bool
+	// Cancelled tells that the caller gave up; the run says nothing about the target.
+	Cancelled bool
+}
+
+// Controller is the admission of one target. It is not safe for concurrent use.
+type Controller struct {
+	cfg      Config
+	limiter  *warmup.Limiter
+	queue    *fairness.Queue
+	running  map[uint64]time.Duration
+	service  estimate
+	draining bool
+	down     bool
+}
+
+// New returns a Controller for a target that counts as cold and healthy.
+func New(cfg Config) *Controller {
+	c := &Controller{
+		limiter: warmup.New(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit}),
+		queue:   fairness.New(fairness.Limits{}),
+		running: make(map[uint64]time.Duration),
+	}
+	c.service.assumed = cfg.ServiceTime
+	c.Configure(cfg)
+	return c
+}
+
+// Configure takes over new bounds; requests that wait or run stay.
+func (c *Controller) Configure(cfg Config) {
+	c.cfg = cfg
+	c.limiter.Configure(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit})
+	c.queue.SetLimits(fairness.Limits{Items: cfg.QueueLimit, PerOrganisation: cfg.OrganisationQueueLimit})
+}
+
+// Offer decides about a new request.
+func (c *Controller) Offer(now time.Duration, it Item) Decision {
+	if err := c.closed(); err != nil {
+		return Decision{Err: err}
+	}
+	if err := c.unreachable(now, it); err != nil {
+		return Decision{Err: err}
+	}
+	if c.free() > 0 && c.queue.Len() == 0 {
+		c.queue.Charge(fairness.Item{Organisation: it.Organisation, Weight: it.Weight})
+		c.start(now, it.ID)
+		return Decision{Verdict: Run}
+	}
+	return c.enqueue(now, it)
+}
+
+// Finish ends a running request and returns what to do with the places it frees.
+func (c *Controller) Finish(now time.Duration, id uint64, r Result) Effects {
+	startedAt, ok := c.running[id]
+	if !ok {
+		return Effects{}
+	}
+	delete(c.running, id)
+	if r.Cancelled {
+		return c.dispatch(now)
+	}
+	if r.OK {
+		c.service.add(r.ServiceTime)
+	}
+	fell := c.limiter.Finished(now, warmup.Sample{
+		StartedAt:   startedAt,
+		ServiceTime: r.ServiceTime,
+		Work:        r.Work,
+		OK:          r.OK,
+	})
+	if fell {
+		return c.afterFall(now)
+	}
+	return c.dispatch(now)
+}
+
+// Progress takes in the latency of one step of a running request as a ratio to
+// the usual one, and returns what to do if it shows that the target turned cold.
+func (c *Controller) Progress(now time.Duration, ratio float64) Effects {
+	if !c.limiter.Progress(now, ratio) {
+		return Effects{}
+	}
+	return c.afterFall(now)
+}
+
+// Report takes in the engine's own report of its start id and cold state.
+func (c *Controller) Report(now time.Duration, startID uint64, cold bool) Effects {
+	if !c.limiter.Report(now, startID, cold) {
+		return Effects{}
+	}
+	return c.afterFall(now)
+}
+
+// Remove takes a waiting request out. It returns true exactly if the request had
+// not started and now never will.
+func (c *Controller) Remove(_ time.Duration, id uint64) bool {
+	return c.queue.Remove(id)
+}
+
+// Expire gives up every waiting request that can no longer meet its deadline or
+// has waited too long. Call it at a fixed interval.
+func (c *Controller) Expire(now time.Duration) []Refused {
+	var refused []Refused
+	kept := 0
+	for _, w := range c.queue.Order() {
+		wait := c.waitBehind(kept)
+		err := c.giveUp(now, w, wait)
+		if err == nil {
+			kept++
+			continue
+		}
+		c.queue.Remove(w.ID)
+		refused = append(refused, Refused{ID: w.ID, Err: err})
+	}
+	return refused
+}
+
+// Drain refuses all new requests from now on. Those that wait or run stay.
+func (c *Controller) Drain() { c.draining = true }
+
+// Undrain takes new requests again.
+func (c *Controller) Undrain() { c.draining = false }
+
+// SetHealthy notes whether the target answers its health check. Waiting requests
+// of a target that went down are refused, so that other targets can take them.
+func (c *Controller) SetHealthy(now time.Duration, healthy bool) Effects {
+	c.down = !healthy
+	if healthy {
+		return c.dispatch(now)
+	}
+	var e Effects
+	for it, ok := c.queue.Pop(); ok; it, ok = c.queue.Pop() {
+		e.Refused = append(e.Refused, Refused{ID: it.ID, Err: c.closed()})
+	}
+	return e
+}
+
+// Idle tells that no request waits or runs.
+func (c *Controller) Idle() bool { return len(c.running) == 0 && c.queue.Len() == 0 }
+
+// Load returns the report for entries.
+func (c *Controller) Load(_ time.Duration) message.Load {
+	return message.Load{
+		State:       c.state(),
+		Running:     len(c.running),
+		Queued:      c.queue.Len(),
+		Limit:       c.limiter.Limit(),
+		QueueLimit:  c.cfg.QueueLimit,
+		ServiceTime: c.service.mean(),
+		WaitTime:    c.waitBehind(c.queue.Len()),
+	}
+}
+
+func (c *Controller) state() message.TargetState {
+	switch {
+	case c.down:
+		return message.TargetDown
+	case c.draining:
+		return message.TargetLeaving
+	default:
+		return c.limiter.State()
+	}
+}
--- /dev/null
+++ b/internal/fairness/flow.go
@@ -0,0 +1,115 @@
+package fairness
+
+import "slices"
+
+// flow holds the waiting requests of one organisation.
+type flow struct {
+	organisation string
+	weight       int
+	// items is ordered by descending priority, then by arrival.
+	items []Item
+	// start is the virtual start time of items[0].
+	start float64
+	// finish is the virtual finish time of the request served last.
+	finish float64
+}
+
+// insert adds it behind all items of its priority and above.
+func (f *flow) insert(it Item) {
+	f.items = slices.Insert(f.items, f.before(it.Priority), it)
+}
+
+// before returns the number of items that are served before a new one of priority.
+func (f *flow) before(priority int) int {
+	i := slices.IndexFunc(f.items, func(it Item) bool { return it.Priority < priority })
+	if i < 0 {
+		return len(f.items)
+	}
+	return i
+}
+
+// dropLast removes the item that would be served last.
+func (f *flow) dropLast() Item {
+	last := len(f.items) - 1
+	it := f.items[last]
+	f.items = f.items[:last]
+	return it
+}
+
+// startsBefore returns how many items have a virtual start time of at most start.
+func (f *flow) startsBefore(start float64) int {
+	if len(f.items) == 0 || f.start > start {
+		return 0
+	}
+	n := int((start-f.start)*float64(f.weight)) + 1
+	return min(n, len(f.items))
+}
+
+func (q *Queue) find(organisation string) *flow {
+	for _, f := range q.flows {
+		if f.organisation == organisation {
+			return f
+		}
+	}
+	return nil
+}
+
+// flowOf returns the flow of it's organisation and takes over its newest weight.
+func (q *Queue) flowOf(it Item) *flow {
+	f := q.find(it.Organisation)
+	if f == nil {
+		f = &flow{organisation: it.Organisation}
+		q.flows = append(q.flows, f)
+	}
+	f.weight = it.Weight
+	return f
+}
+
+// next returns the backlogged flow with the lowest virtual start time, the
+// first in order of names among equals.
+func (q *Queue) next() *flow {
+	var best *flow
+	for _, f := range q.flows {
+		if len(f.items) == 0 {
+			continue
+		}
+		if best == nil || f.start < best.start || (f.start == best.start && f.organisation < best.organisation) {
+			best = f
+		}
+	}
+	return best
+}
+
+// longest returns the flow with the most places for its weight if newcomer had
+// one more; newcomer loses a tie.
+func (q *Queue) longest(newcomer *flow) *flow {
+	best := newcomer
+	most := float64(len(newcomer.items)+1) / float64(newcomer.weight)
+	for _, f := range q.flows {
+		if f == newcomer || len(f.items) == 0 {
+			continue
+		}
+		if held := float64(len(f.items)) / float64(f.weight); held > most {
+			best, most = f, held
+		}
+	}
+	return best
+}
+
+// forgetIdle drops the flows whose past has no bearing on the order any more.
+func (q *Queue) forgetIdle() {
+	q.flows = slices.DeleteFunc(q.flows, func(f *flow) bool {
+		return len(f.items) == 0 && f.finish <= q.virtual
+	})
+}
+
+func (q *Queue) clone() *Queue {
+	c := *q
+	c.flows = make([]*flow, len(q.flows))
+	for i, f := range q.flows {
+		g := *f
+		g.items = slices.Clone(f.items)
+		c.flows[i] = &g
+	}
+	return &c
+}
--- /dev/null
+++ b/internal/fairness/queue.go
@@ -0,0 +1,184 @@
+// Package fairness shares one target between organisations by weight.
+//
+// Queue is a start-time fair queue (Goyal, Vin and Cheng, "Start-time Fair
+// Queueing", SIGCOMM 1996) whose flows are organisations. It is work-conserving:
+// an organisation that waits alone gets everything, and an idle one neither
+// saves up a share nor owes for what it used while nobody else waited. Within an
+// organisation, higher priorities go first and equal ones in order of arrival.
+package fairness
+
+import (
+	"slices"
+	"time"
+)
+
+// Item is one waiting request.
+type Item struct {
+	// ID is unique among the waiting requests.
+	ID uint64
+	// Organisation is the flow that the request is charged to.
+	Organisation string
+	// Weight is the organisation's share; values below 1 count as 1.
+	Weight int
+	// Priority orders the requests of one organisation; higher goes first.
+	Priority int
+	// Enqueued is the time of arrival.
+	Enqueued time.Duration
+	// Deadline is the time at which the caller gives up.
+	Deadline time.Duration
+}
+
+// Limits bounds a Queue.
+type Limits struct {
+	// Items is the most requests that wait in all.
+	Items int
+	// PerOrganisation is the most requests of one organisation that wait; zero means Items.
+	PerOrganisation int
+}
+
+// Queue is a bounded weighted fair queue. It is not safe for concurrent use.
+type Queue struct {
+	limits  Limits
+	flows   []*flow
+	length  int
+	virtual float64
+}
+
+// New returns an empty queue.
+func New(limits Limits) *Queue {
+	if limits.PerOrganisation <= 0 {
+		limits.PerOrganisation = limits.Items
+	}
+	return &Queue{limits: limits}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.length }
+
+// OrganisationLen returns the number of waiting requests of one organisation.
+func (q *Queue) OrganisationLen(organisation string) int {
+	if f := q.find(organisation); f != nil {
+		return len(f.items)
+	}
+	return 0
+}
+
+// SetLimits changes the bounds. Requests that wait already stay.
+func (q *Queue) SetLimits(limits Limits) {
+	if limits.PerOrganisation <= 0 {
+		limits.PerOrganisation = limits.Items
+	}
+	q.limits = limits
+}
+
+// PushResult tells what Push did.
+type PushResult struct {
+	// Queued tells that the item waits now.
+	Queued bool
+	// OrganisationFull tells that the item's organisation has reached its own bound.
+	OrganisationFull bool
+	// Evicted is the request that gave up its place; valid if HasEvicted.
+	Evicted Item
+	// HasEvicted tells that another organisation's request was pushed out.
+	HasEvicted bool
+}
+
+// Push adds it. When the queue is full, the organisation that holds the most
+// places for its weight loses its last one, so that a flood cannot keep the
+// others out; if that is it's own organisation, it is not queued.
+func (q *Queue) Push(it Item) PushResult {
+	it.Weight = max(it.Weight, 1)
+	f := q.flowOf(it)
+	if len(f.items) >= q.limits.PerOrganisation {
+		return PushResult{OrganisationFull: true}
+	}
+	var res PushResult
+	if q.length >= q.limits.Items {
+		victim := q.longest(f)
+		if victim == nil || victim == f {
+			return res
+		}
+		res.Evicted, res.HasEvicted = victim.dropLast(), true
+		q.length--
+	}
+	if len(f.items) == 0 {
+		f.start = max(q.virtual, f.finish)
+	}
+	f.insert(it)
+	q.length++
+	res.Queued = true
+	return res
+}
+
+// Pop removes the next request in fair order.
+func (q *Queue) Pop() (Item, bool) {
+	f := q.next()
+	if f == nil {
+		return Item{}, false
+	}
+	it := f.items[0]
+	f.items = slices.Delete(f.items, 0, 1)
+	q.length--
+	q.serve(f, f.start)
+	return it, true
+}
+
+// Charge accounts for a request that runs without having waited.
+func (q *Queue) Charge(it Item) {
+	it.Weight = max(it.Weight, 1)
+	f := q.flowOf(it)
+	q.serve(f, max(q.virtual, f.finish))
+}
+
+// serve moves the virtual time to start and charges f for one request.
+func (q *Queue) serve(f *flow, start float64) {
+	q.virtual = start
+	f.finish = start + 1/float64(f.weight)
+	f.start = f.finish
+	q.forgetIdle()
+}
+
+// Remove takes a waiting request out; it returns false if id does not wait.
+func (q *Queue) Remove(id uint64) bool {
+	for _, f := range q.flows {
+		i := slices.IndexFunc(f.items, func(it Item) bool { return it.ID == id })
+		if i < 0 {
+			continue
+		}
+		f.items = slices.Delete(f.items, i, i+1)
+		q.length--
+		return true
+	}
+	return false
+}
+
+// Order returns the waiting requests in the order in which Pop would return
+// them if no more arrived.
+func (q *Queue) Order() []Item {
+	c := q.clone()
+	order := make([]Item, 0, q.length)
+	for it, ok := c.Pop(); ok; it, ok = c.Pop() {
+		order = append(order, it)
+	}
+	return order
+}
+
+// Ahead returns how many waiting requests would be served before a new one.
+func (q *Queue) Ahead(organisation string, weight, priority int) int {
+	share := 1 / float64(max(weight, 1))
+	start, ahead := q.virtual, 0
+	if f := q.find(organisation); f != nil {
+		ahead = f.before(priority)
+		start = max(q.virtual, f.finish)
+		if len(f.items) > 0 {
+			start = f.start
+		}
+	}
+	start += float64(ahead) * share
+	for _, g := range q.flows {
+		if g.organisation != organisation {
+			ahead += g.startsBefore(start)
+		}
+	}
+	return ahead
+}
--- /dev/null
+++ b/internal/routing/pick.go
@@ -0,0 +1,185 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+)
+
+// MaxHops is the number of entries that may pass a request on.
+const MaxHops = 1
+
+// Request is what Pick has to know about a request.
+type Request struct {
+	// Pool is the pool of the request's service.
+	Pool string
+	// Service, Organisation and IdempotencyKey name the key's home agent; an empty key has none.
+	Service        string
+	Organisation   string
+	IdempotencyKey string
+	// PrefixHash identifies the prompt prefix for cache affinity; zero means none.
+	PrefixHash uint64
+	// Remaining is the time to the deadline.
+	Remaining time.Duration
+	// Hops counts the entries that have passed the request on.
+	Hops int
+	// Excluded are the agents and peers that have refused the request already.
+	Excluded []string
+}
+
+// Destination tells where a request goes.
+type Destination uint8
+
+// The destinations.
+const (
+	// ToNobody means that the request is refused with Choice.Err.
+	ToNobody Destination = iota
+	// ToAgent means that the request goes to an agent of the own availability zone.
+	ToAgent
+	// ToPeer means that the request goes to an entry of another availability zone.
+	ToPeer
+)
+
+// Choice is Pick's decision.
+type Choice struct {
+	// Destination tells which of the other fields are set.
+	Destination Destination
+	// Target is the chosen agent.
+	Target *Target
+	// Peer is the chosen entry.
+	Peer *Peer
+	// Err is the refusal; the request did not run.
+	Err *apierr.Error
+}
+
+// Name returns the chosen agent's or peer's name, for Request.Excluded.
+func (c Choice) Name() string {
+	switch c.Destination {
+	case ToAgent:
+		return c.Target.Agent
+	case ToPeer:
+		return c.Peer.Entry
+	default:
+		return ""
+	}
+}
+
+// Sent returns the counter of the chosen agent or peer, nil for a refusal.
+func (c Choice) Sent() *Counter {
+	switch c.Destination {
+	case ToAgent:
+		return c.Target.Sent
+	case ToPeer:
+		return c.Peer.Sent
+	default:
+		return nil
+	}
+}
+
+// Pick chooses where r goes. A request with an idempotency key goes to the key's
+// home agent. Any other one goes to a target of the own availability zone with
+// room, else to a peer whose zone has room, else to the shortest wait that meets
+// its deadline, else it is refused.
+func (s *Snapshot) Pick(now time.Duration, r Request, rng *rand.Rand) Choice {
+	p := s.pool(r.Pool)
+	if p == nil {
+		return refuse(apierr.KindNoTarget, r.Pool, 0, rng)
+	}
+	if r.IdempotencyKey != "" {
+		if c, ok := s.pickHome(p, r, rng); ok {
+			return c
+		}
+		return s.noCandidate(p, r, rng)
+	}
+	own := s.ownCandidates(now, p, r)
+	if c, ok := pickTarget(own, r.PrefixHash, rng); ok {
+		return c
+	}
+	peers := s.peerCandidates(now, p, r)
+	if c, ok := pickPeer(peers, rng); ok {
+		return c
+	}
+	return s.pickWaiting(p, r, own, peers, rng)
+}
+
+// candidate is a usable target or peer with its estimated load.
+type candidate struct {
+	guess
+	target *Target
+	peer   *Peer
+}
+
+func (c candidate) choice() Choice {
+	if c.target != nil {
+		return Choice{Destination: ToAgent, Target: c.target}
+	}
+	return Choice{Destination: ToPeer, Peer: c.peer}
+}
+
+func (s *Snapshot) ownCandidates(now time.Duration, p *Pool, r Request) []candidate {
+	if s.Drained {
+		return nil
+	}
+	cs := make([]candidate, 0, len(p.Targets))
+	for i := range p.Targets {
+		t := &p.Targets[i]
+		if t.usable() && !slices.Contains(r.Excluded, t.Agent) {
+			cs = append(cs, candidate{guess: newGuess(now, &t.Report, t.Sent), target: t})
+		}
+	}
+	return cs
+}
+
+func (s *Snapshot) peerCandidates(now time.Duration, p *Pool, r Request) []candidate {
+	if r.Hops >= MaxHops {
+		return nil
+	}
+	cs := make([]candidate, 0, len(p.Peers))
+	for i := range p.Peers {
+		peer := &p.Peers[i]
+		if peer.usable() && !slices.Contains(r.Excluded, peer.Entry) {
+			cs = append(cs, candidate{guess: newGuess(now, &peer.Report, peer.Sent), peer: peer})
+		}
+	}
+	return cs
+}
+
+// pickWaiting chooses among candidates that are all busy: the shortest wait, if
+// it meets the deadline or if its report is too old to refuse on.
+func (s *Snapshot) pickWaiting(p *Pool, r Request, own, peers []candidate, rng *rand.Rand) Choice {
+	best, ok := shortestWait(own, peers)
+	if !ok {
+		return s.noCandidate(p, r, rng)
+	}
+	late := best.late(r.Remaining)
+	refusedBefore := len(r.Excluded) > 0
+	if late > 0 && (best.fresh || refusedBefore) {
+		return refuse(apierr.KindDeadlineUnreachable, r.Pool, min(late, best.wait()), rng)
+	}
+	return best.choice()
+}
+
+// noCandidate refuses r when nobody is left to ask.
+func (s *Snapshot) noCandidate(p *Pool, r Request, rng *rand.Rand) Choice {
+	switch {
+	case len(r.Excluded) > 0:
+		return refuse(apierr.KindOverloaded, p.Name, 0, rng)
+	case s.Drained:
+		return refuse(apierr.KindDraining, s.AvailabilityZone, 0, rng)
+	default:
+		return refuse(apierr.KindNoTarget, p.Name, 0, rng)
+	}
+}
+
+// retryJitter spreads the callers' repeats over this share of the asked wait.
+const retryJitter = 0.5
+
+// refuse returns a refusal that asks the caller to wait for about after.
+func refuse(k apierr.Kind, detail string, after time.Duration, rng *rand.Rand) Choice {
+	err := apierr.New(k, detail)
+	after = max(after, k.Answer().RetryAfter)
+	err.RetryAfter = after + time.Duration(rng.Float64()*retryJitter*float64(after))
+	return Choice{Err: err}
+}
--- /dev/null
+++ b/internal/routing/snapshot.go
@@ -0,0 +1,126 @@
+// Package routing decides, at an entry, which agent or which peer entry of
+// another availability zone gets a request.
+//
+// A Snapshot is immutable and may be read by many goroutines; the entry's control
+// goroutine publishes a new one at each change. Only the Counters that it points
+// to change, atomically. The agent's admission is exact; a Snapshot is a guess
+// from late reports, corrected by what this entry has sent since. A wrong guess
+// costs one refused hop and never overloads a target.
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// Counter counts the requests that an entry has in flight at one agent or peer.
+// It is safe for concurrent use.
+type Counter struct{ n atomic.Int64 }
+
+// Begin counts a request that is about to be sent.
+func (c *Counter) Begin() { c.n.Add(1) }
+
+// End counts the end of a request.
+func (c *Counter) End() { c.n.Add(-1) }
+
+// InFlight returns the number of requests in flight.
+func (c *Counter) InFlight() int { return int(c.n.Load()) }
+
+// Report is the newest load report of an agent or peer.
+type Report struct {
+	// Known is false until the first report has arrived.
+	Known bool
+	// Load is the reported load; for a peer it is the sum over the pool's targets of its availability zone.
+	Load message.Load
+	// ReceivedAt is when the report arrived.
+	ReceivedAt time.Duration
+	// SentAtReport is the Counter's value when the report arrived.
+	SentAtReport int
+}
+
+// Target is one agent of the entry's own availability zone.
+type Target struct {
+	// Agent is the agent's name.
+	Agent string
+	// Incarnation is the agent's present incarnation.
+	Incarnation uint64
+	// Report is the agent's newest report.
+	Report Report
+	// Sent counts this entry's requests at the agent.
+	Sent *Counter
+	// Suspected tells that heartbeats or dispatches have failed.
+	Suspected bool
+	// Leaving tells that the agent has said that it takes no new work.
+	Leaving bool
+	// Drained tells that the configuration takes the instance out.
+	Drained bool
+}
+
+// Peer is an entry of another availability zone.
+type Peer struct {
+	// Entry is the peer's name.
+	Entry string
+	// AvailabilityZone is the peer's availability zone.
+	AvailabilityZone string
+	// Report is the newest report of the pool's load in the peer's availability zone.
+	Report Report
+	// Sent counts this entry's requests of the pool at the peer.
+	Sent *Counter
+	// Suspected tells that heartbeats or dispatches have failed.
+	Suspected bool
+	// Leaving tells that the peer takes no new work.
+	Leaving bool
+	// Drained tells that the configuration takes the peer or its availability zone out.
+	Drained bool
+}
+
+// RemoteTarget is an agent of another availability zone, known by name only.
+type RemoteTarget struct {
+	// Agent is the agent's name.
+	Agent string
+	// AvailabilityZone is the agent's availability zone.
+	AvailabilityZone string
+}
+
+// Pool is what an entry knows about one target pool.
+type Pool struct {
+	// Name is the pool's name.
+	Name string
+	// Targets are the agents of the own availability zone.
+	Targets []Target
+	// Peers are the entries of other availability zones that take this pool's requests.
+	Peers []Peer
+	// Remote are the agents of other availability zones, for home agents of idempotency keys.
+	Remote []RemoteTarget
+}
+
+// Snapshot is everything that Pick looks at.
+type Snapshot struct {
+	// AvailabilityZone is the entry's own availability zone.
+	AvailabilityZone string
+	// Drained tells that the own availability zone takes no new work.
+	Drained bool
+	// Pools are the configured pools.
+	Pools []Pool
+}
+
+func (s *Snapshot) pool(name string) *Pool {
+	for i := range s.Pools {
+		if s.Pools[i].Name == name {
+			return &s.Pools[i]
+		}
+	}
+	return nil
+}
+
+// usable tells whether t may get new work.
+func (t *Target) usable() bool {
+	down := t.Report.Known && t.Report.Load.State == message.TargetDown
+	leaving := t.Report.Known && t.Report.Load.State == message.TargetLeaving
+	return !t.Suspected && !t.Leaving && !t.Drained && !down && !leaving
+}
+
+// usable tells whether p may get new work.
+func (p *Peer) usable() bool { return !p.Suspected && !p.Leaving && !p.Drained }
