--- /dev/null
+++ b/internal/config/files.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path"
+	"slices"
+	"strings"
+
+	"github.com/gentiantrail/gentiantrail/internal/config/strictyaml"
+)
+
+// Limits of a configuration folder.
+const (
+	// MaxFiles is the most files of a configuration.
+	MaxFiles = 1024
+	// MaxFileSize is the largest file in bytes.
+	MaxFileSize = 256 << 10
+)
+
+// Problem is one fault in a configuration, with file, line and what to write instead.
+type Problem = strictyaml.Problem
+
+// File is one file of a configuration folder.
+type File struct {
+	// Name is the file's name without a folder; files are merged in the order of their names.
+	Name string
+	// Content is the file's text.
+	Content []byte
+}
+
+// Load reads and merges the folder dir.
+func Load(dir string) (*Config, []Problem) {
+	files, problems := ReadFiles(os.DirFS(dir))
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return Merge(files)
+}
+
+// ReadFiles returns the *.yaml and *.yml files at the root of dir in the order of
+// their names. Hidden files and files of other types are passed over.
+func ReadFiles(dir fs.FS) ([]File, []Problem) {
+	entries, err := fs.ReadDir(dir, ".")
+	if err != nil {
+		return nil, []Problem{{Text: "the folder cannot be read: " + causeText(err), Fix: "name a folder that holds *.yaml files"}}
+	}
+	var files []File
+	var problems []Problem
+	for _, e := range entries {
+		if strings.HasPrefix(e.Name(), ".") || !isYAML(e.Name()) && !e.IsDir() {
+			continue
+		}
+		if e.IsDir() {
+			problems = append(problems, Problem{File: e.Name(), Text: "folders inside the folder are not read", Fix: "move its files up"})
+			continue
+		}
+		content, err := fs.ReadFile(dir, e.Name())
+		if err != nil {
+			problems = append(problems, Problem{File: e.Name(), Text: "the file cannot be read: " + causeText(err)})
+			continue
+		}
+		files = append(files, File{Name: e.Name(), Content: content})
+	}
+	if len(files) == 0 && len(problems) == 0 {
+		problems = append(problems, Problem{Text: "the folder holds no *.yaml file", Fix: "name the folder that holds the configuration"})
+	}
+	return files, problems
+}
+
+func isYAML(name string) bool {
+	ext := path.Ext(name)
+	return ext == ".yaml" || ext == ".yml"
+}
+
+func causeText(err error) string {
+	var p *fs.PathError
+	if errors.As(err, &p) {
+		return p.Err.Error()
+	}
+	return err.Error()
+}
+
+// sortedFiles returns files in merge order and checks their names, number and sizes.
+func sortedFiles(files []File) ([]File, []Problem) {
+	sorted := slices.Clone(files)
+	slices.SortStableFunc(sorted, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	var problems []Problem
+	if len(sorted) > MaxFiles {
+		problems = append(problems, Problem{Text: fmt.Sprintf("%d files are more than %d", len(sorted), MaxFiles), Fix: "join small files"})
+	}
+	for i, f := range sorted {
+		switch {
+		case !isYAML(f.Name) || strings.ContainsAny(f.Name, "/\\\x00"):
+			problems = append(problems, Problem{File: f.Name, Text: "the file's name is not usable", Fix: "use a plain name that ends in .yaml"})
+		case i > 0 && sorted[i-1].Name == f.Name:
+			problems = append(problems, Problem{File: f.Name, Text: "two files have this name", Fix: "rename one"})
+		case len(f.Content) > MaxFileSize:
+			problems = append(problems, Problem{File: f.Name, Text: fmt.Sprintf("the file is larger than %d bytes", MaxFileSize), Fix: "split it"})
+		}
+	}
+	return sorted, problems
+}
--- /dev/null
+++ b/internal/config/merge.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"regexp"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/config/strictyaml"
+)
+
+// Defaults of fields that files need not name.
+const (
+	DefaultWeight     = 1
+	DefaultMaxWaiting = 256
+	DefaultTimeout    = 30 * time.Second
+	DefaultMaxTimeout = 120 * time.Second
+	DefaultMaxBody    = 1 * MiB
+)
+
+// queueLimitUnset marks a pool whose queue limit follows its limit.
+const queueLimitUnset = -1
+
+// nameForm is the form of every object's name.
+var nameForm = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+const nameFix = "use 1 to 63 lower-case letters, digits and hyphens, beginning with a letter"
+
+// merger holds the objects of all kinds while files are merged.
+type merger struct {
+	organisations section[Organisation]
+	services      section[Service]
+	zones         section[AvailabilityZone]
+	pools         section[Pool]
+}
+
+func newMerger() *merger {
+	return &merger{
+		organisations: section[Organisation]{
+			kind:     "organisation",
+			defaults: func() Organisation { return Organisation{Weight: DefaultWeight, MaxWaiting: DefaultMaxWaiting} },
+			setName:  func(o *Organisation, name string) { o.Name = name },
+			objects:  map[string]*object[Organisation]{},
+		},
+		services: section[Service]{
+			kind: "service",
+			defaults: func() Service {
+				return Service{DefaultTimeout: DefaultTimeout, MaxTimeout: DefaultMaxTimeout, MaxBody: DefaultMaxBody}
+			},
+			setName: func(s *Service, name string) { s.Name = name },
+			objects: map[string]*object[Service]{},
+		},
+		zones: section[AvailabilityZone]{
+			kind:     "availability zone",
+			defaults: func() AvailabilityZone { return AvailabilityZone{} },
+			setName:  func(z *AvailabilityZone, name string) { z.Name = name },
+			objects:  map[string]*object[AvailabilityZone]{},
+		},
+		pools: section[Pool]{
+			kind:     "pool",
+			defaults: func() Pool { return Pool{QueueLimit: queueLimitUnset} },
+			setName:  func(p *Pool, name string) { p.Name = name },
+			objects:  map[string]*object[Pool]{},
+		},
+	}
+}
+
+// Merge merges files in the order of their names and checks the whole. The
+// result is nil if there is any problem.
+//
+// An object belongs to the first file that names it. A later file, or a later
+// place in the same file, may change it with "override: true": the fields that
+// it names replace the earlier ones, and lists and nested mappings are replaced
+// whole. "remove: true" with only the name removes it; it may then be defined
+// anew. A second definition without either is a problem.
+func Merge(files []File) (*Config, []Problem) {
+	sorted, problems := sortedFiles(files)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	m := newMerger()
+	for _, f := range sorted {
+		problems = append(problems, m.addFile(f)...)
+	}
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return m.finish()
+}
+
+func (m *merger) addFile(f File) []Problem {
+	fields, problems := strictyaml.Parse(f.Name, f.Content)
+	if len(problems) > 0 {
+		return problems
+	}
+	for _, field := range fields {
+		problems = append(problems, m.addSection(f.Name, field)...)
+	}
+	return problems
+}
+
+func (m *merger) addSection(file string, f strictyaml.Field) []Problem {
+	switch f.Name {
+	case "organisations":
+		return m.organisations.add(file, f)
+	case "services":
+		return m.services.add(file, f)
+	case "availability_zones":
+		return m.zones.add(file, f)
+	case "pools":
+		return m.pools.add(file, f)
+	case "drained_instances":
+		return []Problem{{File: file, Line: f.Line, Text: "files do not drain instances", Fix: "remove the field and use \"gentiantrailctl drain instance NAME\""}}
+	default:
+		return []Problem{{File: file, Line: f.Line, Text: "unknown field " + f.Name, Fix: "use one of: organisations, services, availability_zones, pools"}}
+	}
+}
+
+// finish checks the merged objects and returns the configuration.
+func (m *merger) finish() (*Config, []Problem) {
+	organisations, services := m.organisations.sorted(), m.services.sorted()
+	zones, pools := m.zones.sorted(), m.pools.sorted()
+	for _, p := range pools {
+		if p.value.QueueLimit == queueLimitUnset {
+			p.value.QueueLimit = p.value.Limit
+		}
+	}
+	problems := checkOrganisations(organisations)
+	for _, s := range services {
+		problems = append(problems, checkService(s, m.pools.objects)...)
+	}
+	for _, z := range zones {
+		problems = append(problems, checkZone(z)...)
+	}
+	for _, p := range pools {
+		problems = append(problems, checkPool(p)...)
+	}
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return &Config{
+		Organisations:     values(organisations),
+		Services:          values(services),
+		AvailabilityZones: values(zones),
+		Pools:             values(pools),
+	}, nil
+}
--- a/internal/config/size.go
+++ b/internal/config/size.go
@@ -48,3 +48,16 @@
 	}
 	return "0B"
 }
+
+// UnmarshalYAML parses a size with its unit.
+func (s *Size) UnmarshalYAML(text []byte) error {
+	parsed, err := ParseSize(strings.Trim(strings.TrimSpace(string(text)), `"'`))
+	if err != nil {
+		return err
+	}
+	*s = parsed
+	return nil
+}
+
+// DescribeYAML tells how a size is written.
+func (Size) DescribeYAML() string { return "a size with its unit, for example 64KiB or 1MiB" }
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -15,7 +15,8 @@
 	AvailabilityZones []AvailabilityZone `yaml:"availability_zones"`
 	Pools             []Pool             `yaml:"pools"`
 	// DrainedInstances lists the names of agents or entries that take no new work.
-	DrainedInstances []string `yaml:"drained_instances"`
+	// It is part of the revision and set by operators' drains, not by files.
+	DrainedInstances []string `yaml:"-"`
 }
 
 // Organisation is one calling organisation.
@@ -26,7 +27,7 @@
 	KeyDigests []string `yaml:"key_digests"`
 	// Weight is the organisation's share when capacity is short. Default 1, range 1 to 1000.
 	Weight int `yaml:"weight"`
-	// MaxWaiting is the most requests an entry keeps waiting for the organisation. Default 256.
+	// MaxWaiting is the most requests an entry keeps waiting for the organisation. Default 256, range 1 to 65536.
 	MaxWaiting int `yaml:"max_waiting"`
 }
 
@@ -64,8 +65,9 @@
 	Name string `yaml:"name"`
 	// Region is the name of the zone's region.
 	Region string `yaml:"region"`
-	// Drained tells that the availability zone takes no new work.
-	Drained bool `yaml:"drained"`
+	// Drained tells that the availability zone takes no new work. It is part of the
+	// revision and set by operators' drains, not by files.
+	Drained bool `yaml:"-"`
 }
 
 // TargetKind tells what kind of program a pool's targets are.
@@ -85,11 +87,11 @@
 	Name string `yaml:"name"`
 	// Kind is model or plain.
 	Kind TargetKind `yaml:"kind"`
-	// Limit is the most requests that a warm target runs at once.
+	// Limit is the most requests that a warm target runs at once. Range 1 to 65536.
 	Limit int `yaml:"limit"`
-	// ColdLimit is the most requests that a target runs at once just after its start.
+	// ColdLimit is the most requests that a target runs at once just after its start. Range 1 to Limit.
 	ColdLimit int `yaml:"cold_limit"`
-	// QueueLimit is the most requests that wait at one agent. Default: Limit.
+	// QueueLimit is the most requests that wait at one agent. Default: Limit, range 0 to 65536.
 	QueueLimit int `yaml:"queue_limit"`
 	// ChecksFencing tells that the engines refuse orders with an old fencing number. Default false.
 	ChecksFencing bool `yaml:"checks_fencing"`
@@ -105,7 +107,8 @@
 	Layers int `yaml:"layers"`
 	// Experts is the number of experts in a layer. Range 1 to 4096.
 	Experts int `yaml:"experts"`
-	// SlotsPerRank is the number of expert replicas that a rank holds in a layer.
+	// SlotsPerRank is the number of expert replicas that a rank holds in a
+	// layer. Ranks times SlotsPerRank is at least Experts.
 	SlotsPerRank int `yaml:"slots_per_rank"`
 	// ExpertSize is the size of one expert's weights, for example 64MiB.
 	ExpertSize Size `yaml:"expert_size"`
