--- /dev/null
+++ b/cmd/gentiantrail-standin/main.go
@@ -0,0 +1,70 @@
+// Command gentiantrail-standin plays the outside systems in trials and tests: the
+// platform's object API, a model engine, or a plain service.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/valyala/fasthttp"
+
+	"github.com/gentiantrail/gentiantrail/internal/standin/engine"
+	"github.com/gentiantrail/gentiantrail/internal/standin/objectstore"
+	"github.com/gentiantrail/gentiantrail/internal/standin/plain"
+)
+
+type platformArgs struct {
+	Listen string `arg:"--listen,required" help:"IP address and port"`
+}
+
+type engineArgs struct {
+	Listen    string        `arg:"--listen,required" help:"IP address and port"`
+	Warm      int           `arg:"--warm" default:"16" help:"most requests that the warm engine bears"`
+	Cold      int           `arg:"--cold" default:"2" help:"most requests that the cold engine bears"`
+	WarmAfter int           `arg:"--warm-after" default:"8" help:"completed requests that make the engine warm"`
+	TokenTime time.Duration `arg:"--token-time" default:"5ms" help:"time between two tokens"`
+	Restart   time.Duration `arg:"--restart" default:"2s" help:"time to come back after falling over"`
+}
+
+type plainArgs struct {
+	Listen string `arg:"--listen,required" help:"IP address and port"`
+}
+
+type args struct {
+	Platform *platformArgs `arg:"subcommand:platform" help:"the platform's object API"`
+	Engine   *engineArgs   `arg:"subcommand:engine" help:"a model engine"`
+	Plain    *plainArgs    `arg:"subcommand:plain" help:"a plain service"`
+}
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	switch {
+	case a.Platform != nil:
+		serve(a.Platform.Listen, objectstore.Handler(objectstore.New()))
+	case a.Engine != nil:
+		serve(a.Engine.Listen, engine.New(a.Engine.config()).Handle)
+	case a.Plain != nil:
+		serve(a.Plain.Listen, plain.New().Handle)
+	default:
+		p.Fail("name a stand-in")
+	}
+}
+
+func (a *engineArgs) config() engine.Config {
+	return engine.Config{
+		Warm: a.Warm, Cold: a.Cold, WarmAfter: a.WarmAfter,
+		TokenTime: a.TokenTime, Restart: a.Restart,
+	}
+}
+
+// serve answers HTTP until the process is ended.
+func serve(addr string, h fasthttp.RequestHandler) {
+	s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, MaxRequestBodySize: 8 << 20}
+	if err := s.ListenAndServe(addr); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/agent/control.go
@@ -0,0 +1,277 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/admission"
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/config"
+	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// control is the state that the control goroutine owns.
+type control struct {
+	agent     *Agent
+	admission *admission.Controller
+	index     *config.Index
+	up        bool
+	stopping  bool
+	drained   bool
+	peers     map[link.Peer]struct{}
+	// jobs holds every request that waits or runs, byAdmission the same by admission id.
+	jobs        map[jobID]*job
+	byAdmission map[uint64]*job
+	nextID      uint64
+	dialled     map[string]bool
+	settled     *settled
+	seq         uint64
+	lastBeat    time.Duration
+}
+
+func newControl(a *Agent) *control {
+	return &control{
+		agent:       a,
+		admission:   admission.New(admission.Config{ServiceTime: assumedServiceTime}),
+		peers:       make(map[link.Peer]struct{}),
+		jobs:        make(map[jobID]*job),
+		byAdmission: make(map[uint64]*job),
+		settled:     newSettled(),
+		dialled:     make(map[string]bool),
+	}
+}
+
+// finished tells that the agent is stopping and nothing is left to do.
+func (c *control) finished() bool { return c.stopping && len(c.jobs) == 0 }
+
+// job returns the open job that p numbered id, or nil.
+func (c *control) job(p link.Peer, id uint64) *job {
+	return c.jobs[jobID{sender: p.Identity().Incarnation, id: id}]
+}
+
+// offer takes a new request or refuses it.
+func (c *control) offer(p link.Peer, req *message.Request) {
+	j := newJob(c.agent.parent, p, req, time.Now())
+	if c.jobs[j.key] != nil {
+		j.cancel()
+		return
+	}
+	if err := c.accept(j); err != nil {
+		c.refuse(j, err)
+		return
+	}
+	c.nextID++
+	j.admitted = c.nextID
+	d := c.admission.Offer(c.agent.now(), c.item(j))
+	if d.Verdict == admission.Refuse {
+		c.effects(d.Effects)
+		c.refuse(j, d.Err)
+		return
+	}
+	c.jobs[j.key] = j
+	c.byAdmission[j.admitted] = j
+	if d.Verdict == admission.Run {
+		c.run(j)
+	}
+	c.effects(d.Effects)
+	c.publish()
+	_ = p.Send(&message.Accepted{ID: req.ID, Load: *c.agent.load.Load()})
+}
+
+// accept checks what makes a request impossible whatever the load.
+func (c *control) accept(j *job) *apierr.Error {
+	if _, known := c.settled.get(j.key); known {
+		return apierr.New(apierr.KindWithdrawn, "the request was settled before")
+	}
+	if j.req.Incarnation != c.agent.opts.Identity.Incarnation {
+		return apierr.New(apierr.KindStaleIncarnation, c.agent.opts.Identity.Name)
+	}
+	switch {
+	case c.stopping, c.drained:
+		return apierr.New(apierr.KindDraining, c.agent.opts.Identity.Name)
+	case c.index == nil:
+		return apierr.New(apierr.KindConfigUnavailable, c.agent.opts.Identity.Name)
+	case !c.up:
+		return apierr.New(apierr.KindNoTarget, c.agent.opts.Identity.Name)
+	case j.req.Timeout <= 0:
+		return apierr.New(apierr.KindDeadlineUnreachable, "the deadline has passed")
+	}
+	return nil
+}
+
+// item describes j to the admission controller.
+func (c *control) item(j *job) admission.Item {
+	weight := 1
+	if o, ok := c.index.Organisation(j.req.Organisation); ok {
+		weight = o.Weight
+	}
+	return admission.Item{
+		ID:           j.admitted,
+		Organisation: j.req.Organisation,
+		Weight:       weight,
+		Priority:     j.req.Priority,
+		Deadline:     c.agent.now() + j.req.Timeout,
+	}
+}
+
+// run starts the goroutine of an admitted job.
+func (c *control) run(j *job) { go c.agent.work(j) }
+
+// refuse answers a request that does not run.
+func (c *control) refuse(j *job, err *apierr.Error) {
+	j.withdraw()
+	j.cancel()
+	c.settled.add(time.Now(), j.key, true)
+	c.agent.opts.Metrics.Tagged(map[string]string{"kind": err.Kind.String()}).Counter("refused").Inc(1)
+	c.agent.opts.Logger.Info().Str("event", "refused").Str("request", j.req.Trace).
+		Str("kind", err.Kind.String()).Str("detail", err.Detail).Msg("")
+	_ = j.peer.Send(refusal(j.req.ID, err, *c.agent.load.Load()))
+}
+
+// effects carries out what the admission controller decided about other requests.
+func (c *control) effects(e admission.Effects) {
+	for _, id := range e.Start {
+		if j := c.byAdmission[id]; j != nil {
+			c.run(j)
+		}
+	}
+	for _, r := range e.Refused {
+		c.drop(r.ID, r.Err)
+	}
+	c.publish()
+}
+
+// drop refuses a waiting request.
+func (c *control) drop(id uint64, err *apierr.Error) {
+	j := c.byAdmission[id]
+	if j == nil {
+		return
+	}
+	c.forget(j)
+	c.refuse(j, err)
+}
+
+// forget removes j from the open jobs.
+func (c *control) forget(j *job) {
+	delete(c.jobs, j.key)
+	delete(c.byAdmission, j.admitted)
+}
+
+// settle ends a job whose goroutine has finished.
+func (c *control) settle(j *job, notRun bool) {
+	c.forget(j)
+	j.cancel()
+	c.settled.add(time.Now(), j.key, notRun)
+}
+
+// withdraw answers whether a request can still be kept from running. A request
+// that the agent does not know yet is withdrawn before it arrives.
+func (c *control) withdraw(p link.Peer, id uint64) {
+	key := jobID{sender: p.Identity().Incarnation, id: id}
+	notRun := c.withdrawJob(key)
+	_ = p.Send(&message.Withdrawn{ID: id, NotRun: notRun})
+}
+
+func (c *control) withdrawJob(key jobID) bool {
+	if f, known := c.settled.get(key); known {
+		return f.notRun
+	}
+	j := c.jobs[key]
+	if j == nil {
+		c.settled.add(time.Now(), key, true)
+		return true
+	}
+	if !j.withdraw() {
+		return false
+	}
+	c.settled.add(time.Now(), key, true)
+	c.removeWaiting(j)
+	return true
+}
+
+// removeWaiting forgets j if it still waits; a claiming job ends by itself.
+func (c *control) removeWaiting(j *job) {
+	if c.admission.Remove(c.agent.now(), j.admitted) {
+		c.forget(j)
+		j.cancel()
+	}
+}
+
+// abandon handles a job for whose answer nobody waits any more. A run that may
+// not be repeated goes on to its end.
+func (c *control) abandon(j *job) {
+	if j.withdraw() {
+		c.settled.add(time.Now(), j.key, true)
+		c.removeWaiting(j)
+		return
+	}
+	j.leave()
+	if j.interruptible() {
+		j.cancel()
+	}
+}
+
+// tick expires waiting requests and sends heartbeats.
+func (c *control) tick() {
+	now := c.agent.now()
+	for _, r := range c.admission.Expire(now) {
+		c.drop(r.ID, r.Err)
+	}
+	c.settled.expire(time.Now())
+	if now-c.lastBeat >= heartbeatInterval {
+		c.announce()
+	}
+}
+
+// configure takes over the limits and drains of a configuration.
+func (c *control) configure(x *config.Index) {
+	id := c.agent.opts.Identity
+	c.index = x
+	if p, ok := x.Pool(id.Pool); ok {
+		c.admission.Configure(admissionConfig(p))
+	}
+	c.drained = x.AvailabilityZoneDrained(id.AvailabilityZone) || x.InstanceDrained(id.Name)
+	if c.drained || c.stopping {
+		c.admission.Drain()
+	} else {
+		c.admission.Undrain()
+	}
+	c.announce()
+}
+
+// publish makes the current load visible to traffic goroutines.
+func (c *control) publish() {
+	load := c.admission.Load(c.agent.now())
+	c.agent.load.Store(&load)
+}
+
+// announce sends a heartbeat to every entry.
+func (c *control) announce() {
+	c.publish()
+	c.seq++
+	c.lastBeat = c.agent.now()
+	for p := range c.peers {
+		c.heartbeat(p)
+	}
+}
+
+func (c *control) heartbeat(p link.Peer) {
+	hb := &message.Heartbeat{Seq: c.seq, Load: *c.agent.load.Load(), Leaving: c.stopping}
+	if c.index != nil {
+		hb.ConfigRevision = c.index.Revision()
+	}
+	_ = p.Send(hb)
+}
+
+// dialEntry links to an entry of the own availability zone that is not linked yet.
+func (c *control) dialEntry(m message.Member) {
+	id := m.Identity
+	if m.Leaving || id.Address == "" || c.dialled[id.Address] {
+		return
+	}
+	if id.AvailabilityZone != c.agent.opts.Identity.AvailabilityZone {
+		return
+	}
+	c.dialled[id.Address] = true
+	c.agent.opts.Dial(id.Address)
+}
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -34,10 +34,14 @@
 	peer     link.Peer
 	req      *message.Request
 	deadline time.Time
-	ctx      context.Context
-	cancel   context.CancelFunc
-	window   *window
-	phase    atomic.Int32
+	// ctx bounds the call to the target, caller the sending of its answer.
+	ctx    context.Context
+	cancel context.CancelFunc
+	caller context.Context
+	// leave ends caller alone.
+	leave  context.CancelFunc
+	window *window
+	phase  atomic.Int32
 }
 
 // newJob returns a pending job; its context ends with cancel.
@@ -56,6 +60,7 @@
 		limit = limit.Add(outcomeGrace)
 	}
 	j.ctx, j.cancel = context.WithDeadline(parent, limit)
+	j.caller, j.leave = context.WithDeadline(j.ctx, j.deadline)
 	return j
 }
 
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -23,7 +23,7 @@
 // returns the number of body bytes sent. keep, if not nil, sees each piece.
 func relay(j *job, r *target.Response, keep func([]byte)) (int64, *apierr.Error) {
 	head := &message.ResponseHead{ID: j.req.ID, Status: r.Status, Headers: r.Headers, Length: r.Length}
-	if err := send(j.ctx, j.peer, head); err != nil {
+	if err := send(j.caller, j.peer, head); err != nil {
 		return 0, err
 	}
 	var sent int64
@@ -51,12 +51,12 @@
 // sendData sends p, which starts at offset in the body, in pieces that fit the window.
 func sendData(j *job, p []byte, offset int64) *apierr.Error {
 	for len(p) > 0 {
-		n, err := j.window.take(j.ctx, len(p))
+		n, err := j.window.take(j.caller, len(p))
 		if err != nil {
-			return bodyFailure(j.ctx, err)
+			return bodyFailure(j.caller, err)
 		}
 		data := &message.ResponseData{ID: j.req.ID, Offset: offset, Data: p[:n]}
-		if e := send(j.ctx, j.peer, data); e != nil {
+		if e := send(j.caller, j.peer, data); e != nil {
 			return e
 		}
 		p = p[n:]
--- /dev/null
+++ b/internal/agent/work.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/admission"
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/target"
+)
+
+// stage is one step of a job's way; a non-nil error ends the job with its answer.
+type stage func(a *Agent, r *run) *apierr.Error
+
+// stages is the way of an admitted job.
+var stages = []stage{claim, begin, call, relayAnswer}
+
+// run is a job in its goroutine.
+type run struct {
+	*job
+	began   time.Time
+	claimed bool
+	// answered tells that the claim stage found a recorded answer and sent it.
+	answered bool
+	resp     *target.Response
+	kept     keptAnswer
+	sent     int64
+}
+
+// work takes a job through its stages and reports its end.
+func (a *Agent) work(j *job) {
+	r := &run{job: j, began: time.Now()}
+	var err *apierr.Error
+	for _, s := range stages {
+		if err = s(a, r); err != nil || r.answered {
+			break
+		}
+	}
+	if r.resp != nil {
+		r.resp.Close()
+	}
+	a.record(r, err)
+	a.end(r, err)
+}
+
+// begin passes the point of no return; a withdrawn job ends here.
+func begin(_ *Agent, r *run) *apierr.Error {
+	if time.Now().After(r.deadline) {
+		if r.withdraw() {
+			return apierr.New(apierr.KindDeadlineUnreachable, "the deadline passed before the request started")
+		}
+	}
+	if !r.start() {
+		return apierr.New(apierr.KindWithdrawn, "")
+	}
+	return nil
+}
+
+// end sends the final frame and reports the result to the control goroutine.
+func (a *Agent) end(r *run, err *apierr.Error) {
+	notRun := err != nil && err.Answer().Outcome == apierr.OutcomeNotRun
+	took := time.Since(r.began)
+	if !r.answered {
+		a.sendEnd(r, err)
+	}
+	a.logEnd(r, err, took)
+	a.post(finished{
+		job:    r.job,
+		notRun: notRun,
+		result: admission.Result{
+			ServiceTime: took,
+			Work:        float64(max(r.sent, 1)),
+			OK:          err == nil,
+			Cancelled:   r.answered || notRun || (err != nil && causedByCaller(err.Kind)),
+		},
+	})
+}
+
+// causedByCaller tells whether a failure says nothing about the target.
+func causedByCaller(k apierr.Kind) bool {
+	return k == apierr.KindCancelled || k == apierr.KindLinkLost
+}
+
+func (a *Agent) sendEnd(r *run, err *apierr.Error) {
+	end := &message.ResponseEnd{ID: r.req.ID, Length: r.sent, Load: *a.load.Load()}
+	if err != nil {
+		end = refusal(r.req.ID, err, *a.load.Load())
+	}
+	ctx, cancel := context.WithTimeout(a.parent, time.Second)
+	defer cancel()
+	_ = send(ctx, r.peer, end)
+}
+
+func (a *Agent) logEnd(r *run, err *apierr.Error, took time.Duration) {
+	kind := apierr.KindNone
+	if err != nil {
+		kind = err.Kind
+		a.opts.Metrics.Tagged(map[string]string{"kind": kind.String()}).Counter("failed").Inc(1)
+	}
+	a.opts.Metrics.Timer("run").Record(took)
+	line := a.opts.Logger.Info().Str("event", "ran").Str("request", r.req.Trace).
+		Str("organisation", r.req.Organisation).Str("service", r.req.Service).
+		Str("kind", kind.String()).Dur("took", took).Int64("bytes", r.sent)
+	if err != nil {
+		line = line.Str("detail", err.Error())
+	}
+	line.Msg("")
+}
--- a/internal/config/index.go
+++ b/internal/config/index.go
@@ -67,6 +67,16 @@
 	return o, ok
 }
 
+// Organisation returns the organisation with the name.
+func (x *Index) Organisation(name string) (*Organisation, bool) {
+	for i := range x.config.Organisations {
+		if o := &x.config.Organisations[i]; o.Name == name {
+			return o, true
+		}
+	}
+	return nil, false
+}
+
 // Service returns the service with the name.
 func (x *Index) Service(name string) (*Service, bool) {
 	s, ok := x.services[name]
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,89 @@
+// Package daemon holds the start-up steps that the entry's and the agent's
+// programs share: command line, logger, incarnation and signals.
+package daemon
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/phuslu/log"
+)
+
+// Exit codes of the daemons.
+const (
+	// ExitOK follows a graceful stop.
+	ExitOK = 0
+	// ExitFailure follows a fault while running.
+	ExitFailure = 1
+	// ExitUsage follows a wrong command line or wrong settings.
+	ExitUsage = 2
+	// ExitForced follows a stop whose timeout ended before the last request.
+	ExitForced = 3
+)
+
+// Args is the command line of a daemon.
+type Args struct {
+	// Settings is the path of the settings file.
+	Settings string `arg:"--settings,required" help:"path of the YAML settings file"`
+	// Check ends the program after the settings have been checked.
+	Check bool `arg:"--check" help:"check the settings and exit"`
+}
+
+// ParseArgs reads the command line; it exits with ExitUsage on a wrong one.
+func ParseArgs() Args {
+	var args Args
+	p, err := arg.NewParser(arg.Config{Exit: exitUsage}, &args)
+	if err != nil {
+		Fail(ExitFailure, err)
+	}
+	p.MustParse(os.Args[1:])
+	return args
+}
+
+// exitUsage maps go-arg's exit codes to the daemon's.
+func exitUsage(code int) {
+	if code != 0 {
+		code = ExitUsage
+	}
+	os.Exit(code)
+}
+
+// Fail ends the program with one line on standard error.
+func Fail(code int, err error) {
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(code)
+}
+
+// NewIncarnation returns a random number for this start of the process; it is never zero.
+func NewIncarnation() uint64 {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return binary.LittleEndian.Uint64(raw[:]) | 1
+}
+
+// StopSignals returns a channel that receives SIGTERM and SIGINT.
+func StopSignals() <-chan os.Signal {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGTERM, os.Interrupt)
+	return ch
+}
+
+// LogStart writes the first line of a daemon's log.
+func LogStart(l *log.Logger, role, name string, incarnation uint64) {
+	l.Info().Str("event", "start").Str("role", role).Str("name", name).
+		Uint64("incarnation", incarnation).Int("pid", os.Getpid()).Msg("")
+}
+
+// ErrStopTimeout means that requests were still in flight when the stop timeout ended.
+var ErrStopTimeout = errors.New("stop timeout: requests are still in flight")
+
+// NewLogger returns a logger that writes one key=value line for each event to standard error.
+func NewLogger() *log.Logger {
+	return &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: os.Stderr}}
+}
--- /dev/null
+++ b/internal/entry/control.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/config"
+	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/routing"
+)
+
+// linksPerRemoteZone is the number of peer entries that an entry keeps links to
+// in each other availability zone.
+const linksPerRemoteZone = 3
+
+// agentState is what the control goroutine knows of one agent.
+type agentState struct {
+	identity message.Identity
+	links    []link.Peer
+	sent     *routing.Counter
+	report   routing.Report
+	leaving  bool
+}
+
+// peerState is what the control goroutine knows of one entry.
+type peerState struct {
+	identity message.Identity
+	links    []link.Peer
+	pools    map[string]*poolState
+	leaving  bool
+}
+
+// poolState is what a peer entry reported about one pool of its availability zone.
+type poolState struct {
+	sent   *routing.Counter
+	report routing.Report
+	agents []string
+}
+
+// control is the state that the control goroutine owns.
+type control struct {
+	entry      *Entry
+	index      *config.Index
+	stopping   bool
+	agents     map[string]*agentState
+	peers      map[string]*peerState
+	dialled    map[string]bool
+	dirty      bool
+	lastReport time.Duration
+}
+
+func newControl(e *Entry) *control {
+	return &control{
+		entry:   e,
+		agents:  make(map[string]*agentState),
+		peers:   make(map[string]*peerState),
+		dialled: make(map[string]bool),
+	}
+}
+
+// finished tells that the entry is stopping and no request is in flight.
+func (c *control) finished() bool {
+	return c.stopping && c.entry.gate.inFlight() == 0
+}
+
+// tick publishes collected changes and reports to the peers.
+func (c *control) tick() {
+	now := c.entry.now()
+	if now-c.lastReport >= reportInterval {
+		c.reportToPeers()
+	}
+	if c.dirty {
+		c.publish()
+	}
+}
+
+// agentUp takes in a new link to an agent; a new incarnation starts afresh.
+func (c *control) agentUp(p link.Peer) {
+	id := p.Identity()
+	a := c.agents[id.Name]
+	if a == nil || a.identity.Incarnation != id.Incarnation {
+		a = &agentState{identity: id, sent: new(routing.Counter)}
+		c.agents[id.Name] = a
+	}
+	a.links = append(a.links, p)
+	c.publish()
+}
+
+// peerUp takes in a new link to an entry.
+func (c *control) peerUp(p link.Peer) {
+	id := p.Identity()
+	s := c.peers[id.Name]
+	if s == nil || s.identity.Incarnation != id.Incarnation {
+		s = &peerState{identity: id, pools: make(map[string]*poolState)}
+		c.peers[id.Name] = s
+	}
+	s.links = append(s.links, p)
+	c.publish()
+	c.reportToPeers()
+	c.tellMembers()
+}
+
+// linkDown removes a link; a process without links gets no new work.
+func (c *control) linkDown(p link.Peer) {
+	name := p.Identity().Name
+	if a := c.agents[name]; a != nil {
+		a.links = remove(a.links, p)
+	}
+	if s := c.peers[name]; s != nil {
+		s.links = remove(s.links, p)
+	}
+	c.publish()
+}
+
+func remove(links []link.Peer, p link.Peer) []link.Peer {
+	kept := make([]link.Peer, 0, len(links))
+	for _, l := range links {
+		if l != p {
+			kept = append(kept, l)
+		}
+	}
+	return kept
+}
+
+// loadSeen takes in a load report of an agent.
+func (c *control) loadSeen(p link.Peer, load message.Load) {
+	a := c.agents[p.Identity().Name]
+	if a == nil || a.identity.Incarnation != p.Identity().Incarnation {
+		return
+	}
+	a.report = c.newReport(load, a.sent)
+	if load.State == message.TargetLeaving || load.State == message.TargetDown {
+		c.publish()
+		return
+	}
+	c.dirty = true
+}
+
+func (c *control) newReport(load message.Load, sent *routing.Counter) routing.Report {
+	return routing.Report{Known: true, Load: load, ReceivedAt: c.entry.now(), SentAtReport: sent.InFlight()}
+}
+
+// zoneReport takes in a peer's report about its availability zone.
+func (c *control) zoneReport(p link.Peer, r *message.ZoneReport) {
+	s := c.peers[p.Identity().Name]
+	if s == nil {
+		return
+	}
+	s.leaving = r.Leaving
+	reported := make(map[string]*poolState, len(r.Pools))
+	for _, pool := range r.Pools {
+		st := s.pools[pool.Pool]
+		if st == nil {
+			st = &poolState{sent: new(routing.Counter)}
+		}
+		st.report = c.newReport(pool.Load, st.sent)
+		st.agents = pool.Agents
+		reported[pool.Pool] = st
+	}
+	s.pools = reported
+	if r.Leaving {
+		c.publish()
+		return
+	}
+	c.dirty = true
+}
+
+// configure puts a configuration in force.
+func (c *control) configure(x *config.Index) {
+	c.index = x
+	c.publish()
+	c.reportToPeers()
+}
+
+// stop refuses new work and tells the peers.
+func (c *control) stop() {
+	c.stopping = true
+	c.publish()
+	c.reportToPeers()
+	c.entry.opts.Logger.Info().Str("event", "stopping").Int("requests", c.entry.gate.inFlight()).Msg("")
+}
--- /dev/null
+++ b/internal/entry/event.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"github.com/gentiantrail/gentiantrail/internal/config"
+	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// event changes the control state; apply runs on the control goroutine only.
+type event interface{ apply(c *control) }
+
+type (
+	peerUp   struct{ peer link.Peer }
+	peerDown struct {
+		peer  link.Peer
+		cause error
+	}
+	heartbeat struct {
+		peer link.Peer
+		beat *message.Heartbeat
+	}
+	loadSeen struct {
+		peer link.Peer
+		load message.Load
+	}
+	zoneReport struct {
+		peer   link.Peer
+		report *message.ZoneReport
+	}
+	members    struct{ list []message.Member }
+	configured struct{ index *config.Index }
+	stopAsked  struct{}
+	dumpAsked  struct{ reply chan State }
+)
+
+func (ev peerUp) apply(c *control) {
+	if ev.peer.Identity().Role == message.RoleAgent {
+		c.agentUp(ev.peer)
+		c.tellMembersTo(ev.peer)
+		return
+	}
+	c.peerUp(ev.peer)
+}
+
+func (ev peerDown) apply(c *control) { c.linkDown(ev.peer) }
+
+func (ev heartbeat) apply(c *control) {
+	if a := c.agents[ev.peer.Identity().Name]; a != nil && ev.beat.Leaving {
+		a.leaving = true
+	}
+	c.loadSeen(ev.peer, ev.beat.Load)
+}
+
+func (ev loadSeen) apply(c *control) { c.loadSeen(ev.peer, ev.load) }
+
+func (ev zoneReport) apply(c *control) { c.zoneReport(ev.peer, ev.report) }
+
+func (ev members) apply(c *control) { c.learn(ev.list) }
+
+func (ev configured) apply(c *control) { c.configure(ev.index) }
+
+func (ev stopAsked) apply(c *control) { c.stop() }
+
+func (ev dumpAsked) apply(c *control) { ev.reply <- c.state() }
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/config"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// exchange is one request on its way through the filters.
+type exchange struct {
+	// head is the caller's header; it is valid only until the filters have run.
+	head *fasthttp.RequestHeader
+	// view is the control state that the whole exchange is served from.
+	view *view
+	// arrived is when the request's head was read.
+	arrived time.Time
+	// deadline is when the caller's complete answer is due.
+	deadline time.Time
+	// req is sent to the target; its ID, Incarnation and Timeout are set for each attempt.
+	req message.Request
+	// organisation, service and route are set by the identify and classify filters.
+	organisation *config.Organisation
+	service      *config.Service
+	route        config.Route
+	// admitted tells that the organisation's place must be given back.
+	admitted bool
+	// excluded names the agents and availability zones that were tried.
+	excluded []string
+	// attempts counts the dispatches.
+	attempts int
+	// abort is closed when the sender withdrew or cancelled the request; nil for callers over HTTP.
+	abort chan struct{}
+	// target names the agent or peer entry of the last dispatch.
+	target string
+}
+
+// remaining returns the time left until the deadline.
+func (x *exchange) remaining(now time.Time) time.Duration { return x.deadline.Sub(now) }
+
+// aborted tells whether the sender withdrew or cancelled the request.
+func (x *exchange) aborted() bool {
+	if x.abort == nil {
+		return false
+	}
+	select {
+	case <-x.abort:
+		return true
+	default:
+		return false
+	}
+}
+
+// filter is one step of the pipeline. A non-nil error ends the exchange with the
+// answer that the error's kind has in the table.
+type filter func(e *Entry, x *exchange) *apierr.Error
+
+// run passes x through filters in order.
+func (e *Entry) run(x *exchange, filters []filter) *apierr.Error {
+	for _, f := range filters {
+		if err := f(e, x); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/filter_deadline.go
@@ -0,0 +1,24 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+)
+
+// headerTimeout carries the time in which the caller needs its complete answer, for example 1500ms.
+const headerTimeout = "Gentiantrail-Timeout"
+
+// setDeadline applies the caller's timeout, bounded by the service's.
+func setDeadline(_ *Entry, x *exchange) *apierr.Error {
+	timeout := x.service.DefaultTimeout
+	if text := string(x.head.Peek(headerTimeout)); text != "" {
+		asked, err := time.ParseDuration(text)
+		if err != nil || asked <= 0 {
+			return apierr.New(apierr.KindBadDeadline, "write a duration such as 1500ms or 30s")
+		}
+		timeout = min(asked, x.service.MaxTimeout)
+	}
+	x.deadline = x.arrived.Add(timeout)
+	return nil
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/routing"
+)
+
+// fullRetry is the wait before a frame is offered again to a full link queue.
+const fullRetry = time.Millisecond
+
+// forward is a request that a peer entry of another availability zone passed on.
+type forward struct {
+	key  callKey
+	peer link.Peer
+	x    *exchange
+
+	mu   sync.Mutex
+	call *call
+	gone bool
+	// granted counts credit that arrived before the answer's head.
+	granted int
+}
+
+// giveUp withdraws the request if it has not started; cancel also ends its answer.
+func (f *forward) giveUp(cancel bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.x.aborted() {
+		close(f.x.abort)
+	}
+	f.gone = f.gone || cancel
+	if f.gone && f.call != nil {
+		f.call.fail(apierr.New(apierr.KindCancelled, f.peer.Identity().Name))
+	}
+}
+
+// attach names the call whose answer is being relayed.
+func (f *forward) attach(c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.call = c
+	c.grant(f.granted)
+	if f.gone {
+		c.fail(apierr.New(apierr.KindCancelled, f.peer.Identity().Name))
+	}
+}
+
+// grant passes the upstream entry's credit on.
+func (f *forward) grant(bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.call == nil {
+		f.granted += bytes
+		return
+	}
+	f.call.grant(bytes)
+}
+
+// forwardTable finds the forward of an incoming message.
+type forwardTable struct {
+	mu       sync.Mutex
+	forwards map[callKey]*forward
+}
+
+func newForwardTable() *forwardTable {
+	return &forwardTable{forwards: make(map[callKey]*forward)}
+}
+
+func (t *forwardTable) add(f *forward) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.forwards[f.key] != nil {
+		return false
+	}
+	t.forwards[f.key] = f
+	return true
+}
+
+func (t *forwardTable) remove(f *forward) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.forwards, f.key)
+}
+
+func (t *forwardTable) get(p link.Peer, id uint64) *forward {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.forwards[callKey{peer: p.Identity().Incarnation, id: id}]
+}
+
+// lost gives up every forward of a lost link.
+func (t *forwardTable) lost(p link.Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range t.forwards {
+		if f.peer == p {
+			f.giveUp(true)
+		}
+	}
+}
+
+// serveForward handles a message of a peer entry about a request it passes on.
+func (e *Entry) serveForward(p link.Peer, m message.Message) {
+	switch m := m.(type) {
+	case *message.Request:
+		e.acceptForward(p, m)
+	case *message.Withdraw:
+		e.withdrawForward(p, m.ID)
+	case *message.Cancel:
+		if f := e.forwards.get(p, m.ID); f != nil {
+			f.giveUp(true)
+		}
+	case *message.Credit:
+		if f := e.forwards.get(p, m.ID); f != nil {
+			f.grant(m.Bytes)
+		}
+	}
+}
+
+// withdrawForward gives up a forward; its final frame tells whether it ran.
+func (e *Entry) withdrawForward(p link.Peer, id uint64) {
+	if f := e.forwards.get(p, id); f != nil {
+		f.giveUp(false)
+	}
+}
+
+// acceptForward starts a goroutine for a forwarded request.
+func (e *Entry) acceptForward(p link.Peer, req *message.Request) {
+	now := time.Now()
+	x := &exchange{arrived: now, deadline: now.Add(req.Timeout), req: *req, abort: make(chan struct{})}
+	f := &forward{key: callKey{peer: p.Identity().Incarnation, id: req.ID}, peer: p, x: x}
+	if e.forwards.add(f) {
+		go e.runForward(f)
+	}
+}
+
+// forwardFilters is the way of a forwarded request up to its dispatch.
+var forwardFilters = []filter{checkHops, resolve, admit}
+
+// checkHops refuses a request that has been passed on too often.
+func checkHops(_ *Entry, x *exchange) *apierr.Error {
+	if x.req.Hops > routing.MaxHops {
+		return apierr.New(apierr.KindNoTarget, "too many hops")
+	}
+	return nil
+}
+
+// resolve looks up what the first entry decided about the request.
+func resolve(e *Entry, x *exchange) *apierr.Error {
+	x.view = e.view.Load()
+	if x.view.index == nil {
+		return apierr.New(apierr.KindConfigUnavailable, e.opts.Identity.Name)
+	}
+	s, ok := x.view.index.Service(x.req.Service)
+	if !ok {
+		return apierr.New(apierr.KindNoTarget, x.req.Service)
+	}
+	o, ok := x.view.index.Organisation(x.req.Organisation)
+	if !ok {
+		return apierr.New(apierr.KindNoTarget, x.req.Organisation)
+	}
+	x.service, x.organisation = s, o
+	return nil
+}
+
+// runForward dispatches a forwarded request and relays its answer.
+func (e *Entry) runForward(f *forward) {
+	defer e.forwards.remove(f)
+	err := e.run(f.x, forwardFilters)
+	if err != nil {
+		e.endForward(f, 0, err)
+		e.logEnd(f.x, err)
+		return
+	}
+	a, err := e.dispatch(f.x)
+	if err != nil {
+		e.endForward(f, 0, err)
+		e.logEnd(f.x, err)
+		return
+	}
+	f.attach(a.call)
+	e.relayForward(f, a)
+	_ = a.Close()
+}
+
+// relayForward copies the frames of an answer to the upstream link.
+func (e *Entry) relayForward(f *forward, a *answer) {
+	head := *a.head
+	head.ID = f.key.id
+	if err := sendFrame(f.peer, &head, f.x.deadline); err != nil {
+		a.err = err
+		return
+	}
+	for a.err == nil && !a.whole {
+		offset := a.received
+		a.receive()
+		if len(a.pending) == 0 {
+			continue
+		}
+		data := &message.ResponseData{ID: f.key.id, Offset: offset, Data: a.pending}
+		a.pending = nil
+		if err := sendFrame(f.peer, data, f.x.deadline); err != nil {
+			a.err = err
+		}
+	}
+	e.endForward(f, a.received, a.err)
+}
+
+// endForward sends the final frame of a forward.
+func (e *Entry) endForward(f *forward, length int64, err *apierr.Error) {
+	end := &message.ResponseEnd{ID: f.key.id, Length: length}
+	if err != nil {
+		end.Failure = toFailure(err)
+	}
+	_ = sendFrame(f.peer, end, time.Now().Add(time.Second))
+}
+
+// sendFrame sends m, waiting until deadline while the link's queue is full.
+func sendFrame(p link.Peer, m message.Message, deadline time.Time) *apierr.Error {
+	for {
+		err := p.Send(m)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, link.ErrFull) {
+			return apierr.Wrap(apierr.KindLinkLost, p.Identity().Name, err)
+		}
+		if time.Now().After(deadline) {
+			return apierr.Wrap(apierr.KindTimeout, p.Identity().Name, context.DeadlineExceeded)
+		}
+		time.Sleep(fullRetry)
+	}
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// memberList returns this entry and every entry it has a link to.
+func (c *control) memberList() []message.Member {
+	list := []message.Member{{Identity: c.entry.opts.Identity, Leaving: c.stopping}}
+	for _, name := range sortedKeys(c.peers) {
+		if s := c.peers[name]; len(s.links) > 0 {
+			list = append(list, message.Member{Identity: s.identity, Leaving: s.leaving})
+		}
+	}
+	return list
+}
+
+// tellMembers sends the known entries to every linked process.
+func (c *control) tellMembers() {
+	m := &message.Members{Members: c.memberList()}
+	for _, s := range c.peers {
+		sendAll(s.links, m)
+	}
+	for _, a := range c.agents {
+		sendAll(a.links, m)
+	}
+}
+
+func (c *control) tellMembersTo(p link.Peer) {
+	_ = p.Send(&message.Members{Members: c.memberList()})
+}
+
+func sendAll(links []link.Peer, m message.Message) {
+	for _, l := range links {
+		_ = l.Send(m)
+	}
+}
+
+// learn dials entries that are missing: all of the own availability zone, and a
+// few of each other one.
+func (c *control) learn(list []message.Member) {
+	for _, m := range list {
+		if !m.Leaving && c.wanted(m.Identity) {
+			c.dialled[m.Identity.Address] = true
+			c.entry.opts.Dial(m.Identity.Address)
+		}
+	}
+}
+
+// wanted tells whether a link to an entry is missing.
+func (c *control) wanted(id message.Identity) bool {
+	own := c.entry.opts.Identity
+	if id.Role != message.RoleEntry || id.Name == own.Name || id.Address == "" || c.dialled[id.Address] {
+		return false
+	}
+	if s := c.peers[id.Name]; s != nil && len(s.links) > 0 {
+		return false
+	}
+	if id.AvailabilityZone == own.AvailabilityZone {
+		return true
+	}
+	return c.linksTo(id.AvailabilityZone) < linksPerRemoteZone
+}
+
+// linksTo counts the linked entries of an availability zone.
+func (c *control) linksTo(zone string) int {
+	n := 0
+	for _, s := range c.peers {
+		if s.identity.AvailabilityZone == zone && len(s.links) > 0 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/entry/state.go
@@ -0,0 +1,94 @@
+package entry
+
+import "time"
+
+// State is the state dump of an entry.
+type State struct {
+	Name             string        `json:"name"`
+	AvailabilityZone string        `json:"availability_zone"`
+	Incarnation      uint64        `json:"incarnation"`
+	ConfigRevision   uint64        `json:"config_revision"`
+	Stopping         bool          `json:"stopping"`
+	Drained          bool          `json:"drained"`
+	InFlight         int           `json:"in_flight"`
+	Calls            int           `json:"calls"`
+	RetryBudget      float64       `json:"retry_budget"`
+	Targets          []TargetState `json:"targets"`
+	Peers            []PeerState   `json:"peers"`
+}
+
+// TargetState is one agent in a state dump.
+type TargetState struct {
+	Agent     string `json:"agent"`
+	Pool      string `json:"pool"`
+	State     string `json:"state"`
+	Linked    bool   `json:"linked"`
+	Leaving   bool   `json:"leaving"`
+	Running   int    `json:"running"`
+	Queued    int    `json:"queued"`
+	Limit     int    `json:"limit"`
+	Sent      int    `json:"sent"`
+	ReportAge string `json:"report_age"`
+}
+
+// PeerState is one peer entry in a state dump.
+type PeerState struct {
+	Entry            string   `json:"entry"`
+	AvailabilityZone string   `json:"availability_zone"`
+	Linked           bool     `json:"linked"`
+	Leaving          bool     `json:"leaving"`
+	Pools            []string `json:"pools"`
+}
+
+// state builds the dump; it runs on the control goroutine.
+func (c *control) state() State {
+	e := c.entry
+	s := State{
+		Name: e.opts.Identity.Name, AvailabilityZone: e.opts.Identity.AvailabilityZone,
+		Incarnation: e.opts.Identity.Incarnation, Stopping: c.stopping,
+		InFlight: e.gate.inFlight(), Calls: e.calls.size(), RetryBudget: e.retryTokens(),
+	}
+	if c.index != nil {
+		s.ConfigRevision = c.index.Revision()
+		s.Drained = c.index.AvailabilityZoneDrained(s.AvailabilityZone)
+	}
+	for _, name := range sortedKeys(c.agents) {
+		s.Targets = append(s.Targets, c.targetState(c.agents[name]))
+	}
+	for _, name := range sortedKeys(c.peers) {
+		p := c.peers[name]
+		s.Peers = append(s.Peers, PeerState{
+			Entry: name, AvailabilityZone: p.identity.AvailabilityZone,
+			Linked: len(p.links) > 0, Leaving: p.leaving, Pools: sortedKeys(p.pools),
+		})
+	}
+	return s
+}
+
+func (c *control) targetState(a *agentState) TargetState {
+	load := a.report.Load
+	return TargetState{
+		Agent: a.identity.Name, Pool: a.identity.Pool, State: load.State.String(),
+		Linked: len(a.links) > 0, Leaving: a.leaving,
+		Running: load.Running, Queued: load.Queued, Limit: load.Limit, Sent: a.sent.InFlight(),
+		ReportAge: (c.entry.now() - a.report.ReceivedAt).Round(time.Millisecond).String(),
+	}
+}
+
+// State returns the state dump, or the zero State once Run has returned.
+func (e *Entry) State() State {
+	reply := make(chan State, 1)
+	e.post(dumpAsked{reply: reply})
+	select {
+	case s := <-reply:
+		return s
+	case <-e.done:
+		return State{}
+	}
+}
+
+func (e *Entry) retryTokens() float64 {
+	e.budgetMu.Lock()
+	defer e.budgetMu.Unlock()
+	return e.budget.Tokens()
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -39,6 +39,7 @@
 	TypeMapDecide
 	TypeMapQuery
 	TypeMapState
+	TypeZoneReport
 )
 
 // Message is implemented by every frame body.
@@ -323,3 +324,21 @@
 	Prepared  uint64 `cbor:"5,keyasint"`
 	Step      uint64 `cbor:"6,keyasint"`
 }
+
+// PoolReport sums up one target pool of an availability zone.
+type PoolReport struct {
+	Pool string `cbor:"1,keyasint"`
+	// Load is the sum over the pool's usable targets.
+	Load Load `cbor:"2,keyasint"`
+	// Agents are the names of the usable targets' agents.
+	Agents []string `cbor:"3,keyasint,omitempty"`
+}
+
+// ZoneReport tells peer entries what the sender's availability zone can take.
+type ZoneReport struct {
+	Pools []PoolReport `cbor:"1,keyasint"`
+	// Leaving tells that the sender takes no new work.
+	Leaving bool `cbor:"2,keyasint,omitempty"`
+	// ConfigRevision is the highest configuration revision in force at the sender.
+	ConfigRevision uint64 `cbor:"3,keyasint"`
+}
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -65,3 +65,5 @@
 
 // FrameType implements Message.
 func (*MapState) FrameType() Type { return TypeMapState }
+// FrameType implements Message.
+func (*ZoneReport) FrameType() Type { return TypeZoneReport }
--- a/internal/routing/home.go
+++ b/internal/routing/home.go
@@ -23,7 +23,7 @@
 	}
 	for i := range p.Targets {
 		t := &p.Targets[i]
-		if !s.Drained && t.usable() && !slices.Contains(r.Excluded, t.Agent) {
+		if !s.Drained && t.Usable() && !slices.Contains(r.Excluded, t.Agent) {
 			consider(t.Agent, Choice{Destination: ToAgent, Target: t})
 		}
 	}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -125,7 +125,7 @@
 	cs := make([]candidate, 0, len(p.Targets))
 	for i := range p.Targets {
 		t := &p.Targets[i]
-		if t.usable() && !slices.Contains(r.Excluded, t.Agent) {
+		if t.Usable() && !slices.Contains(r.Excluded, t.Agent) {
 			cs = append(cs, candidate{guess: newGuess(now, &t.Report, t.Sent), target: t})
 		}
 	}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -115,8 +115,8 @@
 	return nil
 }
 
-// usable tells whether t may get new work.
-func (t *Target) usable() bool {
+// Usable tells whether t may get new work.
+func (t *Target) Usable() bool {
 	down := t.Report.Known && t.Report.Load.State == message.TargetDown
 	leaving := t.Report.Known && t.Report.Load.State == message.TargetLeaving
 	return !t.Suspected && !t.Leaving && !t.Drained && !down && !leaving
