--- /dev/null
+++ b/internal/config/apply.go
@@ -0,0 +1,143 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Edit is an operator's folder that shall become the configuration.
+type Edit struct {
+	// ID names the edit; a repeat with the same ID is accepted once. Empty: random.
+	ID string
+	// Files are the folder's files.
+	Files []File
+	// Base are the files as they were when the folder was last in step with the
+	// platform. Files that the folder has as in Base are left as they are in the
+	// platform. Nil means that the folder replaces whatever is there.
+	Base []FileRef
+}
+
+// Apply publishes an edit. Nothing is published unless the merge of all files is
+// valid. The error is a *ConflictError, *InvalidError, *EditReusedError,
+// *UnclearError, *HeadError or a platform error, after which nothing was published.
+func (p *Publisher) Apply(ctx context.Context, edit Edit) (*Result, error) {
+	a := &application{publisher: p, edit: edit, mine: Refs(edit.Files), nonce: NewNonce()}
+	if edit.ID == "" {
+		a.edit.ID = NewNonce()
+	}
+	result, err := p.update(ctx, a.asEdit())
+	var unclear *UnclearError
+	if err != nil && !errors.As(err, &unclear) {
+		p.discard(ctx, a.mine, a.nonce)
+	}
+	return result, err
+}
+
+// application is the state of one Apply over its attempts.
+type application struct {
+	publisher *Publisher
+	edit      Edit
+	mine      []FileRef
+	nonce     string
+	// theirs holds contents that were read from the platform.
+	theirs []File
+}
+
+func (a *application) asEdit() edit {
+	return edit{id: a.edit.ID, nonce: a.nonce, request: requestDigest(a.mine), change: a.change}
+}
+
+func requestDigest(refs []FileRef) string {
+	var b strings.Builder
+	for _, r := range refs {
+		fmt.Fprintf(&b, "%s %s\n", r.Digest, r.Name)
+	}
+	return Digest([]byte(b.String()))
+}
+
+// change returns the head that holds the edit on top of from.
+func (a *application) change(ctx context.Context, from *Head) (*Head, *Result, error) {
+	base := a.edit.Base
+	if base == nil || from.Revision == 0 {
+		base = from.Files
+	}
+	merged, conflicts := mergeRefs(base, a.mine, from.Files)
+	if len(conflicts) > 0 {
+		return nil, nil, &ConflictError{Revision: from.Revision, Files: attribute(conflicts, from.Edits)}
+	}
+	result := &Result{Changes: Compare(from.Files, merged), Theirs: Compare(a.mine, merged)}
+	if len(result.Changes) == 0 {
+		return nil, result, nil
+	}
+	next := from.clone()
+	next.Files = merged
+	if err := a.check(ctx, next); err != nil {
+		return nil, nil, err
+	}
+	if err := a.publisher.upload(ctx, next.Files, a.nonce, a.content); err != nil {
+		return nil, nil, err
+	}
+	a.rememberKeys(next.Files)
+	return next, result, nil
+}
+
+// check builds next and drops drains of availability zones that it does not have.
+func (a *application) check(ctx context.Context, next *Head) error {
+	var missing []FileRef
+	for _, ref := range next.Files {
+		if _, ok := a.content(ref.Digest); !ok {
+			missing = append(missing, ref)
+		}
+	}
+	files, err := a.publisher.Files(ctx, missing)
+	if err != nil {
+		return err
+	}
+	a.theirs = append(a.theirs, files...)
+	c, problems := next.Build(a.content)
+	if len(problems) > 0 {
+		return &InvalidError{Problems: problems}
+	}
+	next.DrainedZones = slices.DeleteFunc(next.DrainedZones, func(name string) bool {
+		_, ok := c.Index().AvailabilityZone(name)
+		return !ok
+	})
+	return nil
+}
+
+// content finds a file of the folder or of the platform by its digest.
+func (a *application) content(digest string) ([]byte, bool) {
+	for _, files := range [][]File{a.edit.Files, a.theirs} {
+		for _, f := range files {
+			if Digest(f.Content) == digest {
+				return f.Content, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// rememberKeys keeps the keys of uploaded files for the next attempt.
+func (a *application) rememberKeys(refs []FileRef) {
+	for i := range a.mine {
+		ref, ok := findRef(refs, a.mine[i].Name)
+		if ok && ref.Key == fileKey(a.mine[i].Digest, a.nonce) {
+			a.mine[i].Key = ref.Key
+		}
+	}
+}
+
+// attribute names the latest known edit of each conflicting file.
+func attribute(conflicts []FileConflict, edits []EditRecord) []FileConflict {
+	for i := range conflicts {
+		for _, e := range edits {
+			if slices.Contains(e.Changed, conflicts[i].Name) {
+				conflicts[i].Edit, conflicts[i].Revision = e.ID, e.Revision
+			}
+		}
+	}
+	return conflicts
+}
--- a/internal/config/files.go
+++ b/internal/config/files.go
@@ -18,6 +18,10 @@
 	MaxFiles = 1024
 	// MaxFileSize is the largest file in bytes.
 	MaxFileSize = 256 << 10
+	// MaxTotalSize is the largest sum of all files in bytes; it fits into one frame.
+	MaxTotalSize = 4 << 20
+	// MaxFileName is the longest file name in bytes.
+	MaxFileName = 128
 )
 
 // Problem is one fault in a configuration, with file, line and what to write instead.
@@ -91,9 +95,11 @@
 	if len(sorted) > MaxFiles {
 		problems = append(problems, Problem{Text: fmt.Sprintf("%d files are more than %d", len(sorted), MaxFiles), Fix: "join small files"})
 	}
+	total := 0
 	for i, f := range sorted {
+		total += len(f.Content)
 		switch {
-		case !isYAML(f.Name) || strings.ContainsAny(f.Name, "/\\\x00"):
+		case !isYAML(f.Name) || len(f.Name) > MaxFileName || strings.ContainsAny(f.Name, "/\\\x00"):
 			problems = append(problems, Problem{File: f.Name, Text: "the file's name is not usable", Fix: "use a plain name that ends in .yaml"})
 		case i > 0 && sorted[i-1].Name == f.Name:
 			problems = append(problems, Problem{File: f.Name, Text: "two files have this name", Fix: "rename one"})
@@ -101,5 +107,8 @@
 			problems = append(problems, Problem{File: f.Name, Text: fmt.Sprintf("the file is larger than %d bytes", MaxFileSize), Fix: "split it"})
 		}
 	}
+	if total > MaxTotalSize {
+		problems = append(problems, Problem{Text: fmt.Sprintf("the files are larger than %d bytes together", MaxTotalSize), Fix: "remove objects that are not used"})
+	}
 	return sorted, problems
 }
--- /dev/null
+++ b/internal/config/publish_files.go
@@ -0,0 +1,146 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"github.com/gentiantrail/gentiantrail/internal/platform"
+)
+
+// Limits of the work on file objects.
+const (
+	// listAbove is the number of files above which one List replaces many Gets.
+	listAbove = 4
+	// sweepLimit is the most unused objects that one edit removes.
+	sweepLimit = 64
+)
+
+// upload writes the files of refs that have no object yet and sets their keys.
+// content is asked for by digest.
+func (p *Publisher) upload(ctx context.Context, refs []FileRef, nonce string, content Contents) error {
+	for i := range refs {
+		if refs[i].Key != "" {
+			continue
+		}
+		key := fileKey(refs[i].Digest, nonce)
+		body, ok := content(refs[i].Digest)
+		if !ok {
+			return platform.ErrConflict
+		}
+		if err := p.putFile(ctx, key, body); err != nil {
+			return err
+		}
+		refs[i].Key = key
+	}
+	return nil
+}
+
+// putFile writes one object. Its key belongs to this run of the edit alone, so
+// that an object that exists already is the one that an unclear write left.
+func (p *Publisher) putFile(ctx context.Context, key string, body []byte) error {
+	var err error
+	for range maxFileTries {
+		_, err = p.Store.Put(ctx, key, body, 0)
+		switch {
+		case err == nil || errors.Is(err, platform.ErrConflict):
+			return nil
+		case errors.Is(err, platform.ErrTooLarge):
+			return err
+		}
+		if !sleep(ctx, retryDelay) {
+			break
+		}
+	}
+	// The head was not touched: the edit is not accepted, whatever became of the file.
+	if errors.Is(err, platform.ErrUnclear) {
+		return platform.ErrUnavailable
+	}
+	return err
+}
+
+func fileKey(digest, nonce string) string { return filePrefix + digest + "-" + nonce }
+
+// Files returns the contents of refs, which come from a head. A missing object
+// means that the head has been replaced; the error is then platform.ErrConflict.
+func (p *Publisher) Files(ctx context.Context, refs []FileRef) ([]File, error) {
+	return FetchFiles(ctx, p.Store, refs)
+}
+
+// FetchFiles reads the contents of refs from the store and checks their digests.
+func FetchFiles(ctx context.Context, store platform.Store, refs []FileRef) ([]File, error) {
+	if len(refs) > listAbove {
+		return listFiles(ctx, store, refs)
+	}
+	files := make([]File, 0, len(refs))
+	for _, ref := range refs {
+		object, err := store.Get(ctx, ref.Key)
+		if errors.Is(err, platform.ErrNotFound) {
+			return nil, platform.ErrConflict
+		}
+		if err != nil {
+			return nil, err
+		}
+		if Digest(object.Value) != ref.Digest {
+			return nil, &HeadError{"file " + ref.Name + " is damaged in the platform"}
+		}
+		files = append(files, File{Name: ref.Name, Content: object.Value})
+	}
+	return files, nil
+}
+
+// listFiles reads all file objects with one call.
+func listFiles(ctx context.Context, store platform.Store, refs []FileRef) ([]File, error) {
+	list, err := store.List(ctx, filePrefix)
+	if err != nil {
+		return nil, err
+	}
+	byKey := make(map[string][]byte, len(list.Objects))
+	for _, o := range list.Objects {
+		byKey[o.Key] = o.Value
+	}
+	files := make([]File, 0, len(refs))
+	for _, ref := range refs {
+		value, ok := byKey[ref.Key]
+		if !ok {
+			return nil, platform.ErrConflict
+		}
+		if Digest(value) != ref.Digest {
+			return nil, &HeadError{"file " + ref.Name + " is damaged in the platform"}
+		}
+		files = append(files, File{Name: ref.Name, Content: value})
+	}
+	return files, nil
+}
+
+// sweep removes objects that from does not use and returns the keys that are left
+// for later edits, with those that next stops using. Objects in use by from stay
+// until the edit after next, so that processes that still read from find them.
+func (p *Publisher) sweep(ctx context.Context, from, next *Head) []string {
+	var left []string
+	for i, key := range from.Dropped {
+		if i >= sweepLimit {
+			left = append(left, key)
+			continue
+		}
+		err := p.Store.Delete(ctx, key, platform.AnyVersion)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			left = append(left, key)
+		}
+	}
+	for _, ref := range from.Files {
+		if !slices.ContainsFunc(next.Files, func(r FileRef) bool { return r.Key == ref.Key }) {
+			left = append(left, ref.Key)
+		}
+	}
+	return left
+}
+
+// discard removes the objects of an edit that was refused.
+func (p *Publisher) discard(ctx context.Context, refs []FileRef, nonce string) {
+	for _, ref := range refs {
+		if ref.Key == fileKey(ref.Digest, nonce) {
+			_ = p.Store.Delete(ctx, ref.Key, platform.AnyVersion)
+		}
+	}
+}
