--- a/cmd/gentiantrail-entry/main.go
+++ b/cmd/gentiantrail-entry/main.go
@@ -56,7 +56,9 @@
 		return err
 	}
 	for _, peer := range s.Peers {
-		node.Dial(peer)
+		if peer != s.Advertise {
+			node.Dial(peer)
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
