Add callers to the stand-in: fixed rates, marked answers, records as judge

Cause: nothing measured the path or compared answers with recorded runs. Ruled out: a third-party load tool (not ours to run), an open loop without a bound (could pile up requests). Change: gentiantrail-standin load with a YAML plan, phases, verdicts and judges. Before: no load.

--- a/cmd/gentiantrail-standin/main.go
+++ b/cmd/gentiantrail-standin/main.go
@@ -1,8 +1,9 @@
 // Command gentiantrail-standin plays the outside systems in trials and tests: the
-// platform's object API, a model engine, or a plain service.
+// platform's object API, a model engine, a plain service, or the callers.
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gentiantrail/gentiantrail/internal/standin/engine"
+	"github.com/gentiantrail/gentiantrail/internal/standin/load"
 	"github.com/gentiantrail/gentiantrail/internal/standin/objectstore"
 	"github.com/gentiantrail/gentiantrail/internal/standin/plain"
 )
@@ -32,10 +34,16 @@
 	Listen string `arg:"--listen,required" help:"IP address and port"`
 }
 
+type loadArgs struct {
+	Plan   string `arg:"--plan,required" help:"path of the YAML plan"`
+	Output string `arg:"--output" default:"table" help:"table or json"`
+}
+
 type args struct {
 	Platform *platformArgs `arg:"subcommand:platform" help:"the platform's object API"`
 	Engine   *engineArgs   `arg:"subcommand:engine" help:"a model engine"`
 	Plain    *plainArgs    `arg:"subcommand:plain" help:"a plain service"`
+	Load     *loadArgs     `arg:"subcommand:load" help:"callers that check every answer"`
 }
 
 func main() {
@@ -48,6 +56,8 @@
 		serve(a.Engine.Listen, engine.New(a.Engine.config()).Handle)
 	case a.Plain != nil:
 		serve(a.Plain.Listen, plain.New().Handle)
+	case a.Load != nil:
+		os.Exit(runLoad(a.Load))
 	default:
 		p.Fail("name a stand-in")
 	}
@@ -68,3 +78,26 @@
 		os.Exit(1)
 	}
 }
+
+// runLoad runs a plan; it returns 1 if anything was lost, doubled or cut off.
+func runLoad(a *loadArgs) int {
+	plan, err := load.LoadPlan(a.Plan)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	report, err := load.Run(plan)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	if a.Output == "json" {
+		_ = json.NewEncoder(os.Stdout).Encode(report)
+	} else {
+		report.Write(os.Stdout)
+	}
+	if !report.OK() {
+		return 1
+	}
+	return 0
+}
