Add membership: live, suspect, dead and leaving peers

Cause: the platform's instance list lags 30 s, so it cannot keep new work from a target that leaves (the naive membership in the test still says live after 3 s). Incarnations are random, so order is that of first being heard and replaced ones are remembered.

--- /dev/null
+++ b/internal/membership/tracker_test.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/platform"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func agent(incarnation uint64) message.Identity {
+	return message.Identity{Role: message.RoleAgent, Name: "a", Incarnation: incarnation}
+}
+
+func stateAt(t *Tracker, now time.Time) State {
+	p, _ := t.State(now, "a")
+	return p.State
+}
+
+func TestSilentPeersTurnSuspectThenDeadThenForgotten(t *testing.T) {
+	for name, silence := range map[string]func(*Tracker){
+		"frozen": func(*Tracker) {},
+		"cut":    func(*Tracker) {},
+		"killed": func(tr *Tracker) { tr.Lost("a") },
+	} {
+		tr := New(Config{})
+		tr.Heard(start, agent(1), false)
+		assert.Equal(t, stateAt(tr, start), Live, name)
+		silence(tr)
+		assert.Equal(t, stateAt(tr, start.Add(defaultSuspectAfter)), Suspect, name)
+		assert.Equal(t, stateAt(tr, start.Add(defaultDeadAfter)), Dead, name)
+		tr.Heard(start.Add(time.Minute), agent(1), false)
+		assert.Equal(t, stateAt(tr, start.Add(time.Minute)), Live, name)
+		assert.Equal(t, len(tr.States(start.Add(time.Minute+defaultForgetAfter))), 0, name)
+	}
+}
+
+func TestLostLinkAndFailedDispatchesMakeSuspect(t *testing.T) {
+	tr := New(Config{})
+	tr.Heard(start, agent(1), false)
+	tr.Lost("a")
+	assert.Equal(t, stateAt(tr, start), Suspect)
+	tr.Heard(start, agent(1), false)
+	for range defaultFailureLimit {
+		assert.Equal(t, stateAt(tr, start), Live)
+		tr.Failed(start, "a")
+	}
+	tr.Heard(start, agent(1), false)
+	assert.Equal(t, stateAt(tr, start), Suspect)
+	tr.Succeeded("a")
+	assert.Equal(t, stateAt(tr, start), Live)
+}
+
+// TestIncarnationsNeverComeBack sends late and repeated heartbeats of several
+// incarnations in any order: one that was replaced or left never takes work again.
+func TestIncarnationsNeverComeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := New(Config{})
+		now := start
+		newest, left := uint64(0), map[uint64]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			inc := uint64(rapid.IntRange(1, min(int(newest)+1, maxRetired)).Draw(t, "incarnation"))
+			leaving := rapid.Bool().Draw(t, "leaving")
+			tr.Heard(now, agent(inc), leaving)
+			newest = max(newest, inc)
+			left[inc] = left[inc] || leaving
+			p, _ := tr.State(now, "a")
+			assert.Equal(t, p.Identity.Incarnation, newest)
+			assert.Assert(t, !left[newest] || !p.TakesWork())
+		}
+	})
+}
+
+// lagging is the naive membership: the platform's list, some time late.
+type lagging struct {
+	lag     time.Duration
+	leaveAt time.Time
+}
+
+func (l lagging) state(now time.Time) platform.InstanceState {
+	if now.Before(l.leaveAt.Add(l.lag)) {
+		return platform.InstanceLive
+	}
+	return platform.InstanceLeaving
+}
+
+// TestLeavingPeerGetsNoWorkAfterThreeSeconds lets a target leave while heartbeats
+// are lost or delayed and the platform's list lags 30 s.
+func TestLeavingPeerGetsNoWorkAfterThreeSeconds(t *testing.T) {
+	const bound, interval, step = 3 * time.Second, 500 * time.Millisecond, 20 * time.Millisecond
+	naive := lagging{lag: 30 * time.Second, leaveAt: start.Add(5 * time.Second)}
+	assert.Equal(t, naive.state(naive.leaveAt.Add(bound)), platform.InstanceLive, "the list alone is too late")
+	rapid.Check(t, func(t *rapid.T) {
+		tr := New(Config{})
+		leaveAt := start.Add(time.Duration(rapid.IntRange(1000, 5000).Draw(t, "leave")) * time.Millisecond)
+		cutAt := start.Add(time.Duration(rapid.IntRange(500, 9000).Draw(t, "cut")) * time.Millisecond)
+		delay := time.Duration(rapid.IntRange(0, 400).Draw(t, "delay")) * time.Millisecond
+		for now := start; now.Before(leaveAt.Add(2 * bound)); now = now.Add(step) {
+			sent := now.Add(-delay)
+			if sent.Sub(start)%interval < step && sent.Before(cutAt) {
+				tr.Heard(now, agent(1), !sent.Before(leaveAt))
+			}
+			p, known := tr.State(now, "a")
+			late := now.Sub(leaveAt) >= bound
+			assert.Assert(t, !known || !late || !p.TakesWork(), "takes work %v after leaving", now.Sub(leaveAt))
+		}
+	})
+}
