--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/gentiantrail/gentiantrail/internal/admission"
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
@@ -99,6 +100,15 @@
 // Done is closed when Run has returned.
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
+// Ready returns an error while the agent takes no new work.
+func (a *Agent) Ready() error {
+	load := a.load.Load()
+	if load.State == message.TargetDown || load.State == message.TargetLeaving {
+		return apierr.New(apierr.KindNoTarget, load.State.String())
+	}
+	return nil
+}
+
 // Configure puts a configuration in force.
 func (a *Agent) Configure(x *config.Index) { a.post(configured{index: x}) }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,7 +12,6 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
-	"github.com/phuslu/log"
 )
 
 // Exit codes of the daemons.
@@ -75,15 +74,22 @@
 }
 
 // LogStart writes the first line of a daemon's log.
-func LogStart(l *log.Logger, role, name string, incarnation uint64) {
-	l.Info().Str("event", "start").Str("role", role).Str("name", name).
-		Uint64("incarnation", incarnation).Int("pid", os.Getpid()).Msg("")
+func (p *Process) LogStart() {
+	p.Logger.Info().Str("event", "start").Str("availability_zone", p.Identity.AvailabilityZone).
+		Uint64("incarnation", p.Identity.Incarnation).Int("pid", os.Getpid()).Msg("")
+}
+
+// Exit ends the program with the code for err.
+func Exit(err error) {
+	switch {
+	case err == nil:
+		os.Exit(ExitOK)
+	case errors.Is(err, ErrStopTimeout):
+		Fail(ExitForced, err)
+	default:
+		Fail(ExitFailure, err)
+	}
 }
 
 // ErrStopTimeout means that requests were still in flight when the stop timeout ended.
 var ErrStopTimeout = errors.New("stop timeout: requests are still in flight")
-
-// NewLogger returns a logger that writes one key=value line for each event to standard error.
-func NewLogger() *log.Logger {
-	return &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: os.Stderr}}
-}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -5,6 +5,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/membership"
 	"github.com/gentiantrail/gentiantrail/internal/message"
 	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
@@ -19,7 +20,6 @@
 	links    []link.Peer
 	sent     *routing.Counter
 	report   routing.Report
-	leaving  bool
 }
 
 // peerState is what the control goroutine knows of one entry.
@@ -27,7 +27,6 @@
 	identity message.Identity
 	links    []link.Peer
 	pools    map[string]*poolState
-	leaving  bool
 }
 
 // poolState is what a peer entry reported about one pool of its availability zone.
@@ -45,6 +44,7 @@
 	agents     map[string]*agentState
 	peers      map[string]*peerState
 	dialled    map[string]bool
+	tracker    *membership.Tracker
 	dirty      bool
 	lastReport time.Duration
 }
@@ -55,6 +55,7 @@
 		agents:  make(map[string]*agentState),
 		peers:   make(map[string]*peerState),
 		dialled: make(map[string]bool),
+		tracker: membership.New(membership.Config{}),
 	}
 }
 
@@ -68,6 +69,7 @@
 	now := c.entry.now()
 	if now-c.lastReport >= reportInterval {
 		c.reportToPeers()
+		c.dirty = true // silence changes what is believed of the peers
 	}
 	if c.dirty {
 		c.publish()
@@ -83,6 +85,7 @@
 		c.agents[id.Name] = a
 	}
 	a.links = append(a.links, p)
+	c.tracker.Heard(time.Now(), id, false)
 	c.publish()
 }
 
@@ -95,6 +98,7 @@
 		c.peers[id.Name] = s
 	}
 	s.links = append(s.links, p)
+	c.tracker.Heard(time.Now(), id, false)
 	c.publish()
 	c.reportToPeers()
 	c.tellMembers()
@@ -103,11 +107,17 @@
 // linkDown removes a link; a process without links gets no new work.
 func (c *control) linkDown(p link.Peer) {
 	name := p.Identity().Name
+	left := 0
 	if a := c.agents[name]; a != nil {
 		a.links = remove(a.links, p)
+		left += len(a.links)
 	}
 	if s := c.peers[name]; s != nil {
 		s.links = remove(s.links, p)
+		left += len(s.links)
+	}
+	if left == 0 {
+		c.tracker.Lost(name)
 	}
 	c.publish()
 }
@@ -146,7 +156,7 @@
 	if s == nil {
 		return
 	}
-	s.leaving = r.Leaving
+	c.tracker.Heard(time.Now(), p.Identity(), r.Leaving)
 	reported := make(map[string]*poolState, len(r.Pools))
 	for _, pool := range r.Pools {
 		st := s.pools[pool.Pool]
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -33,6 +33,7 @@
 		x.attempts++
 		x.target = choice.Name()
 		a, err := e.attempt(x, choice)
+		e.hint(dispatched{name: x.target, answered: err == nil || !silent(err.Kind)})
 		if err == nil {
 			return a, nil
 		}
@@ -45,6 +46,11 @@
 	}
 }
 
+// silent tells whether a failure came without any answer from the destination.
+func silent(k apierr.Kind) bool {
+	return k == apierr.KindTimeout || k == apierr.KindLinkLost || k == apierr.KindTargetUnreachable
+}
+
 // firstOf prefers the refusal of a destination that was asked to the one of routing,
 // unless routing knows better when to come back.
 func firstOf(asked, routed *apierr.Error) *apierr.Error {
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
@@ -27,6 +29,11 @@
 		peer   link.Peer
 		report *message.ZoneReport
 	}
+	// dispatched tells whether a dispatch got any answer from the named process.
+	dispatched struct {
+		name     string
+		answered bool
+	}
 	members    struct{ list []message.Member }
 	configured struct{ index *config.Index }
 	stopAsked  struct{}
@@ -45,14 +52,21 @@
 func (ev peerDown) apply(c *control) { c.linkDown(ev.peer) }
 
 func (ev heartbeat) apply(c *control) {
-	if a := c.agents[ev.peer.Identity().Name]; a != nil && ev.beat.Leaving {
-		a.leaving = true
-	}
+	c.tracker.Heard(time.Now(), ev.peer.Identity(), ev.beat.Leaving)
 	c.loadSeen(ev.peer, ev.beat.Load)
 }
 
 func (ev loadSeen) apply(c *control) { c.loadSeen(ev.peer, ev.load) }
 
+func (ev dispatched) apply(c *control) {
+	if ev.answered {
+		c.tracker.Succeeded(ev.name)
+		return
+	}
+	c.tracker.Failed(time.Now(), ev.name)
+	c.dirty = true
+}
+
 func (ev zoneReport) apply(c *control) { c.zoneReport(ev.peer, ev.report) }
 
 func (ev members) apply(c *control) { c.learn(ev.list) }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -10,7 +10,7 @@
 	list := []message.Member{{Identity: c.entry.opts.Identity, Leaving: c.stopping}}
 	for _, name := range sortedKeys(c.peers) {
 		if s := c.peers[name]; len(s.links) > 0 {
-			list = append(list, message.Member{Identity: s.identity, Leaving: s.leaving})
+			list = append(list, message.Member{Identity: s.identity, Leaving: c.leaving(name)})
 		}
 	}
 	return list
--- a/internal/entry/publish.go
+++ b/internal/entry/publish.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/membership"
 	"github.com/gentiantrail/gentiantrail/internal/message"
 	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
@@ -68,7 +69,8 @@
 		Incarnation: a.identity.Incarnation,
 		Report:      a.report,
 		Sent:        a.sent,
-		Leaving:     a.leaving,
+		Suspected:   c.suspected(a.identity.Name),
+		Leaving:     c.leaving(a.identity.Name),
 		Drained:     c.index.InstanceDrained(a.identity.Name),
 	}
 }
@@ -86,7 +88,8 @@
 		AvailabilityZone: zone,
 		Report:           st.report,
 		Sent:             st.sent,
-		Leaving:          s.leaving,
+		Suspected:        c.suspected(s.identity.Name),
+		Leaving:          c.leaving(s.identity.Name),
 		Drained:          drained || c.index.InstanceDrained(s.identity.Name),
 	})
 	if drained {
@@ -109,6 +112,18 @@
 	return keys
 }
 
+// suspected tells whether a peer was silent for too long or failed dispatches.
+func (c *control) suspected(name string) bool {
+	p, known := c.tracker.State(time.Now(), name)
+	return !known || p.State == membership.Suspect || p.State == membership.Dead
+}
+
+// leaving tells whether a peer has said that it takes no new work.
+func (c *control) leaving(name string) bool {
+	p, known := c.tracker.State(time.Now(), name)
+	return known && p.State == membership.Leaving
+}
+
 // reportToPeers sends this availability zone's loads to the entries of the others.
 func (c *control) reportToPeers() {
 	c.lastReport = c.entry.now()
@@ -127,37 +142,26 @@
 // poolReports sums up the usable targets of each pool.
 func (c *control) poolReports() []message.PoolReport {
 	snapshot := c.snapshot()
-	var reports []message.PoolReport
 	if snapshot.Drained {
 		return nil
 	}
+	reports := make([]message.PoolReport, 0, len(snapshot.Pools))
 	for i := range snapshot.Pools {
-		if r, ok := poolReport(&snapshot.Pools[i]); ok {
+		p := &snapshot.Pools[i]
+		r := message.PoolReport{Pool: p.Name, Load: snapshot.ZoneLoad(c.entry.now(), p.Name), Agents: usableAgents(p)}
+		if len(r.Agents) > 0 {
 			reports = append(reports, r)
 		}
 	}
 	return reports
 }
 
-func poolReport(p *routing.Pool) (message.PoolReport, bool) {
-	r := message.PoolReport{Pool: p.Name, Load: message.Load{State: message.TargetWarm}}
-	var service time.Duration
+func usableAgents(p *routing.Pool) []string {
+	var names []string
 	for i := range p.Targets {
-		t := &p.Targets[i]
-		if !t.Usable() {
-			continue
+		if t := &p.Targets[i]; t.Usable() {
+			names = append(names, t.Agent)
 		}
-		load := t.Report.Load
-		r.Agents = append(r.Agents, t.Agent)
-		r.Load.Running += load.Running
-		r.Load.Queued += load.Queued
-		r.Load.Limit += load.Limit
-		r.Load.QueueLimit += load.QueueLimit
-		service += load.ServiceTime
-	}
-	if len(r.Agents) == 0 {
-		return r, false
-	}
-	r.Load.ServiceTime = service / time.Duration(len(r.Agents))
-	return r, true
+	}
+	return names
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -23,7 +23,7 @@
 	Pool      string `json:"pool"`
 	State     string `json:"state"`
 	Linked    bool   `json:"linked"`
-	Leaving   bool   `json:"leaving"`
+	Member    string `json:"member"`
 	Running   int    `json:"running"`
 	Queued    int    `json:"queued"`
 	Limit     int    `json:"limit"`
@@ -36,7 +36,7 @@
 	Entry            string   `json:"entry"`
 	AvailabilityZone string   `json:"availability_zone"`
 	Linked           bool     `json:"linked"`
-	Leaving          bool     `json:"leaving"`
+	Member           string   `json:"member"`
 	Pools            []string `json:"pools"`
 }
 
@@ -59,7 +59,7 @@
 		p := c.peers[name]
 		s.Peers = append(s.Peers, PeerState{
 			Entry: name, AvailabilityZone: p.identity.AvailabilityZone,
-			Linked: len(p.links) > 0, Leaving: p.leaving, Pools: sortedKeys(p.pools),
+			Linked: len(p.links) > 0, Member: c.memberState(name), Pools: sortedKeys(p.pools),
 		})
 	}
 	return s
@@ -69,12 +69,21 @@
 	load := a.report.Load
 	return TargetState{
 		Agent: a.identity.Name, Pool: a.identity.Pool, State: load.State.String(),
-		Linked: len(a.links) > 0, Leaving: a.leaving,
+		Linked: len(a.links) > 0, Member: c.memberState(a.identity.Name),
 		Running: load.Running, Queued: load.Queued, Limit: load.Limit, Sent: a.sent.InFlight(),
 		ReportAge: (c.entry.now() - a.report.ReceivedAt).Round(time.Millisecond).String(),
 	}
 }
 
+// memberState returns what is believed of a peer and why.
+func (c *control) memberState(name string) string {
+	p, known := c.tracker.State(time.Now(), name)
+	if !known {
+		return "unknown"
+	}
+	return p.State.String() + " (" + p.Reason.String() + ")"
+}
+
 // State returns the state dump, or the zero State once Run has returned.
 func (e *Entry) State() State {
 	reply := make(chan State, 1)
--- a/internal/routing/zone.go
+++ b/internal/routing/zone.go
@@ -18,7 +18,7 @@
 	known := 0
 	for i := range p.Targets {
 		t := &p.Targets[i]
-		if !t.usable() {
+		if !t.Usable() {
 			continue
 		}
 		g := newGuess(now, &t.Report, t.Sent)
