Let first attempts ask for a free place only; warm up in full-use epochs

An attempt marked NoWait is refused instead of queued, so that a wrong guess from a late report costs one refused hop and not a wait behind a busy target. It adds key 17 to the request frame and a field to admission.Item and routing.Choice; Pick no longer takes the time. A step of the warm-up needs eight completions that started at full use.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -44,6 +44,8 @@
 	Priority int
 	// Deadline is the time by which the answer must be complete.
 	Deadline time.Duration
+	// NoWait asks for a refusal instead of a place in the queue.
+	NoWait bool
 }
 
 // Verdict is what happens to an offered request.
@@ -98,12 +100,19 @@
 	Cancelled bool
 }
 
+// runStart describes the start of a running request.
+type runStart struct {
+	at time.Duration
+	// running is the number of requests that ran just after the start.
+	running int
+}
+
 // Controller is the admission of one target. It is not safe for concurrent use.
 type Controller struct {
 	cfg      Config
 	limiter  *warmup.Limiter
 	queue    *fairness.Queue
-	running  map[uint64]time.Duration
+	running  map[uint64]runStart
 	service  estimate
 	draining bool
 	down     bool
@@ -114,7 +123,7 @@
 	c := &Controller{
 		limiter: warmup.New(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit}),
 		queue:   fairness.New(fairness.Limits{}),
-		running: make(map[uint64]time.Duration),
+		running: make(map[uint64]runStart),
 	}
 	c.service.assumed = cfg.ServiceTime
 	c.Configure(cfg)
@@ -141,12 +150,15 @@
 		c.start(now, it.ID)
 		return Decision{Verdict: Run}
 	}
+	if it.NoWait {
+		return Decision{Err: refusal(apierr.KindOverloaded, "no free place", c.waitBehind(c.queue.Len()))}
+	}
 	return c.enqueue(now, it)
 }
 
 // Finish ends a running request and returns what to do with the places it frees.
 func (c *Controller) Finish(now time.Duration, id uint64, r Result) Effects {
-	startedAt, ok := c.running[id]
+	started, ok := c.running[id]
 	if !ok {
 		return Effects{}
 	}
@@ -158,7 +170,8 @@
 		c.service.add(r.ServiceTime)
 	}
 	fell := c.limiter.Finished(now, warmup.Sample{
-		StartedAt:   startedAt,
+		StartedAt:   started.at,
+		Running:     started.running,
 		ServiceTime: r.ServiceTime,
 		Work:        r.Work,
 		OK:          r.OK,
--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -31,9 +31,15 @@
 	return nil
 }
 
-// tooLate refuses a request that would end after its deadline.
+// tooLate refuses a request that would end after its deadline. One that can run
+// now is held against the mean service time; one that has to wait against a high
+// quantile, because a place given to a request that then ends late is lost to all.
 func (c *Controller) tooLate(now, deadline, wait time.Duration) *apierr.Error {
-	late := now + wait + c.service.mean() - deadline
+	service := c.service.mean()
+	if wait > 0 {
+		service = c.service.high()
+	}
+	late := now + wait + service - deadline
 	if late <= 0 {
 		return nil
 	}
@@ -112,8 +118,7 @@
 }
 
 func (c *Controller) start(now time.Duration, id uint64) {
-	c.running[id] = now
-	c.limiter.Running(len(c.running))
+	c.running[id] = runStart{at: now, running: len(c.running) + 1}
 }
 
 func (c *Controller) free() int { return c.limiter.Limit() - len(c.running) }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -184,6 +184,8 @@
 	Window int `cbor:"15,keyasint"`
 	// PrefixHash identifies the prompt prefix for cache affinity; zero means none.
 	PrefixHash uint64 `cbor:"16,keyasint,omitempty"`
+	// NoWait asks for a refusal instead of a place in the agent's queue.
+	NoWait bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Accepted tells that the agent has taken the request into its queue.
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -3,32 +3,30 @@
 import (
 	"math"
 	"math/rand/v2"
+	"time"
 )
 
 // affinityBound is the utilisation, in means, up to which a target keeps its prefixes.
 const affinityBound = 1.25
 
-// pickTarget chooses among the targets with room: the one that the prefix
-// belongs to, or the better of two. Ref. for the bound: Mirrokni, Thorup and
-// Zadimoghaddam, "Consistent Hashing with Bounded Loads", SODA 2018.
-func pickTarget(cs []candidate, prefix uint64, rng *rand.Rand) (Choice, bool) {
-	open := withRoom(cs)
-	if len(open) == 0 {
-		return Choice{}, false
-	}
-	if prefix != 0 {
-		return affine(open, prefix).choice(), true
-	}
-	return betterOfTwo(open, rng).choice(), true
-}
-
-// pickPeer chooses among the peers whose availability zone has room.
-func pickPeer(cs []candidate, rng *rand.Rand) (Choice, bool) {
-	open := withRoom(cs)
-	if len(open) == 0 {
+// pickFree chooses among the candidates with room, the own availability zone
+// first: the target that the prefix belongs to, or the better of two.
+func pickFree(own, peers []candidate, prefix uint64, rng *rand.Rand) (Choice, bool) {
+	var best candidate
+	targets, zones := withRoom(own), withRoom(peers)
+	switch {
+	case len(targets) > 0 && prefix != 0:
+		best = affine(targets, prefix)
+	case len(targets) > 0:
+		best = betterOfTwo(targets, rng)
+	case len(zones) > 0:
+		best = betterOfTwo(zones, rng)
+	default:
 		return Choice{}, false
 	}
-	return betterOfTwo(open, rng).choice(), true
+	c := best.choice()
+	c.NoWait = true
+	return c, true
 }
 
 func withRoom(cs []candidate) []candidate {
@@ -42,7 +40,9 @@
 }
 
 // affine returns the candidate with the highest rendezvous score for prefix
-// among those that are within affinityBound of the mean utilisation.
+// among those that are within affinityBound of the mean utilisation. Ref. for the
+// bound: Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded
+// Loads", SODA 2018.
 func affine(cs []candidate, prefix uint64) candidate {
 	load, limit := 0, 0
 	for _, c := range cs {
@@ -90,16 +90,24 @@
 	return cs[len(cs)-1]
 }
 
-// shortestWait returns the candidate with the shortest expected wait.
-func shortestWait(groups ...[]candidate) (candidate, bool) {
-	var best candidate
-	found := false
-	for _, cs := range groups {
-		for _, c := range cs {
-			if !found || c.wait() < best.wait() {
-				best, found = c, true
-			}
-		}
+// crossZonePenalty is the wait that the own availability zone may have before a
+// busy request goes to another one.
+const crossZonePenalty = 100 * time.Millisecond
+
+// shorterWait returns the better of two draws from the own availability zone, or
+// that from the others if it waits shorter by more than crossZonePenalty.
+func shorterWait(own, peers []candidate, rng *rand.Rand) (candidate, bool) {
+	switch {
+	case len(own) == 0 && len(peers) == 0:
+		return candidate{}, false
+	case len(own) == 0:
+		return betterOfTwo(peers, rng), true
+	case len(peers) == 0:
+		return betterOfTwo(own, rng), true
+	}
+	near, far := betterOfTwo(own, rng), betterOfTwo(peers, rng)
+	if far.wait()+crossZonePenalty < near.wait() {
+		return far, true
 	}
-	return best, found
+	return near, true
 }
--- a/internal/routing/guess.go
+++ b/internal/routing/guess.go
@@ -10,15 +10,10 @@
 	limit int
 	// service is the mean time of one request.
 	service time.Duration
-	// fresh tells that the report is young enough to refuse on.
-	fresh bool
 }
 
-// freshReport is the age up to which a report may justify a refusal without asking the agent.
-const freshReport = 200 * time.Millisecond
-
 // newGuess corrects a report by what this entry sent and saw end since.
-func newGuess(now time.Duration, r *Report, sent *Counter) guess {
+func newGuess(r *Report, sent *Counter) guess {
 	own := sent.InFlight()
 	if !r.Known {
 		return guess{load: own, limit: 1}
@@ -28,7 +23,6 @@
 		load:    max(load, own, 0),
 		limit:   max(r.Load.Limit, 1),
 		service: r.Load.ServiceTime,
-		fresh:   now-r.ReceivedAt <= freshReport,
 	}
 }
 
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -50,6 +50,9 @@
 	Target *Target
 	// Peer is the chosen entry.
 	Peer *Peer
+	// NoWait tells to ask for a refusal instead of a place in the agent's queue:
+	// the candidate looked free, and others are left if it is not.
+	NoWait bool
 	// Err is the refusal; the request did not run.
 	Err *apierr.Error
 }
@@ -80,9 +83,10 @@
 
 // Pick chooses where r goes. A request with an idempotency key goes to the key's
 // home agent. Any other one goes to a target of the own availability zone with
-// room, else to a peer whose zone has room, else to the shortest wait that meets
-// its deadline, else it is refused.
-func (s *Snapshot) Pick(now time.Duration, r Request, rng *rand.Rand) Choice {
+// room, else to a peer whose zone has room, else to a short wait, else it is
+// refused. The first choices do not wait in the agent's queue: a refusal from a
+// target that looked free costs less than a wait there while another is free.
+func (s *Snapshot) Pick(r Request, rng *rand.Rand) Choice {
 	p := s.pool(r.Pool)
 	if p == nil {
 		return refuse(apierr.KindNoTarget, r.Pool, 0, rng)
@@ -93,17 +97,19 @@
 		}
 		return s.noCandidate(p, r, rng)
 	}
-	own := s.ownCandidates(now, p, r)
-	if c, ok := pickTarget(own, r.PrefixHash, rng); ok {
-		return c
-	}
-	peers := s.peerCandidates(now, p, r)
-	if c, ok := pickPeer(peers, rng); ok {
-		return c
+	own := s.ownCandidates(p, r)
+	peers := s.peerCandidates(p, r)
+	if len(r.Excluded) < noWaitAttempts {
+		if c, ok := pickFree(own, peers, r.PrefixHash, rng); ok {
+			return c
+		}
 	}
 	return s.pickWaiting(p, r, own, peers, rng)
 }
 
+// noWaitAttempts is the number of attempts that do not wait in a queue.
+const noWaitAttempts = 2
+
 // candidate is a usable target or peer with its estimated load.
 type candidate struct {
 	guess
@@ -118,7 +124,7 @@
 	return Choice{Destination: ToPeer, Peer: c.peer}
 }
 
-func (s *Snapshot) ownCandidates(now time.Duration, p *Pool, r Request) []candidate {
+func (s *Snapshot) ownCandidates(p *Pool, r Request) []candidate {
 	if s.Drained {
 		return nil
 	}
@@ -126,13 +132,13 @@
 	for i := range p.Targets {
 		t := &p.Targets[i]
 		if t.usable() && !slices.Contains(r.Excluded, t.Agent) {
-			cs = append(cs, candidate{guess: newGuess(now, &t.Report, t.Sent), target: t})
+			cs = append(cs, candidate{guess: newGuess(&t.Report, t.Sent), target: t})
 		}
 	}
 	return cs
 }
 
-func (s *Snapshot) peerCandidates(now time.Duration, p *Pool, r Request) []candidate {
+func (s *Snapshot) peerCandidates(p *Pool, r Request) []candidate {
 	if r.Hops >= MaxHops {
 		return nil
 	}
@@ -140,22 +146,22 @@
 	for i := range p.Peers {
 		peer := &p.Peers[i]
 		if peer.usable() && !slices.Contains(r.Excluded, peer.Entry) {
-			cs = append(cs, candidate{guess: newGuess(now, &peer.Report, peer.Sent), peer: peer})
+			cs = append(cs, candidate{guess: newGuess(&peer.Report, peer.Sent), peer: peer})
 		}
 	}
 	return cs
 }
 
-// pickWaiting chooses among candidates that are all busy: the shortest wait, if
-// it meets the deadline or if its report is too old to refuse on.
+// pickWaiting chooses among candidates that are busy. Only an agent knows what
+// place a request gets in its fair queue, so a request is refused here only after
+// an agent has refused it.
 func (s *Snapshot) pickWaiting(p *Pool, r Request, own, peers []candidate, rng *rand.Rand) Choice {
-	best, ok := shortestWait(own, peers)
+	best, ok := shorterWait(own, peers, rng)
 	if !ok {
 		return s.noCandidate(p, r, rng)
 	}
 	late := best.late(r.Remaining)
-	refusedBefore := len(r.Excluded) > 0
-	if late > 0 && (best.fresh || refusedBefore) {
+	if late > 0 && len(r.Excluded) > 0 {
 		return refuse(apierr.KindDeadlineUnreachable, r.Pool, min(late, best.wait()), rng)
 	}
 	return best.choice()
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -10,7 +10,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/message"
 )
@@ -34,8 +33,6 @@
 	Known bool
 	// Load is the reported load; for a peer it is the sum over the pool's targets of its availability zone.
 	Load message.Load
-	// ReceivedAt is when the report arrived.
-	ReceivedAt time.Duration
 	// SentAtReport is the Counter's value when the report arrived.
 	SentAtReport int
 }
--- a/internal/routing/zone.go
+++ b/internal/routing/zone.go
@@ -8,7 +8,7 @@
 
 // ZoneLoad returns the pool's summed load in the entry's own availability zone,
 // for the report to peer entries. ServiceTime is the mean over the targets.
-func (s *Snapshot) ZoneLoad(now time.Duration, pool string) message.Load {
+func (s *Snapshot) ZoneLoad(pool string) message.Load {
 	sum := message.Load{State: message.TargetLeaving}
 	p := s.pool(pool)
 	if p == nil || s.Drained {
@@ -21,7 +21,7 @@
 		if !t.usable() {
 			continue
 		}
-		g := newGuess(now, &t.Report, t.Sent)
+		g := newGuess(&t.Report, t.Sent)
 		sum.Running += min(g.load, g.limit)
 		sum.Queued += max(g.load-g.limit, 0)
 		sum.Limit += g.limit
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -24,29 +24,31 @@
 
 const (
 	// minEpochSamples is the least number of completions that judge a limit.
-	minEpochSamples = 4
+	minEpochSamples = 8
 	// growthDivisor sets a step's size: limit/growthDivisor, at least one request.
-	growthDivisor = 8
-	// goodRatio is the highest epoch latency, in baselines, at which the limit grows.
-	goodRatio = 1.3
-	// goodCeiling is the highest epoch latency, in best epochs, at which the limit grows.
-	goodCeiling = 2.0
-	// coldRatio is the epoch latency, in baselines, from which the target counts as cold.
+	growthDivisor = 16
+	// goodRatio is the highest epoch latency, in best epochs, at which the limit grows.
+	goodRatio = 1.25
+	// coldRatio is the epoch latency, in best epochs, from which the target counts as cold.
 	coldRatio = 2.5
+	// bestDrift lets the best epoch age, so that a lasting change of workload is accepted.
+	bestDrift = 1.02
+	// relearnShare is the weight of a bad epoch at the cold limit in the best one.
+	relearnShare = 0.25
+	// baselineShare is the weight of one request in the baseline.
+	baselineShare = 1.0 / 32
 	// slowRatio is the latency, in baselines, from which one request counts as slow.
 	slowRatio = 3.0
 	// slowInRow is the number of slow requests in a row that mark a cold target.
 	slowInRow = 3
-	// baselineShare is the weight of a new good epoch in the baseline.
-	baselineShare = 0.25
-	// bestDrift lets the best epoch age, so that a lasting change of workload is accepted.
-	bestDrift = 1.01
 )
 
 // Sample describes one completed request.
 type Sample struct {
 	// StartedAt is when the request was given to the target.
 	StartedAt time.Duration
+	// Running is the number of requests that ran just after the start, this one included.
+	Running int
 	// ServiceTime is how long the target took.
 	ServiceTime time.Duration
 	// Work is the size of the request in any unit, for example generated
@@ -73,20 +75,20 @@
 	// cold is the engine's last reported cold state.
 	cold  bool
 	epoch epoch
-	// baseline is the smoothed latency of good epochs; zero before the first.
-	baseline float64
 	// best is the lowest epoch latency, slowly ageing; zero before the first.
 	best float64
+	// baseline is the smoothed latency of all requests; zero before the first.
+	baseline float64
 	// slow counts slow requests in a row.
 	slow int
 }
 
-// epoch gathers what is known about the present limit.
+// epoch gathers what is known about the present limit: requests that started
+// after it was set, and at a time when it was fully used.
 type epoch struct {
 	start     time.Duration
 	completed int
 	latency   float64
-	inUse     bool
 }
 
 // New returns a Limiter at the cold limit.
@@ -133,24 +135,14 @@
 	return true
 }
 
-// Running notes how many requests run after a start, as evidence that the limit is in use.
-func (l *Limiter) Running(running int) {
-	if running >= l.limit {
-		l.epoch.inUse = true
-	}
-}
-
 // Finished takes in a completed request and returns true if the limit fell.
 func (l *Limiter) Finished(now time.Duration, s Sample) bool {
-	if !s.OK {
-		l.drop(now)
-		return true
-	}
-	if l.limit > l.cfg.ColdLimit && l.isSlow(s) {
+	if !s.OK || l.isSlow(s) {
 		l.drop(now)
 		return true
 	}
-	if s.StartedAt < l.epoch.start {
+	l.learnBaseline(s.latency())
+	if s.StartedAt < l.epoch.start || s.Running < l.limit {
 		return false
 	}
 	l.epoch.completed++
@@ -173,8 +165,21 @@
 	return true
 }
 
+// isSlow tells whether s is the last of too many slow requests in a row. At the
+// cold limit there is nothing to fall from.
 func (l *Limiter) isSlow(s Sample) bool {
-	return l.baseline > 0 && l.countSlow(s.latency() >= slowRatio*l.baseline)
+	if l.baseline == 0 || l.limit == l.cfg.ColdLimit {
+		return false
+	}
+	return l.countSlow(s.latency() >= slowRatio*l.baseline)
+}
+
+func (l *Limiter) learnBaseline(latency float64) {
+	if l.baseline == 0 {
+		l.baseline = latency
+		return
+	}
+	l.baseline += baselineShare * (latency - l.baseline)
 }
 
 // countSlow returns true at the last of slowInRow slow observations.
@@ -188,53 +193,38 @@
 }
 
 // endEpoch judges the present limit and starts the next epoch. At the cold limit
-// a worse latency is learned as the new baseline, so that a lasting change of the
+// a worse latency is learned as the new best, so that a lasting change of the
 // workload cannot hold the limit down for good.
 func (l *Limiter) endEpoch(now time.Duration) bool {
 	mean := l.epoch.latency / float64(l.epoch.completed)
-	inUse := l.epoch.inUse
 	l.epoch = epoch{start: now}
-	if l.limit == l.cfg.ColdLimit && !l.good(mean) {
-		l.learn(mean)
-		return false
-	}
-	if l.baseline > 0 && mean >= coldRatio*l.baseline {
+	switch {
+	case l.best == 0:
+		l.best = mean
+		l.grow()
+	case mean <= goodRatio*l.best:
+		l.best = min(l.best*bestDrift, mean)
+		l.grow()
+	case l.limit == l.cfg.ColdLimit:
+		l.best += relearnShare * (mean - l.best)
+	case mean >= coldRatio*l.best:
 		l.drop(now)
 		return true
-	}
-	if !l.good(mean) {
-		return false
-	}
-	l.learn(mean)
-	if inUse {
-		l.limit = min(l.limit+max(1, l.limit/growthDivisor), l.cfg.Limit)
+	default:
+		l.best *= bestDrift
 	}
 	return false
 }
 
-func (l *Limiter) good(mean float64) bool {
-	if l.baseline == 0 {
-		return true
-	}
-	return mean <= goodRatio*l.baseline && mean <= goodCeiling*l.best
-}
-
-func (l *Limiter) learn(mean float64) {
-	if l.baseline == 0 {
-		l.baseline, l.best = mean, mean
-		return
-	}
-	l.baseline += baselineShare * (mean - l.baseline)
-	l.best = min(l.best*bestDrift, mean)
-	if l.limit == l.cfg.ColdLimit {
-		l.best = l.baseline
-	}
+func (l *Limiter) grow() {
+	l.limit = min(l.limit+max(1, l.limit/growthDivisor), l.cfg.Limit)
 }
 
 // drop puts the limit back to the cold limit. The baseline is kept: it is the
-// target's own warm latency, which the cold target has to come back to.
+// latency of the warm target.
 func (l *Limiter) drop(now time.Duration) {
 	l.limit = l.cfg.ColdLimit
 	l.epoch = epoch{start: now}
+	l.best = 0
 	l.slow = 0
 }
--- a/test/experiment/agent.go
+++ b/test/experiment/agent.go
@@ -53,12 +53,10 @@
 	jobs    map[uint64]*job
 	nextID  uint64
 	stopped bool
-	// overflow is the most by which the engine's load exceeded what it bears.
-	ran int
 }
 
 // offer takes an attempt and returns its number.
-func (a *agent) offer(req *request, answer func(reply)) uint64 {
+func (a *agent) offer(req *request, noWait bool, answer func(reply)) uint64 {
 	a.nextID++
 	id := a.nextID
 	a.jobs[id] = &job{req: req, reply: answer}
@@ -67,6 +65,7 @@
 		Organisation: req.org.name,
 		Weight:       req.org.weight,
 		Deadline:     req.deadline,
+		NoWait:       noWait,
 	})
 	switch d.Verdict {
 	case admission.Run:
@@ -122,7 +121,6 @@
 	if !ok {
 		return
 	}
-	a.ran++
 	run, first, up := a.engine.start(j.req.decode, j.req.prefix, func(r engineResult) { a.finish(id, r) })
 	if !up {
 		a.clock.after(0, func() { a.unreachable(id) })
--- a/test/experiment/bound.go
+++ b/test/experiment/bound.go
@@ -95,41 +95,97 @@
 	return a
 }
 
-// bound returns the requests that a perfect scheduler of a pool fails. It treats
-// the pool as one fluid server, knows the capacity of every instant ahead, has
-// every prefix cached and needs no time to decide. A blind one learns a
-// request's size only by serving it, and refuses the request that would be late;
-// one that knows sizes refuses the largest ones instead, which is optimal for the
-// number of late requests (Moore and Hodgson, 1968).
-func (w *world) bound(p poolSpec, knowsSizes bool) map[*request]bool {
-	curve := w.capacityCurve(p)
-	mean := (p.meanDecode + p.engine.prefillHit).Seconds()
-	lost := make(map[*request]bool)
-	var plan bySize
-	position := 0.0
-	for _, req := range w.requests {
-		if req.pool != p.name {
+// plan is the fluid schedule of a pool: one server that has every prefix cached
+// and needs no time to decide.
+type plan struct {
+	pool  poolSpec
+	curve capacityCurve
+	// position is the work, in mean requests, that is planned so far.
+	position float64
+}
+
+func (w *world) newPlan(p poolSpec) *plan { return &plan{pool: p, curve: w.capacityCurve(p)} }
+
+// idle moves the plan on to now and tells whether everything planned is done.
+func (p *plan) idle(now time.Duration) bool {
+	if floor := p.curve.at(now); p.position <= floor {
+		p.position = floor
+		return true
+	}
+	return false
+}
+
+// work returns the size of r in mean requests.
+func (p *plan) work(r *request) float64 {
+	mean := p.pool.meanDecode + p.pool.engine.prefillHit
+	return float64(r.decode+p.pool.engine.prefillHit) / float64(mean)
+}
+
+// service returns the time that r spends in a busy engine.
+func (p *plan) service(r *request) time.Duration {
+	return scale(r.decode+p.pool.engine.prefillHit, p.pool.engine.slowdown(float64(p.pool.engine.limit), 1))
+}
+
+// losses are the requests that a scheduler fails.
+type losses map[*request]bool
+
+// sizedBound returns the losses of a scheduler that knows every request's size
+// and the capacity of every instant ahead. It drops the largest requests first,
+// which is optimal for the number of late ones (Moore, 1968).
+func (w *world) sizedBound(p poolSpec) losses {
+	pl := w.newPlan(p)
+	lost := make(losses)
+	var kept bySize
+	for _, r := range w.requests {
+		if r.pool != p.name {
 			continue
 		}
-		if floor := curve.at(req.arrived); position <= floor {
-			position, plan = floor, plan[:0]
+		if pl.idle(r.arrived) {
+			kept = kept[:0]
 		}
-		work := (req.decode + p.engine.prefillHit).Seconds() / mean
-		service := scale(req.decode+p.engine.prefillHit, p.engine.slowdown(float64(p.engine.limit), 1))
-		late := curve.when(position)+service > req.deadline
-		if !late {
-			position += work
-			heap.Push(&plan, accepted{req, work})
+		heap.Push(&kept, accepted{r, pl.work(r)})
+		pl.position += pl.work(r)
+		if pl.curve.when(pl.position-pl.work(r))+pl.service(r) > r.deadline {
+			largest := heap.Pop(&kept).(accepted)
+			pl.position -= largest.work
+			lost[largest.req] = true
+		}
+	}
+	return lost
+}
+
+// blindBound returns the losses of a scheduler that knows the capacity of every
+// instant ahead but learns a request's size only by serving it, as an engine
+// does. It refuses what would wait longer than a limit; the best limit in
+// hindsight is taken.
+func (w *world) blindBound(p poolSpec) losses {
+	var best losses
+	for wait := time.Duration(0); wait < p.timeout; wait += p.timeout / 24 {
+		lost := w.blindLosses(p, wait)
+		if best == nil || len(lost) < len(best) {
+			best = lost
+		}
+	}
+	return best
+}
+
+func (w *world) blindLosses(p poolSpec, maxWait time.Duration) losses {
+	pl := w.newPlan(p)
+	lost := make(losses)
+	for _, r := range w.requests {
+		if r.pool != p.name {
 			continue
 		}
-		if !knowsSizes || len(plan) == 0 || plan[0].work <= work {
-			lost[req] = true
+		pl.idle(r.arrived)
+		start := pl.curve.when(pl.position)
+		if start > r.arrived+maxWait+boundStep {
+			lost[r] = true
 			continue
 		}
-		lost[plan[0].req] = true
-		position += work - plan[0].work
-		plan[0] = accepted{req, work}
-		heap.Fix(&plan, 0)
+		pl.position += pl.work(r)
+		if start+pl.service(r) > r.deadline {
+			lost[r] = true
+		}
 	}
 	return lost
 }
--- a/test/experiment/entry.go
+++ b/test/experiment/entry.go
@@ -86,7 +86,7 @@
 	if t.done {
 		return
 	}
-	choice := w.scenario.Router(t.entry, w.clock.now, t.request())
+	choice := w.scenario.Router(t.entry, t.request())
 	if choice.Destination == routing.ToNobody {
 		t.failed(reply{err: choice.Err, outcome: apierr.OutcomeNotRun}, "")
 		return
@@ -123,7 +123,7 @@
 	delay := w.delay(t.entry.zone, a.zone)
 	release := releaseOnce(c.Target.Sent)
 	w.clock.after(delay, func() {
-		id := a.offer(t.req, func(r reply) {
+		id := a.offer(t.req, c.NoWait, func(r reply) {
 			w.clock.after(delay, func() {
 				release()
 				t.entry.learn(c.Target.Agent, a, r.load)
@@ -246,7 +246,6 @@
 func (e *entry) newReport(load message.Load, sent *routing.Counter) routing.Report {
 	return routing.Report{
 		Known: true, Load: load,
-		ReceivedAt:   e.world.clock.now,
 		SentAtReport: sent.InFlight(),
 	}
 }
--- a/test/experiment/experiment_test.go
+++ b/test/experiment/experiment_test.go
@@ -4,12 +4,14 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"text/tabwriter"
 	"time"
 )
 
 var (
+	only        = flag.String("only", "", "print only the runs whose name starts so")
 	printTables = flag.Bool("tables", false, "run the whole zone experiment and print its tables")
 	seedFlag    = flag.Uint64("seed", 1, "seed of the printed runs")
 )
@@ -50,7 +52,9 @@
 		for _, load := range []float64{0.6, 0.85} {
 			fmt.Printf("\n## load %.0f%%, reports %v late, seed %d\n", load*100, lag, *seedFlag)
 			for _, s := range contenders(load, lag) {
-				printRun(run(s))
+				if strings.HasPrefix(s.Name, *only) {
+					printRun(run(s))
+				}
 			}
 		}
 	}
@@ -61,7 +65,7 @@
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(out, "pool\tphase\torganisations\trequests\tin deadline\trefused\tfailed\tbound blind\tbound sized\texcess blind\texcess sized\tfirst p50\tp95\tp99\trefused within\t")
 	for _, p := range w.pools {
-		blind, sized := w.bound(p, false), w.bound(p, true)
+		blind, sized := w.blindBound(p), w.sizedBound(p)
 		for _, ph := range w.scenario.Phases.list() {
 			for _, size := range []string{"all", "large", "small"} {
 				pick := func(r *request) bool {
@@ -80,7 +84,7 @@
 	out.Flush()
 }
 
-func countLost(lost map[*request]bool, pick selector) int {
+func countLost(lost losses, pick selector) int {
 	n := 0
 	for r := range lost {
 		if pick(r) {
--- a/test/experiment/router.go
+++ b/test/experiment/router.go
@@ -1,24 +1,22 @@
 package experiment
 
 import (
-	"time"
-
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
 
 // router chooses where an entry sends a request.
-type router func(e *entry, now time.Duration, r routing.Request) routing.Choice
+type router func(e *entry, r routing.Request) routing.Choice
 
 // policyRouter is the product's own decision.
-func policyRouter(e *entry, now time.Duration, r routing.Request) routing.Choice {
-	return e.snap.Pick(now, r, e.world.clock.rng)
+func policyRouter(e *entry, r routing.Request) routing.Choice {
+	return e.snap.Pick(r, e.world.clock.rng)
 }
 
 // newRoundRobin returns a baseline that takes all targets of the region in turn.
 func newRoundRobin() router {
 	turn := make(map[*entry]int)
-	return func(e *entry, _ time.Duration, r routing.Request) routing.Choice {
+	return func(e *entry, r routing.Request) routing.Choice {
 		targets := usableTargets(e, r)
 		if len(targets) == 0 {
 			return noTarget(r)
@@ -29,7 +27,7 @@
 }
 
 // leastLoaded is a baseline that takes the target with the lowest reported load.
-func leastLoaded(e *entry, _ time.Duration, r routing.Request) routing.Choice {
+func leastLoaded(e *entry, r routing.Request) routing.Choice {
 	var best *routing.Target
 	for _, t := range usableTargets(e, r) {
 		if best == nil || reported(t) < reported(best) {
--- a/test/experiment/world.go
+++ b/test/experiment/world.go
@@ -202,7 +202,7 @@
 // peerHeartbeat tells the entries of other availability zones about this one's load.
 func (w *world) peerHeartbeat(e *entry) {
 	for _, p := range w.pools {
-		load := e.snap.ZoneLoad(w.clock.now, p.name)
+		load := e.snap.ZoneLoad(p.name)
 		w.clock.after(w.scenario.ReportLag, func() {
 			for _, other := range w.entries {
 				other.peerReport(e.name, p.name, load)
