--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -111,6 +111,7 @@
 		Weight:       weight,
 		Priority:     j.req.Priority,
 		Deadline:     c.agent.now() + j.req.Timeout,
+		NoWait:       j.req.NoWait,
 	}
 }
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -147,7 +147,7 @@
 }
 
 func (c *control) newReport(load message.Load, sent *routing.Counter) routing.Report {
-	return routing.Report{Known: true, Load: load, ReceivedAt: c.entry.now(), SentAtReport: sent.InFlight()}
+	return routing.Report{Known: true, Load: load, SentAtReport: sent.InFlight()}
 }
 
 // zoneReport takes in a peer's report about its availability zone.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -30,6 +30,9 @@
 		if choice.Destination == routing.ToNobody {
 			return nil, firstOf(last, choice.Err)
 		}
+		if x.req.NoWait && !choice.NoWait {
+			return nil, firstOf(last, apierr.New(apierr.KindOverloaded, "no free place"))
+		}
 		x.attempts++
 		x.target = choice.Name()
 		a, err := e.attempt(x, choice)
@@ -64,7 +67,7 @@
 func (e *Entry) pick(x *exchange) routing.Choice {
 	rng, _ := e.rngs.Get().(*rand.Rand)
 	defer e.rngs.Put(rng)
-	return x.view.routing.Pick(e.now(), routing.Request{
+	return x.view.routing.Pick(routing.Request{
 		Pool:           x.service.Pool,
 		Service:        x.req.Service,
 		Organisation:   x.req.Organisation,
@@ -122,6 +125,7 @@
 	req.ID = c.key.id
 	req.Timeout = x.remaining(time.Now())
 	req.Window = streamWindow
+	req.NoWait = choice.NoWait
 	if choice.Destination == routing.ToAgent {
 		req.Incarnation = choice.Target.Incarnation
 	} else {
--- a/internal/entry/publish.go
+++ b/internal/entry/publish.go
@@ -148,7 +148,7 @@
 	reports := make([]message.PoolReport, 0, len(snapshot.Pools))
 	for i := range snapshot.Pools {
 		p := &snapshot.Pools[i]
-		r := message.PoolReport{Pool: p.Name, Load: snapshot.ZoneLoad(c.entry.now(), p.Name), Agents: usableAgents(p)}
+		r := message.PoolReport{Pool: p.Name, Load: snapshot.ZoneLoad(p.Name), Agents: usableAgents(p)}
 		if len(r.Agents) > 0 {
 			reports = append(reports, r)
 		}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -19,16 +19,15 @@
 
 // TargetState is one agent in a state dump.
 type TargetState struct {
-	Agent     string `json:"agent"`
-	Pool      string `json:"pool"`
-	State     string `json:"state"`
-	Linked    bool   `json:"linked"`
-	Member    string `json:"member"`
-	Running   int    `json:"running"`
-	Queued    int    `json:"queued"`
-	Limit     int    `json:"limit"`
-	Sent      int    `json:"sent"`
-	ReportAge string `json:"report_age"`
+	Agent   string `json:"agent"`
+	Pool    string `json:"pool"`
+	State   string `json:"state"`
+	Linked  bool   `json:"linked"`
+	Member  string `json:"member"`
+	Running int    `json:"running"`
+	Queued  int    `json:"queued"`
+	Limit   int    `json:"limit"`
+	Sent    int    `json:"sent"`
 }
 
 // PeerState is one peer entry in a state dump.
@@ -71,7 +70,6 @@
 		Agent: a.identity.Name, Pool: a.identity.Pool, State: load.State.String(),
 		Linked: len(a.links) > 0, Member: c.memberState(a.identity.Name),
 		Running: load.Running, Queued: load.Queued, Limit: load.Limit, Sent: a.sent.InFlight(),
-		ReportAge: (c.entry.now() - a.report.ReceivedAt).Round(time.Millisecond).String(),
 	}
 }
 
