--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -24,7 +24,7 @@
 // valid. The error is a *ConflictError, *InvalidError, *EditReusedError,
 // *UnclearError, *HeadError or a platform error, after which nothing was published.
 func (p *Publisher) Apply(ctx context.Context, edit Edit) (*Result, error) {
-	a := &application{publisher: p, edit: edit, mine: Refs(edit.Files), nonce: NewNonce()}
+	a := &application{publisher: p, edit: edit, mine: Refs(edit.Files), nonce: NewNonce(), contents: newContentStore(edit.Files)}
 	if edit.ID == "" {
 		a.edit.ID = NewNonce()
 	}
@@ -42,8 +42,8 @@
 	edit      Edit
 	mine      []FileRef
 	nonce     string
-	// theirs holds contents that were read from the platform.
-	theirs []File
+	// contents holds the folder's files and those read from the platform.
+	contents contentStore
 }
 
 func (a *application) asEdit() edit {
@@ -77,7 +77,7 @@
 	if err := a.check(ctx, next); err != nil {
 		return nil, nil, err
 	}
-	if err := a.publisher.upload(ctx, next.Files, a.nonce, a.content); err != nil {
+	if err := a.publisher.upload(ctx, next.Files, a.nonce, a.contents.get); err != nil {
 		return nil, nil, err
 	}
 	a.rememberKeys(next.Files)
@@ -88,7 +88,7 @@
 func (a *application) check(ctx context.Context, next *Head) error {
 	var missing []FileRef
 	for _, ref := range next.Files {
-		if _, ok := a.content(ref.Digest); !ok {
+		if _, ok := a.contents.get(ref.Digest); !ok {
 			missing = append(missing, ref)
 		}
 	}
@@ -96,8 +96,8 @@
 	if err != nil {
 		return err
 	}
-	a.theirs = append(a.theirs, files...)
-	c, problems := next.Build(a.content)
+	a.contents.add(files)
+	c, problems := next.Build(a.contents.get)
 	if len(problems) > 0 {
 		return &InvalidError{Problems: problems}
 	}
@@ -108,18 +108,6 @@
 	return nil
 }
 
-// content finds a file of the folder or of the platform by its digest.
-func (a *application) content(digest string) ([]byte, bool) {
-	for _, files := range [][]File{a.edit.Files, a.theirs} {
-		for _, f := range files {
-			if Digest(f.Content) == digest {
-				return f.Content, true
-			}
-		}
-	}
-	return nil, false
-}
-
 // rememberKeys keeps the keys of uploaded files for the next attempt.
 func (a *application) rememberKeys(refs []FileRef) {
 	for i := range a.mine {
--- a/internal/config/drain.go
+++ b/internal/config/drain.go
@@ -79,24 +79,13 @@
 	if err != nil {
 		return nil, err
 	}
-	c, problems := head.Build(contentsOf(files))
+	c, problems := head.Build(newContentStore(files).get)
 	if len(problems) > 0 {
 		return nil, &InvalidError{Problems: problems}
 	}
 	return c, nil
 }
 
-func contentsOf(files []File) Contents {
-	byDigest := make(map[string][]byte, len(files))
-	for _, f := range files {
-		byDigest[Digest(f.Content)] = f.Content
-	}
-	return func(digest string) ([]byte, bool) {
-		content, ok := byDigest[digest]
-		return content, ok
-	}
-}
-
 // withMember returns the sorted list with name added or removed.
 func withMember(list []string, name string, member bool) []string {
 	i, found := slices.BinarySearch(list, name)
--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -167,6 +167,27 @@
 // Contents finds the content of a file by its digest; ok is false if it is missing.
 type Contents func(digest string) (content []byte, ok bool)
 
+// contentStore holds file contents by their digests.
+type contentStore map[string][]byte
+
+func newContentStore(files []File) contentStore {
+	s := contentStore{}
+	s.add(files)
+	return s
+}
+
+func (s contentStore) add(files []File) {
+	for _, f := range files {
+		s[Digest(f.Content)] = f.Content
+	}
+}
+
+// get implements Contents.
+func (s contentStore) get(digest string) ([]byte, bool) {
+	content, ok := s[digest]
+	return content, ok
+}
+
 // Build merges and checks the files of h and returns its configuration.
 func (h *Head) Build(contents Contents) (*Config, []Problem) {
 	files := make([]File, 0, len(h.Files))
