Claim idempotency keys by conditional updates of a partitioned log

A partition is an append-only log: a small head object, rewritten by gathered conditional updates, and sealed segments. Who appends a key's claim first owns it. An unclear write stays in doubt until the head's version has moved on; a claim that was given up meanwhile is released if it turns out to have taken effect.

--- /dev/null
+++ b/internal/claims/partition.go
@@ -0,0 +1,191 @@
+package claims
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+)
+
+// phase tells which store call of a partition is in flight.
+type phase uint8
+
+const (
+	phaseIdle phase = iota
+	phaseReadHead
+	phaseReadSegment
+	phaseSeal
+	phaseReadSeal
+	phaseWrite
+	phaseDelete
+)
+
+// pending is a claim without an answer, or an abandoned one that is not settled.
+type pending struct {
+	id       uint64
+	key      KeyHash
+	digest   Digest
+	seq      uint64
+	arrived  time.Duration
+	deadline time.Duration
+	// composedAt is when the first write with the claim was composed; zero before.
+	composedAt time.Duration
+	// inFlight tells that the current write contains the claim.
+	inFlight bool
+	// doubt tells that a write with the claim has an unknown outcome and may still take effect.
+	doubt bool
+	// abandoned tells that the claim was answered as not claimed. If a write in doubt
+	// took effect all the same, the claim is released.
+	abandoned bool
+}
+
+// outcome is a reported outcome that is not known to be durable.
+type outcome struct {
+	key   KeyHash
+	seq   uint64
+	since time.Duration
+	state *claimState
+}
+
+// Partition is the state machine of one partition in one process. It does no I/O
+// and reads no clock: Step takes an event and the time and returns effects. Times
+// are monotonic durations since the process's start.
+type Partition struct {
+	cfg    Config
+	name   string
+	owner  Owner
+	random *rand.Rand
+
+	now     time.Duration
+	effects []Effect
+	phase   phase
+
+	log      logView
+	queue    []*pending
+	outcomes []outcome
+	nextSeq  uint64
+	batch    batch
+	sentAt   time.Duration
+
+	loading *loading
+	// ahead are segments that exist but are not in the head yet.
+	ahead   []sealed
+	deletes []uint64
+
+	bucket    bucket
+	failures  int
+	conflicts int
+	retryAt   time.Duration
+	// broken is the reason why the log cannot be trusted; all claims are refused.
+	broken string
+}
+
+// NewPartition returns the partition called name, SERVICE/INDEX, for owner. The seed
+// spreads retries.
+func NewPartition(cfg Config, name string, owner Owner, seed uint64) *Partition {
+	cfg = cfg.WithDefaults()
+	return &Partition{
+		cfg:    cfg,
+		name:   name,
+		owner:  owner,
+		random: rand.New(rand.NewPCG(seed, 0)),
+		log:    logView{index: newIndex(cfg.AnswerMemory)},
+		bucket: bucket{tokens: cfg.WriteBurst},
+	}
+}
+
+// Step handles one event at now and returns its effects.
+func (p *Partition) Step(now time.Duration, e Event) []Effect {
+	p.now, p.effects = now, nil
+	switch e := e.(type) {
+	case ClaimEvent:
+		p.onClaim(e)
+	case CancelEvent:
+		p.onCancel(e.ID)
+	case OutcomeEvent:
+		p.onOutcome(e)
+	case StoreEvent:
+		p.onStore(e)
+	case TickEvent:
+	}
+	p.expire()
+	p.advance()
+	return p.effects
+}
+
+// Unsettled returns the number of claims and outcomes that are not durable yet.
+func (p *Partition) Unsettled() int { return len(p.queue) + len(p.outcomes) }
+
+func (p *Partition) onClaim(e ClaimEvent) {
+	if len(p.queue) >= p.cfg.MaxPending {
+		p.refuse(e.ID, "too many claims wait")
+		return
+	}
+	p.nextSeq++
+	p.queue = append(p.queue, &pending{
+		id: e.ID, key: e.Key, digest: e.Digest, seq: p.nextSeq,
+		arrived: p.now, deadline: min(e.Deadline, p.now+p.cfg.MaxWait),
+	})
+}
+
+func (p *Partition) onCancel(id uint64) {
+	for _, q := range p.queue {
+		if q.id == id && !q.abandoned {
+			q.deadline = p.now
+		}
+	}
+}
+
+func (p *Partition) onOutcome(e OutcomeEvent) {
+	s := p.log.index.claims[e.Key]
+	if s == nil || !s.ownedBy(p.owner, e.Seq) || s.status != recordClaim || s.local != nil {
+		return
+	}
+	o := e.Outcome
+	if o.Answer.size() > p.cfg.MaxAnswer {
+		o.Answer = nil
+	}
+	p.report(s, e.Key, o)
+}
+
+// report queues the outcome of an own claim and lets repeats see it at once.
+func (p *Partition) report(s *claimState, key KeyHash, o Outcome) {
+	s.local = &o
+	p.outcomes = append(p.outcomes, outcome{key: key, seq: s.seq, since: p.now, state: s})
+}
+
+func (p *Partition) refuse(id uint64, detail string) {
+	err := apierr.New(apierr.KindClaimUnavailable, detail)
+	p.effects = append(p.effects, AnswerEffect{ID: id, Err: err})
+}
+
+// expire gives up the claims whose deadline has passed.
+func (p *Partition) expire() {
+	for _, q := range p.queue {
+		if !q.abandoned && q.deadline <= p.now {
+			p.abandon(q, "deadline passed")
+		}
+	}
+}
+
+// abandon answers q as not claimed. From then on this process never runs it.
+func (p *Partition) abandon(q *pending, detail string) {
+	p.refuse(q.id, detail)
+	q.abandoned = true
+}
+
+// fail schedules the next call after a failed one.
+func (p *Partition) fail() {
+	p.failures++
+	backoff := min(minBackoff<<min(p.failures-1, 16), maxBackoff)
+	p.retryAt = p.now + backoff/2 + time.Duration(p.random.Int64N(int64(backoff)))
+}
+
+const (
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = time.Second
+	// failFast is the number of failures in a row after which claims do not wait for a retry.
+	failFast = 5
+	// conflictSpread bounds the random wait after a first conflict.
+	conflictSpread = 2 * time.Millisecond
+)
