Claim idempotency keys before a run and replay recorded answers

Cause: keyed requests were refused as unclaimed. Ruled out: home agents by key (every agent would write every partition and lose conditional updates to the others). Before: 503 claim-unavailable. Conclusion: safety rests on the conditional update, the home on speed only.

--- a/cmd/gentiantrail-agent/main.go
+++ b/cmd/gentiantrail-agent/main.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/agent"
+	"github.com/gentiantrail/gentiantrail/internal/claims"
 	"github.com/gentiantrail/gentiantrail/internal/daemon"
 	"github.com/gentiantrail/gentiantrail/internal/message"
 	"github.com/gentiantrail/gentiantrail/internal/platform"
@@ -13,6 +15,9 @@
 	"github.com/gentiantrail/gentiantrail/internal/target"
 )
 
+// flushTimeout bounds the recording of the last outcomes at a stop.
+const flushTimeout = 5 * time.Second
+
 func main() {
 	args := daemon.ParseArgs()
 	s, err := settings.LoadAgent(args.Settings)
@@ -29,9 +34,12 @@
 		Role: message.RoleAgent, Name: s.Name, AvailabilityZone: s.AvailabilityZone,
 		Address: s.Advertise, Pool: s.Pool,
 	})
+	store := platform.NewClient(s.PlatformAddress, platform.Options{})
+	owned := claims.NewService(store, claims.Config{}, claims.NewOwner())
 	a := agent.New(agent.Options{
 		Identity: p.Identity,
 		Target:   target.New(s.TargetAddress),
+		Claims:   owned,
 		Dial:     p.Dial,
 		Logger:   p.Logger,
 		Metrics:  p.Metrics.Scope,
@@ -46,7 +54,7 @@
 	defer cancel()
 	go a.Run()
 	go a.WatchHealth(ctx)
-	store := platform.NewClient(s.PlatformAddress, platform.Options{})
+	go owned.Run(ctx)
 	go daemon.FollowConfig(ctx, store, p.Logger, a.Configure)
 	for _, entry := range s.Entries {
 		p.Dial(entry)
@@ -57,5 +65,10 @@
 	if err := daemon.Await(a.Done(), s.StopTimeout); err != nil {
 		return err
 	}
+	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
+	defer cancelFlush()
+	if err := owned.Flush(flush); err != nil {
+		p.Logger.Warn().Str("event", "outcomes-not-recorded").Str("detail", err.Error()).Msg("")
+	}
 	return p.Close()
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,7 +42,7 @@
 	Identity message.Identity
 	// Target calls the target.
 	Target *target.Client
-	// Claims makes keyed requests run at most once; nil refuses them as unclaimed.
+	// Claims makes keyed requests run at most once.
 	Claims Claimer
 	// Dial keeps a link to an entry's address alive.
 	Dial func(addr string)
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/admission"
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/claims"
 	"github.com/gentiantrail/gentiantrail/internal/message"
 	"github.com/gentiantrail/gentiantrail/internal/target"
 )
@@ -19,10 +20,12 @@
 // run is a job in its goroutine.
 type run struct {
 	*job
-	began   time.Time
+	began time.Time
+	// claimed tells that token is held and the outcome must be recorded.
 	claimed bool
-	// answered tells that the claim stage found a recorded answer and sent it.
-	answered bool
+	token   claims.Token
+	// replayed tells that the claim stage found a recorded answer and sent it.
+	replayed bool
 	resp     *target.Response
 	kept     keptAnswer
 	sent     int64
@@ -33,7 +36,7 @@
 	r := &run{job: j, began: time.Now()}
 	var err *apierr.Error
 	for _, s := range stages {
-		if err = s(a, r); err != nil || r.answered {
+		if err = s(a, r); err != nil || r.replayed {
 			break
 		}
 	}
@@ -61,9 +64,7 @@
 func (a *Agent) end(r *run, err *apierr.Error) {
 	notRun := err != nil && err.Answer().Outcome == apierr.OutcomeNotRun
 	took := time.Since(r.began)
-	if !r.answered {
-		a.sendEnd(r, err)
-	}
+	a.sendEnd(r, err)
 	a.logEnd(r, err, took)
 	a.post(finished{
 		job:    r.job,
@@ -72,7 +73,7 @@
 			ServiceTime: took,
 			Work:        float64(max(r.sent, 1)),
 			OK:          err == nil,
-			Cancelled:   r.answered || notRun || (err != nil && causedByCaller(err.Kind)),
+			Cancelled:   r.replayed || notRun || (err != nil && causedByCaller(err.Kind)),
 		},
 	})
 }
--- a/internal/claims/config.go
+++ b/internal/claims/config.go
@@ -2,10 +2,14 @@
 
 import "time"
 
+// DefaultPartitions is the number of partitions of a service. Entries route by it
+// and agents claim by it, so that a partition has one writer where possible.
+const DefaultPartitions = 4
+
 // Config are the limits of a Service. Zero fields take the defaults.
 type Config struct {
 	// Partitions is the number of partitions of each service. All processes must
-	// use the same number. Default 4.
+	// use the same number. Default DefaultPartitions.
 	Partitions int
 	// Gather is how long a claim waits for others before the write. Default 15ms.
 	Gather time.Duration
@@ -36,7 +40,7 @@
 
 // WithDefaults returns c with its zero fields set to the defaults.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.Partitions, 4)
+	setDefault(&c.Partitions, DefaultPartitions)
 	setDefault(&c.Gather, 15*time.Millisecond)
 	setDefault(&c.OutcomeDelay, 200*time.Millisecond)
 	setDefault(&c.WriteRate, 20)
--- a/internal/routing/home.go
+++ b/internal/routing/home.go
@@ -3,20 +3,23 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/gentiantrail/gentiantrail/internal/claims"
 )
 
 // pickHome chooses the home agent of r's idempotency key: the agent with the
-// highest rendezvous score among all usable ones of the pool, in any
+// highest rendezvous score for the key's claim partition among all usable ones of the pool, in any
 // availability zone. Entries whose views differ may choose differently; the
 // claim's conditional update keeps that safe.
 func (s *Snapshot) pickHome(p *Pool, r Request, rng *rand.Rand) (Choice, bool) {
-	key := keyHash(r)
+	home := homeHash(r)
 	var best Choice
 	var highest uint64
 	consider := func(agent string, c Choice) {
-		score := rendezvous(key, agent)
+		score := rendezvous(home, agent)
 		if best.Destination == ToNobody || score > highest {
 			best, highest = c, score
 		}
@@ -54,9 +57,12 @@
 	return found
 }
 
-// keyHash returns the hash of organisation, service and key.
-func keyHash(r Request) uint64 {
-	return xxhash.Sum64String(r.Organisation + "\x00" + r.Service + "\x00" + r.IdempotencyKey)
+// homeHash returns the hash of the service and the key's claim partition, so that
+// all keys of a partition are claimed by one agent and its writes do not conflict.
+func homeHash(r Request) uint64 {
+	key := claims.Key{Organisation: r.Organisation, Service: r.Service, IdempotencyKey: r.IdempotencyKey}
+	partition := key.Partition(claims.DefaultPartitions)
+	return xxhash.Sum64String(r.Service + "/" + strconv.FormatUint(uint64(partition), 10))
 }
 
 // rendezvous returns the score of name for key (Thaler and Ravishankar, "Using
