Add callers that class every answer, and an exact judge of at most once

For scenarios: open-ended load that is started and stopped by a script, repeats of one mark through several entries, and a rule on the whole history of a mark.

--- /dev/null
+++ b/internal/standin/callers/caller.go
@@ -0,0 +1,99 @@
+package callers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	connectTimeout = 2 * time.Second
+	// answerGrace is how long a caller waits past its own timeout.
+	answerGrace = 5 * time.Second
+	// defaultPatience bounds an exchange that names no timeout.
+	defaultPatience = 60 * time.Second
+	maxAnswer       = 16 << 20 // bytes
+)
+
+// Caller sends requests over HTTP and never repeats one by itself.
+type Caller struct {
+	client *http.Client
+}
+
+// NewCaller returns a Caller. Without keepAlive each request has a connection of
+// its own, so that a connection closed while idle cannot be mistaken for a cut.
+func NewCaller(keepAlive bool, connections int) *Caller {
+	return &Caller{client: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DisableKeepAlives:   !keepAlive,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: connections,
+	}}}
+}
+
+// Do sends r to the entry at addr and reads the whole answer.
+func (c *Caller) Do(ctx context.Context, addr string, r Request) Result {
+	patience := defaultPatience
+	if r.Timeout > 0 {
+		patience = r.Timeout + answerGrace
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	res := Result{Request: r, Entry: addr, Sent: time.Now()}
+	c.exchange(ctx, &res)
+	res.Took = time.Since(res.Sent)
+	return res
+}
+
+func (c *Caller) exchange(ctx context.Context, res *Result) {
+	req, err := newHTTPRequest(ctx, res.Entry, res.Request)
+	if err != nil {
+		res.Verdict, res.Detail = Unreached, err.Error()
+		return
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		res.Verdict, res.Detail = NoAnswer, err.Error()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			res.Verdict = Unreached
+		}
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	res.Status = resp.StatusCode
+	res.Kind = resp.Header.Get("Gentiantrail-Error")
+	res.Outcome = resp.Header.Get("Gentiantrail-Outcome")
+	res.RequestID = resp.Header.Get("Gentiantrail-Request-Id")
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	res.Verdict, res.Detail = classify(res, body, err)
+}
+
+func newHTTPRequest(ctx context.Context, addr string, r Request) (*http.Request, error) {
+	body := fmt.Sprintf(`{"mark":%q}`, r.Mark)
+	if r.Tokens > 0 {
+		body = fmt.Sprintf(`{"mark":%q,"max_tokens":%d,"stream":%t}`, r.Mark, r.Tokens, r.Stream)
+	}
+	if r.Method == http.MethodGet {
+		body = ""
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+addr+r.Path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+r.APIKey)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Mark", r.Mark)
+	if r.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", r.IdempotencyKey)
+	}
+	if r.Timeout > 0 {
+		req.Header.Set("Gentiantrail-Timeout", r.Timeout.String())
+	}
+	return req, nil
+}
--- /dev/null
+++ b/internal/standin/callers/callers_test.go
@@ -0,0 +1,94 @@
+package callers
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func stream(mark string, from, to int, end string) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&b, "data: {\"mark\":%q,\"index\":%d}\n\n", mark, i)
+	}
+	return b.String() + end
+}
+
+const done = "data: [DONE]\n\n"
+
+func TestAnswersAreClassed(t *testing.T) {
+	tokens := Request{Mark: "m", Tokens: 3}
+	plain := Request{Method: http.MethodPost, Mark: "m"}
+	for name, c := range map[string]struct {
+		req  Request
+		body string
+		want Verdict
+	}{
+		"whole stream":        {tokens, stream("m", 0, 3, done), Complete},
+		"foreign stream":      {tokens, stream("x", 0, 3, done), Crossed},
+		"missing token":       {tokens, stream("m", 0, 1, "") + stream("m", 2, 3, done), Crossed},
+		"doubled token":       {tokens, stream("m", 0, 2, "") + stream("m", 1, 3, done), Crossed},
+		"silent end":          {tokens, stream("m", 0, 2, ""), Crossed},
+		"no end mark":         {tokens, stream("m", 0, 3, ""), Crossed},
+		"error event":         {tokens, stream("m", 0, 2, "event: error\ndata: {}\n\n"), Broken},
+		"plain answer":        {plain, `{"mark":"m","run":1}`, Complete},
+		"foreign answer":      {plain, `{"mark":"x","run":1}`, Crossed},
+		"half a plain answer": {plain, `{"mark":"m`, Crossed},
+	} {
+		got, detail := classify(&Result{Request: c.req, Status: 200}, []byte(c.body), nil)
+		assert.Equal(t, got, c.want, "%s: %s", name, detail)
+	}
+}
+
+func TestJudgeNamesEachBrokenPromise(t *testing.T) {
+	attempt := func(mark string, v Verdict) Result {
+		return Result{Request: Request{Method: http.MethodPost, Mark: mark}, Verdict: v}
+	}
+	results := []Result{
+		attempt("once", Complete),
+		attempt("doubled", Unknown), attempt("doubled", Complete),
+		attempt("lost", Complete),
+		attempt("lied", NotRun), attempt("lied", Unreached),
+		attempt("open", NotRun), attempt("open", NoAnswer),
+		attempt("refused", NotRun),
+		attempt("crossed", Crossed),
+	}
+	runs := map[string]int{"once": 1, "doubled": 2, "lied": 1, "open": 1, "stray": 1}
+	var marks []string
+	for _, v := range Judge(results, runs) {
+		marks = append(marks, v.Mark)
+	}
+	assert.DeepEqual(t, marks, []string{"crossed", "doubled", "lied", "lost", "stray"})
+}
+
+func TestGeneratorPassesOverEntriesOutOfReach(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"mark":%q}`, r.Header.Get("X-Mark"))
+	}))
+	defer s.Close()
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	ledger := &Ledger{}
+	g := &Generator{
+		Name: "t", Template: Request{Method: http.MethodPost, Path: "/permits/permits"}, Workers: 2, Interval: time.Millisecond,
+		Balancer: NewBalancer(strings.TrimPrefix(s.URL, "http://"), strings.TrimPrefix(gone.URL, "http://")),
+		Caller:   NewCaller(false, 2), Ledger: ledger,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for len(ledger.Results(time.Time{}, time.Time{})) < 20 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	g.Run(ctx)
+	sum := Summarize(ledger.Results(time.Time{}, time.Time{}))
+	assert.Equal(t, sum.Count[Complete], sum.Sent, sum.String())
+	assert.Assert(t, sum.Sent >= 20 && sum.P50 > 0)
+}
--- /dev/null
+++ b/internal/standin/callers/generator.go
@@ -0,0 +1,126 @@
+package callers
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Balancer stands for the platform's balancer: it spreads requests over the
+// entries that are in service.
+type Balancer struct {
+	mu      sync.Mutex
+	entries []string
+	next    int
+}
+
+// NewBalancer returns a Balancer over the addresses of entries.
+func NewBalancer(entries ...string) *Balancer { return &Balancer{entries: entries} }
+
+// Set replaces the entries in service.
+func (b *Balancer) Set(entries ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = entries
+}
+
+// order returns the entries in the order in which the next request tries them.
+func (b *Balancer) order() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.entries) == 0 {
+		return nil
+	}
+	b.next = (b.next + 1) % len(b.entries)
+	return slices.Concat(b.entries[b.next:], b.entries[:b.next])
+}
+
+// Ledger collects results; it is safe for concurrent use.
+type Ledger struct {
+	mu      sync.Mutex
+	results []Result
+}
+
+// Add appends a result.
+func (l *Ledger) Add(r Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, r)
+}
+
+// Results returns the results of requests that were sent in [from, to); zero
+// times leave that side open.
+func (l *Ledger) Results(from, to time.Time) []Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var part []Result
+	for _, r := range l.results {
+		if r.Sent.Before(from) || (!to.IsZero() && !r.Sent.Before(to)) {
+			continue
+		}
+		part = append(part, r)
+	}
+	return part
+}
+
+// Generator sends requests made after a template, each with a mark of its own.
+type Generator struct {
+	// Name begins every mark.
+	Name string
+	// Template is the request; its Mark is ignored.
+	Template Request
+	// Keyed gives each request an idempotency key of its own.
+	Keyed bool
+	// Workers is the number of requests in flight at most.
+	Workers int
+	// Interval is the time between two requests of one worker, start to start.
+	Interval time.Duration
+	// Balancer picks the entry, Caller sends and Ledger keeps the results.
+	Balancer *Balancer
+	Caller   *Caller
+	Ledger   *Ledger
+
+	sequence atomic.Uint64
+}
+
+// Run sends requests until ctx ends, then waits for the answers in flight.
+func (g *Generator) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for range g.Workers {
+		wg.Go(func() { g.work(ctx) })
+	}
+	wg.Wait()
+}
+
+func (g *Generator) work(ctx context.Context) {
+	ticker := time.NewTicker(max(g.Interval, time.Microsecond))
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		g.Ledger.Add(g.send())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// send does one request; an entry that cannot be reached is passed over, as the
+// platform's balancer does.
+func (g *Generator) send() Result {
+	r := g.Template
+	r.Mark = fmt.Sprintf("%s-%d", g.Name, g.sequence.Add(1))
+	if g.Keyed {
+		r.IdempotencyKey = "key-" + r.Mark
+	}
+	res := Result{Request: r, Sent: time.Now(), Verdict: Unreached, Detail: "no entry is in service"}
+	for _, addr := range g.Balancer.order() {
+		res = g.Caller.Do(context.Background(), addr, r)
+		if res.Verdict != Unreached {
+			break
+		}
+	}
+	return res
+}
--- /dev/null
+++ b/internal/standin/callers/summary.go
@@ -0,0 +1,70 @@
+package callers
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	maxLatency    = 10 * time.Minute
+	latencyDigits = 3
+)
+
+// Summary counts results by verdict and sums up the latency of complete answers.
+type Summary struct {
+	Sent          int
+	Count         map[Verdict]int
+	Kinds         map[string]int
+	P50, P95, P99 time.Duration
+}
+
+// Summarize sums up results.
+func Summarize(results []Result) Summary {
+	s := Summary{Sent: len(results), Count: map[Verdict]int{}, Kinds: map[string]int{}}
+	h := hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)
+	for _, r := range results {
+		s.Count[r.Verdict]++
+		if r.Kind != "" {
+			s.Kinds[r.Kind]++
+		}
+		if r.Verdict == Complete {
+			_ = h.RecordValue(min(r.Took, maxLatency).Microseconds())
+		}
+	}
+	quantile := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	s.P50, s.P95, s.P99 = quantile(50), quantile(95), quantile(99)
+	return s
+}
+
+// Share returns the share of sent requests with verdict v, from 0 to 1.
+func (s Summary) Share(v Verdict) float64 {
+	if s.Sent == 0 {
+		return 0
+	}
+	return float64(s.Count[v]) / float64(s.Sent)
+}
+
+// String returns the summary in one line.
+func (s Summary) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "sent=%d", s.Sent)
+	for _, v := range Verdicts {
+		if s.Count[v] > 0 {
+			fmt.Fprintf(&b, " %s=%d", v, s.Count[v])
+		}
+	}
+	fmt.Fprintf(&b, " p50=%s p95=%s p99=%s", s.P50, s.P95, s.P99)
+	kinds := make([]string, 0, len(s.Kinds))
+	for kind, n := range s.Kinds {
+		kinds = append(kinds, fmt.Sprintf("%s:%d", kind, n))
+	}
+	slices.Sort(kinds)
+	if len(kinds) > 0 {
+		fmt.Fprintf(&b, " kinds=%s", strings.Join(kinds, ","))
+	}
+	return b.String()
+}
