Keep the free-place refusals apart from full queues; number load reports

A refusal of an attempt that asked for a free place only says nothing about the agent's queue, so Request.Busy and Request.Excluded are kept apart, and an entry refuses by itself only after an agent refused to queue the request. Load.Seq (key 8) keeps a late heartbeat from replacing the load that came with an answer.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -114,6 +114,7 @@
 	queue    *fairness.Queue
 	running  map[uint64]runStart
 	service  estimate
+	reports  uint64
 	draining bool
 	down     bool
 }
@@ -248,6 +249,7 @@
 
 // Load returns the report for entries.
 func (c *Controller) Load(_ time.Duration) message.Load {
+	c.reports++
 	return message.Load{
 		State:       c.state(),
 		Running:     len(c.running),
@@ -256,6 +258,7 @@
 		QueueLimit:  c.cfg.QueueLimit,
 		ServiceTime: c.service.mean(),
 		WaitTime:    c.waitBehind(c.queue.Len()),
+		Seq:         c.reports,
 	}
 }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -141,6 +141,8 @@
 	ServiceTime time.Duration `cbor:"6,keyasint"`
 	// WaitTime is the expected wait of a request that arrives now.
 	WaitTime time.Duration `cbor:"7,keyasint"`
+	// Seq grows with each report of one incarnation, so that a late one is not taken for the newest.
+	Seq uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat is sent at a fixed interval and at each change of state.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -24,7 +24,7 @@
 	// DefaultBurst is the number of repeats that a full budget allows at once.
 	DefaultBurst = 10
 	// MaxAttempts bounds the attempts of one request, the first one included.
-	MaxAttempts = 4
+	MaxAttempts = 6
 )
 
 // NewBudget returns a full budget.
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -11,12 +12,12 @@
 
 // pickFree chooses among the candidates with room, the own availability zone
 // first: the target that the prefix belongs to, or the better of two.
-func pickFree(own, peers []candidate, prefix uint64, rng *rand.Rand) (Choice, bool) {
+func pickFree(own, peers []candidate, r Request, rng *rand.Rand) (Choice, bool) {
 	var best candidate
-	targets, zones := withRoom(own), withRoom(peers)
+	targets, zones := withRoom(own, r.Busy), withRoom(peers, r.Busy)
 	switch {
-	case len(targets) > 0 && prefix != 0:
-		best = affine(targets, prefix)
+	case len(targets) > 0 && r.PrefixHash != 0:
+		best = affine(targets, r.PrefixHash)
 	case len(targets) > 0:
 		best = betterOfTwo(targets, rng)
 	case len(zones) > 0:
@@ -29,10 +30,11 @@
 	return c, true
 }
 
-func withRoom(cs []candidate) []candidate {
+// withRoom returns the candidates that look free and have not been found busy.
+func withRoom(cs []candidate, busy []string) []candidate {
 	open := make([]candidate, 0, len(cs))
 	for _, c := range cs {
-		if c.room() {
+		if c.room() && !slices.Contains(busy, c.choice().Name()) {
 			open = append(open, c)
 		}
 	}
@@ -94,18 +96,23 @@
 // busy request goes to another one.
 const crossZonePenalty = 100 * time.Millisecond
 
-// shorterWait returns the better of two draws from the own availability zone, or
-// that from the others if it waits shorter by more than crossZonePenalty.
-func shorterWait(own, peers []candidate, rng *rand.Rand) (candidate, bool) {
+// shorterWait returns the best of the own availability zone, or the better of two
+// peers if it waits shorter by more than crossZonePenalty.
+func shorterWait(own, peers []candidate, prefix uint64, rng *rand.Rand) (candidate, bool) {
 	switch {
 	case len(own) == 0 && len(peers) == 0:
 		return candidate{}, false
 	case len(own) == 0:
 		return betterOfTwo(peers, rng), true
-	case len(peers) == 0:
-		return betterOfTwo(own, rng), true
 	}
-	near, far := betterOfTwo(own, rng), betterOfTwo(peers, rng)
+	near := betterOfTwo(own, rng)
+	if prefix != 0 {
+		near = affine(own, prefix)
+	}
+	if len(peers) == 0 {
+		return near, true
+	}
+	far := betterOfTwo(peers, rng)
 	if far.wait()+crossZonePenalty < near.wait() {
 		return far, true
 	}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -25,10 +25,23 @@
 	Remaining time.Duration
 	// Hops counts the entries that have passed the request on.
 	Hops int
-	// Excluded are the agents and peers that have refused the request already.
+	// NoWait tells that the request came from an entry that asked for a free place only.
+	NoWait bool
+	// Busy are the agents and peers that had no free place for the request.
+	Busy []string
+	// Excluded are the agents and peers that refused to let the request wait or that failed.
 	Excluded []string
 }
 
+// Refused notes that choice c was refused with kind k.
+func (r *Request) Refused(c Choice, k apierr.Kind) {
+	if c.NoWait && k == apierr.KindOverloaded {
+		r.Busy = append(r.Busy, c.Name())
+		return
+	}
+	r.Excluded = append(r.Excluded, c.Name())
+}
+
 // Destination tells where a request goes.
 type Destination uint8
 
@@ -99,16 +112,19 @@
 	}
 	own := s.ownCandidates(p, r)
 	peers := s.peerCandidates(p, r)
-	if len(r.Excluded) < noWaitAttempts {
-		if c, ok := pickFree(own, peers, r.PrefixHash, rng); ok {
+	if len(r.Busy) < noWaitAttempts {
+		if c, ok := pickFree(own, peers, r, rng); ok {
 			return c
 		}
 	}
+	if r.NoWait {
+		return refuse(apierr.KindOverloaded, r.Pool, 0, rng)
+	}
 	return s.pickWaiting(p, r, own, peers, rng)
 }
 
 // noWaitAttempts is the number of attempts that do not wait in a queue.
-const noWaitAttempts = 2
+const noWaitAttempts = 3
 
 // candidate is a usable target or peer with its estimated load.
 type candidate struct {
@@ -156,7 +172,7 @@
 // place a request gets in its fair queue, so a request is refused here only after
 // an agent has refused it.
 func (s *Snapshot) pickWaiting(p *Pool, r Request, own, peers []candidate, rng *rand.Rand) Choice {
-	best, ok := shorterWait(own, peers, rng)
+	best, ok := shorterWait(own, peers, r.PrefixHash, rng)
 	if !ok {
 		return s.noCandidate(p, r, rng)
 	}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -37,6 +37,16 @@
 	SentAtReport int
 }
 
+// Update takes in load, which arrived while inFlight requests were counted. It
+// returns false and changes nothing if r is newer.
+func (r *Report) Update(load message.Load, inFlight int) bool {
+	if r.Known && load.Seq < r.Load.Seq {
+		return false
+	}
+	*r = Report{Known: true, Load: load, SentAtReport: inFlight}
+	return true
+}
+
 // Target is one agent of the entry's own availability zone.
 type Target struct {
 	// Agent is the agent's name.
--- a/test/experiment/entry.go
+++ b/test/experiment/entry.go
@@ -34,7 +34,9 @@
 	req      *request
 	hops     int
 	attempts int
+	busy     []string
 	excluded []string
+	noWait   bool
 	done     bool
 	finish   func(reply)
 	// abort withdraws the attempt in flight.
@@ -50,8 +52,8 @@
 }
 
 // forward takes a request from another entry.
-func (e *entry) forward(req *request, attempts int, finish func(reply)) *trial {
-	t := &trial{entry: e, req: req, hops: 1, attempts: attempts, finish: finish}
+func (e *entry) forward(req *request, noWait bool, finish func(reply)) *trial {
+	t := &trial{entry: e, req: req, hops: 1, noWait: noWait, finish: finish}
 	t.next()
 	return t
 }
@@ -88,7 +90,7 @@
 	}
 	choice := w.scenario.Router(t.entry, t.request())
 	if choice.Destination == routing.ToNobody {
-		t.failed(reply{err: choice.Err, outcome: apierr.OutcomeNotRun}, "")
+		t.failed(reply{err: choice.Err, outcome: apierr.OutcomeNotRun}, choice)
 		return
 	}
 	t.attempts++
@@ -109,6 +111,8 @@
 		PrefixHash:   t.req.prefix,
 		Remaining:    t.req.deadline - t.entry.world.clock.now,
 		Hops:         t.hops,
+		NoWait:       t.noWait,
+		Busy:         t.busy,
 		Excluded:     t.excluded,
 	}
 	if !t.req.idempotent {
@@ -127,7 +131,7 @@
 			w.clock.after(delay, func() {
 				release()
 				t.entry.learn(c.Target.Agent, a, r.load)
-				t.answered(r, c.Target.Agent)
+				t.answered(r, c)
 			})
 		})
 		t.abort = func() {
@@ -145,10 +149,10 @@
 	peer := w.entry(c.Peer.Entry)
 	release := releaseOnce(c.Peer.Sent)
 	w.clock.after(crossZoneDelay, func() {
-		far := peer.forward(t.req, t.attempts, func(r reply) {
+		far := peer.forward(t.req, c.NoWait, func(r reply) {
 			w.clock.after(crossZoneDelay, func() {
 				release()
-				t.answered(r, c.Peer.Entry)
+				t.answered(r, c)
 			})
 		})
 		t.abort = func() {
@@ -177,7 +181,7 @@
 }
 
 // answered takes the reply of an attempt.
-func (t *trial) answered(r reply, name string) {
+func (t *trial) answered(r reply, c routing.Choice) {
 	if t.done {
 		return
 	}
@@ -187,17 +191,17 @@
 		t.end(r)
 		return
 	}
-	t.failed(r, name)
+	t.failed(r, c)
 }
 
 // failed retries where the rule allows it.
-func (t *trial) failed(r reply, name string) {
+func (t *trial) failed(r reply, c routing.Choice) {
 	w := t.entry.world
 	if w.scenario.UnlimitedRetries && t.hops == 0 {
 		w.clock.after(unlimitedRetryPause, t.next)
 		return
 	}
-	allowed := name != "" && retry.Allowed(retry.Attempt{
+	allowed := c.Destination != routing.ToNobody && retry.Allowed(retry.Attempt{
 		Kind:       r.err.Kind,
 		Outcome:    r.outcome,
 		Idempotent: t.req.idempotent,
@@ -208,7 +212,9 @@
 		t.end(r)
 		return
 	}
-	t.excluded = append(t.excluded, name)
+	again := t.request()
+	again.Refused(c, r.err.Kind)
+	t.busy, t.excluded = again.Busy, again.Excluded
 	t.next()
 }
 
@@ -225,7 +231,7 @@
 		for j := range e.snap.Pools[i].Targets {
 			t := &e.snap.Pools[i].Targets[j]
 			if t.Agent == agent {
-				t.Report = e.newReport(load, t.Sent)
+				t.Report.Update(load, t.Sent.InFlight())
 			}
 		}
 	}
@@ -237,15 +243,8 @@
 		for j := range e.snap.Pools[i].Peers {
 			p := &e.snap.Pools[i].Peers[j]
 			if p.Entry == peer && e.snap.Pools[i].Name == pool {
-				p.Report = e.newReport(load, p.Sent)
+				p.Report.Update(load, p.Sent.InFlight())
 			}
 		}
 	}
 }
-
-func (e *entry) newReport(load message.Load, sent *routing.Counter) routing.Report {
-	return routing.Report{
-		Known: true, Load: load,
-		SentAtReport: sent.InFlight(),
-	}
-}
