Let a restarted process listen on its address at once

Cause: an entry that was stopped and started again failed with 'address already in use' for up to a minute: its closed links lingered and the listener did not set SO_REUSEADDR. Ruled out: another process on the port (none held it). Change: ReuseAddr on the listener; Node.Close may be called again. Metrics are looked up once; load jobs may name their own entries to compare with.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,6 +62,7 @@
 	parent context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
+	meters *meters
 }
 
 // New returns an Agent; Run starts it.
@@ -71,6 +72,7 @@
 		start:  time.Now(),
 		events: make(chan event, eventQueue),
 		done:   make(chan struct{}),
+		meters: newMeters(opts.Metrics),
 	}
 	a.parent, a.cancel = context.WithCancel(context.Background())
 	a.load.Store(&message.Load{})
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -97,9 +97,8 @@
 	kind := apierr.KindNone
 	if err != nil {
 		kind = err.Kind
-		a.opts.Metrics.Tagged(map[string]string{"kind": kind.String()}).Counter("failed").Inc(1)
 	}
-	a.opts.Metrics.Timer("run").Record(took)
+	a.meters.ran(kind, took)
 	line := a.opts.Logger.Info().Str("event", "ran").Str("request", r.req.Trace).
 		Str("organisation", r.req.Organisation).Str("service", r.req.Service).
 		Str("kind", kind.String()).Dur("took", took).Int64("bytes", r.sent)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,7 @@
 	done   chan struct{}
 
 	forwards *forwardTable
+	meters   *meters
 
 	budgetMu sync.Mutex
 	budget   *retry.Budget
@@ -74,6 +75,7 @@
 		gate:     newGate(opts.MaxRequests),
 		done:     make(chan struct{}),
 		forwards: newForwardTable(),
+		meters:   newMeters(opts.Metrics),
 		budget:   retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
 	}
 	e.rngs.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -219,8 +219,7 @@
 		kind = err.Kind
 	}
 	took := time.Since(x.arrived)
-	e.opts.Metrics.Tagged(map[string]string{"kind": kind.String()}).Counter("requests").Inc(1)
-	e.opts.Metrics.Timer("request").Record(took)
+	e.meters.ended(kind, took)
 	line := e.endLine(kind).Str("event", "request").Str("request", x.req.Trace).
 		Str("organisation", x.req.Organisation).Str("service", x.req.Service).
 		Str("kind", kind.String()).Str("outcome", kind.Answer().Outcome.String()).
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -19,6 +19,9 @@
 
 // Node accepts and dials links of one process.
 type Node struct {
+	closing  sync.Once
+	closeErr error
+
 	cfg     Config
 	handler Handler
 	client  *gnet.Client
@@ -78,6 +81,7 @@
 func (n *Node) engineOptions() gnet.Options {
 	return gnet.Options{
 		NumEventLoop: n.cfg.EventLoops,
+		ReuseAddr:    true, // a restarted process gets its port while old connections linger
 		Logger:       engineLogger{n.cfg.Logger},
 		LogLevel:     logging.ErrorLevel,
 	}
@@ -148,8 +152,13 @@
 }
 
 // Close stops dialling, sends what is queued as far as ctx allows, and ends all
-// links. Handler.Down is called for each.
+// links. Handler.Down is called for each. Closing again does nothing.
 func (n *Node) Close(ctx context.Context) error {
+	n.closing.Do(func() { n.closeErr = n.close(ctx) })
+	return n.closeErr
+}
+
+func (n *Node) close(ctx context.Context) error {
 	n.cancel()
 	n.wg.Wait()
 	n.drain(ctx)
--- a/internal/standin/load/plan.go
+++ b/internal/standin/load/plan.go
@@ -43,6 +43,9 @@
 	// Method and Path select the route.
 	Method string `yaml:"method"`
 	Path   string `yaml:"path"`
+	// Entries replaces the plan's entries for this job, for example by a target's
+	// own address to compare with.
+	Entries []string `yaml:"entries"`
 	// Body is sent with each request.
 	Body string `yaml:"body"`
 	// Rate is the number of requests a second.
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -12,8 +12,8 @@
 // by the plan's rates, phases and MaxOpen.
 func Run(p *Plan) (*Report, error) {
 	r := &runner{plan: p, report: newReport(p), open: make(chan struct{}, p.MaxOpen)}
-	for _, addr := range p.Entries {
-		r.callers = append(r.callers, newCaller(addr, p.MaxOpen))
+	for i := range p.Jobs {
+		r.callers = append(r.callers, newCallers(p, &p.Jobs[i]))
 	}
 	r.start = time.Now()
 	var wg sync.WaitGroup
@@ -28,10 +28,23 @@
 	return r.report, nil
 }
 
+// newCallers returns a caller for each entry that a job uses.
+func newCallers(p *Plan, j *Job) []*caller {
+	addrs := p.Entries
+	if len(j.Entries) > 0 {
+		addrs = j.Entries
+	}
+	callers := make([]*caller, 0, len(addrs))
+	for _, addr := range addrs {
+		callers = append(callers, newCaller(addr, p.MaxOpen))
+	}
+	return callers
+}
+
 type runner struct {
 	plan     *Plan
 	report   *Report
-	callers  []*caller
+	callers  [][]*caller
 	open     chan struct{}
 	start    time.Time
 	requests sync.WaitGroup
@@ -63,8 +76,9 @@
 	j := &r.plan.Jobs[job]
 	mark := fmt.Sprintf("%s-%d-%d", j.Name, r.start.UnixNano(), n)
 	key := j.Keys[n%len(j.Keys)]
-	for i := range r.callers {
-		c := r.callers[(n+i)%len(r.callers)]
+	callers := r.callers[job]
+	for i := range callers {
+		c := callers[(n+i)%len(callers)]
 		got, err := c.call(j, key, mark)
 		if errors.Is(err, errNotConnected) {
 			continue
