Add gentiantrailctl: check, diff, apply, pull, status, drain, undrain, dump

Cause: operators need one command with documented exit codes.

Change: internal/ctl with the commands, cmd/gentiantrailctl with the wiring. apply and pull note in the folder what it was in step with, so that a later apply merges by file and never undoes others' changes that the folder lacks. A folder without such a note is refused if it differs (exit 3).

Ruled out: taking the newest head as the base of every apply; a folder that lacks another operator's file would then remove it.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -58,34 +58,73 @@
 	return Digest([]byte(b.String()))
 }
 
-// change returns the head that holds the edit on top of from.
+// change returns the head that holds the edit on top of from and writes its files.
 func (a *application) change(ctx context.Context, from *Head) (*Head, *Result, error) {
+	plan, err := a.plan(ctx, from)
+	if err != nil || plan.Next == nil {
+		return nil, &Result{Theirs: theirsOf(plan)}, err
+	}
+	if err := a.publisher.upload(ctx, plan.Next.Files, a.nonce, a.contents.get); err != nil {
+		return nil, nil, err
+	}
+	a.rememberKeys(plan.Next.Files)
+	return plan.Next, &Result{Changes: plan.Changes, Theirs: plan.Theirs}, nil
+}
+
+// Plan is what an edit would do.
+type Plan struct {
+	// From is the newest head.
+	From *Head
+	// Next is the head that the edit would make, without its revision; nil if there
+	// is nothing to change.
+	Next *Head
+	// Config is the configuration of Next.
+	Config *Config
+	// Changes are the files that the edit would change.
+	Changes []FileChange
+	// Theirs are files that others changed and that would be kept.
+	Theirs []FileChange
+}
+
+func theirsOf(plan *Plan) []FileChange {
+	if plan == nil {
+		return nil
+	}
+	return plan.Theirs
+}
+
+// Plan tells what Apply would do now, and changes nothing.
+func (p *Publisher) Plan(ctx context.Context, edit Edit) (*Plan, error) {
+	snap, err := p.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	a := &application{publisher: p, edit: edit, mine: Refs(edit.Files), contents: newContentStore(edit.Files)}
+	return a.plan(ctx, snap.Head)
+}
+
+func (a *application) plan(ctx context.Context, from *Head) (*Plan, error) {
 	base := a.edit.Base
 	if base == nil || from.Revision == 0 {
 		base = from.Files
 	}
 	merged, conflicts := mergeRefs(base, a.mine, from.Files)
 	if len(conflicts) > 0 {
-		return nil, nil, &ConflictError{Revision: from.Revision, Files: attribute(conflicts, from.Edits)}
+		return nil, &ConflictError{Revision: from.Revision, Files: attribute(conflicts, from.Edits)}
 	}
-	result := &Result{Changes: Compare(from.Files, merged), Theirs: Compare(a.mine, merged)}
-	if len(result.Changes) == 0 {
-		return nil, result, nil
-	}
-	next := from.clone()
-	next.Files = merged
-	if err := a.check(ctx, next); err != nil {
-		return nil, nil, err
-	}
-	if err := a.publisher.upload(ctx, next.Files, a.nonce, a.contents.get); err != nil {
-		return nil, nil, err
+	plan := &Plan{From: from, Changes: Compare(from.Files, merged), Theirs: Compare(a.mine, merged)}
+	if len(plan.Changes) == 0 {
+		return plan, nil
 	}
-	a.rememberKeys(next.Files)
-	return next, result, nil
+	plan.Next = from.clone()
+	plan.Next.Files = merged
+	var err error
+	plan.Config, err = a.check(ctx, plan.Next)
+	return plan, err
 }
 
 // check builds next and drops drains of availability zones that it does not have.
-func (a *application) check(ctx context.Context, next *Head) error {
+func (a *application) check(ctx context.Context, next *Head) (*Config, error) {
 	var missing []FileRef
 	for _, ref := range next.Files {
 		if _, ok := a.contents.get(ref.Digest); !ok {
@@ -94,18 +133,18 @@
 	}
 	files, err := a.publisher.Files(ctx, missing)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	a.contents.add(files)
 	c, problems := next.Build(a.contents.get)
 	if len(problems) > 0 {
-		return &InvalidError{Problems: problems}
+		return nil, &InvalidError{Problems: problems}
 	}
 	next.DrainedZones = slices.DeleteFunc(next.DrainedZones, func(name string) bool {
 		_, ok := c.Index().AvailabilityZone(name)
 		return !ok
 	})
-	return nil
+	return c, nil
 }
 
 // rememberKeys keeps the keys of uploaded files for the next attempt.
--- /dev/null
+++ b/internal/ctl/base.go
@@ -0,0 +1,60 @@
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/gentiantrail/gentiantrail/internal/config"
+)
+
+// baseName is the file in a folder that records what the folder was in step with.
+const baseName = ".gentiantrail-base.json"
+
+// base records the files of a folder as they were when it was last in step with
+// the platform.
+type base struct {
+	// Revision is the revision at that time.
+	Revision uint64 `json:"revision"`
+	// Files are the folder's files at that time, sorted by name.
+	Files []config.FileRef `json:"files"`
+}
+
+// readBase returns the folder's record, or nil if it has none.
+func readBase(dir string) (*base, error) {
+	raw, err := os.ReadFile(filepath.Join(dir, baseName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, &usageError{"the folder's record " + baseName + " cannot be read"}
+	}
+	var b base
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return nil, &usageError{"the folder's record " + baseName + " is damaged; remove it"}
+	}
+	return &b, nil
+}
+
+// writeBase records files as in step with revision.
+func writeBase(dir string, revision uint64, files []config.FileRef) error {
+	for i := range files {
+		files[i].Key = ""
+	}
+	raw, err := json.MarshalIndent(base{Revision: revision, Files: files}, "", "  ")
+	if err != nil {
+		return err
+	}
+	return writeFile(dir, baseName, append(raw, '\n'))
+}
+
+// writeFile replaces a file of a folder at once.
+func writeFile(dir, name string, content []byte) error {
+	temporary := filepath.Join(dir, ".gentiantrail-tmp-"+name)
+	if err := os.WriteFile(temporary, content, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(temporary, filepath.Join(dir, name))
+}
