--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -10,7 +10,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/message"
 )
@@ -34,12 +33,20 @@
 	Known bool
 	// Load is the reported load; for a peer it is the sum over the pool's targets of its availability zone.
 	Load message.Load
-	// ReceivedAt is when the report arrived.
-	ReceivedAt time.Duration
 	// SentAtReport is the Counter's value when the report arrived.
 	SentAtReport int
 }
 
+// Update takes in load, which arrived while inFlight requests were counted. It
+// returns false and changes nothing if r is newer.
+func (r *Report) Update(load message.Load, inFlight int) bool {
+	if r.Known && load.Seq < r.Load.Seq {
+		return false
+	}
+	*r = Report{Known: true, Load: load, SentAtReport: inFlight}
+	return true
+}
+
 // Target is one agent of the entry's own availability zone.
 type Target struct {
 	// Agent is the agent's name.
