Check whole histories of claims under faults against a sequential model

Six claimers, 20 keys, eight seeds: the platform down, slow (above the call timeout), answers lost, writes dropped or late; claimers pause up to 10 hours between claim and run; segments of four records. Porcupine accepts every history and no key runs twice.

--- /dev/null
+++ b/internal/claims/service_test.go
@@ -0,0 +1,278 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/platform"
+	"github.com/gentiantrail/gentiantrail/internal/standin/objectstore"
+)
+
+// claimer is what the trial drives: a Service or a naive version.
+type claimer interface {
+	// claim returns whether the caller may run the request of key.
+	claim(ctx context.Context, key string) (Result, error)
+	record(r Result, ran bool)
+}
+
+type serviceClaimer struct{ *Service }
+
+func (c serviceClaimer) claim(ctx context.Context, key string) (Result, error) {
+	return c.Claim(ctx, Key{Organisation: "o", Service: "s", IdempotencyKey: key}, DigestOf([]byte(key)))
+}
+
+func (c serviceClaimer) record(r Result, ran bool) { c.Record(r.Token, Outcome{Ran: ran}) }
+
+// uncondClaimer reads the key and writes it without a condition.
+type uncondClaimer struct{ platform.Store }
+
+func (c uncondClaimer) claim(ctx context.Context, key string) (Result, error) {
+	if _, err := c.Get(ctx, key); !errors.Is(err, platform.ErrNotFound) {
+		return Result{Status: InProgress}, err
+	}
+	_, err := c.Put(ctx, key, nil, platform.AnyVersion)
+	return Result{Status: Claimed}, err
+}
+
+func (uncondClaimer) record(Result, bool) {}
+
+// blindClaimer creates the key with a condition, but repeats an unclear write without one.
+type blindClaimer struct{ platform.Store }
+
+func (c blindClaimer) claim(ctx context.Context, key string) (Result, error) {
+	_, err := c.Put(ctx, key, nil, 0)
+	for errors.Is(err, platform.ErrUnclear) && ctx.Err() == nil {
+		_, err = c.Put(ctx, key, nil, platform.AnyVersion)
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		return Result{Status: InProgress}, nil
+	}
+	return Result{Status: Claimed}, err
+}
+
+func (blindClaimer) record(Result, bool) {}
+
+const (
+	trialClaimers = 6
+	trialKeys     = 20
+	trialTries    = 60
+)
+
+// op is one operation of a trial's history.
+type op struct {
+	key    string
+	record bool // Record, else Claim
+	ran    bool // of Record
+}
+
+// trial is the history of one run and the count of runs by key.
+type trial struct {
+	mu      sync.Mutex
+	clock   int64
+	history []porcupine.Operation
+	runs    map[string]int
+}
+
+func (tr *trial) stamp() int64 {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.clock++
+	return tr.clock
+}
+
+func (tr *trial) add(client int, in op, out Status, call int64) {
+	end := tr.stamp()
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.history = append(tr.history, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: call, Return: end})
+}
+
+// trialKey returns a key that others claim at the same time, or any key.
+func trialKey(random *rand.Rand) string {
+	n := time.Now().Unix()
+	if random.IntN(3) == 0 {
+		n = random.Int64N(trialKeys)
+	}
+	return fmt.Sprintf("key-%d", n%trialKeys)
+}
+
+// work lets one claimer try keys; it pauses after a claim, at times for hours.
+func (tr *trial) work(client int, c claimer, random *rand.Rand) {
+	for range trialTries {
+		key := trialKey(random)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(random.IntN(3000))*time.Millisecond)
+		call := tr.stamp()
+		result, err := c.claim(ctx, key)
+		cancel()
+		if err == nil {
+			tr.add(client, op{key: key}, result.Status, call)
+		}
+		if err == nil && result.Status == Claimed {
+			tr.run(client, c, key, result, random)
+		}
+		pause(random)
+	}
+}
+
+// pause sleeps for a random time, or until all claimers try the same key at once.
+func pause(random *rand.Rand) {
+	d := time.Duration(random.IntN(400)) * time.Millisecond
+	if random.IntN(2) == 0 {
+		now := time.Now()
+		d = now.Truncate(time.Second).Add(time.Second).Sub(now)
+	}
+	time.Sleep(d)
+}
+
+func (tr *trial) run(client int, c claimer, key string, r Result, random *rand.Rand) {
+	if random.IntN(4) == 0 {
+		time.Sleep(time.Duration(random.IntN(10)) * time.Hour)
+	}
+	ran := random.IntN(3) > 0
+	if ran {
+		tr.mu.Lock()
+		tr.runs[key]++
+		tr.mu.Unlock()
+	}
+	call := tr.stamp()
+	c.record(r, ran)
+	tr.add(client, op{key: key, record: true, ran: ran}, 0, call)
+}
+
+// disturb changes the store's faults until ctx ends.
+func disturb(ctx context.Context, m *objectstore.Memory, random *rand.Rand) {
+	for ctx.Err() == nil {
+		f := objectstore.Faults{LatencyMS: 3}
+		switch random.IntN(7) {
+		case 0:
+			f.Down = true
+		case 1:
+			f.LatencyMS = random.IntN(4000)
+		case 2:
+			f.LoseAnswers = 0.5
+		case 3:
+			f.DropNext = 2
+		case 4:
+			f.DelayNext, f.DelayMS = 3, random.IntN(5000)
+		case 5:
+			f.LoseNext, f.LatencyMS = 3, 100
+		}
+		m.SetFaults(f)
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+	}
+	m.SetFaults(objectstore.Faults{})
+}
+
+// runTrial runs trialClaimers claimers made by start under faults and returns the history.
+func runTrial(t *testing.T, seed uint64, start func(context.Context, platform.Store) claimer) *trial {
+	tr := &trial{runs: make(map[string]int)}
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		m := objectstore.NewSeeded(seed)
+		var workers, faults sync.WaitGroup
+		faultCtx, stopFaults := context.WithCancel(ctx)
+		faults.Go(func() { disturb(faultCtx, m, rand.New(rand.NewPCG(seed, 99))) })
+		for i := range trialClaimers {
+			c := start(ctx, m)
+			workers.Go(func() { tr.work(i, c, rand.New(rand.NewPCG(seed, uint64(i)))) })
+		}
+		workers.Wait()
+		stopFaults()
+		faults.Wait()
+		cancel()
+		synctest.Wait()
+	})
+	return tr
+}
+
+func startService(ctx context.Context, s platform.Store) claimer {
+	service := NewService(s, Config{Partitions: 2, SealRecords: 4, CallTimeout: 700 * time.Millisecond}, NewOwner())
+	go service.Run(ctx)
+	return serviceClaimer{service}
+}
+
+// keyState is the state of a key in the sequential model.
+type keyState int
+
+const (
+	keyFree keyState = iota
+	keyHeld
+	keyRan
+)
+
+// model is the sequential specification: a claim succeeds only on a free key; "ran" is
+// told only of a key that ran. InProgress promises nothing and is always allowed.
+var model = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, o := range history {
+			key := o.Input.(op).key
+			byKey[key] = append(byKey[key], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return keyFree },
+	Step: func(state, input, output any) (bool, any) {
+		in, out, s := input.(op), output.(Status), state.(keyState)
+		switch {
+		case in.record && in.ran:
+			return s == keyHeld, keyRan
+		case in.record:
+			return s == keyHeld, keyFree
+		case out == Claimed:
+			return s == keyFree, keyHeld
+		case out == InProgress:
+			return true, s
+		default:
+			return s == keyRan, s
+		}
+	},
+}
+
+// The history of many claimers under faults is linearizable and no key runs twice;
+// the naive versions run keys twice under the same faults.
+func TestServiceAtMostOnce(t *testing.T) {
+	claimed := 0
+	for seed := range uint64(8) {
+		tr := runTrial(t, seed, startService)
+		for key, n := range tr.runs {
+			assert.Assert(t, n <= 1, "seed %d: %s ran %d times", seed, key, n)
+		}
+		assert.Assert(t, porcupine.CheckOperations(model, tr.history), "seed %d", seed)
+		claimed += len(tr.runs)
+	}
+	assert.Assert(t, claimed > 4*trialKeys, "only %d keys ran", claimed)
+}
+
+func TestNaiveClaimersRunTwice(t *testing.T) {
+	naive := map[string]func(context.Context, platform.Store) claimer{
+		"get then put":  func(_ context.Context, s platform.Store) claimer { return uncondClaimer{s} },
+		"blind rewrite": func(_ context.Context, s platform.Store) claimer { return blindClaimer{s} },
+	}
+	for name, start := range naive {
+		doubled := 0
+		for seed := range uint64(8) {
+			tr := runTrial(t, seed, start)
+			for _, n := range tr.runs {
+				if n > 1 {
+					doubled++
+				}
+			}
+		}
+		t.Logf("%s: %d keys ran more than once", name, doubled)
+		assert.Assert(t, doubled > 0, name)
+	}
+}
