--- a/internal/claims/config.go
+++ b/internal/claims/config.go
@@ -28,7 +28,7 @@
 	AnswerMemory int
 	// SealRecords is the number of records in a sealed segment. Default 256.
 	SealRecords int
-	// SealBytes seals a segment early when its records reach this size. Default 64 KiB.
+	// SealBytes seals a segment early when its records reach this size. Default 32 KiB.
 	SealBytes int
 	// CallTimeout bounds one call of the store. Default 2s.
 	CallTimeout time.Duration
@@ -47,7 +47,7 @@
 	setDefault(&c.MaxAnswer, 2<<10)
 	setDefault(&c.AnswerMemory, 4<<20)
 	setDefault(&c.SealRecords, 256)
-	setDefault(&c.SealBytes, 64<<10)
+	setDefault(&c.SealBytes, 32<<10)
 	setDefault(&c.CallTimeout, 2*time.Second)
 	return c
 }
--- /dev/null
+++ b/internal/claims/writes_test.go
@@ -0,0 +1,133 @@
+package claims
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/standin/objectstore"
+)
+
+// load is one row of the table of platform calls.
+type load struct {
+	partitions, agents int
+	// rate is the number of keyed requests per second.
+	rate int
+	// homed sends all requests of a partition to one agent.
+	homed bool
+}
+
+// measured are a load's calls per second and claim latencies.
+type measured struct {
+	writes, reads, kilobytes float64
+	p50, p99                 time.Duration
+	refused                  int
+}
+
+const (
+	measureTime = 10 * time.Second
+	runTime     = 300 * time.Millisecond
+)
+
+// measure runs load with Poisson arrivals on a store that answers in 3 ms.
+func measure(t *testing.T, l load) measured {
+	var out measured
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		m := objectstore.New()
+		m.SetFaults(objectstore.Faults{LatencyMS: 3})
+		var agents []*Service
+		for range l.agents {
+			s := NewService(m, Config{Partitions: l.partitions}, NewOwner())
+			go s.Run(ctx)
+			agents = append(agents, s)
+		}
+		var mu sync.Mutex
+		var latencies []time.Duration
+		var requests sync.WaitGroup
+		random := rand.New(rand.NewPCG(1, 1))
+		begin := time.Now()
+		for n := 0; time.Since(begin) < measureTime; n++ {
+			key := Key{Organisation: "o", Service: "s", IdempotencyKey: fmt.Sprint(n)}
+			agent := agents[random.IntN(l.agents)]
+			if l.homed {
+				agent = agents[int(key.Partition(l.partitions))%l.agents]
+			}
+			requests.Go(func() {
+				arrived := time.Now()
+				r, err := agent.Claim(ctx, key, Digest{})
+				mu.Lock()
+				latencies = append(latencies, time.Since(arrived))
+				if err != nil {
+					out.refused++
+				}
+				mu.Unlock()
+				if err == nil {
+					time.Sleep(runTime)
+					agent.Record(r.Token, Outcome{Ran: true, Answer: &Answer{Status: 200, Body: make([]byte, 300)}})
+				}
+			})
+			time.Sleep(time.Duration(random.ExpFloat64() / float64(l.rate) * float64(time.Second)))
+		}
+		requests.Wait()
+		for _, a := range agents {
+			_ = a.Flush(ctx)
+		}
+		seconds := time.Since(begin).Seconds()
+		c := m.Counters()
+		out.writes, out.reads = float64(c.Writes())/seconds, float64(c.Get)/seconds
+		out.kilobytes = float64(c.BytesWritten) / 1000 / seconds
+		sort.Slice(latencies, func(i, j int) bool { return latencies[i] < latencies[j] })
+		out.p50, out.p99 = latencies[len(latencies)/2], latencies[len(latencies)*99/100]
+		cancel()
+		synctest.Wait()
+	})
+	return out
+}
+
+// wholeTable adds the long rows of docs/design/claims.md: go test -run Writes -v ./internal/claims -args -table
+var wholeTable = flag.Bool("table", false, "measure all rows of the table of platform writes")
+
+// The writes grow with the partitions, not with the requests, and stay within a
+// partition's write budget.
+func TestWritesPerSecond(t *testing.T) {
+	loads := []load{
+		{4, 3, 1, true},
+		{4, 3, 10, true},
+		{4, 3, 100, true},
+		{4, 3, 1000, true},
+		{4, 3, 100, false},
+	}
+	if *wholeTable {
+		loads = append(
+			loads,
+			load{1, 1, 10, true}, load{1, 1, 100, true}, load{1, 1, 1000, true},
+			load{16, 8, 100, true}, load{16, 8, 1000, true}, load{16, 8, 4900, true},
+			load{4, 3, 10, false}, load{4, 3, 1000, false},
+		)
+	}
+	for _, l := range loads {
+		got := measure(t, l)
+		t.Logf("partitions=%d agents=%d homed=%t rate=%d/s writes=%.1f/s reads=%.1f/s written=%.0fkB/s p50=%v p99=%v refused=%d",
+			l.partitions, l.agents, l.homed, l.rate, got.writes, got.reads, got.kilobytes,
+			got.p50.Round(time.Millisecond), got.p99.Round(time.Millisecond), got.refused)
+		cfg := Config{}.WithDefaults()
+		writers := l.partitions
+		if !l.homed {
+			writers *= l.agents
+		}
+		heads := float64(writers) * (cfg.WriteRate + cfg.WriteBurst/measureTime.Seconds())
+		const answerBytes = 500 // bounds a claim's two records
+		seals := (float64(l.rate)*answerBytes/float64(cfg.SealBytes) + 1) * float64(writers/l.partitions)
+		assert.Assert(t, got.writes <= min(heads, 3*float64(l.rate)+1)+seals, "%+v: %+v", l, got)
+		assert.Equal(t, got.refused, 0, "%+v", l)
+	}
+}
