--- /dev/null
+++ b/internal/standin/forwarder/forwarder_test.go
@@ -0,0 +1,57 @@
+package forwarder
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+type silent struct{}
+
+func (silent) Up(link.Peer)                       {}
+func (silent) Message(link.Peer, message.Message) {}
+func (silent) Down(link.Peer, error)              {}
+
+func node(t *testing.T, name, zone string) *link.Node {
+	t.Helper()
+	n, err := link.New(link.Config{
+		Identity:    message.Identity{Role: message.RoleEntry, Name: name, AvailabilityZone: zone, Incarnation: 1},
+		Key:         []byte("0123456789abcdef"),
+		IdleTimeout: 400 * time.Millisecond, HandshakeTimeout: 400 * time.Millisecond, BackoffMax: 100 * time.Millisecond,
+	}, silent{})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = n.Close(context.Background()) })
+	return n
+}
+
+func TestCutHoldsBackOnlyTheNamedPair(t *testing.T) {
+	network := New()
+	t.Cleanup(network.Close)
+	server := node(t, "server", "sk-c")
+	assert.NilError(t, server.Listen("127.0.0.1:0"))
+	addr, err := network.Link("127.0.0.1:0", server.Addr(), Names{"server", "sk-c"})
+	assert.NilError(t, err)
+	a, b := node(t, "a", "sk-a"), node(t, "b", "sk-b")
+	a.Dial(addr)
+	b.Dial(addr)
+	linked := func(onA, onB int) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if len(a.Links()) == onA && len(b.Links()) == onB && len(server.Links()) == onA+onB {
+				return poll.Success()
+			}
+			return poll.Continue("links: %d %d %d", len(a.Links()), len(b.Links()), len(server.Links()))
+		}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+	}
+	linked(1, 1)
+	network.Cut("sk-a", "sk-c")
+	linked(0, 1)
+	network.Heal("sk-c", "sk-a")
+	linked(1, 1)
+}
