--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -30,9 +30,13 @@
 		if choice.Destination == routing.ToNobody {
 			return nil, firstOf(last, choice.Err)
 		}
+		if x.req.NoWait && !choice.NoWait {
+			return nil, firstOf(last, apierr.New(apierr.KindOverloaded, "no free place"))
+		}
 		x.attempts++
 		x.target = choice.Name()
 		a, err := e.attempt(x, choice)
+		e.hint(dispatched{name: x.target, answered: err == nil || !silent(err.Kind)})
 		if err == nil {
 			return a, nil
 		}
@@ -45,6 +49,11 @@
 	}
 }
 
+// silent tells whether a failure came without any answer from the destination.
+func silent(k apierr.Kind) bool {
+	return k == apierr.KindTimeout || k == apierr.KindLinkLost || k == apierr.KindTargetUnreachable
+}
+
 // firstOf prefers the refusal of a destination that was asked to the one of routing,
 // unless routing knows better when to come back.
 func firstOf(asked, routed *apierr.Error) *apierr.Error {
@@ -58,7 +67,7 @@
 func (e *Entry) pick(x *exchange) routing.Choice {
 	rng, _ := e.rngs.Get().(*rand.Rand)
 	defer e.rngs.Put(rng)
-	return x.view.routing.Pick(e.now(), routing.Request{
+	return x.view.routing.Pick(routing.Request{
 		Pool:           x.service.Pool,
 		Service:        x.req.Service,
 		Organisation:   x.req.Organisation,
@@ -116,6 +125,7 @@
 	req.ID = c.key.id
 	req.Timeout = x.remaining(time.Now())
 	req.Window = streamWindow
+	req.NoWait = choice.NoWait
 	if choice.Destination == routing.ToAgent {
 		req.Incarnation = choice.Target.Incarnation
 	} else {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -142,6 +142,8 @@
 	ServiceTime time.Duration `cbor:"6,keyasint"`
 	// WaitTime is the expected wait of a request that arrives now.
 	WaitTime time.Duration `cbor:"7,keyasint"`
+	// Seq grows with each report of one incarnation, so that a late one is not taken for the newest.
+	Seq uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat is sent at a fixed interval and at each change of state.
@@ -185,6 +187,8 @@
 	Window int `cbor:"15,keyasint"`
 	// PrefixHash identifies the prompt prefix for cache affinity; zero means none.
 	PrefixHash uint64 `cbor:"16,keyasint,omitempty"`
+	// NoWait asks for a refusal instead of a place in the agent's queue.
+	NoWait bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Accepted tells that the agent has taken the request into its queue.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -25,10 +25,23 @@
 	Remaining time.Duration
 	// Hops counts the entries that have passed the request on.
 	Hops int
-	// Excluded are the agents and peers that have refused the request already.
+	// NoWait tells that the request came from an entry that asked for a free place only.
+	NoWait bool
+	// Busy are the agents and peers that had no free place for the request.
+	Busy []string
+	// Excluded are the agents and peers that refused to let the request wait or that failed.
 	Excluded []string
 }
 
+// Refused notes that choice c was refused with kind k.
+func (r *Request) Refused(c Choice, k apierr.Kind) {
+	if c.NoWait && k == apierr.KindOverloaded {
+		r.Busy = append(r.Busy, c.Name())
+		return
+	}
+	r.Excluded = append(r.Excluded, c.Name())
+}
+
 // Destination tells where a request goes.
 type Destination uint8
 
@@ -50,6 +63,9 @@
 	Target *Target
 	// Peer is the chosen entry.
 	Peer *Peer
+	// NoWait tells to ask for a refusal instead of a place in the agent's queue:
+	// the candidate looked free, and others are left if it is not.
+	NoWait bool
 	// Err is the refusal; the request did not run.
 	Err *apierr.Error
 }
@@ -80,9 +96,10 @@
 
 // Pick chooses where r goes. A request with an idempotency key goes to the key's
 // home agent. Any other one goes to a target of the own availability zone with
-// room, else to a peer whose zone has room, else to the shortest wait that meets
-// its deadline, else it is refused.
-func (s *Snapshot) Pick(now time.Duration, r Request, rng *rand.Rand) Choice {
+// room, else to a peer whose zone has room, else to a short wait, else it is
+// refused. The first choices do not wait in the agent's queue: a refusal from a
+// target that looked free costs less than a wait there while another is free.
+func (s *Snapshot) Pick(r Request, rng *rand.Rand) Choice {
 	p := s.pool(r.Pool)
 	if p == nil {
 		return refuse(apierr.KindNoTarget, r.Pool, 0, rng)
@@ -93,17 +110,22 @@
 		}
 		return s.noCandidate(p, r, rng)
 	}
-	own := s.ownCandidates(now, p, r)
-	if c, ok := pickTarget(own, r.PrefixHash, rng); ok {
-		return c
+	own := s.ownCandidates(p, r)
+	peers := s.peerCandidates(p, r)
+	if len(r.Busy) < noWaitAttempts {
+		if c, ok := pickFree(own, peers, r, rng); ok {
+			return c
+		}
 	}
-	peers := s.peerCandidates(now, p, r)
-	if c, ok := pickPeer(peers, rng); ok {
-		return c
+	if r.NoWait {
+		return refuse(apierr.KindOverloaded, r.Pool, 0, rng)
 	}
 	return s.pickWaiting(p, r, own, peers, rng)
 }
 
+// noWaitAttempts is the number of attempts that do not wait in a queue.
+const noWaitAttempts = 3
+
 // candidate is a usable target or peer with its estimated load.
 type candidate struct {
 	guess
@@ -118,7 +140,7 @@
 	return Choice{Destination: ToPeer, Peer: c.peer}
 }
 
-func (s *Snapshot) ownCandidates(now time.Duration, p *Pool, r Request) []candidate {
+func (s *Snapshot) ownCandidates(p *Pool, r Request) []candidate {
 	if s.Drained {
 		return nil
 	}
@@ -126,13 +148,13 @@
 	for i := range p.Targets {
 		t := &p.Targets[i]
 		if t.Usable() && !slices.Contains(r.Excluded, t.Agent) {
-			cs = append(cs, candidate{guess: newGuess(now, &t.Report, t.Sent), target: t})
+			cs = append(cs, candidate{guess: newGuess(&t.Report, t.Sent), target: t})
 		}
 	}
 	return cs
 }
 
-func (s *Snapshot) peerCandidates(now time.Duration, p *Pool, r Request) []candidate {
+func (s *Snapshot) peerCandidates(p *Pool, r Request) []candidate {
 	if r.Hops >= MaxHops {
 		return nil
 	}
@@ -140,22 +162,22 @@
 	for i := range p.Peers {
 		peer := &p.Peers[i]
 		if peer.usable() && !slices.Contains(r.Excluded, peer.Entry) {
-			cs = append(cs, candidate{guess: newGuess(now, &peer.Report, peer.Sent), peer: peer})
+			cs = append(cs, candidate{guess: newGuess(&peer.Report, peer.Sent), peer: peer})
 		}
 	}
 	return cs
 }
 
-// pickWaiting chooses among candidates that are all busy: the shortest wait, if
-// it meets the deadline or if its report is too old to refuse on.
+// pickWaiting chooses among candidates that are busy. Only an agent knows what
+// place a request gets in its fair queue, so a request is refused here only after
+// an agent has refused it.
 func (s *Snapshot) pickWaiting(p *Pool, r Request, own, peers []candidate, rng *rand.Rand) Choice {
-	best, ok := shortestWait(own, peers)
+	best, ok := shorterWait(own, peers, r.PrefixHash, rng)
 	if !ok {
 		return s.noCandidate(p, r, rng)
 	}
 	late := best.late(r.Remaining)
-	refusedBefore := len(r.Excluded) > 0
-	if late > 0 && (best.fresh || refusedBefore) {
+	if late > 0 && len(r.Excluded) > 0 {
 		return refuse(apierr.KindDeadlineUnreachable, r.Pool, min(late, best.wait()), rng)
 	}
 	return best.choice()
