--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -45,6 +45,8 @@
 
 // Stats counts what happened to an engine.
 type Stats struct {
+	// Arrived counts the requests that reached the engine, whatever became of them.
+	Arrived    int `json:"arrived"`
 	Completed  int `json:"completed"`
 	Broken     int `json:"broken"`
 	Refused    int `json:"refused"`
@@ -153,6 +155,7 @@
 func (e *Engine) begin() (start uint64, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stats.Arrived++
 	if time.Now().Before(e.downUntil) {
 		e.stats.Refused++
 		return 0, false
--- /dev/null
+++ b/test/scenario/request_test.go
@@ -0,0 +1,200 @@
+//go:build scenario
+
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/standin/callers"
+)
+
+// cmdRequest sends one request and compares what came of it with the wanted
+// verdicts, or starts it in the background:
+//
+//	request [-eventually] [-bg ID] [-entry NAME] [-mark M] [-key K] [-get]
+//	        [-tokens N] [-timeout D] [-org KEY] PATH WANT
+//
+// WANT is a list such as complete|unknown; an item may also be an error kind. Every
+// attempt goes into the history that expect judged checks, but for those of
+// -eventually, which repeats an idempotent request until the verdict is there.
+func (c *cluster) cmdRequest(args []string) (string, error) {
+	set, rest, err := flags(args, "eventually", "get")
+	if err != nil {
+		return "", err
+	}
+	if len(rest) != 2 && (len(rest) != 1 || set["bg"] == "") {
+		return "", errors.New("usage: request [flags] PATH WANT")
+	}
+	r, err := c.newRequest(set, rest[0])
+	if err != nil {
+		return "", err
+	}
+	addr, err := c.entryAddr(set["entry"])
+	if err != nil {
+		return "", err
+	}
+	switch {
+	case set["eventually"] != "":
+		return "", until(func() error { return judgeOne(c.caller.Do(context.Background(), addr, r), rest[1]) })
+	case set["bg"] != "":
+		done := make(chan callers.Result, 1)
+		c.pending[set["bg"]] = done
+		c.wg.Go(func() { done <- c.caller.Do(context.Background(), addr, r) })
+		return "", nil
+	}
+	res := c.caller.Do(context.Background(), addr, r)
+	c.ledger.Add(res)
+	return describe(res), judgeOne(res, rest[1])
+}
+
+// cmdJoin waits for a request in the background: join ID WANT
+func (c *cluster) cmdJoin(args []string) (string, error) {
+	if len(args) != 2 || c.pending[args[0]] == nil {
+		return "", errors.New("usage: join ID WANT")
+	}
+	res := <-c.pending[args[0]]
+	delete(c.pending, args[0])
+	c.ledger.Add(res)
+	return describe(res), judgeOne(res, args[1])
+}
+
+func (c *cluster) newRequest(set map[string]string, path string) (callers.Request, error) {
+	r := callers.Request{Method: "POST", Path: path, APIKey: "alpha-key", IdempotencyKey: set["key"], Mark: set["mark"]}
+	if set["get"] != "" {
+		r.Method = "GET"
+	}
+	if set["org"] != "" {
+		r.APIKey = set["org"]
+	}
+	if r.Mark == "" {
+		r.Mark = fmt.Sprintf("m%d", time.Now().UnixNano())
+	}
+	if strings.HasPrefix(path, "/drafting/") {
+		r.Tokens, r.Stream = 8, true
+	}
+	var err error
+	if set["tokens"] != "" {
+		r.Tokens, err = strconv.Atoi(set["tokens"])
+	}
+	if set["timeout"] != "" && err == nil {
+		r.Timeout, err = time.ParseDuration(set["timeout"])
+	}
+	return r, err
+}
+
+// entryAddr returns the address of the named entry, or of the first.
+func (c *cluster) entryAddr(name string) (string, error) {
+	if name == "" {
+		entries := c.ofKind(kindEntry, "")
+		if len(entries) == 0 {
+			return "", errors.New("no entry was started")
+		}
+		return entries[0].serves, nil
+	}
+	p, err := c.process(name)
+	if err != nil {
+		return "", err
+	}
+	return p.serves, nil
+}
+
+func judgeOne(res callers.Result, want string) error {
+	if wanted := strings.Split(want, "|"); slices.Contains(wanted, string(res.Verdict)) || slices.Contains(wanted, res.Kind) {
+		return nil
+	}
+	return fmt.Errorf("want %s, got %s", want, describe(res))
+}
+
+func describe(res callers.Result) string {
+	return fmt.Sprintf("%s: %s status=%d kind=%s outcome=%s request=%s took=%s %s", res.Request.Mark, res.Verdict,
+		res.Status, res.Kind, res.Outcome, res.RequestID, res.Took.Round(time.Millisecond), res.Detail)
+}
+
+// load is a background load.
+type load struct {
+	generator *callers.Generator
+	ledger    *callers.Ledger
+	cancel    context.CancelFunc
+	done      chan struct{}
+}
+
+func (l *load) stop() {
+	l.cancel()
+	<-l.done
+}
+
+// cmdLoad starts and stops a bounded background load:
+//
+//	load start NAME [-workers N] [-every D] [-tokens N] [-timeout D] [-keyed] [-get] PATH
+//	load stop NAME…
+//	load mark NAME
+//
+// load mark remembers the present as NAME for expect share.
+func (c *cluster) cmdLoad(args []string) (string, error) {
+	switch {
+	case len(args) >= 3 && args[0] == "start":
+		return "", c.startLoad(args[1], args[2:])
+	case len(args) >= 2 && args[0] == "stop":
+		return c.stopLoads(args[1:])
+	case len(args) == 2 && args[0] == "mark":
+		c.marks[args[1]] = time.Now()
+		return "", nil
+	default:
+		return "", errors.New("usage: load start|stop|mark NAME …")
+	}
+}
+
+func (c *cluster) startLoad(name string, args []string) error {
+	set, rest, err := flags(args, "keyed", "get")
+	if err != nil {
+		return err
+	}
+	if len(rest) != 1 || c.loads[name] != nil {
+		return errors.New("usage: load start NAME [flags] PATH")
+	}
+	r, err := c.newRequest(set, rest[0])
+	if err != nil {
+		return err
+	}
+	g := &callers.Generator{
+		Name: name, Template: r, Keyed: set["keyed"] != "", Workers: 4, Interval: 20 * time.Millisecond,
+		Balancer: c.balancer, Caller: c.caller, Ledger: &callers.Ledger{},
+	}
+	if set["workers"] != "" {
+		if g.Workers, err = strconv.Atoi(set["workers"]); err != nil {
+			return err
+		}
+	}
+	if set["every"] != "" {
+		if g.Interval, err = time.ParseDuration(set["every"]); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{generator: g, ledger: g.Ledger, cancel: cancel, done: make(chan struct{})}
+	c.loads[name] = l
+	go func() {
+		defer close(l.done)
+		g.Run(ctx)
+	}()
+	return nil
+}
+
+func (c *cluster) stopLoads(names []string) (string, error) {
+	var said []string
+	for _, name := range names {
+		l := c.loads[name]
+		if l == nil {
+			return "", fmt.Errorf("no load is named %q", name)
+		}
+		l.stop()
+		said = append(said, name+": "+callers.Summarize(l.ledger.Results(time.Time{}, time.Time{})).String())
+	}
+	return strings.Join(said, "\n"), nil
+}
--- /dev/null
+++ b/test/scenario/start_test.go
@@ -0,0 +1,247 @@
+//go:build scenario
+
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/gentiantrail/gentiantrail/internal/standin/forwarder"
+)
+
+// Pools of the base configuration.
+const (
+	draftingPool = "drafting-models"
+	permitPool   = "permit-servers"
+)
+
+// cmdStart starts one process, or a whole availability zone:
+//
+//	start platform
+//	start engine NAME ZONE [STAND-IN FLAG…]
+//	start plain NAME ZONE
+//	start entry NAME ZONE
+//	start agent NAME ZONE POOL TARGET
+//	start zone ZONE [entries=N] [drafting=N] [permits=N] [STAND-IN FLAG…]
+func (c *cluster) cmdStart(args []string) (string, error) {
+	switch {
+	case len(args) == 1 && args[0] == "platform":
+		return "", c.startPlatform()
+	case len(args) >= 3 && args[0] == "engine":
+		return "", c.startStandin(kindEngine, args[1], args[2], args[3:])
+	case len(args) == 3 && args[0] == "plain":
+		return "", c.startStandin(kindPlain, args[1], args[2], nil)
+	case len(args) == 3 && args[0] == "entry":
+		return "", c.startEntry(args[1], args[2])
+	case len(args) == 5 && args[0] == "agent":
+		return "", c.startAgent(args[1], args[2], args[3], args[4])
+	case len(args) >= 2 && args[0] == "zone":
+		return "", c.startZone(args[1], args[2:])
+	default:
+		return "", errors.New("usage: start platform|engine|plain|entry|agent|zone …")
+	}
+}
+
+// startZone starts the processes of an availability zone: ZONE-entry-1 …, and for
+// each target ZONE-drafting-1 or ZONE-permits-1 …, with -target appended for the
+// stand-in behind it.
+func (c *cluster) startZone(zone string, args []string) error {
+	counts := map[string]int{"entries": 1, "drafting": 0, "permits": 0}
+	for len(args) > 0 {
+		name, value, ok := strings.Cut(args[0], "=")
+		n, err := strconv.Atoi(value)
+		if _, known := counts[name]; !ok || !known || err != nil {
+			break
+		}
+		counts[name], args = n, args[1:]
+	}
+	for i := range counts["entries"] {
+		if err := c.startEntry(fmt.Sprintf("%s-entry-%d", zone, i+1), zone); err != nil {
+			return err
+		}
+	}
+	for i := range counts["drafting"] {
+		name := fmt.Sprintf("%s-drafting-%d", zone, i+1)
+		if err := c.startTarget(kindEngine, name, zone, draftingPool, args); err != nil {
+			return err
+		}
+	}
+	for i := range counts["permits"] {
+		name := fmt.Sprintf("%s-permits-%d", zone, i+1)
+		if err := c.startTarget(kindPlain, name, zone, permitPool, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) startTarget(k kind, name, zone, pool string, args []string) error {
+	if err := c.startStandin(k, name+"-target", zone, args); err != nil {
+		return err
+	}
+	return c.startAgent(name, zone, pool, name+"-target")
+}
+
+func (c *cluster) startPlatform() error {
+	if err := c.startStandin(kindPlatform, "platform", "", nil); err != nil {
+		return err
+	}
+	c.platform = c.procs["platform"].serves
+	return nil
+}
+
+func (c *cluster) startStandin(k kind, name, zone string, args []string) error {
+	p := &process{kind: k, name: name, zone: zone, program: "gentiantrail-standin"}
+	var err error
+	if p.serves, err = freeAddr(); err != nil {
+		return err
+	}
+	p.args = append([]string{string(k), "--listen", p.serves}, args...)
+	return c.launch(p, p.serves)
+}
+
+// launch starts a new process and waits until it listens on addr.
+func (c *cluster) launch(p *process, addr string) error {
+	if c.procs[p.name] != nil {
+		return fmt.Errorf("%s was started before", p.name)
+	}
+	p.logPath = filepath.Join(c.dir, p.name+".log")
+	if err := p.start(); err != nil {
+		return err
+	}
+	c.procs[p.name] = p
+	c.order = append(c.order, p.name)
+	if addr == "" {
+		return nil
+	}
+	return p.listening(addr)
+}
+
+// platformFrom returns the platform's address as an availability zone reaches it.
+func (c *cluster) platformFrom(zone string) (string, error) {
+	if c.platform == "" {
+		return "", errors.New("start the platform first")
+	}
+	if addr := c.links[zone]; addr != "" {
+		return addr, nil
+	}
+	listen, err := freeAddr()
+	if err != nil {
+		return "", err
+	}
+	addr, err := c.network.From(listen, forwarder.Names{zone}, c.platform, forwarder.Names{"platform"})
+	c.links[zone] = addr
+	return addr, err
+}
+
+func (c *cluster) startEntry(name, zone string) error {
+	platform, err := c.platformFrom(zone)
+	if err != nil {
+		return err
+	}
+	addrs := make([]string, 4)
+	for i := range addrs {
+		if addrs[i], err = freeAddr(); err != nil {
+			return err
+		}
+	}
+	listen, linkAddr, forwarded, admin := addrs[0], addrs[1], addrs[2], addrs[3]
+	if _, err := c.network.Link(forwarded, linkAddr, forwarder.Names{name, zone}); err != nil {
+		return err
+	}
+	var peers []string
+	for _, e := range c.ofKind(kindEntry, "") {
+		peers = append(peers, e.advertise)
+	}
+	settings := fmt.Sprintf("name: %s\navailability_zone: %s\nlisten: %s\nlink_address: %s\nadvertise: %s\n"+
+		"admin_address: %s\nplatform_address: %s\nlink_key: %s\n%s",
+		name, zone, listen, linkAddr, forwarded, admin, platform, linkKey, yamlList("peers", peers))
+	p := &process{
+		kind: kindEntry, name: name, zone: zone, program: "gentiantrail-entry",
+		serves: listen, advertise: forwarded, admin: admin,
+	}
+	if err := c.writeSettings(p, settings); err != nil {
+		return err
+	}
+	if err := c.launch(p, listen); err != nil {
+		return err
+	}
+	c.balanceAll()
+	return nil
+}
+
+func (c *cluster) startAgent(name, zone, pool, target string) error {
+	platform, err := c.platformFrom(zone)
+	if err != nil {
+		return err
+	}
+	t, err := c.process(target)
+	if err != nil {
+		return err
+	}
+	var entries []string
+	for _, e := range c.ofKind(kindEntry, zone) {
+		entries = append(entries, e.advertise)
+	}
+	admin, err := freeAddr()
+	if err != nil {
+		return err
+	}
+	settings := fmt.Sprintf("name: %s\navailability_zone: %s\npool: %s\ntarget_address: %s\n"+
+		"admin_address: %s\nplatform_address: %s\nlink_key: %s\n%s",
+		name, zone, pool, t.serves, admin, platform, linkKey, yamlList("entries", entries))
+	p := &process{
+		kind: kindAgent, name: name, zone: zone, program: "gentiantrail-agent",
+		target: target, admin: admin,
+	}
+	if err := c.writeSettings(p, settings); err != nil {
+		return err
+	}
+	return c.launch(p, "")
+}
+
+func (c *cluster) writeSettings(p *process, text string) error {
+	path := filepath.Join(c.dir, p.name+".yaml")
+	p.args = []string{"--settings", path}
+	return os.WriteFile(path, []byte(text), 0o600)
+}
+
+func yamlList(key string, items []string) string {
+	if len(items) == 0 {
+		return ""
+	}
+	return key + ":\n- " + strings.Join(items, "\n- ") + "\n"
+}
+
+// balanceAll puts every running entry into the balancer's service.
+func (c *cluster) balanceAll() {
+	var addrs []string
+	for _, e := range c.ofKind(kindEntry, "") {
+		addrs = append(addrs, e.serves)
+	}
+	c.balancer.Set(addrs...)
+}
+
+// cmdBalance names the entries to which the platform's balancer sends load:
+// balance NAME… or balance all.
+func (c *cluster) cmdBalance(args []string) (string, error) {
+	if slices.Equal(args, []string{"all"}) {
+		c.balanceAll()
+		return "", nil
+	}
+	var addrs []string
+	for _, name := range args {
+		p, err := c.process(name)
+		if err != nil {
+			return "", err
+		}
+		addrs = append(addrs, p.serves)
+	}
+	c.balancer.Set(addrs...)
+	return "", nil
+}
