--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -100,4 +100,5 @@
 	TypeMapDecide:    func() Message { return new(MapDecide) },
 	TypeMapQuery:     func() Message { return new(MapQuery) },
 	TypeMapState:     func() Message { return new(MapState) },
+	TypeMapJoin:      func() Message { return new(MapJoin) },
 }
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -65,3 +65,6 @@
 
 // FrameType implements Message.
 func (*MapState) FrameType() Type { return TypeMapState }
+
+// FrameType implements Message.
+func (*MapJoin) FrameType() Type { return TypeMapJoin }
