Release the map switch only after all ranks have committed

Ruled out: deciding by the survivors' votes. If the next coordinator commits when all survivors have prepared, the dead rank may have used the old map; if it aborts, the dead rank may have been the only one that learned of a commit. The survivors' states are the same in both cases, so no rule on them is right. Change: a third phase. A rank that has committed still holds at the switch step until the coordinator has seen that all have committed; so a rank, dead or alive, has switched only if no survivor is undecided, and abort is right when no survivor has committed. MapDecide and MapState get a Release flag. Conclusion: one more small message round before the switch step, which costs no stall as long as it arrives before that step.

--- a/internal/expertmap/change.go
+++ b/internal/expertmap/change.go
@@ -52,6 +52,12 @@
 		if v.state.Prepared != 0 {
 			return c.decide(v.state.Prepared)
 		}
+	case PhaseRelease:
+		if !v.mayUse(c.target) {
+			d := c.decide(c.target)
+			d.Commit, d.Release = true, true
+			return d
+		}
 	case PhasePrepare:
 		if !v.promised {
 			ch := c.change
--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -15,6 +15,8 @@
 	PhaseQuery Phase = iota + 1
 	// PhaseSettle brings all ranks to one committed version.
 	PhaseSettle
+	// PhaseRelease lets all ranks switch to the version that all have committed.
+	PhaseRelease
 	// PhaseIdle waits for a proposal.
 	PhaseIdle
 	// PhasePrepare collects promises.
@@ -25,7 +27,7 @@
 
 // String returns the phase's name.
 func (p Phase) String() string {
-	names := [...]string{"none", "query", "settle", "idle", "prepare", "stopped"}
+	names := [...]string{"none", "query", "settle", "release", "idle", "prepare", "stopped"}
 	return names[min(int(p), len(names)-1)]
 }
 
@@ -61,6 +63,11 @@
 // blank tells that the rank holds no map.
 func (v rankView) blank() bool { return v.known && v.state.Active == 0 }
 
+// mayUse tells that the rank uses version, or may switch to it.
+func (v rankView) mayUse(version uint64) bool {
+	return v.state.Active == version || v.state.Released && v.state.Committed == version
+}
+
 type decision struct {
 	version uint64
 	commit  bool
@@ -177,7 +184,7 @@
 		c.keepMap(m.Active, m.ActiveMap)
 		c.keepMap(m.PendingVersion(), m.PendingMap)
 		return c.settleIfKnown(now)
-	case PhaseSettle:
+	case PhaseSettle, PhaseRelease:
 		if m.Committed != c.target || m.Prepared != 0 {
 			return nil
 		}
--- a/internal/expertmap/doc.go
+++ b/internal/expertmap/doc.go
@@ -3,11 +3,11 @@
 //
 // A Coordinator runs in the agent that holds the group's lease. It queries all
 // ranks, which binds them to its fencing number, settles whatever earlier
-// coordinators left open, and then changes the map by an atomic commit: prepare
-// on every rank, decide only after all have promised. A Rank runs in each
-// rank's agent and passes orders to the engine. The rank's state lives in the
-// engine, which holds before the switch step until the decision; an agent can
-// restart at any time.
+// coordinators left open, and then changes the map by a three-phase commit:
+// prepare on every rank, commit only after all have promised, release the switch
+// only after all have committed. A Rank runs in each rank's agent and passes
+// orders to the engine. The rank's state lives in the engine, which holds before
+// the switch step until its release; an agent can restart at any time.
 //
 // All types are deterministic state machines: events go in, effects come out.
 package expertmap
--- a/internal/expertmap/engine.go
+++ b/internal/expertmap/engine.go
@@ -13,6 +13,8 @@
 	OrderHold
 	// OrderResolve commits or aborts Version.
 	OrderResolve
+	// OrderRelease allows the switch to a committed Version.
+	OrderRelease
 	// OrderInstall starts an engine without a map at Step with Version.
 	OrderInstall
 )
@@ -30,12 +32,15 @@
 	Pending Pending
 }
 
-// Pending is a loaded map that takes over at Step once it is decided.
+// Pending is a loaded map that takes over at Step.
 type Pending struct {
 	Version uint64
 	Step    uint64
-	Decided bool
 	Map     []byte
+	// Decided tells that the map is committed.
+	Decided bool
+	// Released tells that all ranks have committed it, so that Step may be entered.
+	Released bool
 }
 
 // EngineState is the expert-map state of one rank's engine.
@@ -77,6 +82,9 @@
 		refused = e.hold(o)
 	case OrderResolve:
 		e.resolve(o)
+	case OrderRelease:
+		p := &e.State.Pending
+		p.Released = p.Released || p.Decided && p.Version == o.Version
 	case OrderInstall:
 		e.install(o)
 	}
@@ -119,7 +127,7 @@
 }
 
 // NextStep returns the step that the engine enters next, the version it will
-// use, and false if the engine holds no map or waits for a decision.
+// use, and false if the engine holds no map or waits at the switch step.
 func (e *Engine) NextStep() (step, version uint64, ok bool) {
 	s := e.State
 	if s.Active == 0 {
@@ -132,7 +140,7 @@
 	if s.Pending.Version == 0 || step < s.Pending.Step {
 		return step, s.Active, true
 	}
-	return step, s.Pending.Version, s.Pending.Decided
+	return step, s.Pending.Version, s.Pending.Released
 }
 
 // Enter enters the next step and returns its number and version. It must be
--- a/internal/expertmap/rank.go
+++ b/internal/expertmap/rank.go
@@ -140,6 +140,9 @@
 		r.loading = nil
 	}
 	order := Order{Kind: OrderResolve, Version: m.Version, Commit: m.Commit}
+	if m.Release {
+		order.Kind = OrderRelease
+	}
 	return r.order(ordered{from: from, order: order})
 }
 
@@ -230,6 +233,7 @@
 		Step:        s.Step,
 		Entered:     s.Entered,
 		PendingStep: s.Pending.Step,
+		Released:    s.Pending.Released,
 	}
 	if s.Pending.Decided {
 		m.Committed = s.Pending.Version
--- a/internal/expertmap/settle.go
+++ b/internal/expertmap/settle.go
@@ -107,21 +107,16 @@
 }
 
 // mustCommit decides a version of an earlier coordinator. All ranks are bound to
-// this fence, so the earlier coordinator can't decide any more. It may have
-// committed only if every rank that holds a map has the version prepared or
-// committed; then this one commits too, because the rank that learned of the
-// commit may be one that has lost its state since.
+// this fence, so the earlier coordinator can't decide any more. No rank, dead or
+// alive, has switched to the version unless all ranks had committed it; so it
+// may be aborted if no rank that holds a map has.
 func (c *Coordinator) mustCommit(version uint64) bool {
-	all := true
 	for _, v := range c.ranks {
 		if v.state.Committed == version || v.state.Active == version {
 			return true
 		}
-		if !v.blank() && v.state.Prepared != version {
-			all = false
-		}
 	}
-	return all
+	return false
 }
 
 func (c *Coordinator) inheritedDecision(version uint64) *decision {
@@ -153,14 +148,23 @@
 	return newest
 }
 
-// finishSettle ends the settling once every rank has committed the target.
+// finishSettle releases the target once every rank has committed it, and ends
+// the settling once every rank is released.
 func (c *Coordinator) finishSettle(now time.Duration) []CoordinatorEffect {
-	switched := true
+	switched, released := true, true
 	for _, v := range c.ranks {
 		if v.state.Committed != c.target || v.state.Prepared != 0 {
 			return nil
 		}
 		switched = switched && v.state.Active == c.target
+		released = released && v.mayUse(c.target)
+	}
+	if !released {
+		if c.phase == PhaseRelease {
+			return nil
+		}
+		c.phase = PhaseRelease
+		return c.send(now)
 	}
 	c.enter(PhaseIdle, now)
 	if c.proposal == nil || !switched {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -307,6 +307,8 @@
 	Version uint64 `cbor:"2,keyasint"`
 	Fence   uint64 `cbor:"3,keyasint"`
 	Commit  bool   `cbor:"4,keyasint"`
+	// Release tells that all ranks have committed: the rank may switch.
+	Release bool `cbor:"5,keyasint,omitempty"`
 }
 
 // MapQuery asks a rank for its state and binds it to Fence.
@@ -344,6 +346,8 @@
 	// ActiveMap and PendingMap are set when the query wants maps.
 	ActiveMap  []byte `cbor:"12,keyasint,omitempty"`
 	PendingMap []byte `cbor:"13,keyasint,omitempty"`
+	// Released tells that the rank may switch to Committed at PendingStep.
+	Released bool `cbor:"14,keyasint,omitempty"`
 }
 
 // PendingVersion returns the version that takes over at PendingStep, or zero.
