Add leases with fencing

The holder counts its term on its monotonic clock from before the renewing call, less a margin; a candidate takes over only after it saw the object unchanged for a whole term on its own clock. Unclear writes are settled by reading; the expiry then follows from the sending time of the write that is found.

--- /dev/null
+++ b/internal/lease/candidate_test.go
@@ -0,0 +1,336 @@
+package lease
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/platform"
+)
+
+// schedules is the number of random schedules of a test, each with its own fixed seed.
+const schedules = 1000
+
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
+
+// between returns a random number from low to high.
+func between(random *rand.Rand, low, high int) int { return low + random.IntN(high-low+1) }
+
+// machine is a candidate under test: Candidate or a naive version.
+type machine interface {
+	Step(now time.Duration, e Event) []Effect
+	Valid(now time.Duration) (uint64, bool)
+	NextWake() (time.Duration, bool)
+}
+
+// call is a store call in flight.
+type call struct {
+	write   *WriteEffect
+	answer  Event
+	applied bool
+}
+
+// node is one process with its own clock.
+type node struct {
+	machine
+	offset time.Duration
+	// rate is the clock's speed in thousandths.
+	rate int64
+	call *call
+	mode mode
+}
+
+// clock returns the node's clock at real time t.
+func (n *node) clock(t time.Duration) time.Duration {
+	return n.offset + t*time.Duration(n.rate)/1000
+}
+
+// world drives several nodes on one lease object.
+type world struct {
+	nodes  []*node
+	object platform.Object
+	late   []WriteEffect
+	// reliable lets every call succeed.
+	reliable bool
+	now      time.Duration
+	// holder is the node that was last valid.
+	holder   machine
+	holders  uint64
+	maxFence uint64
+}
+
+func (w *world) apply(e WriteEffect) WriteEvent {
+	if e.IfVersion != w.object.Version {
+		return WriteEvent{Err: platform.ErrConflict}
+	}
+	w.object = platform.Object{Value: e.Value, Version: w.object.Version + 1}
+	return WriteEvent{Version: w.object.Version}
+}
+
+var errTwoHolders = errors.New("two holders at once")
+
+// check fails if two nodes are valid at once, or if a new holder's fence is not higher.
+func (w *world) check() error {
+	var valid *node
+	for _, n := range w.nodes {
+		fence, ok := n.Valid(n.clock(w.now))
+		if !ok {
+			continue
+		}
+		if valid != nil {
+			return errTwoHolders
+		}
+		valid = n
+		if n.machine != w.holder && fence <= w.maxFence {
+			return fmt.Errorf("fence %d after %d", fence, w.maxFence)
+		}
+		if n.machine != w.holder {
+			w.holders++
+		}
+		w.holder, w.maxFence = n.machine, max(w.maxFence, fence)
+	}
+	return nil
+}
+
+func (w *world) step(n *node, e Event) error {
+	for _, effect := range n.Step(n.clock(w.now), e) {
+		switch effect := effect.(type) {
+		case ReadEffect:
+			n.call = &call{}
+		case WriteEffect:
+			n.call = &call{write: &effect}
+		}
+	}
+	return w.check()
+}
+
+// serve carries out c and returns its answer.
+func (w *world) serve(c *call) Event {
+	switch {
+	case c.write != nil:
+		return w.apply(*c.write)
+	case w.object.Version == 0:
+		return ReadEvent{Err: platform.ErrNotFound}
+	default:
+		return ReadEvent{Object: w.object}
+	}
+}
+
+// take lets the call of n reach the store, unless fate says otherwise.
+func (w *world) take(n *node, fate int) {
+	c := n.call
+	c.applied = true
+	switch {
+	case fate <= 0 || w.reliable:
+		c.answer = w.serve(c)
+	case c.write == nil:
+		c.answer = ReadEvent{Err: platform.ErrUnavailable}
+	case fate == 1:
+		c.answer = WriteEvent{Err: platform.ErrUnavailable}
+	case fate == 2:
+		w.apply(*c.write)
+		c.answer = WriteEvent{Err: platform.ErrUnclear}
+	default:
+		w.late = append(w.late, *c.write)
+		c.answer = WriteEvent{Err: platform.ErrUnclear}
+	}
+}
+
+// mode is how a node gets on.
+type mode int
+
+const (
+	prompt mode = iota // acts and gets its answers at once
+	slow               // its calls take effect, their answers do not arrive
+	paused             // does nothing
+	modes
+)
+
+// run lets n act according to its mode.
+func (w *world) run(random *rand.Rand, n *node) error {
+	for range 4 {
+		var err error
+		switch wake, ok := n.NextWake(); {
+		case n.mode == paused:
+			return nil
+		case n.call != nil && !n.call.applied:
+			w.take(n, max(0, between(random, -12, 3)))
+		case n.call != nil && n.mode == slow:
+			return nil
+		case n.call != nil:
+			answer := n.call.answer
+			n.call = nil
+			err = w.step(n, answer)
+		case ok && wake <= n.clock(w.now):
+			err = w.step(n, TickEvent{})
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restart replaces n by a new incarnation; a write in flight may take effect late.
+func (w *world) restart(n *node, m machine) {
+	if n.call != nil && !n.call.applied && n.call.write != nil {
+		w.late = append(w.late, *n.call.write)
+	}
+	n.machine, n.call, n.mode = m, nil, prompt
+}
+
+// explore runs random schedules on the machines that newMachine makes, and returns
+// the number of holders.
+func explore(random *rand.Rand, newMachine func(i int) machine) (uint64, error) {
+	w := &world{}
+	for i := range 3 {
+		w.nodes = append(w.nodes, &node{
+			machine: newMachine(-i),
+			offset:  time.Duration(between(random, 0, 100)) * time.Second,
+			rate:    int64(between(random, 950, 1050)),
+		})
+	}
+	for step := range between(random, 100, 400) {
+		w.now += time.Duration(between(random, 0, 1500)) * time.Millisecond
+		chosen := w.nodes[between(random, 0, len(w.nodes)-1)]
+		switch between(random, 0, 40) {
+		case 0, 1, 2, 3, 4, 5:
+			chosen.mode = mode(max(0, between(random, -2, int(modes)-1)))
+		case 6, 7, 8:
+			if len(w.late) > 0 {
+				w.apply(w.late[0])
+				w.late = w.late[1:]
+			}
+		case 9:
+			w.restart(chosen, newMachine(step+1))
+		case 10:
+			if err := w.step(chosen, ReleaseEvent{}); err != nil {
+				return 0, err
+			}
+		}
+		for _, n := range w.nodes {
+			if err := errors.Join(w.run(random, n), w.check()); err != nil {
+				return 0, err
+			}
+		}
+	}
+	return w.holders, nil
+}
+
+// Never are two holders valid at once, and each holder has a higher fence, with clocks
+// that differ, paused processes, answers lost, writes that take effect late and an outage.
+func TestOneHolderAtATime(t *testing.T) {
+	changes := uint64(0)
+	for seed := range uint64(schedules) {
+		holders, err := explore(seeded(seed), func(i int) machine {
+			return NewCandidate(Config{}, fmt.Sprint(i), uint64(i+10))
+		})
+		assert.NilError(t, err, "seed %d", seed)
+		changes += holders
+	}
+	assert.Assert(t, changes > 2000, "only %d holders in all schedules", changes)
+}
+
+// afterCall judges the term from the answer of the renewing call, not from before it.
+type afterCall struct{ *Candidate }
+
+func (a afterCall) Step(now time.Duration, e Event) []Effect {
+	effects := a.Candidate.Step(now, e)
+	for _, effect := range effects {
+		if _, ok := effect.(GrantEffect); ok {
+			a.expiry = now + a.cfg.Term - a.cfg.Margin
+		}
+	}
+	return effects
+}
+
+// wallClock writes its own clock's expiry into the object, in the field Term, and takes
+// the lease over when its own clock has passed the expiry that it reads.
+type wallClock struct {
+	id      string
+	calling bool
+	nextAt  time.Duration
+	sentAt  time.Duration
+	until   time.Duration
+}
+
+func (c *wallClock) Valid(now time.Duration) (uint64, bool) { return uint64(now), now < c.until }
+func (c *wallClock) NextWake() (time.Duration, bool)        { return c.nextAt, !c.calling }
+func (c *wallClock) Step(now time.Duration, e Event) []Effect {
+	cfg := Config{}.WithDefaults()
+	switch e := e.(type) {
+	case ReadEvent:
+		var o object
+		_ = cbor.Unmarshal(e.Object.Value, &o)
+		if o.Holder == "" || o.Holder == c.id || now > o.Term {
+			c.sentAt = now
+			o := object{Holder: c.id, Term: now + cfg.Term}
+			return []Effect{WriteEffect{Value: o.encode(), IfVersion: e.Object.Version}}
+		}
+	case WriteEvent:
+		if e.Err == nil {
+			c.until = c.sentAt + cfg.Term - cfg.Margin
+		}
+	case TickEvent:
+		c.calling = true
+		return []Effect{ReadEffect{}}
+	}
+	c.calling, c.nextAt = false, now+cfg.Renew
+	return nil
+}
+
+// Comparing clocks between processes gives two holders at once under the same schedules.
+func TestWallClockLeaseHasTwoHolders(t *testing.T) {
+	failures := 0
+	for seed := range uint64(schedules) {
+		_, err := explore(seeded(seed), func(i int) machine { return &wallClock{id: fmt.Sprint(i)} })
+		if errors.Is(err, errTwoHolders) {
+			failures++
+		}
+	}
+	assert.Assert(t, failures > schedules/4, "only %d of %d schedules", failures, schedules)
+}
+
+// A holder whose renewal took effect long before its answer arrived, and that is then
+// paused, is no longer valid when the next candidate takes over.
+func TestSlowRenewalThenPause(t *testing.T) {
+	schedule := func(holder machine) error {
+		w := &world{reliable: true}
+		for _, m := range []machine{holder, NewCandidate(Config{}, "b", 2)} {
+			w.nodes = append(w.nodes, &node{machine: m, rate: 1000})
+		}
+		a, b := w.nodes[0], w.nodes[1]
+		random := seeded(1)
+		for elapsed := range 300 { // tenths of a second
+			w.now = time.Duration(elapsed) * time.Second / 10
+			switch elapsed {
+			case 34: // the first renewal has been sent and takes effect
+				a.mode = slow
+			case 84: // its answer arrives
+				answer := a.call.answer
+				a.call, a.mode = nil, paused
+				if err := w.step(a, answer); err != nil {
+					return err
+				}
+			}
+			b.mode = paused
+			if elapsed >= 35 {
+				b.mode = prompt
+			}
+			if err := errors.Join(w.run(random, a), w.run(random, b), w.check()); err != nil {
+				return err
+			}
+		}
+		if w.holders != 2 {
+			return fmt.Errorf("%d holders", w.holders)
+		}
+		return nil
+	}
+	assert.NilError(t, schedule(NewCandidate(Config{}, "a", 1)))
+	assert.ErrorIs(t, schedule(afterCall{NewCandidate(Config{}, "a", 1)}), errTwoHolders)
+}
