Summarise groups of sealed claim segments

A process that met a partition for the first time read every segment of the window: a replaced agent at the target size would have read about 3,300 objects a partition. Every 32 segments are now repeated without their answers in one object. Without a summary the segments are read one by one, as before.

--- a/internal/claims/advance.go
+++ b/internal/claims/advance.go
@@ -21,8 +21,10 @@
 		p.readHead()
 	case p.writeDueAt() <= p.now:
 		p.writeOrSeal()
+	case len(p.summaries) > 0:
+		p.writeSummary()
 	case len(p.deletes) > 0:
-		p.call(phaseDelete, StoreEffect{Method: MethodDelete, Key: segmentKey(p.name, p.deletes[0])})
+		p.call(phaseDelete, StoreEffect{Method: MethodDelete, Key: p.deletes[0]})
 	}
 }
 
@@ -75,7 +77,7 @@
 // nextCall returns when the next store call is due while none is in flight.
 func (p *Partition) nextCall() time.Duration {
 	due := p.writeDueAt()
-	if p.loading != nil || p.needsRead() || len(p.deletes) > 0 {
+	if p.loading != nil || p.needsRead() || len(p.summaries)+len(p.deletes) > 0 {
 		due = p.now
 	}
 	if due == never {
@@ -99,6 +101,10 @@
 		p.onHead(e)
 	case phaseReadSegment:
 		p.onSegment(e)
+	case phaseReadSummary:
+		p.onReadSummary(e)
+	case phaseSummary:
+		p.summaries = p.summaries[1:]
 	case phaseSeal:
 		p.onSeal(e.Err)
 	case phaseReadSeal:
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -3,8 +3,8 @@
 //
 // The claims of a service are spread over partitions. A partition is an
 // append-only log of records in the platform's object API: a small head object,
-// which holds the newest records, and sealed segments, which never change. A
-// claim is one record; records are gathered and appended by one conditional
+// which holds the newest records, and sealed segments, which never change; a
+// summary repeats a group of segments without their answers. A claim is one record; records are gathered and appended by one conditional
 // update of the head. Who appends a key's claim first owns it; the other
 // claimers lose the conditional update, read the log and find the claim. Neither
 // a lease nor a clock decides.
@@ -94,8 +94,9 @@
 
 // Outcome is what became of a claimed request.
 type Outcome struct {
-	// Ran tells that the request ran or may have run. If false, the request did not
-	// run and never will: the key is released and can be claimed again.
+	// Ran tells that the request ran. If false, the request did not run and never
+	// will: the key is released and can be claimed again. If neither is certain, no
+	// outcome may be recorded; repeats then stay InProgress.
 	Ran bool
 	// Answer is the complete answer, nil if there is none to keep.
 	Answer *Answer
--- a/internal/claims/config.go
+++ b/internal/claims/config.go
@@ -30,6 +30,8 @@
 	SealRecords int
 	// SealBytes seals a segment early when its records reach this size. Default 32 KiB.
 	SealBytes int
+	// SummarySegments is the number of segments in a summary. Default 32.
+	SummarySegments int
 	// CallTimeout bounds one call of the store. Default 2s.
 	CallTimeout time.Duration
 }
@@ -48,6 +50,7 @@
 	setDefault(&c.AnswerMemory, 4<<20)
 	setDefault(&c.SealRecords, 256)
 	setDefault(&c.SealBytes, 32<<10)
+	setDefault(&c.SummarySegments, 32)
 	setDefault(&c.CallTimeout, 2*time.Second)
 	return c
 }
--- a/internal/claims/index.go
+++ b/internal/claims/index.go
@@ -92,9 +92,10 @@
 	}
 }
 
-// sealed is what a partition keeps of a segment.
+// sealed is what a partition keeps of a segment, or of a summary's segments.
 type sealed struct {
-	number uint64
+	// first and number are the first and the last segment's number.
+	first, number uint64
 	// end is the log position after the segment.
 	end uint64
 	// clock is the partition's clock at the last record, in milliseconds.
@@ -102,8 +103,8 @@
 	keys  []KeyHash
 }
 
-func newSealed(number, base uint64, records []record) sealed {
-	s := sealed{number: number, end: base + uint64(len(records))}
+func newSealed(first, number, base uint64, records []record) sealed {
+	s := sealed{first: first, number: number, end: base + uint64(len(records))}
 	s.clock = records[len(records)-1].Clock
 	for i := range records {
 		if records[i].Kind == recordClaim {
--- a/internal/claims/load.go
+++ b/internal/claims/load.go
@@ -27,6 +27,9 @@
 	// sealed are the segments, oldest first; next is the number of the one to come.
 	sealed []sealed
 	next   uint64
+	// first is the number of the oldest segment in the head.
+	first uint64
+	group group
 	// base is the position of active[0], end the position after all folded records.
 	base   uint64
 	end    uint64
@@ -38,6 +41,8 @@
 	head    head
 	version uint64
 	readAt  time.Duration
+	// plainUntil is the number below which segments are read without a summary.
+	plainUntil uint64
 }
 
 func (p *Partition) readHead() {
@@ -112,6 +117,7 @@
 		l.index.apply(&h.Records[i], h.Base+i)
 	}
 	l.active, l.end = h.Records, h.Base+uint64(len(h.Records))
+	l.first = h.First
 	p.install(p.loading.version, h.Clock, p.loading.readAt)
 	p.loading = nil
 }
@@ -137,16 +143,20 @@
 	}
 }
 
+// readSegment reads the next segment, or the summary that contains it.
 func (p *Partition) readSegment() {
+	size := uint64(p.cfg.SummarySegments)
+	next := p.log.next
+	if next%size == 0 && next+size <= p.loading.head.Next && next >= p.loading.plainUntil {
+		p.call(phaseReadSummary, StoreEffect{Method: MethodGet, Key: summaryKey(p.name, next)})
+		return
+	}
 	p.call(phaseReadSegment, StoreEffect{Method: MethodGet, Key: segmentKey(p.name, p.log.next)})
 }
 
 func (p *Partition) onSegment(e StoreEvent) {
 	if e.Err != nil {
-		// Not found: the segment has expired since the head was read.
-		p.loading = nil
-		p.log.stale = true
-		p.fail()
+		p.stopLoading()
 		return
 	}
 	s, err := decodeSegment(e.Object.Value, p.log.next)
@@ -154,19 +164,29 @@
 		p.broken = err.Error()
 		return
 	}
-	p.addSegment(&s)
-	p.finishLoading()
+	if p.addSegment(&s, s.Number) {
+		p.grow(s.Number, s.Base, s.Records)
+		p.finishLoading()
+	}
 }
 
-// addSegment folds the next segment.
-func (p *Partition) addSegment(s *segment) {
+// stopLoading starts again from the head later: a segment that is not found has
+// expired since the head was read.
+func (p *Partition) stopLoading() {
+	p.loading = nil
+	p.log.stale = true
+	p.fail()
+}
+
+// addSegment folds the next segment, or a summary up to the segment last.
+func (p *Partition) addSegment(s *segment, last uint64) bool {
 	l := &p.log
 	if !l.loaded && len(l.sealed) == 0 {
 		l.base, l.end = s.Base, s.Base
 	}
 	if s.Base != l.base {
 		p.broken = "a segment does not continue the log"
-		return
+		return false
 	}
 	for i := range s.Records {
 		if position := s.Base + uint64(i); position >= l.end {
@@ -174,9 +194,10 @@
 			l.end = position + 1
 		}
 	}
-	l.sealed = append(l.sealed, newSealed(s.Number, s.Base, s.Records))
-	l.next = s.Number + 1
+	l.sealed = append(l.sealed, newSealed(s.Number, last, s.Base, s.Records))
+	l.next = last + 1
 	l.base = s.Base + uint64(len(s.Records))
 	l.active = l.active[min(len(s.Records), len(l.active)):]
 	p.trimAhead()
+	return true
 }
--- a/internal/claims/partition.go
+++ b/internal/claims/partition.go
@@ -14,9 +14,11 @@
 	phaseIdle phase = iota
 	phaseReadHead
 	phaseReadSegment
+	phaseReadSummary
 	phaseSeal
 	phaseReadSeal
 	phaseWrite
+	phaseSummary
 	phaseDelete
 )
 
@@ -69,8 +71,10 @@
 
 	loading *loading
 	// ahead are segments that exist but are not in the head yet.
-	ahead   []sealed
-	deletes []uint64
+	ahead []sealed
+	// deletes are the keys of expired objects, summaries the summaries to write.
+	deletes   []string
+	summaries []summary
 
 	bucket    bucket
 	failures  int
--- a/internal/claims/partition_test.go
+++ b/internal/claims/partition_test.go
@@ -75,7 +75,7 @@
 // different versions of the program might.
 func (w *world) start(i int) {
 	w.nextID++
-	cfg := Config{SealRecords: 3 + i, WriteRate: 1e6, MaxWait: time.Hour, MaxPending: 8}
+	cfg := Config{SealRecords: 3 + i, SummarySegments: 2, WriteRate: 1e6, MaxWait: time.Hour, MaxPending: 8}
 	owner := Owner{byte(i), byte(w.nextID), byte(w.nextID >> 8)}
 	if old := w.processes[i]; old != nil && old.call != nil && old.call.Method == MethodPut {
 		w.late = append(w.late, *old.call)
--- a/internal/claims/seal.go
+++ b/internal/claims/seal.go
@@ -15,7 +15,7 @@
 	case err == nil:
 		p.failures = 0
 		n := sealable(records, p.cfg.SealRecords, p.cfg.SealBytes)
-		p.ahead = append(p.ahead, newSealed(number, base, records[:n]))
+		p.ahead = append(p.ahead, newSealed(number, number, base, records[:n]))
 	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnclear):
 		p.call(phaseReadSeal, StoreEffect{Method: MethodGet, Key: segmentKey(p.name, number)})
 	default:
@@ -43,6 +43,6 @@
 		p.fail()
 	default:
 		p.failures = 0
-		p.ahead = append(p.ahead, newSealed(number, base, records[:len(s.Records)]))
+		p.ahead = append(p.ahead, newSealed(number, number, base, records[:len(s.Records)]))
 	}
 }
--- a/internal/claims/service_test.go
+++ b/internal/claims/service_test.go
@@ -195,7 +195,7 @@
 }
 
 func startService(ctx context.Context, s platform.Store) claimer {
-	service := NewService(s, Config{Partitions: 2, SealRecords: 4, CallTimeout: 700 * time.Millisecond}, NewOwner())
+	service := NewService(s, Config{Partitions: 2, SealRecords: 4, SummarySegments: 2, CallTimeout: 700 * time.Millisecond}, NewOwner())
 	go service.Run(ctx)
 	return serviceClaimer{service}
 }
--- a/internal/claims/write.go
+++ b/internal/claims/write.go
@@ -75,7 +75,7 @@
 func (p *Partition) firstUnexpired(clock uint64) uint64 {
 	for i := range p.log.sealed {
 		if !p.log.sealed[i].expired(clock, p.cfg.Window) {
-			return p.log.sealed[i].number
+			return max(p.log.first, p.log.sealed[i].first)
 		}
 	}
 	return p.log.next
@@ -159,17 +159,19 @@
 // installBatch makes the written head the view.
 func (p *Partition) installBatch(version uint64) {
 	l, h := &p.log, &p.batch.head
-	l.sealed = append(l.sealed, p.ahead...)
-	l.next, l.base, l.active = h.Next, h.Base, h.Records
+	for _, s := range p.ahead {
+		n := s.end - l.base
+		p.grow(s.number, l.base, l.active[:n])
+		l.sealed = append(l.sealed, s)
+		l.base, l.active = s.end, l.active[n:]
+	}
+	l.next, l.active = h.Next, h.Records
 	for i := len(h.Records) - p.batch.added; i < len(h.Records); i++ {
 		l.index.apply(&h.Records[i], h.Base+uint64(i))
 	}
 	l.end = h.Base + uint64(len(h.Records))
-	for i := range l.sealed {
-		if l.sealed[i].number < h.First {
-			p.deletes = append(p.deletes, l.sealed[i].number)
-		}
-	}
+	p.deleteSegments(l.first, h.First)
+	l.first = h.First
 	p.skipTo(h.First)
 	p.install(version, h.Clock, p.sentAt)
 }
--- a/internal/claims/writes_test.go
+++ b/internal/claims/writes_test.go
@@ -131,3 +131,52 @@
 		assert.Equal(t, got.refused, 0, "%+v", l)
 	}
 }
+
+// A process that meets a partition for the first time reads summaries instead of most
+// segments, and then knows every claim.
+func TestFirstReadOfPartition(t *testing.T) {
+	const claims = 20000
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		m := objectstore.New()
+		m.SetFaults(objectstore.Faults{LatencyMS: 3})
+		start := func() *Service {
+			s := NewService(m, Config{Partitions: 1}, NewOwner())
+			go s.Run(ctx)
+			return s
+		}
+		key := func(n int) Key { return Key{Organisation: "o", Service: "s", IdempotencyKey: fmt.Sprint(n)} }
+		var requests sync.WaitGroup
+		first := start()
+		for n := range claims {
+			requests.Go(func() {
+				r, err := first.Claim(ctx, key(n), Digest{})
+				assert.Check(t, err)
+				first.Record(r.Token, Outcome{Ran: true, Answer: &Answer{Status: 200, Body: make([]byte, 300)}})
+			})
+			time.Sleep(2 * time.Millisecond)
+		}
+		requests.Wait()
+		assert.NilError(t, first.Flush(ctx))
+		stats, err := first.Stats(ctx)
+		assert.NilError(t, err)
+
+		before, begin := m.Counters().Get, time.Now()
+		second := start()
+		r, err := second.Claim(ctx, key(0), Digest{})
+		assert.NilError(t, err)
+		assert.Equal(t, r.Status, AnswerNotKept)
+		reads := m.Counters().Get - before
+		segments := stats.Partitions[0].Segments
+		t.Logf("claims=%d segments=%d reads=%d time=%v", claims, segments, reads, time.Since(begin))
+		assert.Assert(t, int(reads) <= segments/32+32+1, "%d reads for %d segments", reads, segments)
+		stats, err = second.Stats(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, stats.Partitions[0].Claims, claims)
+		r, err = second.Claim(ctx, key(claims-1), Digest{})
+		assert.NilError(t, err)
+		assert.Equal(t, r.Status, Answered)
+		cancel()
+		synctest.Wait()
+	})
+}
