--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -39,6 +39,7 @@
 	TypeMapDecide
 	TypeMapQuery
 	TypeMapState
+	TypeZoneReport
 )
 
 // Message is implemented by every frame body.
@@ -141,6 +142,8 @@
 	ServiceTime time.Duration `cbor:"6,keyasint"`
 	// WaitTime is the expected wait of a request that arrives now.
 	WaitTime time.Duration `cbor:"7,keyasint"`
+	// Seq grows with each report of one incarnation, so that a late one is not taken for the newest.
+	Seq uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat is sent at a fixed interval and at each change of state.
@@ -184,6 +187,8 @@
 	Window int `cbor:"15,keyasint"`
 	// PrefixHash identifies the prompt prefix for cache affinity; zero means none.
 	PrefixHash uint64 `cbor:"16,keyasint,omitempty"`
+	// NoWait asks for a refusal instead of a place in the agent's queue.
+	NoWait bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Accepted tells that the agent has taken the request into its queue.
@@ -211,10 +216,9 @@
 
 // Failure is the link form of an apierr.Error.
 type Failure struct {
-	Kind       apierr.Kind    `cbor:"1,keyasint"`
-	Detail     string         `cbor:"2,keyasint,omitempty"`
-	Outcome    apierr.Outcome `cbor:"3,keyasint"`
-	RetryAfter time.Duration  `cbor:"4,keyasint,omitempty"`
+	Kind       apierr.Kind   `cbor:"1,keyasint"`
+	Detail     string        `cbor:"2,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // ResponseEnd ends an answer. Failure is nil exactly when the answer is whole.
@@ -324,3 +328,21 @@
 	Prepared  uint64 `cbor:"5,keyasint"`
 	Step      uint64 `cbor:"6,keyasint"`
 }
+
+// PoolReport sums up one target pool of an availability zone.
+type PoolReport struct {
+	Pool string `cbor:"1,keyasint"`
+	// Load is the sum over the pool's usable targets.
+	Load Load `cbor:"2,keyasint"`
+	// Agents are the names of the usable targets' agents.
+	Agents []string `cbor:"3,keyasint,omitempty"`
+}
+
+// ZoneReport tells peer entries what the sender's availability zone can take.
+type ZoneReport struct {
+	Pools []PoolReport `cbor:"1,keyasint"`
+	// Leaving tells that the sender takes no new work.
+	Leaving bool `cbor:"2,keyasint,omitempty"`
+	// ConfigRevision is the highest configuration revision in force at the sender.
+	ConfigRevision uint64 `cbor:"3,keyasint"`
+}
