Write released claims without the outcome delay

The caller of a request that was not run may repeat it at once at another agent, which should find the key free. Releases now wait for the gather time (15 ms) instead of the outcome delay (200 ms).

--- a/internal/claims/advance.go
+++ b/internal/claims/advance.go
@@ -51,8 +51,8 @@
 			due = min(due, q.arrived+p.cfg.Gather)
 		}
 	}
-	if len(p.outcomes) > 0 {
-		due = min(due, p.outcomes[0].since+p.cfg.OutcomeDelay)
+	for i := range p.outcomes {
+		due = min(due, p.outcomes[i].dueAt(p.cfg))
 	}
 	if due == never {
 		return never
--- a/internal/claims/config.go
+++ b/internal/claims/config.go
@@ -13,7 +13,8 @@
 	Partitions int
 	// Gather is how long a claim waits for others before the write. Default 15ms.
 	Gather time.Duration
-	// OutcomeDelay is how long an outcome waits for a write to go with. Default 200ms.
+	// OutcomeDelay is how long the outcome of a request that ran waits for a write to
+	// go with. Default 200ms. A release waits for Gather.
 	OutcomeDelay time.Duration
 	// WriteRate is the most head writes per second and partition. Default 20.
 	WriteRate float64
--- a/internal/claims/partition.go
+++ b/internal/claims/partition.go
@@ -49,6 +49,15 @@
 	state *claimState
 }
 
+// dueAt returns when the outcome must be written: a release soon, because the caller
+// may repeat the request at another process.
+func (o *outcome) dueAt(cfg Config) time.Duration {
+	if o.state.local != nil && !o.state.local.Ran {
+		return o.since + cfg.Gather
+	}
+	return o.since + cfg.OutcomeDelay
+}
+
 // Partition is the state machine of one partition in one process. It does no I/O
 // and reads no clock: Step takes an event and the time and returns effects. Times
 // are monotonic durations since the process's start.
