--- a/internal/claims/partition.go
+++ b/internal/claims/partition.go
@@ -14,9 +14,11 @@
 	phaseIdle phase = iota
 	phaseReadHead
 	phaseReadSegment
+	phaseReadSummary
 	phaseSeal
 	phaseReadSeal
 	phaseWrite
+	phaseSummary
 	phaseDelete
 )
 
@@ -47,6 +49,15 @@
 	state *claimState
 }
 
+// dueAt returns when the outcome must be written: a release soon, because the caller
+// may repeat the request at another process.
+func (o *outcome) dueAt(cfg Config) time.Duration {
+	if o.state.local != nil && !o.state.local.Ran {
+		return o.since + cfg.Gather
+	}
+	return o.since + cfg.OutcomeDelay
+}
+
 // Partition is the state machine of one partition in one process. It does no I/O
 // and reads no clock: Step takes an event and the time and returns effects. Times
 // are monotonic durations since the process's start.
@@ -69,8 +80,10 @@
 
 	loading *loading
 	// ahead are segments that exist but are not in the head yet.
-	ahead   []sealed
-	deletes []uint64
+	ahead []sealed
+	// deletes are the keys of expired objects, summaries the summaries to write.
+	deletes   []string
+	summaries []summary
 
 	bucket    bucket
 	failures  int
