Linger after the word that a process leaves, before its links end

Cause: an agent that nothing ran on ended the moment it was stopped. Requests that entries had sent before they heard of it were lost with the link, and their callers told unknown (14-stop-races-dispatch: 8 to 11 of some 900 requests). Ruled out: unsent output (Close flushes it) and the order of frames. Change: agent and entry refuse for 500 ms more after telling. The same holds for entries, to which peers pass requests on. Touches internal/agent and internal/entry, which others own.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -30,6 +30,9 @@
 	// outcomeGrace is how long a run that may not be repeated may outlast its
 	// caller's deadline before its connection to the target is closed.
 	outcomeGrace = time.Minute
+	// stopLinger is the least time from the word to the entries that the agent leaves
+	// to its end; requests that they sent before they heard it are refused meanwhile.
+	stopLinger = 500 * time.Millisecond
 	// eventQueue bounds the events that wait for the control goroutine.
 	eventQueue = 4096
 	// assumedServiceTime is used until the target has completed a request.
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -17,6 +17,7 @@
 	index     *config.Index
 	up        bool
 	stopping  bool
+	stoppedAt time.Duration
 	drained   bool
 	peers     map[link.Peer]struct{}
 	// jobs holds every request that waits or runs, byAdmission the same by admission id.
@@ -41,8 +42,11 @@
 	}
 }
 
-// finished tells that the agent is stopping and nothing is left to do.
-func (c *control) finished() bool { return c.stopping && len(c.jobs) == 0 }
+// finished tells that the agent is stopping, nothing is left to do, and requests
+// that were on the way when it said so have been refused.
+func (c *control) finished() bool {
+	return c.stopping && len(c.jobs) == 0 && c.agent.now()-c.stoppedAt >= stopLinger
+}
 
 // job returns the open job that p numbered id, or nil.
 func (c *control) job(p link.Peer, id uint64) *job {
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -109,6 +109,7 @@
 
 func (ev stopAsked) apply(c *control) {
 	c.stopping = true
+	c.stoppedAt = c.agent.now()
 	c.admission.Drain()
 	c.announce()
 	c.agent.opts.Logger.Info().Str("event", "stopping").Int("jobs", len(c.jobs)).Msg("")
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -14,6 +14,10 @@
 // in each other availability zone.
 const linksPerRemoteZone = 3
 
+// stopLinger is the least time from the word to the peers that the entry leaves to
+// its end.
+const stopLinger = 500 * time.Millisecond
+
 // agentState is what the control goroutine knows of one agent.
 type agentState struct {
 	identity message.Identity
@@ -41,6 +45,7 @@
 	entry      *Entry
 	index      *config.Index
 	stopping   bool
+	stoppedAt  time.Duration
 	agents     map[string]*agentState
 	peers      map[string]*peerState
 	dialled    map[string]bool
@@ -59,9 +64,10 @@
 	}
 }
 
-// finished tells that the entry is stopping and no request is in flight.
+// finished tells that the entry is stopping, no request is in flight, and requests
+// that peers passed on before they heard of it have been refused.
 func (c *control) finished() bool {
-	return c.stopping && c.entry.gate.inFlight() == 0
+	return c.stopping && c.entry.gate.inFlight() == 0 && c.entry.now()-c.stoppedAt >= stopLinger
 }
 
 // tick publishes collected changes and reports to the peers.
@@ -185,6 +191,7 @@
 // stop refuses new work and tells the peers.
 func (c *control) stop() {
 	c.stopping = true
+	c.stoppedAt = c.entry.now()
 	c.publish()
 	c.reportToPeers()
 	c.entry.opts.Logger.Info().Str("event", "stopping").Int("requests", c.entry.gate.inFlight()).Msg("")
