--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -68,3 +68,6 @@
 
 // FrameType implements Message.
 func (*ZoneReport) FrameType() Type { return TypeZoneReport }
+
+// FrameType implements Message.
+func (*MapJoin) FrameType() Type { return TypeMapJoin }
