--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -36,15 +36,24 @@
 // breaks the call.
 func (c *call) push(m message.Message) {
 	c.mu.Lock()
+	c.hold(m)
+	c.mu.Unlock()
+	c.signal()
+}
+
+// hold queues m unless the call is broken; c.mu is held.
+func (c *call) hold(m message.Message) {
+	if c.broken != nil {
+		return
+	}
 	if d, ok := m.(*message.ResponseData); ok {
 		c.held += len(d.Data)
 	}
-	if c.held > streamWindow && c.broken == nil {
+	if c.held > streamWindow {
 		c.broken = apierr.New(apierr.KindTruncated, "the peer exceeded its window")
+		return
 	}
 	c.queue = append(c.queue, m)
-	c.mu.Unlock()
-	c.signal()
 }
 
 // fail ends the call after the messages already queued.
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -198,7 +197,7 @@
 
 func brokenKind(cause error) apierr.Kind {
 	var small *fasthttp.ErrSmallBuffer
-	var timeout net.Error
+	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.As(cause, &small):
 		return apierr.KindHeaderTooLarge
