Follow the configuration by watchers, announcements and heartbeats

Cause: 350 entries and 600 agents must have an accepted revision in force within 5 s and never go back, also while the platform or availability zones are cut off, within a small budget of calls.

Change: config.Follower, a pure state machine: two entries of each availability zone (rendezvous over the live ones) watch and poll the platform; a process that activates a revision announces it to four peers, which fetch only the files that they lack; heartbeats tell the rest; a process that stays behind reads for itself within a budget. Heads and files carry digests, and each process merges and checks again before activation. config.Driver runs it on a platform.Store.

Ruled out: an announcement to all links (a watcher with 136 links would send as many heads for each change); reading by every process (952 reads for each change, and none of it works in an outage).

--- /dev/null
+++ b/internal/config/bench_test.go
@@ -0,0 +1,71 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkFleet follows the configuration with 350 entries and 602 agents in 7
+// availability zones on a fake clock, with one change every 10 s, and reports calls
+// to the platform and traffic. The letter's rate is one change in 45 s.
+func BenchmarkFleet(b *testing.B) {
+	for range b.N {
+		s := newSim(1, 7, 50, 86, realFollower)
+		s.after(time.Second, func() { s.publish(0) })
+		s.runUntil(10 * time.Second)
+		reads, bytes := s.reads, s.bytes
+		var slowest time.Duration
+		for n := range 6 {
+			s.publish(2 + 2*n)
+			from := s.now
+			for s.behind() && s.now-from < inForceBound {
+				s.runUntil(s.now + 10*time.Millisecond)
+			}
+			slowest = max(slowest, s.now-from)
+			s.runUntil(from + 10*time.Second)
+		}
+		if len(s.faults) > 0 {
+			b.Fatal(s.faults)
+		}
+		seconds := (s.now - 10*time.Second).Seconds()
+		b.ReportMetric(float64(reads), "start-calls")
+		b.ReportMetric(float64(s.reads-reads)/seconds, "calls/s")
+		b.ReportMetric(float64(s.bytes-bytes)/seconds/float64(len(s.nodes)), "B/s/daemon")
+		b.ReportMetric(slowest.Seconds()*1000, "ms-to-all")
+		busiest := 0
+		for _, n := range s.nodes {
+			busiest = max(busiest, n.reads)
+		}
+		b.ReportMetric(float64(busiest)/s.now.Seconds(), "calls/s/busiest")
+	}
+}
+
+// behind tells whether a live node lacks the newest revision.
+func (s *sim) behind() bool {
+	for _, n := range s.nodes {
+		if n.up && n.f.Revision() < s.newest {
+			return true
+		}
+	}
+	return false
+}
+
+// BenchmarkMerge merges a folder of 100 files with 810 organisations.
+func BenchmarkMerge(b *testing.B) {
+	var files []File
+	for i := range 100 {
+		text := "organisations:\n"
+		for j := range 8 {
+			n := i*8 + j
+			text += fmt.Sprintf("- name: o%d\n  key_digests: [a%063x]\n  weight: 2\n", n, n)
+		}
+		files = append(files, File{Name: fmt.Sprintf("%03d.yaml", i), Content: []byte(text)})
+	}
+	b.ReportAllocs()
+	for range b.N {
+		if _, problems := Merge(files); len(problems) > 0 {
+			b.Fatal(problems)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/driver_test.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/standin/objectstore"
+)
+
+// An entry follows the platform, and an agent without the platform follows the entry.
+func TestDriversFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store, down := objectstore.New(), objectstore.New()
+		down.SetFaults(objectstore.Faults{Down: true})
+		drivers := map[string]*Driver{}
+		var applied []uint64
+		add := func(name, peer string, entry bool, store *objectstore.Memory) {
+			drivers[name] = NewDriver(DriverOptions{
+				Follower: FollowerOptions{Name: name, Entry: entry}, Store: store,
+				Send: func(to string, m message.Message) {
+					assert.Equal(t, to, peer)
+					assert.Assert(t, drivers[peer].Message(name, m))
+				},
+				Apply: func(x *Index) {
+					if name == "agent" {
+						applied = append(applied, x.Revision())
+					}
+				},
+				Report: func(r Report) { t.Error(r) },
+			})
+		}
+		add("entry", "agent", true, store)
+		add("agent", "entry", false, down)
+		for name, d := range drivers {
+			go d.Run(ctx)
+			d.Post(PeerUp{map[string]string{"entry": "agent", "agent": "entry"}[name]})
+		}
+		p := &Publisher{Store: store}
+		for n := range 3 {
+			_, err := p.Apply(ctx, Edit{Files: zones(fmt.Sprint(n), "a")})
+			assert.NilError(t, err)
+			time.Sleep(inForceBound)
+			assert.Equal(t, drivers["agent"].Current().Config().AvailabilityZones[0].Region, fmt.Sprint("r-", n))
+		}
+		assert.DeepEqual(t, applied, []uint64{1, 2, 3})
+		assert.Assert(t, drivers["entry"].State().Watcher && !drivers["agent"].State().Watcher)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A peer cannot make a process take a damaged head, a damaged file or an invalid merge.
+func TestFollowerRefusesWhatIsNotWhole(t *testing.T) {
+	f := NewFollower(FollowerOptions{Name: "agent-1"}, 0)
+	f.Step(0, PeerUp{"e"})
+	files := []File{{Name: "a.yaml", Content: []byte("pools: 1\n")}}
+	h := &Head{Revision: 3, Files: Refs(files)}
+	raw := h.Encode()
+	bad := append([]byte(nil), raw...)
+	bad[len(bad)-5] ^= 1
+	reports := func(effects []Effect) (kinds []ReportKind) {
+		for _, e := range effects {
+			if r, ok := e.(Report); ok {
+				kinds = append(kinds, r.Kind)
+			}
+		}
+		return kinds
+	}
+	assert.DeepEqual(t, reports(f.Step(1, PeerHead{"e", bad})), []ReportKind{ReportDamaged})
+	assert.Equal(t, len(reports(f.Step(2, PeerHead{"e", raw}))), 0)
+	answer := PeerFiles{"e", []message.ConfigFile{{Digest: h.Files[0].Digest, Content: []byte("other")}}}
+	assert.DeepEqual(t, reports(f.Step(3, answer)), []ReportKind{ReportDamaged})
+	answer.Files[0].Content = files[0].Content
+	assert.DeepEqual(t, reports(f.Step(4, answer)), []ReportKind{ReportRejected})
+	assert.Equal(t, len(reports(f.Step(5, PeerHead{"e", raw}))), 0)
+	assert.Equal(t, f.Revision(), uint64(0))
+}
--- a/internal/config/files.go
+++ b/internal/config/files.go
@@ -37,16 +37,16 @@
 
 // Load reads and merges the folder dir.
 func Load(dir string) (*Config, []Problem) {
-	files, problems := ReadFiles(os.DirFS(dir))
+	files, problems := ReadFolder(os.DirFS(dir))
 	if len(problems) > 0 {
 		return nil, problems
 	}
 	return Merge(files)
 }
 
-// ReadFiles returns the *.yaml and *.yml files at the root of dir in the order of
+// ReadFolder returns the *.yaml and *.yml files at the root of dir in the order of
 // their names. Hidden files and files of other types are passed over.
-func ReadFiles(dir fs.FS) ([]File, []Problem) {
+func ReadFolder(dir fs.FS) ([]File, []Problem) {
 	entries, err := fs.ReadDir(dir, ".")
 	if err != nil {
 		return nil, []Problem{{Text: "the folder cannot be read: " + causeText(err), Fix: "name a folder that holds *.yaml files"}}
--- /dev/null
+++ b/internal/config/sim_test.go
@@ -0,0 +1,307 @@
+package config
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/platform"
+	"github.com/gentiantrail/gentiantrail/internal/standin/objectstore"
+)
+
+// stepper is a Follower or a naive version of one.
+type stepper interface {
+	Step(now time.Duration, ev Event) []Effect
+	Revision() uint64
+}
+
+// sim runs followers on a fake clock with a fake network and a real publisher.
+type sim struct {
+	now    time.Duration
+	seq    int
+	due    dueHeap
+	random *rand.Rand
+	make   func(FollowerOptions, time.Duration) stepper
+	store  *objectstore.Memory
+	pub    *Publisher
+	nodes  []*simNode
+
+	platformDown bool
+	missWatches  bool
+	// slow is the time by which answers of the platform may be late.
+	slow time.Duration
+	// cut holds availability zones without the platform and the other zones.
+	cut map[int]bool
+	// newest is the newest accepted revision.
+	newest uint64
+	reads  int
+	bytes  int
+	faults []string
+}
+
+type simNode struct {
+	name  string
+	zone  int
+	entry bool
+	up    bool
+	// started counts incarnations; answers to earlier ones are dropped.
+	started int
+	f       stepper
+	links   []*simNode
+	highest uint64
+	reads   int
+}
+
+type due struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type dueHeap []due
+
+func (h dueHeap) Len() int { return len(h) }
+func (h dueHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h dueHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *dueHeap) Push(x any)   { *h = append(*h, x.(due)) }
+func (h *dueHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// newSim returns a fleet whose entries link to all agents of their zone and to two
+// entries of each other zone.
+func newSim(seed uint64, zoneCount, entries, agents int, mk func(FollowerOptions, time.Duration) stepper) *sim {
+	s := &sim{random: rand.New(rand.NewPCG(seed, 7)), make: mk, store: objectstore.New(), cut: map[int]bool{}}
+	s.pub = &Publisher{Store: s.store}
+	for z := range zoneCount {
+		for i := range entries + agents {
+			kind := "agent"
+			if i < entries {
+				kind = "entry"
+			}
+			s.nodes = append(s.nodes, &simNode{name: fmt.Sprintf("%s-%d-%d", kind, z, i), zone: z, entry: i < entries})
+		}
+	}
+	for i, a := range s.nodes {
+		for j, b := range s.nodes[:i] {
+			same := a.zone == b.zone && a.entry != b.entry
+			across := a.entry && b.entry && a.zone != b.zone && (i%entries+j%entries)%max(entries/2, 1) == 0
+			if same || across {
+				a.links, b.links = append(a.links, b), append(b.links, a)
+			}
+		}
+	}
+	for _, n := range s.nodes {
+		s.after(s.spread(500*time.Millisecond), func() { s.startNode(n) })
+	}
+	return s
+}
+
+func (s *sim) spread(limit time.Duration) time.Duration {
+	return time.Duration(s.random.Int64N(int64(limit) + 1))
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.due, due{s.now + d, s.seq, run})
+}
+
+func (s *sim) runUntil(end time.Duration) {
+	for len(s.due) > 0 && s.due[0].at <= end {
+		next := heap.Pop(&s.due).(due)
+		s.now = next.at
+		next.run()
+	}
+	s.now = end
+}
+
+func (s *sim) startNode(n *simNode) {
+	n.started++
+	n.up, n.highest = true, 0
+	incarnation := n.started
+	n.f = s.make(FollowerOptions{Name: n.name, Entry: n.entry, Seed: 1}, s.now)
+	for _, peer := range n.links {
+		if s.linked(n, peer) {
+			s.deliver(n, PeerUp{peer.name})
+			s.deliver(peer, PeerUp{n.name})
+		}
+	}
+	s.membership(n.zone)
+	var tick, beat func()
+	tick = func() {
+		if n.started == incarnation && n.up {
+			s.step(n, Tick{})
+			s.after(TickInterval, tick)
+		}
+	}
+	beat = func() {
+		if n.started == incarnation && n.up {
+			s.heartbeat(n)
+			s.after(time.Second, beat)
+		}
+	}
+	tick()
+	s.after(s.spread(time.Second), beat)
+}
+
+func (s *sim) stopNode(n *simNode) {
+	n.up = false
+	for _, peer := range n.links {
+		s.deliver(peer, PeerDown{n.name})
+	}
+	s.after(1500*time.Millisecond, func() { s.membership(n.zone) })
+}
+
+// membership tells the entries of a zone who is live.
+func (s *sim) membership(zone int) {
+	var live []string
+	for _, n := range s.nodes {
+		if n.zone == zone && n.entry && n.up {
+			live = append(live, n.name)
+		}
+	}
+	for _, n := range s.nodes {
+		if n.zone == zone && n.entry {
+			s.deliver(n, LiveEntries{live})
+		}
+	}
+}
+
+func (s *sim) heartbeat(n *simNode) {
+	for _, peer := range n.links {
+		s.send(n, peer, PeerRevision{n.name, n.f.Revision()})
+	}
+}
+
+func (s *sim) linked(a, b *simNode) bool {
+	return a.up && b.up && (a.zone == b.zone || !s.cut[a.zone] && !s.cut[b.zone])
+}
+
+func (s *sim) send(from, to *simNode, ev Event) {
+	if s.linked(from, to) {
+		s.deliver(to, ev)
+	}
+}
+
+func (s *sim) deliver(to *simNode, ev Event) {
+	incarnation := to.started
+	s.after(300*time.Microsecond+s.spread(2*time.Millisecond), func() {
+		if to.up && to.started == incarnation {
+			s.step(to, ev)
+		}
+	})
+}
+
+// step hands an event to a node and carries out its effects.
+func (s *sim) step(n *simNode, ev Event) {
+	for _, effect := range n.f.Step(s.now, ev) {
+		switch e := effect.(type) {
+		case Activate:
+			if e.Config.Revision < n.highest {
+				s.faults = append(s.faults, fmt.Sprintf("%v: %s reverted from %d to %d", s.now, n.name, n.highest, e.Config.Revision))
+			}
+			n.highest = max(n.highest, e.Config.Revision)
+			s.heartbeat(n)
+		case SendPeer:
+			s.sendMessage(n, e)
+		case ReadHead:
+			s.call(n, s.spread(s.slow), func() Event { return ReadHeadFrom(context.Background(), s.store) }, HeadRead{Err: platform.ErrUnavailable})
+		case ReadFiles:
+			s.call(n, s.spread(s.slow), func() Event { return ReadFilesFrom(context.Background(), s.store, e) }, FilesRead{Err: platform.ErrUnavailable})
+		case WatchHead:
+			s.call(n, 0, func() Event { return nil }, WatchEnded{Err: platform.ErrUnavailable})
+			s.pollWatch(n, n.started, e, s.now+e.Wait)
+		}
+	}
+}
+
+func (s *sim) sendMessage(n *simNode, e SendPeer) {
+	i := slices.IndexFunc(n.links, func(p *simNode) bool { return p.name == e.Peer })
+	frame, _ := message.Encode(e.Message)
+	s.bytes += len(frame)
+	switch m := e.Message.(type) {
+	case *message.ConfigHead:
+		s.send(n, n.links[i], PeerHead{n.name, m.Head})
+	case *message.ConfigFetch:
+		s.send(n, n.links[i], PeerFetch{n.name, m.Digests})
+	case *message.ConfigFiles:
+		s.send(n, n.links[i], PeerFiles{n.name, m.Files})
+	}
+}
+
+// call makes a call to the platform: it takes effect soon, and its answer, which is
+// then as old as that, arrives late.
+func (s *sim) call(n *simNode, late time.Duration, do func() Event, failed Event) {
+	s.reads++
+	n.reads++
+	incarnation := n.started
+	answer := func(ev Event) {
+		s.after(2*time.Millisecond+late, func() {
+			if ev != nil && n.up && n.started == incarnation {
+				s.step(n, ev)
+			}
+		})
+	}
+	s.after(2*time.Millisecond, func() {
+		if s.platformDown || s.cut[n.zone] {
+			answer(failed)
+			return
+		}
+		answer(do())
+	})
+}
+
+// pollWatch stands for a waiting watch.
+func (s *sim) pollWatch(n *simNode, incarnation int, e WatchHead, end time.Duration) {
+	s.after(50*time.Millisecond, func() {
+		if !n.up || n.started != incarnation || s.platformDown || s.cut[n.zone] {
+			return
+		}
+		e.Wait = 0
+		ended := WatchHeadFrom(context.Background(), s.store, e)
+		if s.missWatches && ended.Err == nil {
+			ended.Value = nil
+			e.Revision = ended.Revision
+		}
+		if ended.Value == nil && ended.Err == nil && s.now < end {
+			s.pollWatch(n, incarnation, e, end)
+			return
+		}
+		s.step(n, ended)
+	})
+}
+
+// publish applies a change of one file out of a folder of four, or for odd marks a drain.
+func (s *sim) publish(mark int) {
+	files := zones("r0", "a", "b", "c", "d")
+	files[mark/2%4] = zones(fmt.Sprint("m", mark), string(rune('a'+mark/2%4)))[0]
+	var result *Result
+	var err error
+	if mark%2 == 0 {
+		result, err = s.pub.Apply(context.Background(), Edit{Files: files})
+	} else {
+		result, err = s.pub.SetDrain(context.Background(), DrainChange{Scope: DrainInstance, Name: fmt.Sprint("x", mark), Drained: true})
+	}
+	if err != nil {
+		s.faults = append(s.faults, err.Error())
+		return
+	}
+	s.newest = result.Revision
+}
+
+// expect notes a fault for each live node below the revision.
+func (s *sim) expect(revision uint64) {
+	for _, n := range s.nodes {
+		if n.up && n.f.Revision() < revision {
+			s.faults = append(s.faults, fmt.Sprintf("%v: %s has revision %d, not %d", s.now, n.name, n.f.Revision(), revision))
+		}
+	}
+}
--- a/internal/ctl/folder.go
+++ b/internal/ctl/folder.go
@@ -29,7 +29,7 @@
 }
 
 func readFolder(dir string) ([]config.File, error) {
-	files, problems := config.ReadFiles(os.DirFS(dir))
+	files, problems := config.ReadFolder(os.DirFS(dir))
 	if len(problems) > 0 {
 		return nil, &config.InvalidError{Problems: problems}
 	}
@@ -125,7 +125,7 @@
 	if err := os.MkdirAll(args.Dir, 0o755); err != nil {
 		return &usageError{"the folder cannot be made"}
 	}
-	files, problems := config.ReadFiles(os.DirFS(args.Dir))
+	files, problems := config.ReadFolder(os.DirFS(args.Dir))
 	if len(problems) > 0 && len(files) > 0 {
 		return &config.InvalidError{Problems: problems}
 	}
