--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -30,6 +30,9 @@
 	// outcomeGrace is how long a run that may not be repeated may outlast its
 	// caller's deadline before its connection to the target is closed.
 	outcomeGrace = time.Minute
+	// stopLinger is the least time from the word to the entries that the agent leaves
+	// to its end; requests that they sent before they heard it are refused meanwhile.
+	stopLinger = 500 * time.Millisecond
 	// eventQueue bounds the events that wait for the control goroutine.
 	eventQueue = 4096
 	// assumedServiceTime is used until the target has completed a request.
@@ -62,6 +65,7 @@
 	parent context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
+	meters *meters
 }
 
 // New returns an Agent; Run starts it.
@@ -71,6 +75,7 @@
 		start:  time.Now(),
 		events: make(chan event, eventQueue),
 		done:   make(chan struct{}),
+		meters: newMeters(opts.Metrics),
 	}
 	a.parent, a.cancel = context.WithCancel(context.Background())
 	a.load.Store(&message.Load{})
--- a/internal/claims/config.go
+++ b/internal/claims/config.go
@@ -13,7 +13,8 @@
 	Partitions int
 	// Gather is how long a claim waits for others before the write. Default 15ms.
 	Gather time.Duration
-	// OutcomeDelay is how long an outcome waits for a write to go with. Default 200ms.
+	// OutcomeDelay is how long the outcome of a request that ran waits for a write to
+	// go with. Default 200ms. A release waits for Gather.
 	OutcomeDelay time.Duration
 	// WriteRate is the most head writes per second and partition. Default 20.
 	WriteRate float64
@@ -32,8 +33,10 @@
 	AnswerMemory int
 	// SealRecords is the number of records in a sealed segment. Default 256.
 	SealRecords int
-	// SealBytes seals a segment early when its records reach this size. Default 64 KiB.
+	// SealBytes seals a segment early when its records reach this size. Default 32 KiB.
 	SealBytes int
+	// SummarySegments is the number of segments in a summary. Default 32.
+	SummarySegments int
 	// CallTimeout bounds one call of the store. Default 2s.
 	CallTimeout time.Duration
 }
@@ -51,7 +54,8 @@
 	setDefault(&c.MaxAnswer, 2<<10)
 	setDefault(&c.AnswerMemory, 4<<20)
 	setDefault(&c.SealRecords, 256)
-	setDefault(&c.SealBytes, 64<<10)
+	setDefault(&c.SealBytes, 32<<10)
+	setDefault(&c.SummarySegments, 32)
 	setDefault(&c.CallTimeout, 2*time.Second)
 	return c
 }
