--- a/internal/claims/load.go
+++ b/internal/claims/load.go
@@ -75,8 +75,8 @@
 
 // onNoHead handles a partition without a head: new, or lost.
 func (p *Partition) onNoHead() {
-	if p.log.version != 0 {
-		p.broken = "the log was removed"
+	if p.log.seen != 0 {
+		p.fail()
 		return
 	}
 	p.failures = 0
