--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -101,4 +101,5 @@
 	TypeMapQuery:     func() Message { return new(MapQuery) },
 	TypeMapState:     func() Message { return new(MapState) },
 	TypeZoneReport:   func() Message { return new(ZoneReport) },
+	TypeMapJoin:      func() Message { return new(MapJoin) },
 }
