--- a/internal/config/driver_test.go
+++ b/internal/config/driver_test.go
@@ -49,10 +49,10 @@
 			time.Sleep(inForceBound)
 			assert.Equal(t, drivers["agent"].Current().Config().AvailabilityZones[0].Region, fmt.Sprint("r-", n))
 		}
-		assert.DeepEqual(t, applied, []uint64{1, 2, 3})
-		assert.Assert(t, drivers["entry"].State().Watcher && !drivers["agent"].State().Watcher)
 		cancel()
 		synctest.Wait()
+		assert.DeepEqual(t, applied, []uint64{1, 2, 3})
+		assert.Assert(t, drivers["entry"].State().Watcher && !drivers["agent"].State().Watcher)
 	})
 }
 
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -37,6 +37,10 @@
 	peerTimeout = 500 * time.Millisecond
 	// maxPeerAsks is the number of asked peers after which a process reads for itself.
 	maxPeerAsks = 3
+	// helpGrace is the time in which a peer that is behind may catch up by itself;
+	// it doubles up to maxHelpWait as long as the peer stays at its revision.
+	helpGrace   = time.Second
+	maxHelpWait = time.Minute
 	// fanout is the number of peers to which a new revision is announced.
 	fanout = 4
 	// budgetRate, for watchers watcherRate, and budgetBurst bound the calls to the
@@ -61,7 +65,8 @@
 //
 // Two entries of each availability zone watch the platform. A process that puts a
 // new revision in force announces it to a few peers, which fetch the files that
-// they lack from it. Heartbeats tell the rest. A revision is put in force only if it
+// they lack from it. The revisions in heartbeats tell the rest: a process asks a
+// peer that is ahead, and sends its head to a peer that stays behind. A revision is put in force only if it
 // is higher than the one in force and its files are whole and merge without a
 // problem, so that no late answer brings an old revision back.
 type Follower struct {
@@ -72,6 +77,8 @@
 
 	active    *Head
 	activeRaw []byte
+	// activated is when the revision in force came into force.
+	activated time.Duration
 	contents  contentStore
 	pending   *pendingHead
 	// rejected is the last head that did not merge here, and diverged the last one
@@ -97,7 +104,12 @@
 }
 
 // followerPeer is what is known of a linked process.
-type followerPeer struct{ revision uint64 }
+type followerPeer struct {
+	revision uint64
+	// nextHelp is when a peer that stays behind is sent the head, and helpWait the
+	// time to the next time after that.
+	nextHelp, helpWait time.Duration
+}
 
 // NewFollower returns the Follower of a process that starts at now.
 func NewFollower(opts FollowerOptions, now time.Duration) *Follower {
@@ -134,6 +146,7 @@
 		f.entries = slices.Clone(e.Names)
 	case PeerRevision:
 		f.noteRevision(e.Peer, e.Revision)
+		f.helpPeer(e.Peer)
 	case PeerHead:
 		f.peerHead(e)
 	case PeerFetch:
--- a/internal/config/follower_adopt.go
+++ b/internal/config/follower_adopt.go
@@ -141,7 +141,7 @@
 		f.emit(Report{Kind: ReportRejected, Revision: p.head.Revision, Detail: problems[0].String()})
 		return
 	}
-	f.active, f.activeRaw = p.head, p.raw
+	f.active, f.activeRaw, f.activated = p.head, p.raw, f.now
 	f.forgetContents()
 	if !f.watch.elected {
 		f.read.next = f.now + f.readInterval()
--- a/internal/config/follower_peer.go
+++ b/internal/config/follower_peer.go
@@ -29,9 +29,32 @@
 
 // noteRevision records the revision that a peer has in force.
 func (f *Follower) noteRevision(peer string, revision uint64) {
-	if p, ok := f.peers[peer]; ok {
-		p.revision = revision
+	p, ok := f.peers[peer]
+	if !ok {
+		return
+	}
+	if p.revision != revision {
+		p.nextHelp, p.helpWait = 0, helpGrace
+	}
+	p.revision = revision
+}
+
+// helpPeer sends the head to a peer that has stayed behind.
+func (f *Follower) helpPeer(peer string) {
+	p, ok := f.peers[peer]
+	if !ok || p.revision >= f.Revision() {
+		return
+	}
+	if p.nextHelp == 0 {
+		p.helpWait = helpGrace
+		p.nextHelp = max(f.now, f.activated+helpGrace)
+	}
+	if f.now < p.nextHelp {
+		return
 	}
+	p.nextHelp = f.now + p.helpWait
+	p.helpWait = min(2*p.helpWait, maxHelpWait)
+	f.sendHead(peer)
 }
 
 func (f *Follower) peerHead(e PeerHead) {
