Pass the configuration on between processes; record only known outcomes of claims

A timed-out claimed run was recorded as ran, which may be false. The key's window was checked before the wait for the run, not at its start. Ruled out for the drain: faster polling of the platform (it cannot be reached). Change: config's follower runs in both daemons behind the link handler; record leaves unknown outcomes in progress; begin checks RunBefore; agents may make 120 platform calls a second. Conclusion: a drained availability zone without the platform learns it from peers.

--- a/cmd/gentiantrail-agent/main.go
+++ b/cmd/gentiantrail-agent/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/agent"
 	"github.com/gentiantrail/gentiantrail/internal/claims"
+	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/daemon"
 	"github.com/gentiantrail/gentiantrail/internal/message"
 	"github.com/gentiantrail/gentiantrail/internal/platform"
@@ -15,6 +16,10 @@
 	"github.com/gentiantrail/gentiantrail/internal/target"
 )
 
+// platformRate is the agent's budget of platform calls per second; the home of
+// every claim partition of a service needs most of it at full load.
+const platformRate = 120
+
 // flushTimeout bounds the recording of the last outcomes at a stop.
 const flushTimeout = 5 * time.Second
 
@@ -29,12 +34,19 @@
 	}
 }
 
+// dump is the state dump of the process.
+type dump struct {
+	agent.State
+	Config config.FollowerState `json:"config"`
+	Claims claims.Stats         `json:"claims"`
+}
+
 func run(s *settings.Agent) error {
 	p := daemon.NewProcess(message.Identity{
 		Role: message.RoleAgent, Name: s.Name, AvailabilityZone: s.AvailabilityZone,
 		Address: s.Advertise, Pool: s.Pool,
 	})
-	store := platform.NewClient(s.PlatformAddress, platform.Options{})
+	store := platform.NewClient(s.PlatformAddress, platform.Options{Rate: platformRate})
 	owned := claims.NewService(store, claims.Config{}, claims.NewOwner())
 	a := agent.New(agent.Options{
 		Identity: p.Identity,
@@ -44,18 +56,22 @@
 		Logger:   p.Logger,
 		Metrics:  p.Metrics.Scope,
 	})
-	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, a); err != nil {
-		return err
-	}
-	if err := p.OpenAdmin(s.AdminAddress, a.Ready, func() any { return a.State() }); err != nil {
+	follower := p.NewConfigFollower(store, a.Configure)
+	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, follower.Wrap(a)); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if err := p.OpenAdmin(s.AdminAddress, a.Ready, func() any {
+		held, _ := owned.Stats(ctx)
+		return dump{a.State(), follower.State(), held}
+	}); err != nil {
+		return err
+	}
 	go a.Run()
 	go a.WatchHealth(ctx)
 	go owned.Run(ctx)
-	go daemon.FollowConfig(ctx, store, p.Logger, a.Configure)
+	go follower.Run(ctx)
 	for _, entry := range s.Entries {
 		p.Dial(entry)
 	}
--- a/cmd/gentiantrail-entry/main.go
+++ b/cmd/gentiantrail-entry/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/daemon"
 	"github.com/gentiantrail/gentiantrail/internal/entry"
 	"github.com/gentiantrail/gentiantrail/internal/message"
@@ -25,6 +26,12 @@
 	}
 }
 
+// dump is the state dump of the process.
+type dump struct {
+	entry.State
+	Config config.FollowerState `json:"config"`
+}
+
 func run(s *settings.Entry) error {
 	p := daemon.NewProcess(message.Identity{
 		Role: message.RoleEntry, Name: s.Name, AvailabilityZone: s.AvailabilityZone, Address: s.Advertise,
@@ -36,17 +43,18 @@
 		Logger:      p.Logger,
 		Metrics:     p.Metrics.Scope,
 	})
-	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, e); err != nil {
+	store := platform.NewClient(s.PlatformAddress, platform.Options{})
+	follower := p.NewConfigFollower(store, e.Configure)
+	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, follower.Wrap(e)); err != nil {
 		return err
 	}
-	if err := p.OpenAdmin(s.AdminAddress, e.Ready, func() any { return e.State() }); err != nil {
+	if err := p.OpenAdmin(s.AdminAddress, e.Ready, func() any { return dump{e.State(), follower.State()} }); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.Run()
-	store := platform.NewClient(s.PlatformAddress, platform.Options{})
-	go daemon.FollowConfig(ctx, store, p.Logger, e.Configure)
+	go follower.Run(ctx)
 	for _, peer := range s.Peers {
 		p.Dial(peer)
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -262,6 +262,7 @@
 	h.request(1, "/held", nil)
 	h.waitRuns("/held", 1)
 	h.request(2, "/queued", nil)
+	h.request(4, "/forgotten", nil)
 	h.agent.Down(h.entry, io.EOF)
 	again := h.link(1)
 	assert.Assert(t, h.withdraw(again, 2), "the entry learns over a new link that it did not run")
@@ -270,6 +271,7 @@
 	h.request(3, "/free", nil)
 	assert.Equal(t, h.final(3), apierr.KindNone)
 	assert.Equal(t, h.target.ran("/queued"), 0)
+	assert.Equal(t, h.target.ran("/forgotten"), 0)
 }
 
 func TestDrainAndStopRefuseNewWorkAndEndWhatRuns(t *testing.T) {
--- a/internal/agent/claim.go
+++ b/internal/agent/claim.go
@@ -39,7 +39,8 @@
 	case claims.Claimed:
 		r.claimed = true
 		r.token = result.Token
-		return runnable(result)
+		r.runBefore = result.RunBefore
+		return nil
 	case claims.Answered:
 		return r.replay(result.Answer)
 	case claims.AnswerNotKept:
@@ -51,14 +52,6 @@
 	}
 }
 
-// runnable refuses a claim that was decided so late that its key may be forgotten.
-func runnable(result claims.Result) *apierr.Error {
-	if time.Now().Before(result.RunBefore) {
-		return nil
-	}
-	return apierr.New(apierr.KindClaimUnavailable, "the claim was decided too late")
-}
-
 // replay sends the recorded answer of an earlier run.
 func (r *run) replay(answer *claims.Answer) *apierr.Error {
 	headers := append([]message.Header{{Name: headerReplayed, Value: "true"}}, answer.Headers...)
@@ -81,25 +74,28 @@
 // releaseTimeout bounds the wait until a released claim is durable.
 const releaseTimeout = 500 * time.Millisecond
 
-// record writes the outcome of a claimed run. It waits until a release is durable,
-// so that the caller's next attempt at another agent finds the key free.
+// record writes the outcome of a claimed run. A run whose outcome is unknown stays
+// in progress. A release is durable before the caller's next attempt at another
+// agent, so that it finds the key free.
 func (a *Agent) record(r *run, err *apierr.Error) {
 	if !r.claimed {
 		return
 	}
-	outcome := claims.Outcome{Ran: ran(r, err)}
-	if r.kept.complete && !r.kept.tooLarge {
-		outcome.Answer = &claims.Answer{Status: r.kept.status, Headers: r.kept.headers, Body: r.kept.body}
-	}
-	a.opts.Claims.Record(r.token, outcome)
-	if !outcome.Ran {
+	switch {
+	case r.kept.complete:
+		a.opts.Claims.Record(r.token, claims.Outcome{Ran: true, Answer: r.kept.answer()})
+	case neverRan(r, err):
+		a.opts.Claims.Record(r.token, claims.Outcome{})
 		ctx, cancel := context.WithTimeout(a.parent, releaseTimeout)
 		defer cancel()
 		_ = a.opts.Claims.Flush(ctx)
 	}
 }
 
-// ran tells whether a claimed request may have reached its target.
-func ran(r *run, err *apierr.Error) bool {
-	return phase(r.phase.Load()) == phaseStarted && (err == nil || err.Answer().Outcome != apierr.OutcomeNotRun)
+// neverRan tells whether a claimed request provably did not reach its target.
+func neverRan(r *run, err *apierr.Error) bool {
+	if phase(r.phase.Load()) != phaseStarted {
+		return true
+	}
+	return err != nil && err.Answer().Outcome == apierr.OutcomeNotRun
 }
--- a/internal/agent/kept.go
+++ b/internal/agent/kept.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 
+	"github.com/gentiantrail/gentiantrail/internal/claims"
 	"github.com/gentiantrail/gentiantrail/internal/message"
 )
 
@@ -35,6 +36,14 @@
 	k.body = append(k.body, p...)
 }
 
+// answer returns the complete answer, or nil if it is too large to be recorded.
+func (k *keptAnswer) answer() *claims.Answer {
+	if k.tooLarge {
+		return nil
+	}
+	return &claims.Answer{Status: k.status, Headers: k.headers, Body: k.body}
+}
+
 // readRest reads the rest of a body that nobody waits for.
 func (k *keptAnswer) readRest(body io.Reader) {
 	buf := make([]byte, maxKeptBody)
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -24,6 +24,8 @@
 	// claimed tells that token is held and the outcome must be recorded.
 	claimed bool
 	token   claims.Token
+	// runBefore is when a claimed key may be forgotten; a run must begin earlier.
+	runBefore time.Time
 	// replayed tells that the claim stage found a recorded answer and sent it.
 	replayed bool
 	resp     *target.Response
@@ -51,15 +53,17 @@
 
 // begin passes the point of no return; a withdrawn job ends here.
 func begin(_ *Agent, r *run) *apierr.Error {
-	if time.Now().After(r.deadline) {
-		if r.withdraw() {
-			return apierr.New(apierr.KindDeadlineUnreachable, "the deadline passed before the request started")
-		}
-	}
-	if !r.start() {
+	now := time.Now()
+	switch {
+	case now.After(r.deadline) && r.withdraw():
+		return apierr.New(apierr.KindDeadlineUnreachable, "the deadline passed before the request started")
+	case r.claimed && !now.Before(r.runBefore) && r.withdraw():
+		return apierr.New(apierr.KindClaimUnavailable, "the key's window may have passed")
+	case !r.start():
 		return apierr.New(apierr.KindWithdrawn, "")
+	default:
+		return nil
 	}
-	return nil
 }
 
 // end sends the final frame and reports the result to the control goroutine.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -178,6 +178,19 @@
 	}
 }
 
+func TestStreamThatLosesItsTailDoesNotLookComplete(t *testing.T) {
+	s := newServer(t)
+	s.addAgent("agent", func(p *linktest.Peer, m message.Message) {
+		if req, ok := m.(*message.Request); ok {
+			s.entry.Message(p, &message.ResponseHead{ID: req.ID, Status: 200, Length: -1})
+			s.entry.Message(p, &message.ResponseData{ID: req.ID, Data: []byte("ab")})
+			s.entry.Message(p, &message.ResponseEnd{ID: req.ID, Length: 4, Load: warm})
+		}
+	})
+	got := s.call("POST", "/svc/once")
+	assert.Assert(t, got.readErr != nil, "looked complete with %q", got.body)
+}
+
 func TestWholeStreamIsComplete(t *testing.T) {
 	s := newServer(t)
 	s.addAgent("agent", stream(s.entry, piece(0, "ab"), piece(2, "cd")))
@@ -348,6 +361,7 @@
 		}
 		return poll.Continue("still ready")
 	}, poll.WithTimeout(patience), poll.WithDelay(time.Millisecond))
+	time.Sleep(5 * tickInterval) // an entry that does not wait would end now
 	refused := s.call("GET", "/svc/y")
 	assert.Equal(t, refused.header.Get("Gentiantrail-Error"), apierr.KindDraining.String())
 	assert.Assert(t, refused.header.Get("Retry-After") != "")
