--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -39,7 +39,7 @@
 	maxPeerAsks = 3
 	// helpGrace is the time in which a peer that is behind may catch up by itself;
 	// it doubles up to maxHelpWait as long as the peer stays at its revision.
-	helpGrace   = time.Second
+	helpGrace   = 250 * time.Millisecond
 	maxHelpWait = time.Minute
 	// fanout is the number of peers to which a new revision is announced.
 	fanout = 4
