--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -103,26 +103,22 @@
 	return false
 }
 
-// Link forwards links to the process at addr; sources are read from their Hello.
-// It returns the forwarder's address.
-func (n *Network) Link(listen, addr string, to Names) (string, error) {
-	return n.serve(listen, addr, func(in io.Reader) (io.Reader, Names) { return sniffHello(in) }, to)
+// Link forwards links that ln accepts to the process at addr; sources are read
+// from their Hello.
+func (n *Network) Link(ln net.Listener, addr string, to Names) {
+	n.serve(ln, addr, sniffHello, to)
 }
 
-// From forwards connections of the source from to the process at addr. It returns
-// the forwarder's address.
-func (n *Network) From(listen string, from Names, addr string, to Names) (string, error) {
-	return n.serve(listen, addr, func(in io.Reader) (io.Reader, Names) { return in, from }, to)
+// From forwards connections of the source from that ln accepts to the process at
+// addr.
+func (n *Network) From(ln net.Listener, from Names, addr string, to Names) {
+	n.serve(ln, addr, func(in io.Reader) (io.Reader, Names) { return in, from }, to)
 }
 
 // identify finds the source of a connection and returns what is left to forward.
 type identify func(in io.Reader) (rest io.Reader, from Names)
 
-func (n *Network) serve(listen, addr string, who identify, to Names) (string, error) {
-	ln, err := net.Listen("tcp", listen)
-	if err != nil {
-		return "", err
-	}
+func (n *Network) serve(ln net.Listener, addr string, who identify, to Names) {
 	n.own(ln)
 	go func() {
 		for {
@@ -133,7 +129,6 @@
 			go n.connect(in, addr, who, to)
 		}
 	}()
-	return ln.Addr().String(), nil
 }
 
 // connect forwards one connection both ways. Until its source is known, bytes
--- a/internal/standin/forwarder/forwarder_test.go
+++ b/internal/standin/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -35,8 +36,10 @@
 	t.Cleanup(network.Close)
 	server := node(t, "server", "sk-c")
 	assert.NilError(t, server.Listen("127.0.0.1:0"))
-	addr, err := network.Link("127.0.0.1:0", server.Addr(), Names{"server", "sk-c"})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	addr := ln.Addr().String()
+	network.Link(ln, server.Addr(), Names{"server", "sk-c"})
 	a, b := node(t, "a", "sk-a"), node(t, "b", "sk-b")
 	a.Dial(addr)
 	b.Dial(addr)
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -146,12 +146,22 @@
 
 // freeAddr returns an address that nothing listens on. It is handed out once.
 func freeAddr() (string, error) {
+	ln, err := freeListener()
+	if err != nil {
+		return "", err
+	}
+	return ln.Addr().String(), ln.Close()
+}
+
+// freeListener listens on an address of its own. A listener that was closed must
+// not be opened again here: a process that is being started may hold a copy of it
+// until its program runs.
+func freeListener() (net.Listener, error) {
 	for range portCount {
 		addr := fmt.Sprintf("%s:%d", host, firstPort+portsTaken.Add(1)%portCount)
 		if ln, err := net.Listen("tcp", addr); err == nil {
-			_ = ln.Close()
-			return addr, nil
+			return ln, nil
 		}
 	}
-	return "", errors.New("no free port")
+	return nil, errors.New("no free port")
 }
--- a/test/scenario/start_test.go
+++ b/test/scenario/start_test.go
@@ -130,13 +130,13 @@
 	if addr := c.links[zone]; addr != "" {
 		return addr, nil
 	}
-	listen, err := freeAddr()
+	ln, err := freeListener()
 	if err != nil {
 		return "", err
 	}
-	addr, err := c.network.From(listen, forwarder.Names{zone}, c.platform, forwarder.Names{"platform"})
-	c.links[zone] = addr
-	return addr, err
+	c.network.From(ln, forwarder.Names{zone}, c.platform, forwarder.Names{"platform"})
+	c.links[zone] = ln.Addr().String()
+	return c.links[zone], nil
 }
 
 func (c *cluster) startEntry(name, zone string) error {
@@ -144,16 +144,19 @@
 	if err != nil {
 		return err
 	}
-	addrs := make([]string, 4)
+	addrs := make([]string, 3)
 	for i := range addrs {
 		if addrs[i], err = freeAddr(); err != nil {
 			return err
 		}
 	}
-	listen, linkAddr, forwarded, admin := addrs[0], addrs[1], addrs[2], addrs[3]
-	if _, err := c.network.Link(forwarded, linkAddr, forwarder.Names{name, zone}); err != nil {
+	listen, linkAddr, admin := addrs[0], addrs[1], addrs[2]
+	ln, err := freeListener()
+	if err != nil {
 		return err
 	}
+	forwarded := ln.Addr().String()
+	c.network.Link(ln, linkAddr, forwarder.Names{name, zone})
 	var peers []string
 	for _, e := range c.ofKind(kindEntry, "") {
 		peers = append(peers, e.advertise)
