Wait past the linger before checking that a stopping entry waits for its requests

Cause: the test looked before an entry that does not wait could have ended; a trial without the wait for requests passed. Ruled out: nothing. Change: the test sleeps past the linger. Before: the trial passes. After: the trial fails the test, the code passes. Conclusion: none.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -361,7 +361,7 @@
 		}
 		return poll.Continue("still ready")
 	}, poll.WithTimeout(patience), poll.WithDelay(time.Millisecond))
-	time.Sleep(5 * tickInterval) // an entry that does not wait would end now
+	time.Sleep(stopLinger + 5*tickInterval) // an entry that does not wait would end now
 	refused := s.call("GET", "/svc/y")
 	assert.Equal(t, refused.header.Get("Gentiantrail-Error"), apierr.KindDraining.String())
 	assert.Assert(t, refused.header.Get("Retry-After") != "")
