Probe a target's limit upwards, step back under strain; prove that it never falls

Cause: the first warm-up took a step every few completions and only held its limit under strain.

Change: a step is kept only if an epoch at the new limit is about as fast as the level before; else it is taken back. The completions between steps follow what the last one needed. A limit that was reached after failed steps is checked against three quarters of it, because a target's own warming hides the strain of a limit that grows along. Latencies are compared as logarithms per unit of work, over as many requests as their spread asks for.

A single slow-streak counter for completions and progress hid slow completions.

--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,49 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+)
+
+// TestOnlySafeRetries goes through every kind, outcome and kind of request.
+func TestOnlySafeRetries(t *testing.T) {
+	for _, kind := range apierr.Kinds() {
+		for _, outcome := range []apierr.Outcome{apierr.OutcomeUnknown, apierr.OutcomeNotRun, apierr.OutcomeRan} {
+			for _, idempotent := range []bool{false, true} {
+				a := Attempt{Kind: kind, Outcome: outcome, Idempotent: idempotent, Attempts: 1, Remaining: time.Second}
+				full, empty := NewBudget(0.1, 10), NewBudget(0.1, 0)
+				allowed := Allowed(a, full)
+				if outcome != apierr.OutcomeNotRun {
+					assert.Assert(t, idempotent || !allowed, "%v/%v may run twice", kind, outcome)
+					assert.Assert(t, !Allowed(a, empty), "%v/%v is outside the budget", kind, outcome)
+				} else {
+					assert.Equal(t, allowed, kind.Answer().RetryInside, "%v", kind)
+					assert.Equal(t, full.Tokens(), 10.0, "a request that did not run costs nothing")
+				}
+				a.HeadSent = true
+				assert.Assert(t, !Allowed(a, full), "%v after a part of the answer", kind)
+				a.HeadSent, a.Attempts = false, MaxAttempts
+				assert.Assert(t, !Allowed(a, full))
+				a.Attempts, a.Expected = 1, time.Second
+				assert.Assert(t, !Allowed(a, full), "no time is left")
+			}
+		}
+	}
+}
+
+func TestBudgetIsAShareOfSuccess(t *testing.T) {
+	b := NewBudget(DefaultRatio, DefaultBurst)
+	repeats := 0
+	for range 1000 {
+		b.Succeeded()
+		for b.Take() {
+			repeats++
+		}
+	}
+	assert.Assert(t, repeats <= 1000*DefaultRatio+DefaultBurst, "%d repeats", repeats)
+	assert.Assert(t, !b.Take(), "without success there is no repeat")
+}
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -1,11 +1,16 @@
 // Package warmup decides how many requests a target may run at once.
 //
-// A Limiter starts at the pool's cold limit and grows step by step up to the
-// pool's limit. A step is taken only after a full epoch of requests that started
-// and completed at the present limit, with the limit in use and the latency
-// good: time alone never raises it. A new engine start, a reported cold state, a
-// failed request, or latency far above the target's own baseline puts it back to
-// the cold limit.
+// A Limiter starts at the pool's cold limit and probes its way up to the pool's
+// limit. It steps up only after enough requests have completed, and keeps the
+// step only if an epoch of requests that ran at the new limit was about as fast
+// as before; otherwise it steps back and waits for more completions. The number
+// of completions between steps follows what the last steps needed, so that a
+// target that warms slowly is probed slowly. Time alone never raises the limit. A
+// new engine start, a reported cold state, a failed request, or latency far above
+// the target's own puts it back to the cold limit.
+//
+// What a Limiter cannot see, it cannot avoid: a target that gives no sign of
+// strain in its latency before it fails is safe only up to its cold limit.
 package warmup
 
 import (
@@ -23,23 +28,28 @@
 }
 
 const (
-	// minEpochSamples is the least number of completions that judge a limit.
-	minEpochSamples = 8
 	// growthDivisor sets a step's size: limit/growthDivisor, at least one request.
 	growthDivisor = 16
-	// goodRatio is the highest epoch latency, in best epochs, at which the limit grows.
-	goodRatio = 1.25
-	// coldRatio is the epoch latency, in best epochs, from which the target counts as cold.
-	coldRatio = 2.5
-	// bestDrift lets the best epoch age, so that a lasting change of workload is accepted.
-	bestDrift = 1.02
-	// relearnShare is the weight of a bad epoch at the cold limit in the best one.
-	relearnShare = 0.25
-	// baselineShare is the weight of one request in the baseline.
-	baselineShare = 1.0 / 32
-	// slowRatio is the latency, in baselines, from which one request counts as slow.
+	// firstPace is the number of completions before the first step.
+	firstPace = 8
+	// minPace is the least number of completions between two steps.
+	minPace = 4
+	// maxPace bounds the completions between two steps.
+	maxPace = 96
+	// paceGain scales what the last step needed into what the next one waits for.
+	paceGain = 0.75
+	// smallLimit is the limit below which one step may pass over the whole range
+	// between the first strain and failure, so that each step waits for its pace.
+	smallLimit = 6
+	// checkShare is the share of the limit, in percent, that a check lowers it to.
+	checkShare = 75
+	// contrastRatio is the latency, against that at checkShare, from which a limit is strained.
+	contrastRatio = 1.25
+	// slowRatio is the latency, against the usual, from which one observation counts as slow.
 	slowRatio = 3.0
-	// slowInRow is the number of slow requests in a row that mark a cold target.
+	// slowDeviations is the same in standard deviations; the larger of both counts.
+	slowDeviations = 2.5
+	// slowInRow is the number of slow observations in a row that mark a cold target.
 	slowInRow = 3
 )
 
@@ -70,32 +80,40 @@
 type Limiter struct {
 	cfg   Config
 	limit int
+	// confirmed is the highest limit that an epoch has shown to be good.
+	confirmed int
+	// since counts completions since confirmed last changed.
+	since int
+	// probed counts completions since the last step up.
+	probed int
+	// settled tells that the present limit was judged good.
+	settled bool
+	// failed tells that a step was taken back since confirmed last changed.
+	failed bool
+	// checking tells that the limit is lowered to check the limit checked, at which
+	// the mean logarithm of latencies was atLimit.
+	checking bool
+	checked  int
+	atLimit  float64
+	// pace is the value of since from which the next step is taken.
+	pace int
 	// startID is the engine start that the limit was learned on; zero before the first report.
 	startID uint64
 	// cold is the engine's last reported cold state.
-	cold  bool
+	cold bool
+	// epoch judges the present limit.
 	epoch epoch
-	// best is the lowest epoch latency, slowly ageing; zero before the first.
-	best float64
-	// baseline is the smoothed latency of all requests; zero before the first.
-	baseline float64
-	// slow counts slow requests in a row.
-	slow int
-}
-
-// epoch gathers what is known about the present limit: requests that started
-// after it was set, and at a time when it was fully used.
-type epoch struct {
-	start     time.Duration
-	completed int
-	latency   float64
+	// latency is what is known about the target's latency.
+	latency latency
+	// slow and slowSteps count slow requests and slow steps of requests.
+	slow, slowSteps streak
 }
 
 // New returns a Limiter at the cold limit.
 func New(cfg Config) *Limiter {
 	l := &Limiter{}
 	l.Configure(cfg)
-	l.limit = l.cfg.ColdLimit
+	l.drop(0)
 	return l
 }
 
@@ -106,6 +124,7 @@
 	cfg.ColdLimit = min(max(cfg.ColdLimit, 1), cfg.Limit)
 	l.cfg = cfg
 	l.limit = min(max(l.limit, cfg.ColdLimit), cfg.Limit)
+	l.confirmed = min(max(l.confirmed, cfg.ColdLimit), cfg.Limit)
 }
 
 // Limit returns the number of requests that the target may run at once.
@@ -135,22 +154,24 @@
 	return true
 }
 
-// Finished takes in a completed request and returns true if the limit fell.
+// Finished takes in a completed request and returns true if the limit fell back.
 func (l *Limiter) Finished(now time.Duration, s Sample) bool {
 	if !s.OK || l.isSlow(s) {
 		l.drop(now)
 		return true
 	}
-	l.learnBaseline(s.latency())
+	l.since++
+	l.probed++
+	l.latency.add(s.latency())
+	l.stepUp(now)
 	if s.StartedAt < l.epoch.start || s.Running < l.limit {
 		return false
 	}
-	l.epoch.completed++
-	l.epoch.latency += s.latency()
-	if l.epoch.completed < max(l.limit, minEpochSamples) {
+	l.epoch.add(s.latency())
+	if l.epoch.samples < l.latency.samplesNeeded() {
 		return false
 	}
-	return l.endEpoch(now)
+	return l.judge(now)
 }
 
 // Progress takes in the latency of one step of a running request, as a ratio to
@@ -158,7 +179,7 @@
 // over the usual gap. It shows a target that turned cold before any request
 // completes. It returns true if the limit fell.
 func (l *Limiter) Progress(now time.Duration, ratio float64) bool {
-	if !l.countSlow(ratio >= slowRatio) {
+	if l.limit == l.cfg.ColdLimit || !l.slowSteps.add(ratio >= slowRatio) {
 		return false
 	}
 	l.drop(now)
@@ -168,63 +189,36 @@
 // isSlow tells whether s is the last of too many slow requests in a row. At the
 // cold limit there is nothing to fall from.
 func (l *Limiter) isSlow(s Sample) bool {
-	if l.baseline == 0 || l.limit == l.cfg.ColdLimit {
+	if l.limit == l.cfg.ColdLimit {
 		return false
 	}
-	return l.countSlow(s.latency() >= slowRatio*l.baseline)
+	return l.slow.add(l.latency.unusual(s.latency()))
 }
 
-func (l *Limiter) learnBaseline(latency float64) {
-	if l.baseline == 0 {
-		l.baseline = latency
-		return
-	}
-	l.baseline += baselineShare * (latency - l.baseline)
-}
+// streak counts slow observations in a row.
+type streak int
 
-// countSlow returns true at the last of slowInRow slow observations.
-func (l *Limiter) countSlow(slow bool) bool {
+// add returns true at the last of slowInRow slow observations.
+func (n *streak) add(slow bool) bool {
 	if !slow {
-		l.slow = 0
+		*n = 0
 		return false
 	}
-	l.slow++
-	return l.slow >= slowInRow
-}
-
-// endEpoch judges the present limit and starts the next epoch. At the cold limit
-// a worse latency is learned as the new best, so that a lasting change of the
-// workload cannot hold the limit down for good.
-func (l *Limiter) endEpoch(now time.Duration) bool {
-	mean := l.epoch.latency / float64(l.epoch.completed)
-	l.epoch = epoch{start: now}
-	switch {
-	case l.best == 0:
-		l.best = mean
-		l.grow()
-	case mean <= goodRatio*l.best:
-		l.best = min(l.best*bestDrift, mean)
-		l.grow()
-	case l.limit == l.cfg.ColdLimit:
-		l.best += relearnShare * (mean - l.best)
-	case mean >= coldRatio*l.best:
-		l.drop(now)
-		return true
-	default:
-		l.best *= bestDrift
-	}
-	return false
+	*n++
+	return *n >= slowInRow
 }
 
-func (l *Limiter) grow() {
-	l.limit = min(l.limit+max(1, l.limit/growthDivisor), l.cfg.Limit)
-}
-
-// drop puts the limit back to the cold limit. The baseline is kept: it is the
-// latency of the warm target.
+// drop puts the limit back to the cold limit. After a step that was not
+// confirmed yet, the completions so far still count for the pace of the next one.
 func (l *Limiter) drop(now time.Duration) {
-	l.limit = l.cfg.ColdLimit
+	probing := l.limit > l.confirmed
+	l.limit, l.confirmed = l.cfg.ColdLimit, l.cfg.ColdLimit
+	l.settled, l.failed, l.checking = false, probing, false
+	if !probing {
+		l.since = 0
+	}
+	l.pace = l.since + max(l.since/4, firstPace)
 	l.epoch = epoch{start: now}
-	l.best = 0
-	l.slow = 0
+	l.latency.forget()
+	l.slow, l.slowSteps = 0, 0
 }
--- /dev/null
+++ b/internal/warmup/limiter_test.go
@@ -0,0 +1,87 @@
+package warmup
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+var pool = Config{Limit: 16, ColdLimit: 2}
+
+// serve completes n requests of one latency at full use, one second apart.
+func serve(l *Limiter, now *time.Duration, n int, latency time.Duration) {
+	for range n {
+		*now += time.Second
+		l.Finished(*now, Sample{StartedAt: *now, Running: l.Limit(), ServiceTime: latency, OK: true})
+	}
+}
+
+func warm(t *testing.T) (*Limiter, *time.Duration) {
+	l, now := New(pool), new(time.Duration)
+	l.Report(0, 1, true)
+	l.Report(0, 1, false)
+	serve(l, now, 1000, time.Second)
+	assert.Equal(t, l.Limit(), pool.Limit)
+	assert.Equal(t, l.State(), message.TargetWarm)
+	return l, now
+}
+
+func TestLimitNeedsCompletedWorkAtFullUse(t *testing.T) {
+	l := New(pool)
+	for i := range 1000 {
+		now := time.Duration(i) * time.Minute
+		l.Report(now, 1, false)
+		l.Finished(now, Sample{StartedAt: now, Running: 1, ServiceTime: time.Second, OK: true})
+	}
+	assert.Equal(t, l.Limit(), pool.ColdLimit, "a target that never was fully used has shown nothing")
+	assert.Equal(t, l.State(), message.TargetCold)
+}
+
+func TestLimitStepsBackUnderStrain(t *testing.T) {
+	l, now := New(pool), new(time.Duration)
+	highest := 0
+	for range 2000 {
+		latency := time.Second
+		if l.Limit() > 6 {
+			latency = 1500 * time.Millisecond
+		}
+		serve(l, now, 1, latency)
+		highest = max(highest, l.Limit())
+	}
+	assert.Equal(t, highest, 7, "one step beyond the strain is the most that a probe takes")
+}
+
+func TestLimitDropsToColdLimit(t *testing.T) {
+	causes := []struct {
+		name string
+		fail func(l *Limiter, now time.Duration)
+	}{
+		{"failed request", func(l *Limiter, now time.Duration) { l.Finished(now, Sample{}) }},
+		{"new engine start", func(l *Limiter, now time.Duration) { l.Report(now, 2, false) }},
+		{"reported cold", func(l *Limiter, now time.Duration) { l.Report(now, 1, true) }},
+		{"slow requests", func(l *Limiter, now time.Duration) { serve(l, &now, slowInRow, 4*time.Second) }},
+		{"slow steps", func(l *Limiter, now time.Duration) {
+			for range slowInRow {
+				l.Progress(now, 4)
+			}
+		}},
+	}
+	for _, cause := range causes {
+		t.Run(cause.name, func(t *testing.T) {
+			l, now := warm(t)
+			cause.fail(l, *now)
+			assert.Equal(t, l.Limit(), pool.ColdLimit)
+			serve(l, now, 1000, time.Second)
+			assert.Equal(t, l.Limit(), pool.Limit, "it must warm again")
+		})
+	}
+}
+
+func TestLastingChangeOfWorkloadIsLearned(t *testing.T) {
+	l, now := warm(t)
+	serve(l, now, 2000, 10*time.Second)
+	assert.Equal(t, l.Limit(), pool.Limit)
+}
--- a/test/experiment/agent.go
+++ b/test/experiment/agent.go
@@ -44,15 +44,16 @@
 
 // agent is a fake of the agent process: the door, the engine, and nothing else.
 type agent struct {
-	name    string
-	zone    string
-	pool    string
-	clock   *clock
-	door    door
-	engine  *engine
-	jobs    map[uint64]*job
-	nextID  uint64
-	stopped bool
+	name     string
+	zone     string
+	pool     string
+	clock    *clock
+	door     door
+	engine   *engine
+	jobs     map[uint64]*job
+	nextID   uint64
+	stopped  bool
+	hideWork bool
 }
 
 // offer takes an attempt and returns its number.
@@ -134,7 +135,9 @@
 	work := 1.0
 	if j, ok := a.jobs[id]; ok {
 		first = j.first
-		work = j.req.decode.Seconds()
+		if !a.hideWork {
+			work = j.req.decode.Seconds()
+		}
 	}
 	e := a.door.Finish(a.clock.now, id, admission.Result{ServiceTime: r.service, Work: work, OK: r.ok})
 	if r.ok {
--- a/test/experiment/engine.go
+++ b/test/experiment/engine.go
@@ -28,6 +28,10 @@
 type engineRun struct {
 	done  func(engineResult)
 	ended bool
+	// resident marks a run from before the engine turned cold; it keeps its place.
+	resident bool
+	// factor is the slowdown at the start.
+	factor float64
 }
 
 // engineResult is the end of a run.
@@ -81,11 +85,12 @@
 	}
 	run := &engineRun{done: done}
 	e.runs = append(e.runs, run)
-	if float64(len(e.runs)) > e.bears() {
+	if float64(e.fresh()) > e.bears() {
 		e.fall()
 		return run, 0, true
 	}
 	factor := e.spec.slowdown(float64(len(e.runs)), e.warmth())
+	run.factor = factor
 	first := scale(e.prefill(prefix), factor)
 	service := first + scale(decode, factor)
 	e.clock.after(service, func() { e.complete(run, service) })
@@ -124,6 +129,31 @@
 	e.clock.after(e.spec.restart, e.cold)
 }
 
+// fresh returns the number of runs that count against what the engine bears.
+func (e *engine) fresh() int {
+	n := 0
+	for _, run := range e.runs {
+		if !run.resident {
+			n++
+		}
+	}
+	return n
+}
+
+// turnCold makes a warm engine cold without a restart. What runs already goes on.
+func (e *engine) turnCold() {
+	e.completed = 0
+	e.prefixes = nil
+	for _, run := range e.runs {
+		run.resident = true
+	}
+}
+
+// strain returns the present slowdown against that at the start of run.
+func (e *engine) strain(run *engineRun) float64 {
+	return e.spec.slowdown(float64(len(e.runs)), e.warmth()) / run.factor
+}
+
 // cold puts the engine into the state after a start.
 func (e *engine) cold() {
 	e.down = false
--- a/test/experiment/world.go
+++ b/test/experiment/world.go
@@ -36,6 +36,12 @@
 	FixedDoor bool
 	// UnlimitedRetries repeats every failed attempt until the deadline.
 	UnlimitedRetries bool
+	// Entries is the number of entries in each availability zone; nil means entriesPerZone.
+	Entries []int
+	// Pools are the target pools; nil means drafting and permits.
+	Pools []poolSpec
+	// ColdStart lets all engines start cold.
+	ColdStart bool
 	// Phases are the instants that the run is cut at.
 	Phases Phases
 }
@@ -84,10 +90,16 @@
 
 // run plays a scenario.
 func run(s Scenario) *world {
+	if s.Entries == nil {
+		s.Entries = entriesPerZone
+	}
+	if s.Pools == nil {
+		s.Pools = []poolSpec{draftingPool(), permitPool()}
+	}
 	w := &world{
 		scenario: &s,
 		clock:    newClock(s.Seed),
-		pools:    []poolSpec{draftingPool(), permitPool()},
+		pools:    s.Pools,
 		balancer: rand.New(rand.NewPCG(s.Seed, 1)),
 	}
 	w.buildAgents()
@@ -107,7 +119,9 @@
 		for z, n := range p.targets {
 			for i := range n {
 				a := w.newAgent(fmt.Sprintf("%s-%s-%d", p.name, zones[z], i), zones[z], p)
-				a.engine.completed = p.engine.warmAfter
+				if !w.scenario.ColdStart {
+					a.engine.completed = p.engine.warmAfter
+				}
 				w.agents = append(w.agents, a)
 			}
 		}
@@ -159,7 +173,7 @@
 }
 
 func (w *world) buildEntries() {
-	for z, n := range entriesPerZone {
+	for z, n := range w.scenario.Entries {
 		for i := range n {
 			w.entries = append(w.entries, &entry{
 				name: fmt.Sprintf("entry-%s-%d", zones[z], i), zone: zones[z], world: w,
