--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -100,4 +100,6 @@
 	TypeMapDecide:    func() Message { return new(MapDecide) },
 	TypeMapQuery:     func() Message { return new(MapQuery) },
 	TypeMapState:     func() Message { return new(MapState) },
+	TypeZoneReport:   func() Message { return new(ZoneReport) },
+	TypeMapJoin:      func() Message { return new(MapJoin) },
 }
--- a/internal/routing/zone.go
+++ b/internal/routing/zone.go
@@ -18,7 +18,7 @@
 	known := 0
 	for i := range p.Targets {
 		t := &p.Targets[i]
-		if !t.usable() {
+		if !t.Usable() {
 			continue
 		}
 		g := newGuess(&t.Report, t.Sent)
