--- /dev/null
+++ b/test/capacity/process_test.go
@@ -0,0 +1,102 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const (
+	binDir = "../../bin"
+	// ticksPerSecond is the unit of the processor times in /proc/PID/stat.
+	ticksPerSecond = 100
+	patience       = 20 * time.Second
+)
+
+// daemon is the process under measurement.
+type daemon struct {
+	t   *testing.T
+	cmd *exec.Cmd
+}
+
+// startDaemon runs a program with settings and waits until it is ready.
+func startDaemon(t *testing.T, program, settings string) *daemon {
+	t.Helper()
+	admin := freeAddr(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	text := settings + "admin_address: " + admin + "\nlink_key: " + linkKey + "\n"
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	logs := &bytes.Buffer{}
+	cmd := exec.Command(filepath.Join(binDir, program), "--settings", path)
+	cmd.Stderr = logs
+	assert.NilError(t, cmd.Start())
+	d := &daemon{t: t, cmd: cmd}
+	t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGKILL)
+		_ = cmd.Wait()
+		if t.Failed() {
+			t.Log(logs.String()[max(0, logs.Len()-4000):])
+		}
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + admin + "/readyz")
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return poll.Continue("status %d", resp.StatusCode)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+	return d
+}
+
+// cpu returns the processor time that the daemon has used.
+func (d *daemon) cpu() time.Duration {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.cmd.Process.Pid))
+	assert.NilError(d.t, err)
+	// utime and stime are the 12th and 13th fields after the command's name.
+	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+	user, err := strconv.Atoi(fields[11])
+	assert.NilError(d.t, err)
+	system, err := strconv.Atoi(fields[12])
+	assert.NilError(d.t, err)
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
+// memory returns the daemon's resident memory in MB.
+func (d *daemon) memory() float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
+	assert.NilError(d.t, err)
+	for line := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.Atoi(strings.Fields(rest)[0])
+			assert.NilError(d.t, err)
+			return float64(kb) * 1024 / 1e6
+		}
+	}
+	d.t.Fatal("no VmRSS")
+	return 0
+}
+
+// freeAddr returns a loopback address that nothing listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
