Run expert-map changes in the agents of a group

Cause: the change protocol was a pure state machine without a driver. Ruled out: entries as coordinators (they are not in the group's path), a fixed coordinator rank (it would be a single point). Change: group.Driver carries the protocol over links, lease and engine; ranks register once in the platform; standin/ranks steps a group in lock-step and records the map of each rank in each step. Conclusion: driver stands; the planner is not connected yet.

--- /dev/null
+++ b/internal/group/coordinate.go
@@ -0,0 +1,93 @@
+package group
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/expertmap"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// Settings of the group's coordinator.
+const (
+	changeLead    = 64 // steps
+	resendAfter   = 200 * time.Millisecond
+	pollInterval  = time.Second
+	changeTimeout = 2 * time.Second
+)
+
+// checkLease begins to coordinate when the lease is gained and ends when it is lost.
+func (d *Driver) checkLease(ctx context.Context) {
+	fence, held := d.keeper.Valid()
+	switch {
+	case d.coordinator != nil && (!held || fence != d.fence):
+		d.coordinate(ctx, expertmap.LeaseLost{})
+		d.coordinator = nil
+		d.logEvent("coordinator-ended").Uint64("fence", d.fence).Msg("")
+	case d.coordinator == nil && held && fence != d.fence:
+		d.beginCoordinating(ctx, fence)
+	}
+}
+
+func (d *Driver) beginCoordinating(ctx context.Context, fence uint64) {
+	d.fence = fence
+	d.logEvent("coordinator-began").Uint64("fence", fence).Msg("")
+	c, effects := expertmap.NewCoordinator(expertmap.Config{
+		Group: d.opts.Group, Ranks: d.cfg.Ranks, Initial: d.cfg.Initial, Lead: changeLead,
+		Resend: resendAfter, Poll: pollInterval, ChangeTimeout: changeTimeout,
+	}, fence, d.now())
+	d.coordinator = c
+	d.order(ctx, effects)
+}
+
+// coordinate hands an event to the coordinator and carries out its effects.
+func (d *Driver) coordinate(ctx context.Context, ev expertmap.CoordinatorEvent) {
+	d.order(ctx, d.coordinator.Step(d.now(), ev))
+	if d.coordinator.Phase() == expertmap.PhaseStopped {
+		d.coordinator = nil
+	}
+}
+
+func (d *Driver) order(ctx context.Context, effects []expertmap.CoordinatorEffect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case expertmap.Send:
+			d.sendToRank(ctx, e)
+		case expertmap.Changed:
+			d.logEvent("map-changed").Uint64("version", e.Version).
+				Str("committed", strconv.FormatBool(e.Committed)).Msg("")
+		}
+	}
+}
+
+// sendToRank sends an order while the lease is valid, checked at the last moment.
+func (d *Driver) sendToRank(ctx context.Context, s expertmap.Send) {
+	if fence, held := d.keeper.Valid(); !held || fence != d.fence {
+		return
+	}
+	if s.Rank == d.opts.Rank {
+		d.toRank(ctx, expertmap.Received{From: d.opts.Identity.Name, Message: s.Message})
+		return
+	}
+	m, known := d.members[s.Rank]
+	if !known {
+		return
+	}
+	if p := d.peers[m.Name]; p != nil {
+		_ = p.Send(s.Message)
+	}
+}
+
+// respond carries a rank's answer to the coordinator named to.
+func (d *Driver) respond(ctx context.Context, to string, m message.Message) {
+	if to == d.opts.Identity.Name {
+		if d.coordinator != nil {
+			d.coordinate(ctx, expertmap.FromRank{Message: m})
+		}
+		return
+	}
+	if p := d.peers[to]; p != nil {
+		_ = p.Send(m)
+	}
+}
--- /dev/null
+++ b/internal/group/event.go
@@ -0,0 +1,87 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/expertmap"
+	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// event changes the driver's state; apply runs on the driver's goroutine only.
+type event interface {
+	apply(ctx context.Context, d *Driver)
+}
+
+type (
+	peerUp   struct{ peer link.Peer }
+	peerDown struct{ peer link.Peer }
+	received struct {
+		from string
+		m    message.Message
+	}
+	configured  struct{ cfg Config }
+	proposed    struct{ m []byte }
+	registered  struct{ members []Member }
+	engineSeen  struct{ began time.Time }
+	rankStarted struct {
+		began  time.Time
+		start  expertmap.RankStart
+		engine expertmap.EngineState
+	}
+	loaded struct {
+		incarnation uint64
+		version     uint64
+		err         error
+	}
+	ordered struct {
+		incarnation uint64
+		reply       expertmap.Reply
+		err         error
+	}
+)
+
+func (ev peerUp) apply(_ context.Context, d *Driver) {
+	d.peers[ev.peer.Identity().Name] = ev.peer
+	d.hello(ev.peer)
+}
+
+func (ev peerDown) apply(_ context.Context, d *Driver) {
+	name := ev.peer.Identity().Name
+	if d.peers[name] == ev.peer {
+		delete(d.peers, name)
+	}
+}
+
+func (ev received) apply(ctx context.Context, d *Driver) {
+	switch ev.m.(type) {
+	case *message.MapState, *message.MapPromise:
+		if d.coordinator != nil {
+			d.coordinate(ctx, expertmap.FromRank{Message: ev.m})
+		}
+	default:
+		d.toRank(ctx, expertmap.Received{From: ev.from, Message: ev.m})
+	}
+}
+
+func (ev configured) apply(ctx context.Context, d *Driver) {
+	if d.cfg == nil {
+		d.begin(ctx, ev.cfg)
+	}
+}
+
+func (ev proposed) apply(ctx context.Context, d *Driver) {
+	if d.coordinator != nil {
+		d.coordinate(ctx, expertmap.Propose{Map: ev.m})
+	}
+}
+
+func (ev registered) apply(_ context.Context, d *Driver) {
+	for _, m := range ev.members {
+		d.members[m.Rank] = m
+		if m.Rank != d.opts.Rank && d.peers[m.Name] == nil {
+			d.opts.Dial(m.Address)
+		}
+	}
+}
--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,170 @@
+// Package group runs expert-map changes for one rank of an expert-parallel group.
+//
+// A Driver belongs to the rank's agent. It carries the orders of package
+// expertmap to the rank's engine, competes for the group's lease, and, while it
+// holds the lease, coordinates the changes of all ranks. The ranks of a group find
+// each other through objects that each agent writes once at its start.
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/gentiantrail/gentiantrail/internal/expertmap"
+	"github.com/gentiantrail/gentiantrail/internal/lease"
+	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/platform"
+)
+
+const (
+	// tickInterval is the period of the driver's housekeeping.
+	tickInterval = 50 * time.Millisecond
+	// registryInterval is the period of reading the group's members.
+	registryInterval = 5 * time.Second
+	// leaseTerm is the term of a group's lease.
+	leaseTerm = 3 * time.Second
+	// engineInterval is the period of looking for a restart of the engine.
+	engineInterval = 250 * time.Millisecond
+	// engineClockSlack covers the error of an engine's start time as it is measured.
+	engineClockSlack = 100 * time.Millisecond
+	// startRetry is the pause between two attempts to start the rank.
+	startRetry = 500 * time.Millisecond
+	// releaseTimeout bounds giving the lease up at a stop.
+	releaseTimeout = 2 * time.Second
+	// eventQueue bounds the events that wait for the driver.
+	eventQueue = 256
+)
+
+// Options describe one rank of a group.
+type Options struct {
+	// Group is the group's name, Rank this rank's number from 0.
+	Group string
+	Rank  int
+	// Identity is the agent's identity.
+	Identity message.Identity
+	// Store is the platform's store.
+	Store platform.Store
+	// Engine is the rank's engine.
+	Engine Engine
+	// Dial keeps a link to another agent alive.
+	Dial func(addr string)
+	// Logger receives one line for each event.
+	Logger *log.Logger
+}
+
+// Config is what the configuration says of the group.
+type Config struct {
+	// Ranks is the number of ranks.
+	Ranks int
+	// Initial is the map of a group whose ranks hold none.
+	Initial []byte
+	// ChecksFencing tells that the engine refuses orders with an old fencing number.
+	ChecksFencing bool
+}
+
+// Driver runs one rank's part of its group.
+type Driver struct {
+	opts   Options
+	start  time.Time
+	keeper *lease.Keeper
+	events chan event
+
+	// cfg is nil until the first configuration; the driver waits for it.
+	cfg         *Config
+	rank        *expertmap.Rank
+	incarnation uint64
+	starting    bool
+	engineBegan time.Time
+	coordinator *expertmap.Coordinator
+	fence       uint64
+	peers       map[string]link.Peer
+	members     map[int]Member
+
+	mu    sync.Mutex
+	state State
+}
+
+// New returns a Driver; Run starts it.
+func New(opts Options) *Driver {
+	key := "leases/" + opts.Group
+	seed := opts.Identity.Incarnation
+	return &Driver{
+		opts:    opts,
+		start:   time.Now(),
+		keeper:  lease.NewKeeper(opts.Store, key, lease.Config{Term: leaseTerm}, holderID(opts.Identity), seed),
+		events:  make(chan event, eventQueue),
+		peers:   make(map[string]link.Peer),
+		members: make(map[int]Member),
+	}
+}
+
+// Propose asks the group's coordinator, if it is this process, for a change to m.
+func (d *Driver) Propose(m []byte) { d.post(proposed{m: m}) }
+
+// Configure begins the driver's work. The first configuration stands until the
+// process ends, as all ranks of a group must agree on it.
+func (d *Driver) Configure(c Config) { d.events <- configured{cfg: c} }
+
+// Run drives the rank until ctx ends; then it gives the lease up.
+func (d *Driver) Run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case ev := <-d.events:
+			ev.apply(ctx, d)
+		case <-d.keeper.Changes():
+			d.checkLease(ctx)
+		case <-tick.C:
+			d.tick(ctx)
+		case <-ctx.Done():
+		}
+		d.publish()
+	}
+	if d.cfg == nil {
+		return
+	}
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	d.keeper.Release(release)
+}
+
+// now returns the time since the driver's start, as package expertmap counts it.
+func (d *Driver) now() time.Duration { return time.Since(d.start) }
+
+// post hands an event to the driver; when it is behind, the event is lost and its
+// sender repeats it.
+func (d *Driver) post(ev event) {
+	select {
+	case d.events <- ev:
+	default:
+	}
+}
+
+// begin starts the driver's parts once the configuration is known.
+func (d *Driver) begin(ctx context.Context, c Config) {
+	d.cfg = &c
+	go d.keeper.Run(context.WithoutCancel(ctx))
+	go d.watchRegistry(ctx, c.Ranks)
+	go d.watchEngine(ctx)
+	d.restartRank(ctx)
+}
+
+func (d *Driver) tick(ctx context.Context) {
+	if d.cfg == nil {
+		return
+	}
+	d.checkLease(ctx)
+	if d.coordinator != nil {
+		d.coordinate(ctx, expertmap.Tick{})
+	}
+}
+
+// logEvent begins the line of an event of the group.
+func (d *Driver) logEvent(name string) *log.Entry {
+	return d.opts.Logger.Info().Str("event", name).Str("group", d.opts.Group).Int("rank", d.opts.Rank)
+}
--- /dev/null
+++ b/internal/group/registry.go
@@ -0,0 +1,80 @@
+package group
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/platform"
+)
+
+// Member is the agent of one rank.
+type Member struct {
+	Rank    int    `json:"rank"`
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// watchRegistry writes this rank's member object and reads the group's until ctx ends.
+func (d *Driver) watchRegistry(ctx context.Context, ranks int) {
+	written := false
+	for ctx.Err() == nil {
+		if !written {
+			written = d.register(ctx) == nil
+		}
+		if members, err := d.readMembers(ctx, ranks); err == nil {
+			d.post(registered{members: members})
+		}
+		wait := registryInterval
+		if !written {
+			wait = startRetry
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// register replaces whatever an earlier agent of the rank has written.
+func (d *Driver) register(ctx context.Context) error {
+	value, err := json.Marshal(Member{Rank: d.opts.Rank, Name: d.opts.Identity.Name, Address: d.opts.Identity.Address})
+	if err != nil {
+		return err
+	}
+	_, err = d.opts.Store.Put(ctx, memberPrefix(d.opts.Group)+strconv.Itoa(d.opts.Rank), value, platform.AnyVersion)
+	return err
+}
+
+func (d *Driver) readMembers(ctx context.Context, ranks int) ([]Member, error) {
+	list, err := d.opts.Store.List(ctx, memberPrefix(d.opts.Group))
+	if err != nil {
+		return nil, err
+	}
+	members := make([]Member, 0, len(list.Objects))
+	for _, o := range list.Objects {
+		var m Member
+		if json.Unmarshal(o.Value, &m) == nil && m.Rank >= 0 && m.Rank < ranks {
+			members = append(members, m)
+		}
+	}
+	return members, nil
+}
+
+func memberPrefix(group string) string { return "groups/" + group + "/" }
+
+// holderID names one incarnation of an agent in lease objects.
+func holderID(id message.Identity) string {
+	return fmt.Sprintf("%s-%x", id.Name, id.Incarnation)
+}
+
+func newIncarnation() uint64 {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return binary.LittleEndian.Uint64(raw[:]) | 1
+}
--- /dev/null
+++ b/internal/standin/ranks/ranks.go
@@ -0,0 +1,227 @@
+// Package ranks is a stand-in for an expert-parallel group of model engines that
+// run in lock-step, for trials and tests only. It records the expert map that each
+// rank used in each step.
+package ranks
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/gentiantrail/gentiantrail/internal/expertmap"
+	"github.com/gentiantrail/gentiantrail/internal/group"
+	"github.com/gentiantrail/gentiantrail/internal/standin/engine"
+)
+
+// Config sizes a group.
+type Config struct {
+	// Ranks is the number of ranks.
+	Ranks int
+	// ChecksFencing tells that the engines refuse orders with an old number.
+	ChecksFencing bool
+	// StepTime is the time between two steps.
+	StepTime time.Duration
+	// LoadTime is the time that the weight store takes for one map.
+	LoadTime time.Duration
+	// Engine sizes the request side of each rank.
+	Engine engine.Config
+}
+
+// Group is one group.
+type Group struct {
+	cfg Config
+
+	mu      sync.Mutex
+	ranks   []*rank
+	record  Record
+	used    map[uint64]uint64
+	blocked time.Time
+}
+
+// rank is one rank's engine.
+type rank struct {
+	maps    expertmap.Engine
+	started time.Time
+	engine  *engine.Engine
+}
+
+// Record is what the group did.
+type Record struct {
+	// Steps is the highest step that every rank has entered.
+	Steps uint64 `json:"steps"`
+	// Mixed counts entries into a step with another map than an earlier rank's.
+	Mixed int `json:"mixed"`
+	// Version is the map used in the last step, and Changes the number of changes.
+	Version uint64 `json:"version"`
+	Changes int    `json:"changes"`
+	// LongestStallMS is the longest time without a step after the first one.
+	LongestStallMS int64 `json:"longest_stall_ms"`
+}
+
+// keptSteps bounds the steps whose map is remembered.
+const keptSteps = 1024
+
+// New returns a group whose ranks hold no map.
+func New(cfg Config) *Group {
+	g := &Group{cfg: cfg, used: make(map[uint64]uint64)}
+	for range cfg.Ranks {
+		g.ranks = append(g.ranks, g.newRank())
+	}
+	return g
+}
+
+func (g *Group) newRank() *rank {
+	return &rank{
+		maps:    expertmap.Engine{ChecksFencing: g.cfg.ChecksFencing},
+		started: time.Now(),
+		engine:  engine.New(g.cfg.Engine),
+	}
+}
+
+// Run steps the group until stop is closed.
+func (g *Group) Run(stop <-chan struct{}) {
+	tick := time.NewTicker(g.cfg.StepTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			g.step()
+		case <-stop:
+			return
+		}
+	}
+}
+
+// step lets each rank enter its next step if all ranks have entered the one before.
+func (g *Group) step() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.entered()
+	for _, r := range g.ranks {
+		step, _, ok := r.maps.NextStep()
+		if ok && g.entered()+1 >= step {
+			entered, version := r.maps.Enter()
+			g.note(entered, version)
+		}
+	}
+	g.noteStall(g.entered() > before)
+}
+
+// entered returns the highest step that every rank has entered; ranks without a map count as none.
+func (g *Group) entered() uint64 {
+	lowest := ^uint64(0)
+	for _, r := range g.ranks {
+		s := r.maps.State
+		switch {
+		case s.Active == 0:
+			return 0
+		case s.Entered:
+			lowest = min(lowest, s.Step)
+		default:
+			lowest = min(lowest, s.Step-1)
+		}
+	}
+	return lowest
+}
+
+// note compares the map of an entered step with the one that other ranks used in it.
+func (g *Group) note(step, version uint64) {
+	used, known := g.used[step]
+	if known && used != version {
+		g.record.Mixed++
+	}
+	if known {
+		return
+	}
+	g.used[step] = version
+	delete(g.used, step-keptSteps)
+	if g.record.Version != 0 && version != g.record.Version {
+		g.record.Changes++
+	}
+	g.record.Version = version
+}
+
+func (g *Group) noteStall(stepped bool) {
+	now := time.Now()
+	if stepped {
+		g.record.Steps = g.entered()
+		g.blocked = now
+		return
+	}
+	if !g.blocked.IsZero() {
+		g.record.LongestStallMS = max(g.record.LongestStallMS, now.Sub(g.blocked).Milliseconds())
+	}
+}
+
+// Handler returns the HTTP interface of one rank.
+func (g *Group) Handler(index int) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		path := string(ctx.Path())
+		switch {
+		case path == group.PathState:
+			g.serveState(ctx, index)
+		case path == group.PathOrder:
+			g.serveOrder(ctx, index)
+		case path == group.PathLoad:
+			time.Sleep(g.cfg.LoadTime)
+		case path == "/admin/record":
+			g.serveRecord(ctx)
+		case path == "/admin/restart":
+			g.Restart(index)
+		case strings.HasPrefix(path, "/rank/"):
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		default:
+			g.requests(index).Handle(ctx)
+		}
+	}
+}
+
+func (g *Group) requests(index int) *engine.Engine {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ranks[index].engine
+}
+
+func (g *Group) serveState(ctx *fasthttp.RequestCtx, index int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.ranks[index]
+	writeJSON(ctx, group.StateAnswer{AgeMillis: time.Since(r.started).Milliseconds(), State: r.maps.State})
+}
+
+func (g *Group) serveOrder(ctx *fasthttp.RequestCtx, index int) {
+	var o expertmap.Order
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	writeJSON(ctx, g.ranks[index].maps.Apply(o))
+}
+
+func (g *Group) serveRecord(ctx *fasthttp.RequestCtx) {
+	writeJSON(ctx, g.Record())
+}
+
+// Record returns what the group did.
+func (g *Group) Record() Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.record
+}
+
+// Restart starts a rank's engine afresh: it holds no map.
+func (g *Group) Restart(index int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[index] = g.newRank()
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	ctx.SetContentType("application/json")
+	_ = json.NewEncoder(ctx).Encode(v)
+}
