--- a/internal/expertmap/change.go
+++ b/internal/expertmap/change.go
@@ -53,7 +53,7 @@
 			return c.decide(v.state.Prepared)
 		}
 	case PhaseRelease:
-		if !v.mayUse(c.target) {
+		if !v.released(c.target) {
 			d := c.decide(c.target)
 			d.Commit, d.Release = true, true
 			return d
--- a/internal/expertmap/coordinator.go
+++ b/internal/expertmap/coordinator.go
@@ -63,9 +63,14 @@
 // blank tells that the rank holds no map.
 func (v rankView) blank() bool { return v.known && v.state.Active == 0 }
 
-// mayUse tells that the rank uses version, or may switch to it.
-func (v rankView) mayUse(version uint64) bool {
-	return v.state.Active == version || v.state.Released && v.state.Committed == version
+// settled tells that the rank has committed version and holds nothing undecided.
+func (v rankView) settled(version uint64) bool {
+	return v.state.Committed == version && v.state.Prepared == 0
+}
+
+// released tells that the rank is settled and uses version or may switch to it.
+func (v rankView) released(version uint64) bool {
+	return v.settled(version) && (v.state.Active == version || v.state.Released)
 }
 
 type decision struct {
@@ -185,7 +190,7 @@
 		c.keepMap(m.PendingVersion(), m.PendingMap)
 		return c.settleIfKnown(now)
 	case PhaseSettle, PhaseRelease:
-		if m.Committed != c.target || m.Prepared != 0 {
+		if m.Committed != c.target || m.Prepared != 0 || v.released(c.target) {
 			return nil
 		}
 		v.state = *m
--- a/internal/expertmap/settle.go
+++ b/internal/expertmap/settle.go
@@ -153,11 +153,11 @@
 func (c *Coordinator) finishSettle(now time.Duration) []CoordinatorEffect {
 	switched, released := true, true
 	for _, v := range c.ranks {
-		if v.state.Committed != c.target || v.state.Prepared != 0 {
+		if !v.settled(c.target) {
 			return nil
 		}
 		switched = switched && v.state.Active == c.target
-		released = released && v.mayUse(c.target)
+		released = released && v.released(c.target)
 	}
 	if !released {
 		if c.phase == PhaseRelease {
