--- a/internal/standin/callers/generator.go
+++ b/internal/standin/callers/generator.go
@@ -74,6 +74,9 @@
 	Template Request
 	// Keyed gives each request an idempotency key of its own.
 	Keyed bool
+	// Repeats is how often a request without a complete answer is sent again at most,
+	// with the same mark and key.
+	Repeats int
 	// Workers is the number of requests in flight at most.
 	Workers int
 	// Interval is the time between two requests of one worker, start to start.
@@ -99,7 +102,7 @@
 	ticker := time.NewTicker(max(g.Interval, time.Microsecond))
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		g.Ledger.Add(g.send())
+		g.exchange()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -107,14 +110,26 @@
 	}
 }
 
-// send does one request; an entry that cannot be reached is passed over, as the
-// platform's balancer does.
-func (g *Generator) send() Result {
+// exchange sends a new request, and again as a caller does that got no whole
+// answer. Every attempt goes into the ledger.
+func (g *Generator) exchange() {
 	r := g.Template
 	r.Mark = fmt.Sprintf("%s-%d", g.Name, g.sequence.Add(1))
 	if g.Keyed {
 		r.IdempotencyKey = "key-" + r.Mark
 	}
+	for range 1 + g.Repeats {
+		res := g.send(r)
+		g.Ledger.Add(res)
+		if res.Verdict == Complete {
+			return
+		}
+	}
+}
+
+// send does one attempt; an entry that cannot be reached is passed over, as the
+// platform's balancer does.
+func (g *Generator) send(r Request) Result {
 	res := Result{Request: r, Sent: time.Now(), Verdict: Unreached, Detail: "no entry is in service"}
 	for _, addr := range g.Balancer.order() {
 		res = g.Caller.Do(context.Background(), addr, r)
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -216,7 +216,11 @@
 	return false
 }
 
+// grow takes one step, unless the engine itself still reports cold.
 func (l *Limiter) grow() {
+	if l.cold {
+		return
+	}
 	l.limit = min(l.limit+max(1, l.limit/growthDivisor), l.cfg.Limit)
 }
 
--- a/test/scenario/request_test.go
+++ b/test/scenario/request_test.go
@@ -131,7 +131,8 @@
 
 // cmdLoad starts and stops a bounded background load:
 //
-//	load start NAME [-workers N] [-every D] [-tokens N] [-timeout D] [-keyed] [-get] PATH
+//	load start NAME [-workers N] [-every D] [-tokens N] [-timeout D]
+//	           [-repeats N] [-keyed] [-get] PATH
 //	load stop NAME…
 //	load mark NAME
 //
@@ -171,6 +172,11 @@
 			return err
 		}
 	}
+	if set["repeats"] != "" {
+		if g.Repeats, err = strconv.Atoi(set["repeats"]); err != nil {
+			return err
+		}
+	}
 	if set["every"] != "" {
 		if g.Interval, err = time.ParseDuration(set["every"]); err != nil {
 			return err
