--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -6,12 +6,21 @@
 	"time"
 )
 
-// BenchmarkFleet follows the configuration with 350 entries and 602 agents in 7
-// availability zones on a fake clock, with one change every 45 s (1,900 a day), and
-// reports calls to the platform and traffic.
+// BenchmarkFleet follows the configuration in 7 availability zones on a fake clock,
+// with one change every 45 s (1,900 a day), and reports calls to the platform and
+// traffic. The largest fleet has 350 entries and 602 agents.
 func BenchmarkFleet(b *testing.B) {
+	for _, size := range []struct{ entries, agents int }{{1, 1}, {2, 5}, {4, 10}, {12, 24}, {50, 86}} {
+		b.Run(fmt.Sprintf("daemons=%d", 7*(size.entries+size.agents)), func(b *testing.B) {
+			benchmarkFleet(b, size.entries, size.agents)
+		})
+	}
+}
+
+// benchmarkFleet takes the numbers of entries and agents of an availability zone.
+func benchmarkFleet(b *testing.B, entries, agents int) {
 	for range b.N {
-		s := newSim(1, 7, 50, 86, realFollower)
+		s := newSim(1, 7, entries, agents, realFollower)
 		s.after(time.Second, func() { s.publish(0) })
 		s.runUntil(10 * time.Second)
 		reads, bytes := s.reads, s.bytes
