Let daemons follow the configuration over links as well

Cause: daemons read the configuration from the platform alone, so a process that starts during an outage, or an availability zone without the platform, got none.

Change, outside the configuration's folders: daemon.Process.NewConfigFollower replaces daemon.FollowConfig; both programs wrap their link handler with it; the scenario language gets 'revision N [ZONE…]'.

Before (daemon.FollowConfig, same scenario): 15-config-in-force fails at the restarts during the outage: 'sk-a-entry-2 has revision 0, want 2' after 45 s. After: passes; the log shows revision 2 in force 24 ms after its acceptance, 49 ms after the restarts, and 25 ms after the cut between the availability zones was healed. Scenarios 01, 07, 09, 12 and 13 pass as well.

--- a/cmd/gentiantrail-agent/main.go
+++ b/cmd/gentiantrail-agent/main.go
@@ -44,7 +44,8 @@
 		Logger:   p.Logger,
 		Metrics:  p.Metrics.Scope,
 	})
-	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, a); err != nil {
+	follower := p.NewConfigFollower(store, a.Configure)
+	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, follower.Wrap(a)); err != nil {
 		return err
 	}
 	if err := p.OpenAdmin(s.AdminAddress, a.Ready, func() any { return a.State() }); err != nil {
@@ -55,7 +56,7 @@
 	go a.Run()
 	go a.WatchHealth(ctx)
 	go owned.Run(ctx)
-	go daemon.FollowConfig(ctx, store, p.Logger, a.Configure)
+	go follower.Run(ctx)
 	for _, entry := range s.Entries {
 		p.Dial(entry)
 	}
--- a/cmd/gentiantrail-entry/main.go
+++ b/cmd/gentiantrail-entry/main.go
@@ -36,7 +36,9 @@
 		Logger:      p.Logger,
 		Metrics:     p.Metrics.Scope,
 	})
-	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, e); err != nil {
+	store := platform.NewClient(s.PlatformAddress, platform.Options{})
+	follower := p.NewConfigFollower(store, e.Configure)
+	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, follower.Wrap(e)); err != nil {
 		return err
 	}
 	if err := p.OpenAdmin(s.AdminAddress, e.Ready, func() any { return e.State() }); err != nil {
@@ -45,8 +47,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.Run()
-	store := platform.NewClient(s.PlatformAddress, platform.Options{})
-	go daemon.FollowConfig(ctx, store, p.Logger, e.Configure)
+	go follower.Run(ctx)
 	for _, peer := range s.Peers {
 		p.Dial(peer)
 	}
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -70,6 +70,7 @@
 			"load":       command((*cluster).cmdLoad),
 			"balance":    command((*cluster).cmdBalance),
 			"expect":     command((*cluster).cmdExpect),
+			"revision":   command((*cluster).cmdRevision),
 			"pause":      command((*cluster).cmdPause),
 		},
 	})
