--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -48,6 +48,9 @@
 	zone  int
 	entry bool
 	up    bool
+	// frozen holds back events, which the node handles when it is thawed.
+	frozen bool
+	held   []Event
 	// started counts incarnations; answers to earlier ones are dropped.
 	started int
 	f       stepper
@@ -177,6 +180,9 @@
 
 // heartbeat tells entries the revision; entries send none to agents.
 func (s *sim) heartbeat(n *simNode) {
+	if n.frozen {
+		return
+	}
 	for _, peer := range n.links {
 		if !peer.entry {
 			continue
@@ -206,6 +212,12 @@
 
 // step hands an event to a node and carries out its effects.
 func (s *sim) step(n *simNode, ev Event) {
+	if n.frozen {
+		if _, tick := ev.(Tick); !tick {
+			n.held = append(n.held, ev)
+		}
+		return
+	}
 	for _, effect := range n.f.Step(s.now, ev) {
 		switch e := effect.(type) {
 		case Activate:
@@ -301,10 +313,19 @@
 	s.newest = result.Revision
 }
 
-// expect notes a fault for each live node below the revision.
+func (s *sim) thaw(n *simNode) {
+	n.frozen = false
+	held := n.held
+	n.held = nil
+	for _, ev := range held {
+		s.step(n, ev)
+	}
+}
+
+// expect notes a fault for each running node below the revision.
 func (s *sim) expect(revision uint64) {
 	for _, n := range s.nodes {
-		if n.up && n.f.Revision() < revision {
+		if n.up && !n.frozen && n.f.Revision() < revision {
 			s.faults = append(s.faults, fmt.Sprintf("%v: %s has revision %d, not %d", s.now, n.name, n.f.Revision(), revision))
 		}
 	}
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -6,8 +6,9 @@
 	"github.com/gentiantrail/gentiantrail/internal/platform"
 )
 
-// NewConfigFollower returns a follower of the configuration that logs its events
-// and hands each newer revision to apply.
+// NewConfigFollower returns a follower that puts each newer configuration in
+// force through apply. Its Run must be started, and its Wrap put before the
+// process's link handler.
 func (p *Process) NewConfigFollower(store platform.Store, apply func(*config.Index)) *configlink.Follower {
 	return configlink.New(configlink.Options{
 		Identity: p.Identity,
@@ -16,8 +17,12 @@
 			p.Logger.Info().Str("event", "config-applied").Uint64("revision", x.Revision()).Msg("")
 			apply(x)
 		},
-		Report: func(r config.Report) {
-			p.Logger.Warn().Str("event", string(r.Kind)).Uint64("revision", r.Revision).Str("detail", r.Detail).Msg("")
-		},
+		Report: p.logConfigReport,
 	})
 }
+
+// logConfigReport writes the line of an event of the configuration's follower.
+func (p *Process) logConfigReport(r config.Report) {
+	p.Logger.Info().Str("event", "config").Str("kind", string(r.Kind)).
+		Uint64("revision", r.Revision).Str("detail", r.Detail).Msg("")
+}
