Give organisations below their share a credit of four requests

Cause: a small organisation's request that follows its last one within the time of its share waited for its turn although the organisation had used little before; prompt prefixes gather such requests on one target. The virtual start time may now lie up to four requests behind the virtual time.

--- a/internal/fairness/flow.go
+++ b/internal/fairness/flow.go
@@ -99,7 +99,7 @@
 // forgetIdle drops the flows whose past has no bearing on the order any more.
 func (q *Queue) forgetIdle() {
 	q.flows = slices.DeleteFunc(q.flows, func(f *flow) bool {
-		return len(f.items) == 0 && f.finish <= q.virtual
+		return len(f.items) == 0 && f.finish <= q.virtual-creditRequests/float64(f.weight)
 	})
 }
 
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -28,6 +28,10 @@
 	Deadline time.Duration
 }
 
+// creditRequests is the number of requests that an organisation which used less
+// than its share may send at once before it waits for its turn again.
+const creditRequests = 4
+
 // Limits bounds a Queue.
 type Limits struct {
 	// Items is the most requests that wait in all.
@@ -102,7 +106,7 @@
 		q.length--
 	}
 	if len(f.items) == 0 {
-		f.start = max(q.virtual, f.finish)
+		f.start = q.startOf(f)
 	}
 	f.insert(it)
 	q.length++
@@ -127,12 +131,17 @@
 func (q *Queue) Charge(it Item) {
 	it.Weight = max(it.Weight, 1)
 	f := q.flowOf(it)
-	q.serve(f, max(q.virtual, f.finish))
+	q.serve(f, q.startOf(f))
+}
+
+// startOf returns the virtual start time of a request of a flow that was idle.
+func (q *Queue) startOf(f *flow) float64 {
+	return max(q.virtual-creditRequests/float64(f.weight), f.finish)
 }
 
 // serve moves the virtual time to start and charges f for one request.
 func (q *Queue) serve(f *flow, start float64) {
-	q.virtual = start
+	q.virtual = max(q.virtual, start)
 	f.finish = start + 1/float64(f.weight)
 	f.start = f.finish
 	q.forgetIdle()
@@ -166,10 +175,10 @@
 // Ahead returns how many waiting requests would be served before a new one.
 func (q *Queue) Ahead(organisation string, weight, priority int) int {
 	share := 1 / float64(max(weight, 1))
-	start, ahead := q.virtual, 0
+	start, ahead := max(q.virtual-creditRequests*share, 0), 0
 	if f := q.find(organisation); f != nil {
 		ahead = f.before(priority)
-		start = max(q.virtual, f.finish)
+		start = max(start, f.finish)
 		if len(f.items) > 0 {
 			start = f.start
 		}
--- a/test/experiment/experiment_test.go
+++ b/test/experiment/experiment_test.go
@@ -97,3 +97,45 @@
 func percent(part, whole int) float64 { return 100 * float64(part) / float64(max(whole, 1)) }
 
 func ms(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+func flood(factor float64) Scenario {
+	s := policy(0.6, time.Second)
+	s.Name, s.KeepZone, s.Flood = fmt.Sprintf("large organisations send %.0fx", factor), true, factor
+	return s
+}
+
+func TestFloodTables(t *testing.T) {
+	if !*printTables {
+		t.Skip("prints tables with -tables")
+	}
+	for _, factor := range []float64{2, 3, 6} {
+		s := flood(factor)
+		printFlood(run(s))
+		s.FixedDoor, s.Name = true, s.Name+", fixed limit"
+		printFlood(run(s))
+	}
+}
+
+func printFlood(w *world) {
+	fmt.Printf("\n%s, falls=%d\n", w.scenario.Name, w.falls)
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(out, "organisations\tphase\trequests\tin deadline\tfirst p50\tp95\tp99\tanswer p50\tp95\tp99\t")
+	for _, large := range []bool{false, true} {
+		for _, ph := range w.scenario.Phases.list()[:2] {
+			s := w.summarise(func(r *request) bool {
+				return r.pool == "drafting" && ph.holds(r) && r.org.large == large
+			})
+			size, name := "small", "quiet"
+			if large {
+				size = "large"
+			}
+			if ph.start == w.scenario.Phases.Drained {
+				name = "flood"
+			}
+			fmt.Fprintf(out, "%s\t%s\t%d\t%.3f%%\t%v\t%v\t%v\t%v\t%v\t%v\t\n", size, name, s.requests, percent(s.served, s.requests),
+				ms(quantile(s.first, .5)), ms(quantile(s.first, .95)), ms(quantile(s.first, .99)),
+				ms(quantile(s.total, .5)), ms(quantile(s.total, .95)), ms(quantile(s.total, .99)))
+		}
+	}
+	out.Flush()
+}
