Ask several agents for a short wait before a long one

Cause: only an agent knows an organisation's place in its fair queue, so an entry that must queue a request chose by the length of the whole queue; a small organisation's requests gathered behind its own on the agent of its prefix.

Change: Choice.MaxWait (and Request.MaxWait, key 18; admission.Item.MaxWait) lets the first three attempts be refused by agents where the request would wait more than 300 ms. A dispatcher that ignores MaxWait stays correct, only slower.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -46,6 +46,8 @@
 	Deadline time.Duration
 	// NoWait asks for a refusal instead of a place in the queue.
 	NoWait bool
+	// MaxWait asks for a refusal if the expected wait is longer; zero sets no bound.
+	MaxWait time.Duration
 }
 
 // Verdict is what happens to an offered request.
--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -28,6 +28,9 @@
 	if c.cfg.MaxWait > 0 && wait > c.cfg.MaxWait {
 		return refusal(apierr.KindOverloaded, "queue", wait-c.cfg.MaxWait)
 	}
+	if it.MaxWait > 0 && wait > it.MaxWait {
+		return refusal(apierr.KindOverloaded, "longer wait than asked", wait)
+	}
 	return nil
 }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -190,6 +190,8 @@
 	PrefixHash uint64 `cbor:"16,keyasint,omitempty"`
 	// NoWait asks for a refusal instead of a place in the agent's queue.
 	NoWait bool `cbor:"17,keyasint,omitempty"`
+	// MaxWait asks for a refusal if the wait in the agent's queue would be longer; zero sets no bound.
+	MaxWait time.Duration `cbor:"18,keyasint,omitempty"`
 }
 
 // Accepted tells that the agent has taken the request into its queue.
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -32,9 +32,15 @@
 
 // withRoom returns the candidates that look free and have not been found busy.
 func withRoom(cs []candidate, busy []string) []candidate {
+	open := notBusy(cs, busy)
+	return slices.DeleteFunc(open, func(c candidate) bool { return !c.room() })
+}
+
+// notBusy returns the candidates that have not been found busy.
+func notBusy(cs []candidate, busy []string) []candidate {
 	open := make([]candidate, 0, len(cs))
 	for _, c := range cs {
-		if c.room() && !slices.Contains(busy, c.choice().Name()) {
+		if !slices.Contains(busy, c.choice().Name()) {
 			open = append(open, c)
 		}
 	}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -35,7 +35,7 @@
 
 // Refused notes that choice c was refused with kind k.
 func (r *Request) Refused(c Choice, k apierr.Kind) {
-	if c.NoWait && k == apierr.KindOverloaded {
+	if (c.NoWait || c.MaxWait > 0) && k == apierr.KindOverloaded {
 		r.Busy = append(r.Busy, c.Name())
 		return
 	}
@@ -66,6 +66,10 @@
 	// NoWait tells to ask for a refusal instead of a place in the agent's queue:
 	// the candidate looked free, and others are left if it is not.
 	NoWait bool
+	// MaxWait tells to ask for a refusal if the wait would be longer; zero sets no
+	// bound. Only the agent knows the organisation's place in its fair queue, so the
+	// first attempts that wait try several agents for a short wait.
+	MaxWait time.Duration
 	// Err is the refusal; the request did not run.
 	Err *apierr.Error
 }
@@ -112,7 +116,7 @@
 	}
 	own := s.ownCandidates(p, r)
 	peers := s.peerCandidates(p, r)
-	if len(r.Busy) < noWaitAttempts {
+	if len(r.Busy) < patientAttempts {
 		if c, ok := pickFree(own, peers, r, rng); ok {
 			return c
 		}
@@ -123,8 +127,12 @@
 	return s.pickWaiting(p, r, own, peers, rng)
 }
 
-// noWaitAttempts is the number of attempts that do not wait in a queue.
-const noWaitAttempts = 3
+const (
+	// patientAttempts is the number of attempts that wait in a queue for a short time at most.
+	patientAttempts = 3
+	// shortWait is the wait that such an attempt accepts.
+	shortWait = 300 * time.Millisecond
+)
 
 // candidate is a usable target or peer with its estimated load.
 type candidate struct {
@@ -172,6 +180,14 @@
 // place a request gets in its fair queue, so a request is refused here only after
 // an agent has refused it.
 func (s *Snapshot) pickWaiting(p *Pool, r Request, own, peers []candidate, rng *rand.Rand) Choice {
+	if len(r.Busy) < patientAttempts {
+		if best, ok := shorterWait(notBusy(own, r.Busy), notBusy(peers, r.Busy), r.PrefixHash, rng); ok {
+			c := best.choice()
+			c.MaxWait = shortWait
+			c.NoWait = c.Destination == ToPeer
+			return c
+		}
+	}
 	best, ok := shorterWait(own, peers, r.PrefixHash, rng)
 	if !ok {
 		return s.noCandidate(p, r, rng)
--- a/test/experiment/agent.go
+++ b/test/experiment/agent.go
@@ -6,6 +6,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/admission"
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
 
 // door is what an agent needs of its admission; *admission.Controller is the real one.
@@ -57,7 +58,7 @@
 }
 
 // offer takes an attempt and returns its number.
-func (a *agent) offer(req *request, noWait bool, answer func(reply)) uint64 {
+func (a *agent) offer(req *request, c routing.Choice, answer func(reply)) uint64 {
 	a.nextID++
 	id := a.nextID
 	a.jobs[id] = &job{req: req, reply: answer}
@@ -66,7 +67,8 @@
 		Organisation: req.org.name,
 		Weight:       req.org.weight,
 		Deadline:     req.deadline,
-		NoWait:       noWait,
+		NoWait:       c.NoWait,
+		MaxWait:      c.MaxWait,
 	})
 	switch d.Verdict {
 	case admission.Run:
--- a/test/experiment/cold_test.go
+++ b/test/experiment/cold_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gentiantrail/gentiantrail/internal/admission"
+	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
 
 // probe is one target that is kept full.
@@ -56,7 +57,7 @@
 			org: org, prefix: rng.Uint64N(20),
 			decode: scale(2*time.Second, size), deadline: a.clock.now + time.Hour,
 		}
-		a.offer(req, false, func(reply) {})
+		a.offer(req, routing.Choice{}, func(reply) {})
 	}
 }
 
--- a/test/experiment/entry.go
+++ b/test/experiment/entry.go
@@ -127,7 +127,7 @@
 	delay := w.delay(t.entry.zone, a.zone)
 	release := releaseOnce(c.Target.Sent)
 	w.clock.after(delay, func() {
-		id := a.offer(t.req, c.NoWait, func(r reply) {
+		id := a.offer(t.req, c, func(r reply) {
 			w.clock.after(delay, func() {
 				release()
 				t.entry.learn(c.Target.Agent, a, r.load)
