--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -81,10 +81,21 @@
 	},
 	"watchers die": func(s *sim) (uint64, time.Duration) {
 		s.after(10*time.Second-10*time.Millisecond, func() {
+			for _, n := range s.watchers() {
+				s.stopNode(n)
+			}
+		})
+		return 2, 10*time.Second + inForceBound
+	},
+	"watchers of a zone freeze": func(s *sim) (uint64, time.Duration) {
+		s.after(10*time.Second-10*time.Millisecond, func() {
+			for _, n := range s.watchers() {
+				n.frozen = n.zone == 0
+			}
+		})
+		s.after(30*time.Second, func() {
 			for _, n := range s.nodes {
-				if f, ok := n.f.(*Follower); ok && f.watch.elected {
-					s.stopNode(n)
-				}
+				s.thaw(n)
 			}
 		})
 		return 2, 10*time.Second + inForceBound
@@ -103,6 +114,17 @@
 	},
 }
 
+// watchers returns the nodes that watch the platform.
+func (s *sim) watchers() []*simNode {
+	var list []*simNode
+	for _, n := range s.nodes {
+		if f, ok := n.f.(*Follower); ok && n.up && f.watch.elected {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
 // setCut cuts a zone off from the platform and the other zones, or joins it again.
 func (s *sim) setCut(zone int, cut bool) {
 	for _, n := range s.nodes {
