--- a/internal/standin/callers/generator.go
+++ b/internal/standin/callers/generator.go
@@ -77,6 +77,9 @@
 	// Repeats is how often a request without a complete answer is sent again at most,
 	// with the same mark and key.
 	Repeats int
+	// Copies is how often each attempt is sent at the same time, through entries in
+	// turn; zero means once.
+	Copies int
 	// Workers is the number of requests in flight at most.
 	Workers int
 	// Interval is the time between two requests of one worker, start to start.
@@ -119,14 +122,29 @@
 		r.IdempotencyKey = "key-" + r.Mark
 	}
 	for range 1 + g.Repeats {
-		res := g.send(r)
-		g.Ledger.Add(res)
-		if res.Verdict == Complete {
+		if g.attempt(r) {
 			return
 		}
 	}
 }
 
+// attempt sends all copies and tells whether one of them got the whole answer.
+func (g *Generator) attempt(r Request) bool {
+	var complete atomic.Bool
+	var wg sync.WaitGroup
+	for range max(g.Copies, 1) {
+		wg.Go(func() {
+			res := g.send(r)
+			g.Ledger.Add(res)
+			if res.Verdict == Complete {
+				complete.Store(true)
+			}
+		})
+	}
+	wg.Wait()
+	return complete.Load()
+}
+
 // send does one attempt; an entry that cannot be reached is passed over, as the
 // platform's balancer does.
 func (g *Generator) send(r Request) Result {
--- a/test/scenario/request_test.go
+++ b/test/scenario/request_test.go
@@ -132,7 +132,7 @@
 // cmdLoad starts and stops a bounded background load:
 //
 //	load start NAME [-workers N] [-every D] [-tokens N] [-timeout D]
-//	           [-repeats N] [-keyed] [-get] PATH
+//	           [-repeats N] [-copies N] [-keyed] [-get] PATH
 //	load stop NAME…
 //	load mark NAME
 //
@@ -177,6 +177,11 @@
 			return err
 		}
 	}
+	if set["copies"] != "" {
+		if g.Copies, err = strconv.Atoi(set["copies"]); err != nil {
+			return err
+		}
+	}
 	if set["every"] != "" {
 		if g.Interval, err = time.ParseDuration(set["every"]); err != nil {
 			return err
