--- /dev/null
+++ b/internal/expertmap/group_test.go
@@ -0,0 +1,224 @@
+package expertmap
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// group is a lock-step group of stand-in ranks that record the map of each step.
+type group struct {
+	cfg     Config
+	now     time.Duration
+	lease   uint64
+	coords  []*Coordinator
+	ranks   []*Rank
+	engines []*Engine
+	starts  uint64
+	wire    []wirePacket
+	record  [][]uint64
+	commits int
+}
+
+// wirePacket is a message on its way; rank is its sender or its receiver.
+type wirePacket struct {
+	rank    int
+	toRank  bool
+	fence   uint64
+	message message.Message
+}
+
+func newGroup(ranks int) *group {
+	g := &group{cfg: Config{
+		Group: "g", Ranks: ranks, Initial: []byte("first"), Lead: 6,
+		Resend: time.Second, Poll: 5 * time.Second, ChangeTimeout: 20 * time.Second,
+	}}
+	g.ranks, g.engines, g.record = make([]*Rank, ranks), make([]*Engine, ranks), make([][]uint64, ranks)
+	for i := range g.engines {
+		g.restartEngine(i)
+	}
+	return g
+}
+
+func (g *group) restartEngine(i int) {
+	g.engines[i] = &Engine{ChecksFencing: i%2 == 0}
+	g.restartAgent(i, true)
+}
+
+func (g *group) restartAgent(i int, engineIsNew bool) {
+	g.starts++
+	g.ranks[i] = NewRank(RankStart{
+		Group: "g", Index: i, Incarnation: g.starts, Fence: g.lease,
+		ChecksFencing: i%2 == 0, EngineIsNew: engineIsNew,
+	})
+	g.wire = append(g.wire, wirePacket{rank: i, fence: g.lease, message: g.ranks[i].Hello()})
+	if g.engines[i].State.Active != 0 {
+		g.wire = g.wire[:len(g.wire)-1]
+	}
+}
+
+func (g *group) newCoordinator() {
+	g.lease++
+	c, effects := NewCoordinator(g.cfg, g.lease, g.now)
+	g.coords = append(g.coords, c)
+	g.coordinatorEffects(c, effects)
+}
+
+func (g *group) coordinatorEffects(c *Coordinator, effects []CoordinatorEffect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Send:
+			g.wire = append(g.wire, wirePacket{rank: e.Rank, toRank: true, fence: c.fence, message: e.Message})
+		case Changed:
+			if e.Committed {
+				g.commits++
+			}
+		}
+	}
+}
+
+// rankEffects carries out the effects of rank i; loads and orders end at once.
+func (g *group) rankEffects(i int, effects []RankEffect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Respond:
+			g.wire = append(g.wire, wirePacket{rank: i, fence: uint64([]rune(e.To)[0]), message: e.Message})
+		case Load:
+			g.rankEffects(i, g.ranks[i].Step(Loaded{Version: e.Version}))
+		case Order:
+			g.rankEffects(i, g.ranks[i].Step(Ordered{Reply: g.engines[i].Apply(e)}))
+		}
+	}
+}
+
+func (g *group) deliver(p wirePacket) {
+	if p.toRank {
+		g.rankEffects(p.rank, g.ranks[p.rank].Step(Received{From: string(rune(p.fence)), Message: p.message}))
+		return
+	}
+	for _, c := range g.coords {
+		if c.fence == p.fence {
+			g.coordinatorEffects(c, c.Step(g.now, FromRank{Message: p.message}))
+		}
+	}
+}
+
+func (g *group) tick(d time.Duration) {
+	g.now += d
+	for _, c := range g.coords {
+		g.coordinatorEffects(c, c.Step(g.now, Tick{}))
+	}
+}
+
+// entered returns the last step that rank i has entered.
+func (g *group) entered(i int) int { return len(g.record[i]) }
+
+// step lets rank i enter its next step if all ranks have entered the one before.
+func (g *group) step(t assert.TestingT, i int) {
+	next, _, ok := g.engines[i].NextStep()
+	if !ok {
+		return
+	}
+	for q := range g.record {
+		if uint64(g.entered(q)) < next-1 {
+			return
+		}
+	}
+	step, version := g.engines[i].Enter()
+	g.record[i] = append(g.record[i][:min(g.entered(i), int(step)-1)], version)
+	for q := range g.record {
+		if g.entered(q) >= int(step) {
+			assert.Equal(t, g.record[q][step-1], version, "step %d of ranks %d and %d", step, q, i)
+		}
+	}
+}
+
+// alive tells that some other rank than i holds a map.
+func (g *group) alive(i int) bool {
+	for q, e := range g.engines {
+		if q != i && e.State.Active != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// fault causes one random fault.
+func (g *group) fault(rng *rand.Rand) {
+	i := rng.IntN(len(g.ranks))
+	switch rng.IntN(3) {
+	case 0:
+		if g.alive(i) {
+			g.restartEngine(i)
+		}
+	case 1:
+		g.restartAgent(i, false)
+	case 2:
+		g.newCoordinator()
+	}
+}
+
+func TestLockStepRanksUseOneMapPerStep(t *testing.T) {
+	const ranks = 16
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "schedule"), 0))
+		g := newGroup(ranks)
+		g.newCoordinator()
+		g.run(t, rng, 400, 10)
+		for i := range g.ranks {
+			if g.ranks[i].Excluded() && g.alive(i) {
+				g.restartEngine(i)
+			}
+		}
+		g.newCoordinator()
+		before, commits := g.entered(0), g.commits
+		g.run(t, rng, 40, 0)
+		last := g.coords[len(g.coords)-1]
+		assert.Assert(t, g.entered(0) > before, "no step after the faults ended: %v waits for %v", last.Phase(), last.Waiting())
+		assert.Assert(t, g.commits > commits, "no change commits after the faults ended")
+	})
+}
+
+// run drives the group for a number of rounds with a share of faults in a thousand events.
+func (g *group) run(t assert.TestingT, rng *rand.Rand, rounds, faults int) {
+	for round := range rounds {
+		last := g.coords[len(g.coords)-1]
+		g.coordinatorEffects(last, last.Step(g.now, Propose{Map: []byte{byte(round)}}))
+		g.tick(500 * time.Millisecond)
+		wire := g.wire
+		g.wire = nil
+		for _, p := range wire {
+			fate := rng.IntN(1000)
+			if fate >= faults && fate < 3*faults {
+				g.wire = append(g.wire, p)
+			}
+			if fate >= 2*faults {
+				g.deliver(p)
+			}
+		}
+		for i := range g.ranks {
+			g.step(t, i)
+		}
+		if rng.IntN(1000) < 3*faults {
+			g.fault(rng)
+		}
+	}
+}
--- a/internal/expertmap/world_test.go
+++ b/internal/expertmap/world_test.go
@@ -218,7 +218,7 @@
 func (w *world) rankEffects(i int, effects []RankEffect) {
 	for _, e := range effects {
 		if r, ok := e.(Respond); ok {
-			fence := uint64(r.To[0])
+			fence := uint64([]rune(r.To)[0])
 			w.toCoord[i] = w.insert(w.toCoord[i], fence, w.coordOf(fence).normalise(r.Message))
 		}
 	}
