Send loads to other zones' entries only; tell of joined entries once a round

A new link between entries made each side send its report to all entries and the member list to all linked processes: P entries that join at once cost P rounds of lists of up to P members. Entries of one availability zone also sent each other all loads of the zone, which the receiver does not use: it hears of those targets from the agents. Now the newcomer gets report and list at once, the others the list with the next report, once for all that joined; entries of the own zone get reports without loads.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -42,15 +42,17 @@
 
 // control is the state that the control goroutine owns.
 type control struct {
-	entry      *Entry
-	index      *config.Index
-	stopping   bool
-	stoppedAt  time.Duration
-	agents     map[string]*agentState
-	peers      map[string]*peerState
-	dialled    map[string]bool
-	tracker    *membership.Tracker
-	dirty      bool
+	entry     *Entry
+	index     *config.Index
+	stopping  bool
+	stoppedAt time.Duration
+	agents    map[string]*agentState
+	peers     map[string]*peerState
+	dialled   map[string]bool
+	tracker   *membership.Tracker
+	dirty     bool
+	// joined tells that an entry was linked since the last tellMembers.
+	joined     bool
 	lastReport time.Duration
 }
 
@@ -75,6 +77,7 @@
 	now := c.entry.now()
 	if now-c.lastReport >= reportInterval {
 		c.reportToPeers()
+		c.tellJoined()
 		c.dirty = true // silence changes what is believed of the peers
 	}
 	if c.dirty {
@@ -106,8 +109,9 @@
 	s.links = append(s.links, p)
 	c.tracker.Heard(time.Now(), id, false)
 	c.publish()
-	c.reportToPeers()
-	c.tellMembers()
+	_ = p.Send(c.reportFor(s, c.zoneLoads()))
+	c.tellMembersTo(p)
+	c.joined = true
 }
 
 // linkDown removes a link; a process without links gets no new work.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -16,6 +16,15 @@
 	return list
 }
 
+// tellJoined tells everyone of the entries that were linked since the last time.
+// Many joining at once cost one round instead of one for each.
+func (c *control) tellJoined() {
+	if c.joined {
+		c.joined = false
+		c.tellMembers()
+	}
+}
+
 // tellMembers sends the known entries to every linked process.
 func (c *control) tellMembers() {
 	m := &message.Members{Members: c.memberList()}
--- a/internal/entry/publish.go
+++ b/internal/entry/publish.go
@@ -160,19 +160,35 @@
 	return known && p.State == membership.Leaving
 }
 
-// reportToPeers sends this availability zone's loads to the entries of the others.
+// reportToPeers sends a sign of life to the other entries, with this availability
+// zone's loads to those of the other zones.
 func (c *control) reportToPeers() {
 	c.lastReport = c.entry.now()
+	loads := c.zoneLoads()
+	for _, s := range c.peers {
+		sendAll(s.links, c.reportFor(s, loads))
+	}
+}
+
+// reportFor returns the report for one peer; entries of the own availability zone
+// hear of its targets from the agents.
+func (c *control) reportFor(s *peerState, loads []message.PoolReport) *message.ZoneReport {
 	r := &message.ZoneReport{Leaving: c.stopping}
 	if c.index != nil {
 		r.ConfigRevision = c.index.Revision()
-		r.Pools = c.poolReports()
 	}
-	for _, s := range c.peers {
-		for _, l := range s.links {
-			_ = l.Send(r)
-		}
+	if s.identity.AvailabilityZone != c.entry.opts.Identity.AvailabilityZone {
+		r.Pools = loads
+	}
+	return r
+}
+
+// zoneLoads returns the loads of this availability zone, none without a configuration.
+func (c *control) zoneLoads() []message.PoolReport {
+	if c.index == nil {
+		return nil
 	}
+	return c.poolReports()
 }
 
 // poolReports sums up the usable targets of each pool.
--- a/test/capacity/platform_test.go
+++ b/test/capacity/platform_test.go
@@ -37,7 +37,7 @@
 	p.addr = serve(t, objectstore.Handler(p.store))
 	dir := t.TempDir()
 	assert.NilError(t, os.WriteFile(filepath.Join(dir, "10-all.yaml"), []byte(configText()), 0o600))
-	out, err := exec.Command(filepath.Join(binDir, "gentiantrailctl"), "apply", dir, "--platform", p.addr).CombinedOutput()
+	out, err := exec.Command(filepath.Join(*binDir, "gentiantrailctl"), "apply", dir, "--platform", p.addr).CombinedOutput()
 	assert.NilError(t, err, string(out))
 	return p
 }
--- a/test/capacity/process_test.go
+++ b/test/capacity/process_test.go
@@ -19,7 +19,6 @@
 )
 
 const (
-	binDir = "../../bin"
 	// ticksPerSecond is the unit of the processor times in /proc/PID/stat.
 	ticksPerSecond = 100
 	patience       = 20 * time.Second
@@ -27,8 +26,9 @@
 
 // daemon is the process under measurement.
 type daemon struct {
-	t   *testing.T
-	cmd *exec.Cmd
+	t     *testing.T
+	cmd   *exec.Cmd
+	admin string
 }
 
 // startDaemon runs a program with settings and waits until it is ready.
@@ -39,13 +39,12 @@
 	text := settings + "admin_address: " + admin + "\nlink_key: " + linkKey + "\n"
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	logs := &bytes.Buffer{}
-	cmd := exec.Command(filepath.Join(binDir, program), "--settings", path)
+	cmd := exec.Command(filepath.Join(*binDir, program), "--settings", path)
 	cmd.Stderr = logs
 	assert.NilError(t, cmd.Start())
-	d := &daemon{t: t, cmd: cmd}
+	d := &daemon{t: t, cmd: cmd, admin: admin}
 	t.Cleanup(func() {
-		_ = cmd.Process.Signal(syscall.SIGKILL)
-		_ = cmd.Wait()
+		d.kill()
 		if t.Failed() {
 			t.Log(logs.String()[max(0, logs.Len()-4000):])
 		}
@@ -64,6 +63,12 @@
 	return d
 }
 
+// kill ends the daemon at once; killing it again does nothing.
+func (d *daemon) kill() {
+	_ = d.cmd.Process.Signal(syscall.SIGKILL)
+	_ = d.cmd.Wait()
+}
+
 // cpu returns the processor time that the daemon has used.
 func (d *daemon) cpu() time.Duration {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.cmd.Process.Pid))
--- a/test/capacity/slopes_test.go
+++ b/test/capacity/slopes_test.go
@@ -17,6 +17,7 @@
 
 var (
 	slopes = flag.Bool("slopes", false, "measure all sizes and print the table")
+	binDir = flag.String("bin", "../../bin", "folder of the built programs")
 	window = flag.Duration("window", 8*time.Second, "length of one measurement with -slopes")
 )
 
@@ -116,7 +117,7 @@
 
 // TestSlopes measures the control cost of a daemon over the number of its peers.
 func TestSlopes(t *testing.T) {
-	if _, err := os.Stat(filepath.Join(binDir, "gentiantrail-entry")); err != nil {
+	if _, err := os.Stat(filepath.Join(*binDir, "gentiantrail-entry")); err != nil {
 		t.Skip("build the programs first: go build -o bin/ ./cmd/...")
 	}
 	if !*slopes {
--- a/test/capacity/traffic_test.go
+++ b/test/capacity/traffic_test.go
@@ -27,7 +27,7 @@
 
 // TestTraffic measures the cost of a request and of a relayed token.
 func TestTraffic(t *testing.T) {
-	if _, err := os.Stat(filepath.Join(binDir, "gentiantrail-entry")); err != nil {
+	if _, err := os.Stat(filepath.Join(*binDir, "gentiantrail-entry")); err != nil {
 		t.Skip("build the programs first: go build -o bin/ ./cmd/...")
 	}
 	if !*slopes {
