--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -123,6 +123,8 @@
 	case 1, 4: // takes effect, not answered
 		_, _ = put()
 	case 2, 5: // no effect, not answered
+	case 7: // refused
+		return 0, platform.ErrUnavailable
 	case 3, 6: // takes effect later, not answered
 		time.AfterFunc(150*time.Millisecond, func() { _, _ = put() })
 	default:
@@ -149,7 +151,7 @@
 // revision, a refused one in none, also after delayed writes have landed.
 func TestAnswersOfThePlatformAreSettled(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		fates := rapid.SliceOfN(rapid.IntRange(0, 6), 4, 24).Draw(rt, "fates")
+		fates := rapid.SliceOfN(rapid.IntRange(0, 7), 4, 24).Draw(rt, "fates")
 		synctest.Test(t, func(t *testing.T) { settleRun(t, fates) })
 	})
 }
