Send large configurations to peers in pieces; shorten heads

Cause: one answer could be as large as the whole configuration (4 MiB) and hold up requests on the same link; a head held each digest twice.

Change: an answer to ConfigFetch holds at most 256 KiB, or one file; a peer whose answer brought something new may be asked again. A head holds the nonce of a file's edit in place of the object's whole key. Contents that the pending head does not need are not kept.

Seen: twelve files of 100 KiB arrive in six answers from one peer, without a call to the platform (TestLargeConfigurationArrivesInPieces).

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -67,7 +67,7 @@
 	if err := a.publisher.upload(ctx, plan.Next.Files, a.nonce, a.contents.get); err != nil {
 		return nil, nil, err
 	}
-	a.rememberKeys(plan.Next.Files)
+	a.rememberUploads(plan.Next.Files)
 	return plan.Next, &Result{Changes: plan.Changes, Theirs: plan.Theirs}, nil
 }
 
@@ -147,12 +147,12 @@
 	return c, nil
 }
 
-// rememberKeys keeps the keys of uploaded files for the next attempt.
-func (a *application) rememberKeys(refs []FileRef) {
+// rememberUploads keeps the nonces of uploaded files for the next attempt.
+func (a *application) rememberUploads(refs []FileRef) {
 	for i := range a.mine {
 		ref, ok := findRef(refs, a.mine[i].Name)
-		if ok && ref.Key == fileKey(a.mine[i].Digest, a.nonce) {
-			a.mine[i].Key = ref.Key
+		if ok && ref.Digest == a.mine[i].Digest && ref.Nonce == a.nonce {
+			a.mine[i].Nonce = a.nonce
 		}
 	}
 }
--- a/internal/config/driver_test.go
+++ b/internal/config/driver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,3 +83,41 @@
 	assert.Equal(t, len(reports(f.Step(5, PeerHead{"e", raw}))), 0)
 	assert.Equal(t, f.Revision(), uint64(0))
 }
+
+// A configuration larger than one answer arrives from one peer, without the platform.
+func TestLargeConfigurationArrivesInPieces(t *testing.T) {
+	var files []File
+	for i := range 12 {
+		text := fmt.Sprintf("availability_zones:\n- name: z%d\n  region: r\n# %s\n", i, strings.Repeat("x", 100<<10))
+		files = append(files, File{Name: fmt.Sprintf("%02d.yaml", i), Content: []byte(text)})
+	}
+	head := &Head{Revision: 1, Files: Refs(files)}
+	from := NewFollower(FollowerOptions{Name: "from"}, 0)
+	from.Step(1, HeadRead{Value: head.Encode()})
+	from.Step(2, FilesRead{Files: files})
+	assert.Equal(t, from.Revision(), uint64(1))
+
+	to := NewFollower(FollowerOptions{Name: "to"}, 0)
+	effects := to.Step(1, PeerUp{"from"})
+	answers := 0
+	for now := time.Duration(2); to.Revision() == 0 && answers < 20; now++ {
+		next := toPeer(t, effects)
+		sent := toPeer(t, from.Step(now, PeerFetch{Peer: "to", Digests: next.(*message.ConfigFetch).Digests}))
+		switch m := sent.(type) {
+		case *message.ConfigHead:
+			effects = to.Step(now, PeerHead{"from", m.Head})
+		case *message.ConfigFiles:
+			answers++
+			effects = to.Step(now, PeerFiles{"from", m.Files})
+		}
+	}
+	assert.Equal(t, to.Revision(), uint64(1))
+	assert.Equal(t, answers, 6) // two files of 100 KiB each
+}
+
+// toPeer returns the only message among effects; there is no call to the platform.
+func toPeer(t *testing.T, effects []Effect) message.Message {
+	t.Helper()
+	assert.Equal(t, len(effects), 1, "%v", effects)
+	return effects[0].(SendPeer).Message
+}
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -41,6 +41,9 @@
 	// it doubles up to maxHelpWait as long as the peer stays at its revision.
 	helpGrace   = 250 * time.Millisecond
 	maxHelpWait = time.Minute
+	// maxAnswerSize bounds the files in one answer to a peer in bytes, so that requests
+	// on the same link do not wait for long; a single larger file is sent alone.
+	maxAnswerSize = 256 << 10
 	// fanout is the number of peers to which a new revision is announced.
 	fanout = 4
 	// budgetRate, for watchers watcherRate, and budgetBurst bound the calls to the
--- a/internal/config/follower_adopt.go
+++ b/internal/config/follower_adopt.go
@@ -159,14 +159,23 @@
 	f.contents = kept
 }
 
-// addFiles keeps contents that the pending head needs and lets the next source be
-// asked at once if some are still missing.
-func (f *Follower) addFiles(files []File) {
+// addFiles keeps contents that the pending head lacks and lets the next source be
+// asked at once if some are still missing. It tells whether there were any.
+func (f *Follower) addFiles(files []File) bool {
 	if f.pending == nil {
-		return
+		return false
+	}
+	wanted := digests(f.missing(f.pending.head))
+	added := false
+	for _, file := range files {
+		digest := Digest(file.Content)
+		if slices.Contains(wanted, digest) {
+			f.contents[digest] = file.Content
+			added = true
+		}
 	}
-	f.contents.add(files)
 	f.pending.deadline = f.now
+	return added
 }
 
 func (f *Follower) peerFiles(e PeerFiles) {
@@ -178,7 +187,10 @@
 		}
 		files = append(files, File{Content: file.Content})
 	}
-	f.addFiles(files)
+	if f.addFiles(files) {
+		// The peer may have left files out; it may be asked again.
+		f.pending.tried = slices.DeleteFunc(f.pending.tried, func(name string) bool { return name == e.Peer })
+	}
 }
 
 func (f *Follower) filesRead(e FilesRead) {
--- a/internal/config/follower_peer.go
+++ b/internal/config/follower_peer.go
@@ -86,6 +86,7 @@
 }
 
 // answerFetch sends the files that a peer asks for, or the head if it names none.
+// Files that do not fit into one answer are left out; the peer asks again.
 func (f *Follower) answerFetch(e PeerFetch) {
 	if f.active == nil {
 		return
@@ -94,11 +95,17 @@
 		f.sendHead(e.Peer)
 		return
 	}
-	answer := &message.ConfigFiles{}
+	answer, size := &message.ConfigFiles{}, 0
 	for _, digest := range e.Digests {
-		if content, ok := f.contents.get(digest); ok {
-			answer.Files = append(answer.Files, message.ConfigFile{Digest: digest, Content: content})
+		content, ok := f.contents.get(digest)
+		if !ok {
+			continue
 		}
+		size += len(content)
+		if size > maxAnswerSize && len(answer.Files) > 0 {
+			break
+		}
+		answer.Files = append(answer.Files, message.ConfigFile{Digest: digest, Content: content})
 	}
 	f.emit(SendPeer{Peer: e.Peer, Message: answer})
 }
--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -27,11 +27,15 @@
 	Name string `json:"name"`
 	// Digest is the hex SHA-256 digest of the content.
 	Digest string `json:"digest"`
-	// Key is the object in the platform's store that holds the content. Each edit
-	// writes objects of its own, so that a removed object is never needed again.
-	Key string `json:"key,omitempty"`
+	// Nonce names the run of the edit that wrote the content; empty if it is not
+	// written yet. Each edit writes objects of its own, so that a removed object is
+	// never needed again.
+	Nonce string `json:"nonce,omitempty"`
 }
 
+// key returns the key of the object that holds the content.
+func (r FileRef) key() string { return filePrefix + r.Digest + "-" + r.Nonce }
+
 // EditRecord is one accepted edit in a head.
 type EditRecord struct {
 	// ID is the operator's name for the edit.
--- a/internal/config/publish_files.go
+++ b/internal/config/publish_files.go
@@ -16,22 +16,23 @@
 	sweepLimit = 64
 )
 
-// upload writes the files of refs that have no object yet and sets their keys.
+// upload writes the files of refs that have no object yet and sets their nonces.
 // content is asked for by digest.
 func (p *Publisher) upload(ctx context.Context, refs []FileRef, nonce string, content Contents) error {
 	for i := range refs {
-		if refs[i].Key != "" {
+		if refs[i].Nonce != "" {
 			continue
 		}
-		key := fileKey(refs[i].Digest, nonce)
 		body, ok := content(refs[i].Digest)
 		if !ok {
 			return platform.ErrConflict
 		}
-		if err := p.putFile(ctx, key, body); err != nil {
+		written := refs[i]
+		written.Nonce = nonce
+		if err := p.putFile(ctx, written.key(), body); err != nil {
 			return err
 		}
-		refs[i].Key = key
+		refs[i] = written
 	}
 	return nil
 }
@@ -59,8 +60,6 @@
 	return err
 }
 
-func fileKey(digest, nonce string) string { return filePrefix + digest + "-" + nonce }
-
 // Files returns the contents of refs, which come from a head. A missing object
 // means that the head has been replaced; the error is then platform.ErrConflict.
 func (p *Publisher) Files(ctx context.Context, refs []FileRef) ([]File, error) {
@@ -74,7 +73,7 @@
 	}
 	files := make([]File, 0, len(refs))
 	for _, ref := range refs {
-		object, err := store.Get(ctx, ref.Key)
+		object, err := store.Get(ctx, ref.key())
 		if errors.Is(err, platform.ErrNotFound) {
 			return nil, platform.ErrConflict
 		}
@@ -101,7 +100,7 @@
 	}
 	files := make([]File, 0, len(refs))
 	for _, ref := range refs {
-		value, ok := byKey[ref.Key]
+		value, ok := byKey[ref.key()]
 		if !ok {
 			return nil, platform.ErrConflict
 		}
@@ -129,8 +128,8 @@
 		}
 	}
 	for _, ref := range from.Files {
-		if !slices.ContainsFunc(next.Files, func(r FileRef) bool { return r.Key == ref.Key }) {
-			left = append(left, ref.Key)
+		if !slices.ContainsFunc(next.Files, func(r FileRef) bool { return r.key() == ref.key() }) {
+			left = append(left, ref.key())
 		}
 	}
 	return left
@@ -139,8 +138,8 @@
 // discard removes the objects of an edit that was refused.
 func (p *Publisher) discard(ctx context.Context, refs []FileRef, nonce string) {
 	for _, ref := range refs {
-		if ref.Key == fileKey(ref.Digest, nonce) {
-			_ = p.Store.Delete(ctx, ref.Key, platform.AnyVersion)
+		if ref.Nonce == nonce {
+			_ = p.Store.Delete(ctx, ref.key(), platform.AnyVersion)
 		}
 	}
 }
--- a/internal/ctl/base.go
+++ b/internal/ctl/base.go
@@ -41,7 +41,7 @@
 // writeBase records files as in step with revision.
 func writeBase(dir string, revision uint64, files []config.FileRef) error {
 	for i := range files {
-		files[i].Key = ""
+		files[i].Nonce = ""
 	}
 	raw, err := json.MarshalIndent(base{Revision: revision, Files: files}, "", "  ")
 	if err != nil {
