Hold a target at its cold limit while it reports itself cold

Cause: the limiter probed past the cold limit on good latency alone. Ruled out: slower probing (a target without strain gives nothing to probe), a smaller first step (3 is already one more than 2). Change: the limit stays at the cold limit while the last report says cold. A pool's probe_while_cold restores probing for targets whose latency shows strain; the experiment's engines are of that kind and set it, as does the drop test. A new test covers the default. Conclusion: safe by default, faster by choice.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -22,6 +22,8 @@
 	Limit int
 	// ColdLimit is the most requests that a target runs at once just after its start.
 	ColdLimit int
+	// ProbeWhileCold lets the limit grow while the target still reports itself cold.
+	ProbeWhileCold bool
 	// QueueLimit is the most requests that wait.
 	QueueLimit int
 	// OrganisationQueueLimit is the most requests of one organisation that wait; zero means QueueLimit.
@@ -124,7 +126,7 @@
 // New returns a Controller for a target that counts as cold and healthy.
 func New(cfg Config) *Controller {
 	c := &Controller{
-		limiter: warmup.New(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit}),
+		limiter: warmup.New(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit, ProbeWhileCold: cfg.ProbeWhileCold}),
 		queue:   fairness.New(fairness.Limits{}),
 		running: make(map[uint64]runStart),
 	}
@@ -136,7 +138,7 @@
 // Configure takes over new bounds; requests that wait or run stay.
 func (c *Controller) Configure(cfg Config) {
 	c.cfg = cfg
-	c.limiter.Configure(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit})
+	c.limiter.Configure(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit, ProbeWhileCold: cfg.ProbeWhileCold})
 	c.queue.SetLimits(fairness.Limits{Items: cfg.QueueLimit, PerOrganisation: cfg.OrganisationQueueLimit})
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -153,9 +153,10 @@
 // admissionConfig returns the bounds of the agent's pool.
 func admissionConfig(p *config.Pool) admission.Config {
 	return admission.Config{
-		Limit:       p.Limit,
-		ColdLimit:   p.ColdLimit,
-		QueueLimit:  p.QueueLimit,
-		ServiceTime: assumedServiceTime,
+		Limit:          p.Limit,
+		ColdLimit:      p.ColdLimit,
+		ProbeWhileCold: p.ProbeWhileCold,
+		QueueLimit:     p.QueueLimit,
+		ServiceTime:    assumedServiceTime,
 	}
 }
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -91,6 +91,9 @@
 	Limit int `yaml:"limit"`
 	// ColdLimit is the most requests that a target runs at once just after its start. Range 1 to Limit.
 	ColdLimit int `yaml:"cold_limit"`
+	// ProbeWhileCold lets a target's limit grow while the target still reports itself
+	// cold; only for targets whose latency shows strain before they fail. Default false.
+	ProbeWhileCold bool `yaml:"probe_while_cold"`
 	// QueueLimit is the most requests that wait at one agent. Default: Limit, range 0 to 65536.
 	QueueLimit int `yaml:"queue_limit"`
 	// ChecksFencing tells that the engines refuse orders with an old fencing number. Default false.
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -9,8 +9,10 @@
 // new engine start, a reported cold state, a failed request, or latency far above
 // the target's own puts it back to the cold limit.
 //
-// What a Limiter cannot see, it cannot avoid: a target that gives no sign of
-// strain in its latency before it fails is safe only up to its cold limit.
+// While the engine reports itself cold, the limit stays at the cold limit, unless
+// ProbeWhileCold is set. What a Limiter cannot see, it cannot avoid: a target that
+// gives no sign of strain before it fails, and does not report itself cold, is safe
+// only up to its cold limit.
 package warmup
 
 import (
@@ -25,6 +27,9 @@
 	Limit int
 	// ColdLimit is the most requests that a target runs at once just after its start.
 	ColdLimit int
+	// ProbeWhileCold lets the limit grow while the engine still reports itself cold.
+	// It is safe only for engines whose latency shows strain before they fail.
+	ProbeWhileCold bool
 }
 
 const (
--- a/internal/warmup/limiter_test.go
+++ b/internal/warmup/limiter_test.go
@@ -9,7 +9,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/message"
 )
 
-var pool = Config{Limit: 16, ColdLimit: 2}
+var pool = Config{Limit: 16, ColdLimit: 2, ProbeWhileCold: true}
 
 // serve completes n requests of one latency at full use, one second apart.
 func serve(l *Limiter, now *time.Duration, n int, latency time.Duration) {
@@ -85,3 +85,18 @@
 	serve(l, now, 2000, 10*time.Second)
 	assert.Equal(t, l.Limit(), pool.Limit)
 }
+
+func TestLimitIsHeldWhileTheEngineReportsCold(t *testing.T) {
+	l := New(Config{Limit: 16, ColdLimit: 2})
+	finish := func(n int) {
+		for range n {
+			l.Finished(0, Sample{Running: l.Limit(), ServiceTime: time.Second, OK: true})
+		}
+	}
+	l.Report(0, 1, true)
+	finish(200)
+	assert.Equal(t, l.Limit(), 2)
+	l.Report(0, 1, false)
+	finish(2000)
+	assert.Equal(t, l.Limit(), 16)
+}
--- a/internal/warmup/step.go
+++ b/internal/warmup/step.go
@@ -70,9 +70,12 @@
 	l.since, l.failed = 0, false
 }
 
+// held tells that the engine's own report keeps the limit at the cold limit.
+func (l *Limiter) held() bool { return l.cold && !l.cfg.ProbeWhileCold }
+
 // stepUp raises a limit that was judged good when enough requests have completed.
 func (l *Limiter) stepUp(now time.Duration) {
-	if !l.settled || l.checking || l.since < l.pace || l.limit >= l.cfg.Limit {
+	if l.held() || !l.settled || l.checking || l.since < l.pace || l.limit >= l.cfg.Limit {
 		return
 	}
 	l.limit = min(l.limit+l.step(), l.cfg.Limit)
--- a/test/experiment/cold_test.go
+++ b/test/experiment/cold_test.go
@@ -32,7 +32,7 @@
 		engine: &engine{spec: p.spec, clock: c, startID: 1}, jobs: make(map[uint64]*job),
 	}
 	a.door = admission.New(admission.Config{
-		Limit: p.spec.limit, ColdLimit: p.spec.coldLimit, QueueLimit: 2 * p.spec.limit,
+		Limit: p.spec.limit, ColdLimit: p.spec.coldLimit, ProbeWhileCold: true, QueueLimit: 2 * p.spec.limit,
 	})
 	rng := rand.New(rand.NewPCG(p.seed, 1))
 	running := func() bool { return false }
--- a/test/experiment/world.go
+++ b/test/experiment/world.go
@@ -149,7 +149,7 @@
 		return &fixedDoor{limit: p.engine.limit, queueLimit: queueFactor * p.engine.limit}
 	}
 	return admission.New(admission.Config{
-		Limit: p.engine.limit, ColdLimit: p.engine.coldLimit,
+		Limit: p.engine.limit, ColdLimit: p.engine.coldLimit, ProbeWhileCold: true,
 		QueueLimit: queueFactor * p.engine.limit, ServiceTime: p.meanDecode,
 	})
 }
