--- a/test/scenario/cluster_test.go
+++ b/test/scenario/cluster_test.go
@@ -40,7 +40,8 @@
 	loads    map[string]*load
 	marks    map[string]time.Time // times named by expect quiet and load mark
 
-	wg sync.WaitGroup
+	closing chan struct{} // closed at the script's end
+	wg      sync.WaitGroup
 }
 
 type clusterKey struct{}
@@ -57,6 +58,7 @@
 		pending:  make(map[string]chan callers.Result),
 		loads:    make(map[string]*load),
 		marks:    make(map[string]time.Time),
+		closing:  make(chan struct{}),
 	}
 	env.Values[clusterKey{}] = c
 	env.Defer(func() { c.close(env) })
@@ -92,6 +94,7 @@
 // close ends everything that the script left running. The logs of all processes
 // are shown when the script failed.
 func (c *cluster) close(env *testscript.Env) {
+	close(c.closing)
 	for _, l := range c.loads {
 		l.stop()
 	}
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -71,6 +71,8 @@
 			"balance":    command((*cluster).cmdBalance),
 			"expect":     command((*cluster).cmdExpect),
 			"revision":   command((*cluster).cmdRevision),
+			"garbage":    command((*cluster).cmdGarbage),
+			"memory":     command((*cluster).cmdMemory),
 			"pause":      command((*cluster).cmdPause),
 		},
 	})
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -37,7 +37,8 @@
 	target     string // the stand-in behind an agent
 	serves     string // address for callers, or of a stand-in
 	admin      string
-	advertise  string // forwarded link address of an entry
+	link       string // link address of an entry
+	advertise  string // the same behind the forwarder
 	program    string
 	args       []string
 	logPath    string
--- a/test/scenario/start_test.go
+++ b/test/scenario/start_test.go
@@ -166,7 +166,7 @@
 		name, zone, listen, linkAddr, forwarded, admin, platform, linkKey, yamlList("peers", peers))
 	p := &process{
 		kind: kindEntry, name: name, zone: zone, program: "gentiantrail-entry",
-		serves: listen, advertise: forwarded, admin: admin,
+		serves: listen, link: linkAddr, advertise: forwarded, admin: admin,
 	}
 	if err := c.writeSettings(p, settings); err != nil {
 		return err
