Bound an entry's links to each other zone; report over one link of a pair

Cause: an entry counted only links that are up towards its three links to each other availability zone, so a list with many entries was dialled whole before any came up. Entries that dial each other have two links, and each report went over both. Ruled out: a wait before the choice (start-up would take longer); counting dials for good (an entry that never answers would use up a place). Change: dials of the last 5 s count, the choice is random, reports use one link. Conclusion: cross-zone reports are bounded by zones, no longer by the fleet.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -48,7 +48,7 @@
 	stoppedAt time.Duration
 	agents    map[string]*agentState
 	peers     map[string]*peerState
-	dialled   map[string]bool
+	dialled   map[string]dial
 	tracker   *membership.Tracker
 	dirty     bool
 	// joined tells that an entry was linked since the last tellMembers.
@@ -61,7 +61,7 @@
 		entry:   e,
 		agents:  make(map[string]*agentState),
 		peers:   make(map[string]*peerState),
-		dialled: make(map[string]bool),
+		dialled: make(map[string]dial),
 		tracker: membership.New(membership.Config{}),
 	}
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"math/rand/v2"
+	"time"
+
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
 )
@@ -46,12 +49,23 @@
 	}
 }
 
+// dialGrace is the time after which a dialled entry without a link no longer counts
+// for its availability zone.
+const dialGrace = 5 * time.Second
+
+// dial is an entry that was dialled because a peer named it.
+type dial struct {
+	identity message.Identity
+	at       time.Duration
+}
+
 // learn dials entries that are missing: all of the own availability zone, and a
-// few of each other one.
+// few of each other one, chosen at random so that links spread.
 func (c *control) learn(list []message.Member) {
-	for _, m := range list {
+	for _, i := range rand.Perm(len(list)) {
+		m := list[i]
 		if !m.Leaving && c.wanted(m.Identity) {
-			c.dialled[m.Identity.Address] = true
+			c.dialled[m.Identity.Address] = dial{identity: m.Identity, at: c.entry.now()}
 			c.entry.opts.Dial(m.Identity.Address)
 		}
 	}
@@ -60,23 +74,41 @@
 // wanted tells whether a link to an entry is missing.
 func (c *control) wanted(id message.Identity) bool {
 	own := c.entry.opts.Identity
-	if id.Role != message.RoleEntry || id.Name == own.Name || id.Address == "" || c.dialled[id.Address] {
+	if id.Role != message.RoleEntry || id.Name == own.Name || id.Address == "" || c.linked(id.Name) {
 		return false
 	}
-	if s := c.peers[id.Name]; s != nil && len(s.links) > 0 {
+	if _, known := c.dialled[id.Address]; known {
 		return false
 	}
 	if id.AvailabilityZone == own.AvailabilityZone {
 		return true
 	}
-	return c.linksTo(id.AvailabilityZone) < linksPerRemoteZone
+	return c.linksTo(id.AvailabilityZone)+c.dialsTo(id.AvailabilityZone) < linksPerRemoteZone
+}
+
+// linked tells whether there is a link to an entry.
+func (c *control) linked(name string) bool {
+	s := c.peers[name]
+	return s != nil && len(s.links) > 0
 }
 
 // linksTo counts the linked entries of an availability zone.
 func (c *control) linksTo(zone string) int {
 	n := 0
-	for _, s := range c.peers {
-		if s.identity.AvailabilityZone == zone && len(s.links) > 0 {
+	for name, s := range c.peers {
+		if s.identity.AvailabilityZone == zone && c.linked(name) {
+			n++
+		}
+	}
+	return n
+}
+
+// dialsTo counts the entries of an availability zone that were dialled lately and
+// are not linked yet.
+func (c *control) dialsTo(zone string) int {
+	n := 0
+	for _, d := range c.dialled {
+		if d.identity.AvailabilityZone == zone && c.entry.now()-d.at < dialGrace && !c.linked(d.identity.Name) {
 			n++
 		}
 	}
--- a/internal/entry/publish.go
+++ b/internal/entry/publish.go
@@ -166,7 +166,9 @@
 	c.lastReport = c.entry.now()
 	loads := c.zoneLoads()
 	for _, s := range c.peers {
-		sendAll(s.links, c.reportFor(s, loads))
+		if len(s.links) > 0 {
+			_ = s.links[0].Send(c.reportFor(s, loads))
+		}
 	}
 }
 
