--- a/test/capacity/peer_test.go
+++ b/test/capacity/peer_test.go
@@ -105,6 +105,9 @@
 			zone = 1 + i%(zones-1)
 		}
 		list[i] = newPeer(t, entryIdentity(zone, i), addr, func(seq uint64) message.Message {
+			if zone == 0 {
+				return &message.ZoneReport{ConfigRevision: 1}
+			}
 			return fullReport(zone, seq)
 		})
 	}
--- a/test/capacity/slopes_test.go
+++ b/test/capacity/slopes_test.go
@@ -142,6 +142,8 @@
 	report("entry, over entries of other availability zones (24 agents)", byRemote)
 	report("entry, over entries of its own availability zone (24 agents)", byEntries)
 	report("agent, over linked entries", agent)
+	idle := measureEntry(t, 0, 0, 0, 0)
+	report("entry without peers", []sample{idle})
 	full := measureEntry(t, agentsPerZone, entriesPerZone-1+remoteEntries, entriesPerZone-1, 1)
 	report("entry at the target's size: 86 agents, 49 entries of its own availability zone, 18 of others", []sample{full})
 }
