--- a/test/capacity/platform_test.go
+++ b/test/capacity/platform_test.go
@@ -61,7 +61,10 @@
 func poolName(i int) string { return fmt.Sprintf("model-%02d", i) }
 
 // configText is a configuration of the target's size.
-func configText() string {
+func configText() string { return baseText() + organisationsText(0, organisations, 1) }
+
+// baseText holds the availability zones, pools and services.
+func baseText() string {
 	var b strings.Builder
 	b.WriteString("availability_zones:\n")
 	for i := range zones {
@@ -76,13 +79,20 @@
 		fmt.Fprintf(&b, "- name: %s\n  pool: %s\n  default_timeout: 30s\n  max_timeout: 60s\n"+
 			"  routes:\n  - method: POST\n    path: /*\n    idempotent: true\n", poolName(i), poolName(i))
 	}
+	return b.String()
+}
+
+// organisationsText holds the organisations from up to to.
+func organisationsText(from, to, weight int) string {
+	var b strings.Builder
 	b.WriteString("organisations:\n")
-	for i := range organisations {
+	for i := from; i < to; i++ {
 		key := apiKey
 		if i > 0 {
 			key = fmt.Sprintf("%s-%d", apiKey, i)
 		}
-		fmt.Fprintf(&b, "- name: organisation-%03d\n  weight: 1\n  max_waiting: 256\n  key_digests:\n  - %x\n", i, sha256.Sum256([]byte(key)))
+		fmt.Fprintf(&b, "- name: organisation-%03d\n  weight: %d\n  max_waiting: 256\n  key_digests:\n  - %x\n",
+			i, weight, sha256.Sum256([]byte(key)))
 	}
 	return b.String()
 }
--- a/test/capacity/process_test.go
+++ b/test/capacity/process_test.go
@@ -105,3 +105,12 @@
 	defer func() { _ = ln.Close() }()
 	return ln.Addr().String()
 }
+
+// maxMemory returns the most resident memory of an ended process in MB.
+func maxMemory(state *os.ProcessState) float64 {
+	usage, ok := state.SysUsage().(*syscall.Rusage)
+	if !ok {
+		return 0
+	}
+	return float64(usage.Maxrss) * 1024 / 1e6
+}
