Let the dispatcher ask for a free place and a short wait as routing decides

Ruled out: nothing. Change: the exchange keeps routing's note of refusals, MaxWait travels to the agent's admission, an older load report does not replace a newer.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -116,6 +116,7 @@
 		Priority:     j.req.Priority,
 		Deadline:     c.agent.now() + j.req.Timeout,
 		NoWait:       j.req.NoWait,
+		MaxWait:      j.req.MaxWait,
 	}
 }
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -148,7 +148,9 @@
 	if a == nil || a.identity.Incarnation != p.Identity().Incarnation {
 		return
 	}
-	a.report = c.newReport(load, a.sent)
+	if !a.report.Update(load, a.sent.InFlight()) {
+		return
+	}
 	if load.State == message.TargetLeaving || load.State == message.TargetDown {
 		c.publish()
 		return
@@ -156,10 +158,6 @@
 	c.dirty = true
 }
 
-func (c *control) newReport(load message.Load, sent *routing.Counter) routing.Report {
-	return routing.Report{Known: true, Load: load, SentAtReport: sent.InFlight()}
-}
-
 // zoneReport takes in a peer's report about its availability zone.
 func (c *control) zoneReport(p link.Peer, r *message.ZoneReport) {
 	s := c.peers[p.Identity().Name]
@@ -173,7 +171,7 @@
 		if st == nil {
 			st = &poolState{sent: new(routing.Counter)}
 		}
-		st.report = c.newReport(pool.Load, st.sent)
+		st.report.Update(pool.Load, st.sent.InFlight())
 		st.agents = pool.Agents
 		reported[pool.Pool] = st
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -30,9 +30,6 @@
 		if choice.Destination == routing.ToNobody {
 			return nil, firstOf(last, choice.Err)
 		}
-		if x.req.NoWait && !choice.NoWait {
-			return nil, firstOf(last, apierr.New(apierr.KindOverloaded, "no free place"))
-		}
 		x.attempts++
 		x.target = choice.Name()
 		a, err := e.attempt(x, choice)
@@ -45,7 +42,7 @@
 			return nil, err
 		}
 		last = err
-		x.excluded = append(x.excluded, x.target)
+		x.tried.Refused(choice, err.Kind)
 	}
 }
 
@@ -75,7 +72,9 @@
 		PrefixHash:     x.req.PrefixHash,
 		Remaining:      x.remaining(time.Now()),
 		Hops:           x.req.Hops,
-		Excluded:       x.excluded,
+		NoWait:         x.req.NoWait,
+		Busy:           x.tried.Busy,
+		Excluded:       x.tried.Excluded,
 	}, rng)
 }
 
@@ -126,6 +125,7 @@
 	req.Timeout = x.remaining(time.Now())
 	req.Window = streamWindow
 	req.NoWait = choice.NoWait
+	req.MaxWait = choice.MaxWait
 	if choice.Destination == routing.ToAgent {
 		req.Incarnation = choice.Target.Incarnation
 	} else {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
 
 // exchange is one request on its way through the filters.
@@ -28,8 +29,8 @@
 	route        config.Route
 	// admitted tells that the organisation's place must be given back.
 	admitted bool
-	// excluded names the agents and availability zones that were tried.
-	excluded []string
+	// tried notes the destinations that refused or failed the request.
+	tried routing.Request
 	// attempts counts the dispatches.
 	attempts int
 	// abort is closed when the sender withdrew or cancelled the request; nil for callers over HTTP.
