Add the rebalancing planner and its experiment

Cause: popularity drifts and is reported late; step time follows the most loaded rank. Change: local search on a smooth stand-in for the maximum, matched re-pack of layers above skew 1.75, gains discounted by the share of predictions that came true, hysteresis by the cost of loads and of a change, budget, pacer. Conclusion: the goals hold on ten layers at both sizes (go test ./test/rebalance); the whole experiment follows.

--- /dev/null
+++ b/internal/rebalance/load.go
@@ -0,0 +1,72 @@
+package rebalance
+
+// Popularity holds the load of each expert by layer, in any unit.
+type Popularity struct {
+	Experts int
+	// Load holds loads by layer and expert.
+	Load []float64
+}
+
+// Layer returns the loads of layer l; the result aliases the popularity.
+func (p Popularity) Layer(l int) []float64 {
+	return p.Load[l*p.Experts : (l+1)*p.Experts]
+}
+
+// Skew returns the mean over layers of the maximum rank load over the mean rank
+// load. All ranks wait for each other in every layer, so the time that a step
+// spends in experts is proportional to it. An expert's load is split evenly
+// between its replicas.
+func Skew(m Map, p Popularity) float64 {
+	total := 0.0
+	for l := range m.Shape.Layers {
+		total += layerSkew(m.Shape, m.Layer(l), p.Layer(l))
+	}
+	return total / float64(m.Shape.Layers)
+}
+
+func layerSkew(s Shape, slots []uint16, load []float64) float64 {
+	replicas := countReplicas(s, slots)
+	sum, highest := 0.0, 0.0
+	for r := range s.Ranks {
+		rank := 0.0
+		for _, e := range slots[r*s.SlotsPerRank : (r+1)*s.SlotsPerRank] {
+			rank += load[e] / float64(replicas[e])
+		}
+		sum += rank
+		highest = max(highest, rank)
+	}
+	if sum == 0 {
+		return 1
+	}
+	return highest * float64(s.Ranks) / sum
+}
+
+func countReplicas(s Shape, slots []uint16) []int {
+	replicas := make([]int, s.Experts)
+	for _, e := range slots {
+		replicas[e]++
+	}
+	return replicas
+}
+
+// LowerBound returns a skew that no map of shape s can beat under p: in each
+// layer some rank carries at least the mean, and at least the largest share of
+// one expert under the best choice of replicas.
+func LowerBound(s Shape, p Popularity) float64 {
+	total := 0.0
+	for l := range s.Layers {
+		load := p.Layer(l)
+		replicas := chooseReplicas(s, load)
+		sum, share := 0.0, 0.0
+		for e, v := range load {
+			sum += v
+			share = max(share, v/float64(replicas[e]))
+		}
+		if sum == 0 {
+			total++
+			continue
+		}
+		total += max(1, share*float64(s.Ranks)/sum)
+	}
+	return total / float64(s.Layers)
+}
--- /dev/null
+++ b/internal/rebalance/search.go
@@ -0,0 +1,284 @@
+package rebalance
+
+// patience is the number of loads without a better result after which the search ends.
+const patience = 6
+
+// exchangePartners is the number of least loaded ranks that the search tries.
+const exchangePartners = 16
+
+// search improves one layer by single loads. It lowers a smooth stand-in for the
+// maximum rank load, the sum over ranks and reports of load^16, because the
+// maximum itself does not change while several ranks share it.
+type search struct {
+	shape Shape
+	slots []uint16
+	// load holds the experts' loads by report, scaled so that the mean rank load is 1.
+	load     [][]float64
+	replicas []int
+	// holders lists the ranks that hold each expert.
+	holders [][]int
+	// rank holds the rank loads by report.
+	rank [][]float64
+	cost []float64
+	// delta and touched describe the candidate that is being evaluated.
+	delta   [][]float64
+	touched []int
+	marked  []bool
+}
+
+// replacement puts an expert into a slot; swap puts the slot's expert into the other slot as well.
+type replacement struct {
+	slot   int
+	expert uint16
+	swap   int
+}
+
+// noSwap marks a replacement without an exchange.
+const noSwap = -1
+
+func (c replacement) loads() int {
+	if c.swap != noSwap {
+		return 2
+	}
+	return 1
+}
+
+func newSearch(s Shape, reports int) *search {
+	f := &search{shape: s, replicas: make([]int, s.Experts), holders: make([][]int, s.Experts)}
+	f.slots = make([]uint16, s.LayerSlots())
+	f.cost = make([]float64, s.Ranks)
+	f.marked = make([]bool, s.Ranks)
+	for range reports {
+		f.load = append(f.load, make([]float64, s.Experts))
+		f.rank = append(f.rank, make([]float64, s.Ranks))
+		f.delta = append(f.delta, make([]float64, s.Ranks))
+	}
+	return f
+}
+
+// reset starts on a layer.
+func (f *search) reset(slots []uint16, loads [][]float64) {
+	copy(f.slots, slots)
+	for k, load := range loads {
+		sum := 0.0
+		for _, v := range load {
+			sum += v
+		}
+		scale := float64(f.shape.Ranks) / max(sum, 1e-300)
+		for e, v := range load {
+			f.load[k][e] = v * scale
+		}
+	}
+	f.recount()
+}
+
+// recount derives replicas, holders and rank loads from the slots.
+func (f *search) recount() {
+	for e := range f.replicas {
+		f.replicas[e] = 0
+		f.holders[e] = f.holders[e][:0]
+	}
+	for i, e := range f.slots {
+		f.replicas[e]++
+		f.holders[e] = append(f.holders[e], i/f.shape.SlotsPerRank)
+	}
+	for k := range f.rank {
+		for r := range f.rank[k] {
+			f.rank[k][r] = 0
+		}
+		for i, e := range f.slots {
+			f.rank[k][i/f.shape.SlotsPerRank] += f.load[k][e] / float64(f.replicas[e])
+		}
+	}
+	for r := range f.cost {
+		f.cost[r] = 0
+		for k := range f.rank {
+			f.cost[r] += pow16(f.rank[k][r])
+		}
+	}
+}
+
+func pow16(x float64) float64 {
+	x *= x
+	x *= x
+	x *= x
+	return x * x
+}
+
+// skew returns the layer's skew averaged over the reports.
+func (f *search) skew() float64 {
+	total := 0.0
+	for _, ranks := range f.rank {
+		highest := 0.0
+		for _, v := range ranks {
+			highest = max(highest, v)
+		}
+		total += highest
+	}
+	return total / float64(len(f.rank))
+}
+
+// run makes up to maxMoves loads and returns the number of them with the largest
+// gain net of minGain for each load; ok is false if none has a positive one.
+func (f *search) run(maxMoves int, minGain float64) (best proposal, ok bool) {
+	before := f.skew()
+	net := 0.0
+	for moved := 0; moved < maxMoves; {
+		if before-1 <= net+float64(moved+1)*minGain {
+			break
+		}
+		c, found := f.bestReplacement()
+		if !found {
+			break
+		}
+		f.apply(c)
+		moved += c.loads()
+		gain := before - f.skew()
+		if moved-best.moved > patience {
+			break
+		}
+		if value := gain - float64(moved)*minGain; value > net {
+			net = value
+			best = proposal{slots: append(best.slots[:0], f.slots...), moved: moved, gain: gain}
+			ok = true
+		}
+	}
+	return best, ok
+}
+
+func (f *search) apply(c replacement) {
+	if c.swap != noSwap {
+		f.slots[c.swap] = f.slots[c.slot]
+	}
+	f.slots[c.slot] = c.expert
+	f.recount()
+}
+
+// bestReplacement returns the candidate that lowers the cost most per load.
+func (f *search) bestReplacement() (best replacement, found bool) {
+	hot := 0
+	for r := range f.cost {
+		if f.cost[r] > f.cost[hot] {
+			hot = r
+		}
+	}
+	lowest := 0.0
+	try := func(c replacement) {
+		if change := f.change(c) / float64(c.loads()); change < lowest {
+			best, found, lowest = c, true, change
+		}
+	}
+	n := f.shape.SlotsPerRank
+	for i := hot * n; i < (hot+1)*n; i++ {
+		for e := range f.shape.Experts {
+			if f.lighter(uint16(e), 1, f.slots[i]) {
+				try(replacement{i, uint16(e), noSwap})
+			}
+		}
+	}
+	for _, r := range f.coldest() {
+		for j := r * n; j < (r+1)*n; j++ {
+			for i := hot * n; i < (hot+1)*n; i++ {
+				try(replacement{j, f.slots[i], noSwap})
+				if f.lighter(f.slots[j], 0, f.slots[i]) {
+					try(replacement{i, f.slots[j], j})
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+// lighter tells whether a replica of in, after extra more replicas, carries less
+// than one of out under the last report.
+func (f *search) lighter(in uint16, extra int, out uint16) bool {
+	load := f.load[len(f.load)-1]
+	return load[in]*float64(f.replicas[out]) < load[out]*float64(f.replicas[in]+extra)
+}
+
+// coldest returns the ranks with the lowest cost.
+func (f *search) coldest() []int {
+	ranks := make([]int, 0, exchangePartners+1)
+	for r := range f.cost {
+		at := len(ranks)
+		for at > 0 && f.cost[ranks[at-1]] > f.cost[r] {
+			at--
+		}
+		if at == exchangePartners {
+			continue
+		}
+		ranks = append(ranks, 0)
+		copy(ranks[at+1:], ranks[at:])
+		ranks[at] = r
+		if len(ranks) > exchangePartners {
+			ranks = ranks[:exchangePartners]
+		}
+	}
+	return ranks
+}
+
+// change returns the change of the cost that a candidate makes, or zero if it is not allowed.
+func (f *search) change(c replacement) float64 {
+	n := f.shape.SlotsPerRank
+	r := c.slot / n
+	out, in := f.slots[c.slot], c.expert
+	if out == in || contains(f.slots[r*n:(r+1)*n], in) {
+		return 0
+	}
+	if c.swap == noSwap {
+		if f.replicas[out] == 1 {
+			return 0
+		}
+		return f.replaceChange(r, out, in)
+	}
+	q := c.swap / n
+	if q == r || contains(f.slots[q*n:(q+1)*n], out) {
+		return 0
+	}
+	total := 0.0
+	for k := range f.rank {
+		d := f.load[k][in]/float64(f.replicas[in]) - f.load[k][out]/float64(f.replicas[out])
+		total += pow16(f.rank[k][r]+d) - pow16(f.rank[k][r]) + pow16(f.rank[k][q]-d) - pow16(f.rank[k][q])
+	}
+	return total
+}
+
+// replaceChange returns the change of the cost when rank r drops expert out for expert in.
+func (f *search) replaceChange(r int, out, in uint16) float64 {
+	f.touched = f.touched[:0]
+	f.touch(r)
+	for _, q := range f.holders[out] {
+		f.touch(q)
+	}
+	for _, q := range f.holders[in] {
+		f.touch(q)
+	}
+	total := 0.0
+	for k, load := range f.load {
+		oldOut, newOut := load[out]/float64(f.replicas[out]), load[out]/float64(f.replicas[out]-1)
+		oldIn, newIn := load[in]/float64(f.replicas[in]), load[in]/float64(f.replicas[in]+1)
+		delta, rank := f.delta[k], f.rank[k]
+		for _, q := range f.holders[out] {
+			delta[q] += newOut - oldOut
+		}
+		for _, q := range f.holders[in] {
+			delta[q] += newIn - oldIn
+		}
+		delta[r] += newIn - newOut
+		for _, q := range f.touched {
+			total += pow16(rank[q]+delta[q]) - pow16(rank[q])
+			delta[q] = 0
+		}
+	}
+	for _, q := range f.touched {
+		f.marked[q] = false
+	}
+	return total
+}
+
+func (f *search) touch(r int) {
+	if !f.marked[r] {
+		f.marked[r] = true
+		f.touched = append(f.touched, r)
+	}
+}
--- /dev/null
+++ b/test/rebalance/report_test.go
@@ -0,0 +1,90 @@
+package rebalance_test
+
+import (
+	"flag"
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/rebalance"
+)
+
+var (
+	report = flag.Bool("report", false, "run the whole experiment and write docs/rebalance-*.svg")
+	seed   = flag.Uint64("seed", 1, "seed of the experiment's popularity")
+)
+
+// moveCost is the planner's setting that the goals are measured with: a load of
+// expertSize at a rank's share of the store's rate takes half a second, in which
+// it slows the rank's steps by an eighth.
+const moveCost = 60 * time.Millisecond
+
+// sweep holds the move costs of the trade-off curve.
+var sweep = []time.Duration{
+	15 * time.Millisecond, 30 * time.Millisecond, moveCost,
+	120 * time.Millisecond, 300 * time.Millisecond, 1000 * time.Millisecond,
+}
+
+// checkGoals compares the planner with the baselines of the same run.
+func checkGoals(t *testing.T, r result) {
+	static, full := r.find("static"), r.find("re-pack, matched")
+	planner := r.find("planner, " + moveCost.String())
+	assert.Check(t, planner.skew <= 1.05*full.skew, "skew %.4f, re-pack %.4f", planner.skew, full.skew)
+	assert.Check(t, 10*planner.moved <= full.moved, "moved %d, re-pack %d", planner.moved, full.moved)
+	assert.Check(t, planner.skew <= static.skew, "skew %.4f, static %.4f", planner.skew, static.skew)
+	budget := int(storeRate(r.shape) * int64(interval/time.Second) / expertSize)
+	assert.Check(t, planner.most <= budget, "moved %d in one interval, budget %d", planner.most, budget)
+}
+
+// TestGoals checks the goals on ten layers.
+func TestGoals(t *testing.T) {
+	for _, s := range []rebalance.Shape{small, large} {
+		s.Layers = 10
+		for _, d := range drifts {
+			t.Run(fmt.Sprintf("%d ranks, %s", s.Ranks, d.name), func(t *testing.T) {
+				t.Parallel()
+				checkGoals(t, simulate(s, d, []time.Duration{moveCost}))
+			})
+		}
+	}
+}
+
+// TestReport runs all layers and the whole sweep; it prints the table and writes the plots.
+func TestReport(t *testing.T) {
+	if !*report {
+		t.Skip("runs with -report only")
+	}
+	for _, s := range []rebalance.Shape{small, large} {
+		results := make([]result, len(drifts))
+		t.Run(fmt.Sprintf("%d ranks", s.Ranks), func(t *testing.T) {
+			for i, d := range drifts {
+				t.Run(d.name, func(t *testing.T) {
+					t.Parallel()
+					results[i] = simulate(s, d, sweep)
+					checkGoals(t, results[i])
+				})
+			}
+		})
+		for _, r := range results {
+			fmt.Print(r.table())
+		}
+		name := fmt.Sprintf("rebalance-%d-ranks.svg", s.Ranks)
+		assert.NilError(t, plotResults(filepath.Join("..", "..", "docs", name), results))
+	}
+}
+
+// table returns the result as a Markdown table.
+func (r result) table() string {
+	full := r.find("re-pack, matched")
+	text := fmt.Sprintf("\n### %d ranks, %s, seed %d\n\n", r.shape.Ranks, r.drift, *seed)
+	text += "| Policy | Skew | To re-pack | Experts moved | To matched re-pack | Most in a minute |\n|---|---|---|---|---|---|\n"
+	text += fmt.Sprintf("| lower bound | %.4f | | | | |\n", r.bound)
+	for _, o := range r.outcomes {
+		text += fmt.Sprintf("| %s | %.4f | %+.1f%% | %d | %.1f%% | %d |\n", o.policy, o.skew,
+			100*(o.skew/full.skew-1), o.moved, 100*float64(o.moved)/float64(full.moved), o.most)
+	}
+	return text
+}
--- /dev/null
+++ b/test/rebalance/run_test.go
@@ -0,0 +1,126 @@
+package rebalance_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/rebalance"
+)
+
+const (
+	// interval is the time between two decisions.
+	interval = time.Minute
+	// intervals is the length of a run.
+	intervals = 120
+	// reportLag is the age of a report in intervals when the planner gets it. A
+	// decision takes effect one interval after it is made.
+	reportLag  = 2
+	expertSize = 64 << 20
+)
+
+var (
+	small = rebalance.Shape{Ranks: 16, Layers: 60, Experts: 64, SlotsPerRank: 5}
+	large = rebalance.Shape{Ranks: 128, Layers: 60, Experts: 64, SlotsPerRank: 2}
+)
+
+// storeRate returns the weight store's rate in bytes a second for a group: an
+// eighth of a GiB for each rank.
+func storeRate(s rebalance.Shape) int64 { return int64(s.Ranks) << 27 }
+
+func plannerConfig(s rebalance.Shape, moveCost time.Duration) rebalance.Config {
+	return rebalance.Config{
+		Shape:        s,
+		ExpertSize:   expertSize,
+		StepTime:     15 * time.Millisecond,
+		StepInterval: 29 * time.Millisecond,
+		Horizon:      10 * time.Minute,
+		MoveCost:     moveCost,
+		ChangeCost:   50 * time.Millisecond,
+		Window:       1,
+		Delay:        reportLag + 1,
+		MaxMoves:     24,
+	}
+}
+
+// policy chooses the next map from the current one and the newest report.
+type policy struct {
+	name   string
+	choose func(current rebalance.Map, report rebalance.Popularity) rebalance.Map
+}
+
+func policies(s rebalance.Shape, moveCosts []time.Duration) []policy {
+	all := []policy{
+		{"static", func(m rebalance.Map, _ rebalance.Popularity) rebalance.Map { return m }},
+		{"re-pack", func(_ rebalance.Map, p rebalance.Popularity) rebalance.Map { return rebalance.Repack(s, p) }},
+		{"re-pack, matched", func(m rebalance.Map, p rebalance.Popularity) rebalance.Map {
+			return rebalance.Match(m, rebalance.Repack(s, p))
+		}},
+	}
+	for _, cost := range moveCosts {
+		planner := rebalance.NewPlanner(plannerConfig(s, cost))
+		budget := storeRate(s) * int64(interval/time.Second)
+		all = append(all, policy{"planner, " + cost.String(), func(m rebalance.Map, p rebalance.Popularity) rebalance.Map {
+			planner.Observe(p)
+			return planner.Plan(m, budget).Map
+		}})
+	}
+	return all
+}
+
+// outcome sums up a policy's run.
+type outcome struct {
+	policy string
+	// skew is the mean over intervals of the group's skew.
+	skew float64
+	// moved is the number of experts loaded; most is the largest number in one interval.
+	moved, most int
+}
+
+// result is one run of all policies on the same popularity.
+type result struct {
+	shape    rebalance.Shape
+	drift    string
+	bound    float64
+	outcomes []outcome
+}
+
+// simulate runs all policies on one sequence of popularity.
+func simulate(s rebalance.Shape, d drift, moveCosts []time.Duration) result {
+	rng := rand.New(rand.NewPCG(*seed, uint64(s.Ranks)))
+	truth := []rebalance.Popularity{randomPopularity(rng, s)}
+	for t := 1; t < intervals; t++ {
+		truth = append(truth, d.next(rng, t, truth[t-1]))
+	}
+	res := result{shape: s, drift: d.name}
+	for t := reportLag + 1; t < intervals; t++ {
+		res.bound += rebalance.LowerBound(s, truth[t]) / (intervals - reportLag - 1)
+	}
+	for _, p := range policies(s, moveCosts) {
+		res.outcomes = append(res.outcomes, follow(p, s, truth))
+	}
+	return res
+}
+
+// follow runs one policy; its first map is packed for the first interval.
+func follow(p policy, s rebalance.Shape, truth []rebalance.Popularity) outcome {
+	o := outcome{policy: p.name}
+	current := rebalance.Repack(s, truth[0])
+	for t := reportLag; t < intervals-1; t++ {
+		next := p.choose(current, truth[t-reportLag])
+		moved := current.Moved(next)
+		o.moved += moved
+		o.most = max(o.most, moved)
+		current = next
+		o.skew += rebalance.Skew(current, truth[t+1]) / (intervals - reportLag - 1)
+	}
+	return o
+}
+
+func (r result) find(name string) outcome {
+	for _, o := range r.outcomes {
+		if o.policy == name {
+			return o
+		}
+	}
+	return outcome{}
+}
