Plan the expert map at a group's coordinator and pace the loads of weights

Cause: the planner and the change protocol were not connected. Ruled out: a report from every rank to the coordinator (128 ranks would send more than its control budget; engines exchange their sums anyway). Change: the coordinator reads the popularity from its own engine at each interval and proposes the planner's map within the weight store's rate; each rank paces its loads; agents with a group in their settings run the driver; the stand-in runs a group in lock-step. Before: changes only by hand.

--- a/cmd/gentiantrail-agent/main.go
+++ b/cmd/gentiantrail-agent/main.go
@@ -10,6 +10,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/claims"
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/daemon"
+	"github.com/gentiantrail/gentiantrail/internal/group"
 	"github.com/gentiantrail/gentiantrail/internal/message"
 	"github.com/gentiantrail/gentiantrail/internal/platform"
 	"github.com/gentiantrail/gentiantrail/internal/settings"
@@ -39,6 +40,7 @@
 	agent.State
 	Config config.FollowerState `json:"config"`
 	Claims claims.Stats         `json:"claims"`
+	Group  *group.State         `json:"group,omitempty"`
 }
 
 func run(s *settings.Agent) error {
@@ -56,18 +58,25 @@
 		Logger:   p.Logger,
 		Metrics:  p.Metrics.Scope,
 	})
-	follower := p.NewConfigFollower(store, a.Configure)
-	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, follower.Wrap(a)); err != nil {
+	rank := newRank(s, p, store)
+	follower := p.NewConfigFollower(store, func(x *config.Index) {
+		a.Configure(x)
+		rank.configure(x)
+	})
+	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, follower.Wrap(rank.wrap(a))); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if err := p.OpenAdmin(s.AdminAddress, a.Ready, func() any {
 		held, _ := owned.Stats(ctx)
-		return dump{a.State(), follower.State(), held}
+		return dump{a.State(), follower.State(), held, rank.state()}
 	}); err != nil {
 		return err
 	}
+	inGroup, leaveGroup := context.WithCancel(ctx)
+	defer leaveGroup()
+	go rank.run(inGroup)
 	go a.Run()
 	go a.WatchHealth(ctx)
 	go owned.Run(ctx)
@@ -81,6 +90,8 @@
 	if err := daemon.Await(a.Done(), s.StopTimeout); err != nil {
 		return err
 	}
+	leaveGroup()
+	<-rank.done
 	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
 	defer cancelFlush()
 	if err := owned.Flush(flush); err != nil {
--- a/cmd/gentiantrail-standin/main.go
+++ b/cmd/gentiantrail-standin/main.go
@@ -11,10 +11,12 @@
 	"github.com/alexflint/go-arg"
 	"github.com/valyala/fasthttp"
 
+	"github.com/gentiantrail/gentiantrail/internal/rebalance"
 	"github.com/gentiantrail/gentiantrail/internal/standin/engine"
 	"github.com/gentiantrail/gentiantrail/internal/standin/load"
 	"github.com/gentiantrail/gentiantrail/internal/standin/objectstore"
 	"github.com/gentiantrail/gentiantrail/internal/standin/plain"
+	"github.com/gentiantrail/gentiantrail/internal/standin/ranks"
 )
 
 type platformArgs struct {
@@ -30,6 +32,17 @@
 	Restart   time.Duration `arg:"--restart" default:"2s" help:"time to come back after falling over"`
 }
 
+type ranksArgs struct {
+	Listen        []string      `arg:"--listen,required" help:"IP address and port of each rank"`
+	Layers        int           `arg:"--layers" default:"4" help:"expert layers"`
+	Experts       int           `arg:"--experts" default:"16" help:"experts in a layer"`
+	Slots         int           `arg:"--slots" default:"12" help:"slots of a rank in a layer"`
+	ChecksFencing bool          `arg:"--checks-fencing" help:"refuse orders with an old fencing number"`
+	StepTime      time.Duration `arg:"--step-time" default:"5ms" help:"time between two steps"`
+	LoadTime      time.Duration `arg:"--load-time" default:"200ms" help:"time to load a map's weights"`
+	DriftTime     time.Duration `arg:"--drift-time" default:"10s" help:"time after which another expert is the most popular"`
+}
+
 type plainArgs struct {
 	Listen string `arg:"--listen,required" help:"IP address and port"`
 }
@@ -42,6 +55,7 @@
 type args struct {
 	Platform *platformArgs `arg:"subcommand:platform" help:"the platform's object API"`
 	Engine   *engineArgs   `arg:"subcommand:engine" help:"a model engine"`
+	Ranks    *ranksArgs    `arg:"subcommand:ranks" help:"an expert-parallel group of model engines in lock-step"`
 	Plain    *plainArgs    `arg:"subcommand:plain" help:"a plain service"`
 	Load     *loadArgs     `arg:"subcommand:load" help:"callers that check every answer"`
 }
@@ -54,6 +68,8 @@
 		serve(a.Platform.Listen, objectstore.Handler(objectstore.New()))
 	case a.Engine != nil:
 		serve(a.Engine.Listen, engine.New(a.Engine.config()).Handle)
+	case a.Ranks != nil:
+		serveRanks(a.Ranks)
 	case a.Plain != nil:
 		serve(a.Plain.Listen, plain.New().Handle)
 	case a.Load != nil:
@@ -70,6 +86,20 @@
 	}
 }
 
+// serveRanks runs one group, each rank on an address of its own.
+func serveRanks(a *ranksArgs) {
+	g := ranks.New(ranks.Config{
+		Shape:         rebalance.Shape{Ranks: len(a.Listen), Layers: a.Layers, Experts: a.Experts, SlotsPerRank: a.Slots},
+		ChecksFencing: a.ChecksFencing, StepTime: a.StepTime, LoadTime: a.LoadTime, DriftTime: a.DriftTime,
+		Engine: engine.Config{Warm: 16, Cold: 2, WarmAfter: 8, TokenTime: a.StepTime},
+	})
+	for i, addr := range a.Listen[1:] {
+		go serve(addr, g.Handler(i+1))
+	}
+	go g.Run(make(chan struct{}))
+	serve(a.Listen[0], g.Handler(0))
+}
+
 // serve answers HTTP until the process is ended.
 func serve(addr string, h fasthttp.RequestHandler) {
 	s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, MaxRequestBodySize: 8 << 20}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -94,6 +94,8 @@
 	problems = append(problems, inRange(o, "group.experts", g.Experts, 1, MaxExperts)...)
 	problems = append(problems, inRange(o, "group.slots_per_rank", g.SlotsPerRank, 1, MaxExperts)...)
 	problems = append(problems, inRange(o, "group.expert_size", g.ExpertSize, 1, MaxExpertSize)...)
+	problems = append(problems, inRange(o, "group.weight_rate", g.WeightRate, MiB, 64*GiB)...)
+	problems = append(problems, inRange(o, "group.rebalance_interval", g.RebalanceInterval, time.Second, time.Hour)...)
 	if len(problems) == 0 && g.Ranks*g.SlotsPerRank < g.Experts {
 		text := fmt.Sprintf("%d ranks with %d slots cannot hold %d experts", g.Ranks, g.SlotsPerRank, g.Experts)
 		fix := fmt.Sprintf("write slots_per_rank: %d or more", (g.Experts+g.Ranks-1)/g.Ranks)
--- /dev/null
+++ b/internal/config/group.go
@@ -0,0 +1,19 @@
+package config
+
+import "time"
+
+// Defaults of a group.
+const (
+	defaultWeightRate        = 1 * GiB
+	defaultRebalanceInterval = time.Minute
+)
+
+// setDefaults fills in the values that the files leave out.
+func (g *Group) setDefaults() {
+	if g.WeightRate == 0 {
+		g.WeightRate = defaultWeightRate
+	}
+	if g.RebalanceInterval == 0 {
+		g.RebalanceInterval = defaultRebalanceInterval
+	}
+}
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -122,6 +122,9 @@
 		if p.value.QueueLimit == queueLimitUnset {
 			p.value.QueueLimit = p.value.Limit
 		}
+		if p.value.Group != nil {
+			p.value.Group.setDefaults()
+		}
 	}
 	problems := checkOrganisations(organisations)
 	for _, s := range services {
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -115,4 +115,10 @@
 	SlotsPerRank int `yaml:"slots_per_rank"`
 	// ExpertSize is the size of one expert's weights, for example 64MiB.
 	ExpertSize Size `yaml:"expert_size"`
+	// WeightRate is the share of the weight store's rate that one group may use,
+	// per second. Default 1GiB, range 1MiB to 64GiB.
+	WeightRate Size `yaml:"weight_rate"`
+	// RebalanceInterval is the time between two decisions about the expert map.
+	// Default 1m, range 1s to 1h.
+	RebalanceInterval time.Duration `yaml:"rebalance_interval"`
 }
--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -32,9 +32,14 @@
 
 func (d *Driver) beginCoordinating(ctx context.Context, fence uint64) {
 	d.fence = fence
+	initial, err := initialMap(d.cfg.Shape)
+	if err != nil {
+		d.logEvent("no-initial-map").Str("detail", err.Error()).Msg("")
+		return
+	}
 	d.logEvent("coordinator-began").Uint64("fence", fence).Msg("")
 	c, effects := expertmap.NewCoordinator(expertmap.Config{
-		Group: d.opts.Group, Ranks: d.cfg.Ranks, Initial: d.cfg.Initial, Lead: changeLead,
+		Group: d.opts.Group, Ranks: d.cfg.Shape.Ranks, Initial: initial, Lead: changeLead,
 		Resend: resendAfter, Poll: pollInterval, ChangeTimeout: changeTimeout,
 	}, fence, d.now())
 	d.coordinator = c
--- a/internal/group/engine.go
+++ b/internal/group/engine.go
@@ -10,6 +10,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/expertmap"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/rebalance"
 	"github.com/gentiantrail/gentiantrail/internal/target"
 )
 
@@ -20,6 +21,8 @@
 	// Order carries out a quick order. An error means that it is not known whether
 	// the order was carried out.
 	Order(ctx context.Context, o expertmap.Order) (expertmap.Reply, error)
+	// Popularity returns the group's load of each expert, reported late.
+	Popularity(ctx context.Context) (rebalance.Popularity, error)
 	// Load brings the weights of a map into memory, within the weight store's rate.
 	Load(ctx context.Context, l expertmap.Load) error
 }
@@ -29,6 +32,8 @@
 	PathState = "/rank/state"
 	PathOrder = "/rank/order"
 	PathLoad  = "/rank/load"
+	// PathPopularity returns the loads of all ranks summed up, as the engines exchange them.
+	PathPopularity = "/rank/popularity"
 )
 
 const (
@@ -66,6 +71,13 @@
 	return reply, err
 }
 
+// Popularity implements Engine.
+func (e *HTTPEngine) Popularity(ctx context.Context) (rebalance.Popularity, error) {
+	var p rebalance.Popularity
+	err := e.call(ctx, http.MethodGet, PathPopularity, nil, &p, orderTimeout)
+	return p, err
+}
+
 // Load implements Engine.
 func (e *HTTPEngine) Load(ctx context.Context, l expertmap.Load) error {
 	return e.call(ctx, http.MethodPost, PathLoad, l, nil, loadTimeout)
--- a/internal/group/event.go
+++ b/internal/group/event.go
@@ -7,6 +7,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/expertmap"
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/rebalance"
 )
 
 // event changes the driver's state; apply runs on the driver's goroutine only.
@@ -21,8 +22,12 @@
 		from string
 		m    message.Message
 	}
-	configured  struct{ cfg Config }
-	proposed    struct{ m []byte }
+	configured     struct{ cfg Config }
+	popularitySeen struct {
+		popularity rebalance.Popularity
+		active     []byte
+		err        error
+	}
 	registered  struct{ members []Member }
 	engineSeen  struct{ began time.Time }
 	rankStarted struct {
@@ -71,12 +76,6 @@
 	}
 }
 
-func (ev proposed) apply(ctx context.Context, d *Driver) {
-	if d.coordinator != nil {
-		d.coordinate(ctx, expertmap.Propose{Map: ev.m})
-	}
-}
-
 func (ev registered) apply(_ context.Context, d *Driver) {
 	for _, m := range ev.members {
 		d.members[m.Rank] = m
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -13,11 +13,13 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/expertmap"
 	"github.com/gentiantrail/gentiantrail/internal/lease"
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
 	"github.com/gentiantrail/gentiantrail/internal/platform"
+	"github.com/gentiantrail/gentiantrail/internal/rebalance"
 )
 
 const (
@@ -58,12 +60,33 @@
 
 // Config is what the configuration says of the group.
 type Config struct {
-	// Ranks is the number of ranks.
-	Ranks int
-	// Initial is the map of a group whose ranks hold none.
-	Initial []byte
+	// Shape is the size of the group's expert map.
+	Shape rebalance.Shape
 	// ChecksFencing tells that the engine refuses orders with an old fencing number.
 	ChecksFencing bool
+	// ExpertSize is the size of one expert's weights in bytes.
+	ExpertSize int64
+	// WeightRate is the group's share of the weight store's rate in bytes a second.
+	WeightRate int64
+	// RebalanceInterval is the time between two decisions about the map.
+	RebalanceInterval time.Duration
+}
+
+// ConfigOf returns the Config of a pool's groups; ok is false for pools without one.
+func ConfigOf(p *config.Pool) (c Config, ok bool) {
+	g := p.Group
+	if g == nil {
+		return Config{}, false
+	}
+	return Config{
+		Shape: rebalance.Shape{
+			Ranks: g.Ranks, Layers: g.Layers, Experts: g.Experts, SlotsPerRank: g.SlotsPerRank,
+		},
+		ChecksFencing:     p.ChecksFencing,
+		ExpertSize:        int64(g.ExpertSize),
+		WeightRate:        int64(g.WeightRate),
+		RebalanceInterval: g.RebalanceInterval,
+	}, true
 }
 
 // Driver runs one rank's part of its group.
@@ -81,8 +104,12 @@
 	engineBegan time.Time
 	coordinator *expertmap.Coordinator
 	fence       uint64
-	peers       map[string]link.Peer
-	members     map[int]Member
+	plan        *planning
+	// activeMap is the map whose weights the rank loaded last.
+	activeMap []byte
+	pacer     rebalance.Pacer
+	peers     map[string]link.Peer
+	members   map[int]Member
 
 	mu    sync.Mutex
 	state State
@@ -102,9 +129,6 @@
 	}
 }
 
-// Propose asks the group's coordinator, if it is this process, for a change to m.
-func (d *Driver) Propose(m []byte) { d.post(proposed{m: m}) }
-
 // Configure begins the driver's work. The first configuration stands until the
 // process ends, as all ranks of a group must agree on it.
 func (d *Driver) Configure(c Config) { d.events <- configured{cfg: c} }
@@ -148,8 +172,10 @@
 // begin starts the driver's parts once the configuration is known.
 func (d *Driver) begin(ctx context.Context, c Config) {
 	d.cfg = &c
+	d.plan = newPlanning(c)
+	d.pacer.Rate = c.WeightRate / int64(c.Shape.Ranks)
 	go d.keeper.Run(context.WithoutCancel(ctx))
-	go d.watchRegistry(ctx, c.Ranks)
+	go d.watchRegistry(ctx, c.Shape.Ranks)
 	go d.watchEngine(ctx)
 	d.restartRank(ctx)
 }
@@ -161,6 +187,7 @@
 	d.checkLease(ctx)
 	if d.coordinator != nil {
 		d.coordinate(ctx, expertmap.Tick{})
+		d.rebalance(ctx)
 	}
 }
 
--- /dev/null
+++ b/internal/group/plan.go
@@ -0,0 +1,129 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/expertmap"
+	"github.com/gentiantrail/gentiantrail/internal/rebalance"
+)
+
+// Estimates that the planner weighs a change with.
+const (
+	planStepTime     = 15 * time.Millisecond
+	planStepInterval = 29 * time.Millisecond
+	planHorizon      = 10 * time.Minute
+	planMoveCost     = 60 * time.Millisecond
+	planChangeCost   = 50 * time.Millisecond
+	planWindow       = 1  // reports
+	planDelay        = 2  // reports
+	planMaxMoves     = 24 // experts a layer
+)
+
+// planning decides, at the coordinator, when the map is changed and to what.
+type planning struct {
+	cfg     Config
+	planner *rebalance.Planner
+	last    time.Duration
+	asking  bool
+}
+
+func newPlanning(c Config) *planning {
+	return &planning{cfg: c, planner: rebalance.NewPlanner(rebalance.Config{
+		Shape: c.Shape, ExpertSize: c.ExpertSize,
+		StepTime: planStepTime, StepInterval: planStepInterval, Horizon: planHorizon,
+		MoveCost: planMoveCost, ChangeCost: planChangeCost,
+		Window: planWindow, Delay: planDelay, MaxMoves: planMaxMoves,
+	})}
+}
+
+// budget is the number of bytes that one decision may move within the store's rate.
+func (p *planning) budget() int64 {
+	return int64(p.cfg.RebalanceInterval.Seconds() * float64(p.cfg.WeightRate))
+}
+
+// initialMap returns the map of a group whose ranks hold none: even replicas.
+func initialMap(s rebalance.Shape) ([]byte, error) {
+	even := rebalance.Popularity{Experts: s.Experts, Load: make([]float64, s.Layers*s.Experts)}
+	for i := range even.Load {
+		even.Load[i] = 1
+	}
+	return rebalance.Repack(s, even).Encode()
+}
+
+// rebalance asks for the popularity when it is time for the next decision.
+func (d *Driver) rebalance(ctx context.Context) {
+	p := d.plan
+	idle := d.coordinator != nil && d.coordinator.Phase() == expertmap.PhaseIdle
+	if !idle || p.asking || d.now()-p.last < p.cfg.RebalanceInterval {
+		return
+	}
+	p.asking = true
+	p.last = d.now()
+	go func() {
+		popularity, err := d.opts.Engine.Popularity(ctx)
+		if err != nil {
+			d.send(ctx, popularitySeen{err: err})
+			return
+		}
+		_, state, err := d.opts.Engine.State(ctx)
+		d.send(ctx, popularitySeen{popularity: popularity, active: state.ActiveMap, err: err})
+	}()
+}
+
+// send hands an event to the driver and waits until there is room for it.
+func (d *Driver) send(ctx context.Context, ev event) {
+	select {
+	case d.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// apply decides about a change of the map.
+func (ev popularitySeen) apply(ctx context.Context, d *Driver) {
+	d.plan.asking = false
+	if ev.err != nil {
+		d.logEvent("popularity-unknown").Str("detail", ev.err.Error()).Msg("")
+		return
+	}
+	current, err := rebalance.DecodeMap(ev.active)
+	shape := d.plan.cfg.Shape
+	if err != nil || current.Shape != shape || len(ev.popularity.Load) != shape.Layers*shape.Experts {
+		d.logEvent("popularity-unusable").Msg("")
+		return
+	}
+	d.plan.planner.Observe(ev.popularity)
+	plan := d.plan.planner.Plan(current, d.plan.budget())
+	if plan.Moved == 0 || d.coordinator == nil {
+		return
+	}
+	next, err := plan.Map.Encode()
+	if err != nil {
+		return
+	}
+	d.logEvent("map-proposed").Int("moved", plan.Moved).Int64("bytes", plan.Bytes).Float64("gain", plan.Gain).Msg("")
+	d.coordinate(ctx, expertmap.Propose{Map: next})
+}
+
+// movedBytes returns the size of the weights that a rank has to load for next.
+func movedBytes(rank int, expertSize int64, current, next []byte) int64 {
+	from, err := rebalance.DecodeMap(current)
+	to, err2 := rebalance.DecodeMap(next)
+	if err != nil || err2 != nil || from.Shape != to.Shape {
+		return 0
+	}
+	moved := 0
+	for l := range to.Shape.Layers {
+		first := rank * to.Shape.SlotsPerRank
+		held := make(map[uint16]bool, to.Shape.SlotsPerRank)
+		for _, e := range from.Layer(l)[first : first+to.Shape.SlotsPerRank] {
+			held[e] = true
+		}
+		for _, e := range to.Layer(l)[first : first+to.Shape.SlotsPerRank] {
+			if !held[e] {
+				moved++
+			}
+		}
+	}
+	return int64(moved) * expertSize
+}
--- a/internal/group/rank.go
+++ b/internal/group/rank.go
@@ -58,6 +58,7 @@
 func (ev rankStarted) apply(_ context.Context, d *Driver) {
 	d.starting = false
 	d.engineBegan = ev.began
+	d.activeMap = ev.engine.ActiveMap
 	d.rank = expertmap.NewRank(ev.start)
 	d.incarnation = ev.start.Incarnation
 	d.logEvent("rank-started").Uint64("fence", ev.start.Fence).Uint64("active", ev.engine.Active).Msg("")
@@ -89,14 +90,27 @@
 		case expertmap.Respond:
 			d.respond(ctx, e.To, e.Message)
 		case expertmap.Load:
-			go d.load(ctx, d.incarnation, e)
+			go d.load(ctx, d.incarnation, e, d.pacer.Reserve(d.now(), d.loadSize(e)))
 		case expertmap.Order:
 			go d.orderEngine(ctx, d.incarnation, e)
 		}
 	}
 }
 
-func (d *Driver) load(ctx context.Context, incarnation uint64, l expertmap.Load) {
+// loadSize returns the size of the weights of l that the rank does not hold yet.
+func (d *Driver) loadSize(l expertmap.Load) int64 {
+	size := movedBytes(d.opts.Rank, d.cfg.ExpertSize, d.activeMap, l.Map)
+	d.activeMap = l.Map
+	return size
+}
+
+// load brings weights into memory once the weight store's rate allows it.
+func (d *Driver) load(ctx context.Context, incarnation uint64, l expertmap.Load, start time.Duration) {
+	select {
+	case <-time.After(start - d.now()):
+	case <-ctx.Done():
+		return
+	}
 	err := d.opts.Engine.Load(ctx, l)
 	d.post(loaded{incarnation: incarnation, version: l.Version, err: err})
 }
