Never call a request not run after an attempt that may have run

Cause: idempotent requests are tried again inside after a link was lost or a target failed. Change: the exchange keeps the failure of the first attempt that may have run, and dispatch answers it in place of a later not run.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -20,9 +20,19 @@
 	leastAttempt = 5 * time.Millisecond
 )
 
-// dispatch sends x to one destination after another until an answer's head has
-// arrived or no further attempt is allowed.
+// dispatch gets x answered. A request of which any attempt may have run is never
+// reported as not run, whatever became of the later attempts.
 func (e *Entry) dispatch(x *exchange) (*answer, *apierr.Error) {
+	a, err := e.dispatchInTurn(x)
+	if err != nil && x.mayHaveRun != nil && err.Answer().Outcome == apierr.OutcomeNotRun {
+		return nil, x.mayHaveRun
+	}
+	return a, err
+}
+
+// dispatchInTurn sends x to one destination after another until an answer's head
+// has arrived or no further attempt is allowed.
+func (e *Entry) dispatchInTurn(x *exchange) (*answer, *apierr.Error) {
 	var last *apierr.Error
 	for {
 		x.view = e.view.Load()
@@ -111,6 +121,7 @@
 	}
 	a, err := e.awaitHead(x, c)
 	if err != nil {
+		x.failed(err)
 		sent.End()
 		e.calls.close(c)
 		return nil, err
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -30,6 +30,8 @@
 	admitted bool
 	// excluded names the agents and availability zones that were tried.
 	excluded []string
+	// mayHaveRun is the failure of the first attempt that may have run.
+	mayHaveRun *apierr.Error
 	// attempts counts the dispatches.
 	attempts int
 	// abort is closed when the sender withdrew or cancelled the request; nil for callers over HTTP.
@@ -67,3 +69,10 @@
 	}
 	return nil
 }
+
+// failed notes the failure of an attempt that was sent.
+func (x *exchange) failed(err *apierr.Error) {
+	if x.mayHaveRun == nil && err.Answer().Outcome != apierr.OutcomeNotRun {
+		x.mayHaveRun = err
+	}
+}
--- a/internal/standin/callers/callers_test.go
+++ b/internal/standin/callers/callers_test.go
@@ -50,6 +50,11 @@
 	attempt := func(mark string, v Verdict) Result {
 		return Result{Request: Request{Method: http.MethodPost, Mark: mark}, Verdict: v}
 	}
+	repeatable := func(mark string, v Verdict) Result {
+		r := attempt(mark, v)
+		r.Request.Repeatable = true
+		return r
+	}
 	results := []Result{
 		attempt("once", Complete),
 		attempt("doubled", Unknown), attempt("doubled", Complete),
@@ -58,13 +63,14 @@
 		attempt("open", NotRun), attempt("open", NoAnswer),
 		attempt("refused", NotRun),
 		attempt("crossed", Crossed),
+		repeatable("again", Complete), repeatable("denied", NotRun),
 	}
-	runs := map[string]int{"once": 1, "doubled": 2, "lied": 1, "open": 1, "stray": 1}
+	runs := map[string]int{"once": 1, "doubled": 2, "lied": 1, "open": 1, "stray": 1, "again": 2, "denied": 2}
 	var marks []string
 	for _, v := range Judge(results, runs) {
 		marks = append(marks, v.Mark)
 	}
-	assert.DeepEqual(t, marks, []string{"crossed", "doubled", "lied", "lost", "stray"})
+	assert.DeepEqual(t, marks, []string{"crossed", "denied", "doubled", "lied", "lost", "stray"})
 }
 
 func TestGeneratorPassesOverEntriesOutOfReach(t *testing.T) {
--- a/internal/standin/callers/judge.go
+++ b/internal/standin/callers/judge.go
@@ -15,9 +15,9 @@
 func (v Violation) String() string { return v.Mark + ": " + v.Text }
 
 // Judge compares what callers were told with runs, the number of times that the
-// targets ran the non-repeatable request of each mark:
+// targets ran the request of each mark:
 //
-//   - a request runs at most once;
+//   - a request that is not repeatable runs at most once;
 //   - after a complete answer or the outcome ran, it ran;
 //   - if every caller of the mark was told not run, it did not run;
 //   - no answer is another request's, or incomplete without a sign of it.
@@ -28,7 +28,7 @@
 		if r.Verdict == Crossed {
 			found = append(found, Violation{r.Request.Mark, "wrong answer: " + r.Detail})
 		}
-		if !r.Request.repeatable() {
+		if r.Request.recorded() {
 			byMark[r.Request.Mark] = append(byMark[r.Request.Mark], r)
 		}
 	}
@@ -56,11 +56,11 @@
 		return r.Verdict != NotRun && r.Verdict != Unreached
 	})
 	switch {
-	case n > 1:
+	case n > 1 && !attempts[0].Request.Repeatable:
 		return fmt.Sprintf("doubled: ran %d times", n)
 	case n == 0 && ran:
 		return "lost: told ran, but it did not run"
-	case n == 1 && !open:
+	case n > 0 && !open:
 		return "told not run, but it ran"
 	default:
 		return ""
--- a/internal/standin/callers/request.go
+++ b/internal/standin/callers/request.go
@@ -20,6 +20,8 @@
 	Mark string
 	// IdempotencyKey is the caller's key, if any.
 	IdempotencyKey string
+	// Repeatable tells that the request is idempotent and may run more than once.
+	Repeatable bool
 	// Timeout is the time to the complete answer; zero leaves it to the service.
 	Timeout time.Duration
 	// Tokens is the number of tokens asked of a model engine; zero asks a plain service.
@@ -28,8 +30,8 @@
 	Stream bool
 }
 
-// repeatable tells whether the request may run more than once.
-func (r Request) repeatable() bool { return r.Tokens > 0 || r.Method == http.MethodGet }
+// recorded tells whether the targets keep a record of the request's runs.
+func (r Request) recorded() bool { return r.Tokens == 0 && r.Method != http.MethodGet }
 
 // Verdict is what a caller makes of one exchange.
 type Verdict string
--- a/test/scenario/request_test.go
+++ b/test/scenario/request_test.go
@@ -14,6 +14,9 @@
 	"github.com/gentiantrail/gentiantrail/internal/standin/callers"
 )
 
+// recheckPath is an idempotent route of the plain service that records its runs.
+const recheckPath = "/permits/rechecks"
+
 // cmdRequest sends one request and compares what came of it with the wanted
 // verdicts, or starts it in the background:
 //
@@ -78,6 +81,7 @@
 	if strings.HasPrefix(path, "/drafting/") {
 		r.Tokens, r.Stream = 8, true
 	}
+	r.Repeatable = r.Tokens > 0 || r.Method == "GET" || path == recheckPath
 	var err error
 	if set["tokens"] != "" {
 		r.Tokens, err = strconv.Atoi(set["tokens"])
