--- a/test/scenario/start_test.go
+++ b/test/scenario/start_test.go
@@ -10,6 +10,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
 
 	"github.com/gentiantrail/gentiantrail/internal/standin/forwarder"
 )
@@ -230,9 +233,42 @@
 	c.balancer.Set(addrs...)
 }
 
+// probeInterval is the period of the balancer's readiness probes.
+const probeInterval = 100 * time.Millisecond
+
+// followReadiness keeps the entries that are ready in the balancer's service
+// until the script ends.
+func (c *cluster) followReadiness() {
+	entries := c.ofKind(kindEntry, "")
+	c.wg.Go(func() {
+		ticker := time.NewTicker(probeInterval)
+		defer ticker.Stop()
+		for {
+			var ready []string
+			for _, e := range entries {
+				status, _, err := fasthttp.GetTimeout(nil, "http://"+e.admin+"/readyz", probeInterval)
+				if err == nil && status == fasthttp.StatusOK {
+					ready = append(ready, e.serves)
+				}
+			}
+			c.balancer.Set(ready...)
+			select {
+			case <-ticker.C:
+			case <-c.closing:
+				return
+			}
+		}
+	})
+}
+
 // cmdBalance names the entries to which the platform's balancer sends load:
-// balance NAME… or balance all.
+// balance NAME…, balance all, or balance ready for those that say that they are
+// ready, from then on.
 func (c *cluster) cmdBalance(args []string) (string, error) {
+	if slices.Equal(args, []string{"ready"}) {
+		c.followReadiness()
+		return "", nil
+	}
 	if slices.Equal(args, []string{"all"}) {
 		c.balanceAll()
 		return "", nil
