Share the wait for a full link queue between entry and agent

Cause: entry.sendFrame and agent.send held the same retry loop and the same constant. Ruled out: a blocking Peer.Send (its callers on event loops must not wait). Change: link.SendWait; each caller maps its error to an error kind as before. Before and after: tests of link, agent and entry pass. Conclusion: one loop, behaviour unchanged.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/link"
@@ -15,13 +14,10 @@
 const (
 	// maxChunk is the most body bytes in one ResponseData frame.
 	maxChunk = 32 << 10
-	// fullRetry is the wait before a frame is offered again to a full link queue.
-	fullRetry = time.Millisecond
+	// maxWhole is the largest body that travels in the same frame as the answer's head, in bytes.
+	maxWhole = 16 << 10
 )
 
-// maxWhole is the largest body that travels in the same frame as the answer's head, in bytes.
-const maxWhole = 16 << 10
-
 // relayWhole reads a short answer to its end and sends it in one frame. It sends
 // nothing if the answer is cut short.
 func relayWhole(j *job, r *target.Response, keep func([]byte), load message.Load) (int64, *apierr.Error) {
@@ -91,19 +87,14 @@
 
 // send queues m, waiting while the link's queue is full.
 func send(ctx context.Context, p link.Peer, m message.Message) *apierr.Error {
-	for {
-		err := p.Send(m)
-		if err == nil {
-			return nil
-		}
-		if !errors.Is(err, link.ErrFull) {
-			return apierr.Wrap(apierr.KindLinkLost, p.Identity().Name, err)
-		}
-		select {
-		case <-time.After(fullRetry):
-		case <-ctx.Done():
-			return bodyFailure(ctx, ctx.Err())
-		}
+	err := link.SendWait(ctx, p, m)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return bodyFailure(ctx, err)
+	default:
+		return apierr.Wrap(apierr.KindLinkLost, p.Identity().Name, err)
 	}
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -12,8 +12,8 @@
 	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
 
-// fullRetry is the wait before a frame is offered again to a full link queue.
-const fullRetry = time.Millisecond
+// endTimeout bounds the wait until the final frame of a forward is queued.
+const endTimeout = time.Second
 
 // forward is a request that a peer entry of another availability zone passed on.
 type forward struct {
@@ -192,9 +192,11 @@
 
 // relayForward copies the frames of an answer to the upstream link.
 func (e *Entry) relayForward(f *forward, a *answer) {
+	ctx, cancel := context.WithDeadline(context.Background(), f.x.deadline)
+	defer cancel()
 	head := *a.head
 	head.ID = f.key.id
-	if err := sendFrame(f.peer, &head, f.x.deadline); err != nil {
+	if err := sendFrame(ctx, f.peer, &head); err != nil {
 		a.err = err
 		return
 	}
@@ -209,7 +211,7 @@
 		}
 		data := &message.ResponseData{ID: f.key.id, Offset: offset, Data: a.pending}
 		a.pending = nil
-		if err := sendFrame(f.peer, data, f.x.deadline); err != nil {
+		if err := sendFrame(ctx, f.peer, data); err != nil {
 			a.err = err
 		}
 	}
@@ -222,22 +224,16 @@
 	if err != nil {
 		end.Failure = toFailure(err)
 	}
-	_ = sendFrame(f.peer, end, time.Now().Add(time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	_ = sendFrame(ctx, f.peer, end)
 }
 
-// sendFrame sends m, waiting until deadline while the link's queue is full.
-func sendFrame(p link.Peer, m message.Message, deadline time.Time) *apierr.Error {
-	for {
-		err := p.Send(m)
-		if err == nil {
-			return nil
-		}
-		if !errors.Is(err, link.ErrFull) {
-			return apierr.Wrap(apierr.KindLinkLost, p.Identity().Name, err)
-		}
-		if time.Now().After(deadline) {
-			return apierr.Wrap(apierr.KindTimeout, p.Identity().Name, context.DeadlineExceeded)
-		}
-		time.Sleep(fullRetry)
+// sendFrame sends m, waiting until ctx ends while the link's queue is full.
+func sendFrame(ctx context.Context, p link.Peer, m message.Message) *apierr.Error {
+	err := link.SendWait(ctx, p, m)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return apierr.Wrap(apierr.KindTimeout, p.Identity().Name, err)
 	}
+	return apierr.Wrap(apierr.KindLinkLost, p.Identity().Name, err)
 }
--- /dev/null
+++ b/internal/link/send.go
@@ -0,0 +1,29 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/message"
+)
+
+// fullRetry is the wait before a frame is offered again to a full queue.
+const fullRetry = time.Millisecond
+
+// SendWait queues m on p and waits while the outgoing queue is full. It returns
+// ctx.Err() if ctx ends first, and the error of Send for every other failure; in
+// both cases m was not sent.
+func SendWait(ctx context.Context, p Peer, m message.Message) error {
+	for {
+		err := p.Send(m)
+		if !errors.Is(err, ErrFull) {
+			return err
+		}
+		select {
+		case <-time.After(fullRetry):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
