Let load runs use the callers' classification and judge

Cause: internal/standin/load and internal/standin/callers both sent requests, classed answers and compared them with the records of plain services, by different rules. Ruled out: one package for both (a plan with phases and the scenarios' generator have little else in common). Change: load keeps plan, pacing, phases and report; callers.Caller, Summarize and Judge do the rest. Results and summaries gain the time to the first byte. Caller.DoVia passes over entries that refuse a connection, for both. Requests have no GetBody, so that the transport does not repeat a keyed request on a kept connection that breaks. A job names tokens instead of a body; the verdict columns carry the callers' verdicts (ran for failed, crossed for wrong, broken split from no-answer); requests that may not be repeated are all judged, so the field recorded is gone. Before: two classifications. Conclusion: stricter than before (every token, its order and marks never sent), one judge.

--- a/internal/standin/callers/caller.go
+++ b/internal/standin/callers/caller.go
@@ -18,10 +18,11 @@
 	answerGrace = 5 * time.Second
 	// defaultPatience bounds an exchange that names no timeout.
 	defaultPatience = 60 * time.Second
+	idleTimeout     = 5 * time.Second
 	maxAnswer       = 16 << 20 // bytes
 )
 
-// Caller sends requests over HTTP and never repeats one by itself.
+// Caller sends requests over HTTP. It never repeats one that has a body by itself.
 type Caller struct {
 	client *http.Client
 }
@@ -34,6 +35,7 @@
 		DisableKeepAlives:   !keepAlive,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     idleTimeout,
 	}}}
 }
 
@@ -51,6 +53,19 @@
 	return res
 }
 
+// DoVia sends r through the entries of b in turn; one that refuses the connection is
+// passed over, as the platform's balancer does.
+func (c *Caller) DoVia(ctx context.Context, b *Balancer, r Request) Result {
+	res := Result{Request: r, Sent: time.Now(), Verdict: Unreached, Detail: "no entry is in service"}
+	for _, addr := range b.order() {
+		res = c.Do(ctx, addr, r)
+		if res.Verdict != Unreached {
+			break
+		}
+	}
+	return res
+}
+
 func (c *Caller) exchange(ctx context.Context, res *Result) {
 	req, err := newHTTPRequest(ctx, res.Entry, res.Request)
 	if err != nil {
@@ -70,10 +85,29 @@
 	res.Kind = resp.Header.Get("Gentiantrail-Error")
 	res.Outcome = resp.Header.Get("Gentiantrail-Outcome")
 	res.RequestID = resp.Header.Get("Gentiantrail-Request-Id")
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	timed := &timedReader{Reader: io.LimitReader(resp.Body, maxAnswer)}
+	body, err := io.ReadAll(timed)
+	if !timed.first.IsZero() {
+		res.FirstByte = timed.first.Sub(res.Sent)
+	}
 	res.Verdict, res.Detail = classify(res, body, err)
 }
 
+// timedReader notes when the first byte was read.
+type timedReader struct {
+	io.Reader
+	first time.Time
+}
+
+// Read implements io.Reader.
+func (t *timedReader) Read(p []byte) (int, error) {
+	n, err := t.Reader.Read(p)
+	if n > 0 && t.first.IsZero() {
+		t.first = time.Now()
+	}
+	return n, err
+}
+
 func newHTTPRequest(ctx context.Context, addr string, r Request) (*http.Request, error) {
 	body := fmt.Sprintf(`{"mark":%q}`, r.Mark)
 	if r.Tokens > 0 {
@@ -86,6 +120,9 @@
 	if err != nil {
 		return nil, err
 	}
+	// Without GetBody, the transport does not send the request again when a kept
+	// connection breaks.
+	req.GetBody = nil
 	req.Header.Set("Authorization", "Bearer "+r.APIKey)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Mark", r.Mark)
--- a/internal/standin/callers/generator.go
+++ b/internal/standin/callers/generator.go
@@ -134,7 +134,7 @@
 	var wg sync.WaitGroup
 	for range max(g.Copies, 1) {
 		wg.Go(func() {
-			res := g.send(r)
+			res := g.Caller.DoVia(context.Background(), g.Balancer, r)
 			g.Ledger.Add(res)
 			if res.Verdict == Complete {
 				complete.Store(true)
@@ -144,16 +144,3 @@
 	wg.Wait()
 	return complete.Load()
 }
-
-// send does one attempt; an entry that cannot be reached is passed over, as the
-// platform's balancer does.
-func (g *Generator) send(r Request) Result {
-	res := Result{Request: r, Sent: time.Now(), Verdict: Unreached, Detail: "no entry is in service"}
-	for _, addr := range g.Balancer.order() {
-		res = g.Caller.Do(context.Background(), addr, r)
-		if res.Verdict != Unreached {
-			break
-		}
-	}
-	return res
-}
--- a/internal/standin/callers/request.go
+++ b/internal/standin/callers/request.go
@@ -65,6 +65,8 @@
 	// Sent is the start and Took the length of the exchange.
 	Sent time.Time
 	Took time.Duration
+	// FirstByte is the time from Sent to the first byte of the answer's body.
+	FirstByte time.Duration
 	// Status, Kind and Outcome come from the answer; Outcome is not-run, ran or unknown.
 	Status        int
 	Kind, Outcome string
--- a/internal/standin/callers/summary.go
+++ b/internal/standin/callers/summary.go
@@ -16,30 +16,43 @@
 
 // Summary counts results by verdict and sums up the latency of complete answers.
 type Summary struct {
-	Sent          int
-	Count         map[Verdict]int
-	Kinds         map[string]int
+	Sent  int
+	Count map[Verdict]int
+	Kinds map[string]int
+	// P50, P95 and P99 are times to the complete answer.
 	P50, P95, P99 time.Duration
+	// FirstP50, FirstP95 and FirstP99 are times to the first byte of the body.
+	FirstP50, FirstP95, FirstP99 time.Duration
 }
 
 // Summarize sums up results.
 func Summarize(results []Result) Summary {
 	s := Summary{Sent: len(results), Count: map[Verdict]int{}, Kinds: map[string]int{}}
-	h := hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)
+	total, first := newHistogram(), newHistogram()
 	for _, r := range results {
 		s.Count[r.Verdict]++
 		if r.Kind != "" {
 			s.Kinds[r.Kind]++
 		}
 		if r.Verdict == Complete {
-			_ = h.RecordValue(min(r.Took, maxLatency).Microseconds())
+			_ = total.RecordValue(min(r.Took, maxLatency).Microseconds())
+			_ = first.RecordValue(min(r.FirstByte, maxLatency).Microseconds())
 		}
 	}
-	quantile := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
-	s.P50, s.P95, s.P99 = quantile(50), quantile(95), quantile(99)
+	s.P50, s.P95, s.P99 = percentiles(total)
+	s.FirstP50, s.FirstP95, s.FirstP99 = percentiles(first)
 	return s
 }
 
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)
+}
+
+func percentiles(h *hdrhistogram.Histogram) (p50, p95, p99 time.Duration) {
+	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	return at(50), at(95), at(99)
+}
+
 // Share returns the share of sent requests with verdict v, from 0 to 1.
 func (s Summary) Share(v Verdict) float64 {
 	if s.Sent == 0 {
--- a/internal/standin/load/judge.go
+++ b/internal/standin/load/judge.go
@@ -10,51 +10,33 @@
 	"github.com/gentiantrail/gentiantrail/internal/standin/plain"
 )
 
-// judgeTimeout bounds reading one judge's record.
+// judgeTimeout bounds reading one plain service's record.
 const judgeTimeout = 10 * time.Second
 
-// judge compares the judges' records with what callers were told.
-func (r *runner) judge() error {
+// readRuns returns how often the plain services at addrs ran each mark.
+func readRuns(addrs []string) (map[string]int, error) {
 	runs := make(map[string]int)
-	for _, addr := range r.plan.Judges {
-		if err := readRuns(addr, runs); err != nil {
-			return err
+	for _, addr := range addrs {
+		list, err := readRecord(addr)
+		if err != nil {
+			return nil, fmt.Errorf("judge %s: %w", addr, err)
+		}
+		for _, run := range list {
+			runs[run.Mark]++
 		}
 	}
-	if len(r.plan.Judges) > 0 {
-		r.report.compare(runs)
-	}
-	r.report.finish()
-	return nil
+	return runs, nil
 }
 
-func readRuns(addr string, runs map[string]int) error {
+func readRecord(addr string) ([]plain.Run, error) {
 	status, body, err := fasthttp.GetTimeout(nil, "http://"+addr+"/runs", judgeTimeout)
-	if err != nil || status != fasthttp.StatusOK {
-		return fmt.Errorf("judge %s: status %d: %w", addr, status, err)
-	}
-	var list []plain.Run
-	if err := json.Unmarshal(body, &list); err != nil {
-		return fmt.Errorf("judge %s: %w", addr, err)
+	if err != nil {
+		return nil, err
 	}
-	for _, run := range list {
-		runs[run.Mark]++
-	}
-	return nil
-}
-
-// compare counts the contradictions between records and answers.
-func (r *Report) compare(runs map[string]int) {
-	for mark, told := range r.told {
-		n := runs[mark]
-		if n > 1 {
-			r.Doubled++
-		}
-		if n == 0 && (told == complete || told == failed) {
-			r.Lost++
-		}
-		if n > 0 && told == notRun {
-			r.RanAnyway++
-		}
+	if status != fasthttp.StatusOK {
+		return nil, fmt.Errorf("status %d", status)
 	}
+	var list []plain.Run
+	err = json.Unmarshal(body, &list)
+	return list, err
 }
--- a/internal/standin/load/plan.go
+++ b/internal/standin/load/plan.go
@@ -1,6 +1,7 @@
-// Package load plays the callers in trials and tests: it sends requests at fixed
-// rates, checks every answer against the request's own mark, and compares what
-// callers were told with what plain services recorded.
+// Package load runs a plan of requests at fixed rates, for trials and tests only.
+//
+// Package callers sends the requests, classes the answers and judges them against
+// the records of plain services; this package paces them and reports by phase.
 package load
 
 import (
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/goccy/go-yaml"
+
+	"github.com/gentiantrail/gentiantrail/internal/standin/callers"
 )
 
 // Plan describes one run.
@@ -19,8 +22,9 @@
 	Phases []Phase `yaml:"phases"`
 	// Jobs are the kinds of requests.
 	Jobs []Job `yaml:"jobs"`
-	// Judges are the addresses of plain services whose records are compared with
-	// the answers of recorded jobs.
+	// Judges are the addresses of all plain services that the jobs reach. Their records
+	// are compared with the answers to requests that may not be repeated; without
+	// judges nothing is compared.
 	Judges []string `yaml:"judges"`
 	// MaxOpen bounds the requests in flight. Default 2000.
 	MaxOpen int `yaml:"max_open"`
@@ -46,16 +50,32 @@
 	// Entries replaces the plan's entries for this job, for example by a target's
 	// own address to compare with.
 	Entries []string `yaml:"entries"`
-	// Body is sent with each request.
-	Body string `yaml:"body"`
+	// Tokens is asked of a model engine with each request, as a stream; zero asks a
+	// plain service.
+	Tokens int `yaml:"tokens"`
 	// Rate is the number of requests a second.
 	Rate float64 `yaml:"rate"`
-	// Timeout is asked for with each request; empty leaves it to the service.
-	Timeout string `yaml:"timeout"`
+	// Timeout is asked for with each request; zero leaves it to the service.
+	Timeout time.Duration `yaml:"timeout"`
 	// Keyed sends a new idempotency key with each request.
 	Keyed bool `yaml:"keyed"`
-	// Recorded compares each answer with the judges' records.
-	Recorded bool `yaml:"recorded"`
+}
+
+// request returns the job's request number n with the given mark.
+func (j *Job) request(n int, mark string) callers.Request {
+	r := callers.Request{
+		Method:  j.Method,
+		Path:    j.Path,
+		APIKey:  j.Keys[n%len(j.Keys)],
+		Mark:    mark,
+		Timeout: j.Timeout,
+		Tokens:  j.Tokens,
+		Stream:  j.Tokens > 0,
+	}
+	if j.Keyed {
+		r.IdempotencyKey = mark
+	}
+	return r
 }
 
 const defaultMaxOpen = 2000
@@ -81,6 +101,14 @@
 	return p, nil
 }
 
+// entriesOf returns the addresses that a job uses.
+func (p *Plan) entriesOf(j *Job) []string {
+	if len(j.Entries) > 0 {
+		return j.Entries
+	}
+	return p.Entries
+}
+
 // duration returns the length of the whole run.
 func (p *Plan) duration() time.Duration {
 	var d time.Duration
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -7,40 +7,27 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-)
-
-const (
-	// histogramMax is the longest recorded time in microseconds.
-	histogramMax = int64(10 * time.Minute / time.Microsecond)
-	// histogramDigits is the precision of recorded times.
-	histogramDigits = 3
+	"github.com/gentiantrail/gentiantrail/internal/standin/callers"
 )
 
 // Report is the result of a run.
 type Report struct {
 	// Rows has one row for each phase and job.
 	Rows []*Row `json:"rows"`
-	// Lost counts runs that callers were told of and no judge recorded.
-	Lost int `json:"lost"`
-	// Doubled counts marks that were recorded more than once.
-	Doubled int `json:"doubled"`
-	// RanAnyway counts recorded runs whose callers were told not-run.
-	RanAnyway int `json:"ran_anyway"`
+	// Violations are the promises that were broken, one line each.
+	Violations []string `json:"violations"`
 
 	mu   sync.Mutex
 	jobs int
-	told map[string]verdict
-	plan *Plan
 }
 
 // Row counts the requests of one job that were sent in one phase.
 type Row struct {
-	Phase    string         `json:"phase"`
-	Job      string         `json:"job"`
-	Sent     int            `json:"sent"`
-	Verdicts map[string]int `json:"verdicts"`
-	Kinds    map[string]int `json:"kinds,omitempty"`
+	Phase    string                  `json:"phase"`
+	Job      string                  `json:"job"`
+	Sent     int                     `json:"sent"`
+	Verdicts map[callers.Verdict]int `json:"verdicts"`
+	Kinds    map[string]int          `json:"kinds,omitempty"`
 	// FirstP50 to TotalP99 are times in milliseconds of complete answers.
 	FirstP50 float64 `json:"first_p50_ms"`
 	FirstP95 float64 `json:"first_p95_ms"`
@@ -49,62 +36,60 @@
 	TotalP95 float64 `json:"total_p95_ms"`
 	TotalP99 float64 `json:"total_p99_ms"`
 
-	first *hdrhistogram.Histogram
-	total *hdrhistogram.Histogram
+	results []callers.Result
 }
 
 func newReport(p *Plan) *Report {
-	r := &Report{jobs: len(p.Jobs), told: make(map[string]verdict), plan: p}
+	r := &Report{jobs: len(p.Jobs)}
 	for _, ph := range p.Phases {
 		for _, j := range p.Jobs {
-			r.Rows = append(r.Rows, &Row{
-				Phase: ph.Name, Job: j.Name,
-				Verdicts: make(map[string]int), Kinds: make(map[string]int),
-				first: hdrhistogram.New(1, histogramMax, histogramDigits),
-				total: hdrhistogram.New(1, histogramMax, histogramDigits),
-			})
+			r.Rows = append(r.Rows, &Row{Phase: ph.Name, Job: j.Name})
 		}
 	}
 	return r
 }
 
-func (r *Report) add(phase, job int, mark string, got reply) {
+func (r *Report) add(phase, job int, res callers.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	row := r.Rows[phase*r.jobs+job]
-	row.Sent++
-	row.Verdicts[got.verdict.String()]++
-	if got.kind != "" {
-		row.Kinds[got.kind]++
-	}
-	if got.verdict == complete {
-		_ = row.first.RecordValue(got.firstByte.Microseconds())
-		_ = row.total.RecordValue(got.total.Microseconds())
-	}
-	if r.plan.Jobs[job].Recorded {
-		r.told[mark] = got.verdict
-	}
+	row.results = append(row.results, res)
 }
 
-// finish computes the percentiles.
-func (r *Report) finish() {
+// finish sums the rows up and compares the answers with the judges' records.
+func (r *Report) finish(judges []string) error {
+	var all []callers.Result
 	for _, row := range r.Rows {
-		row.FirstP50, row.FirstP95, row.FirstP99 = percentiles(row.first)
-		row.TotalP50, row.TotalP95, row.TotalP99 = percentiles(row.total)
+		row.summarize()
+		all = append(all, row.results...)
+	}
+	if len(judges) == 0 {
+		return nil
+	}
+	runs, err := readRuns(judges)
+	if err != nil {
+		return err
 	}
+	for _, v := range callers.Judge(all, runs) {
+		r.Violations = append(r.Violations, v.String())
+	}
+	return nil
 }
 
-func percentiles(h *hdrhistogram.Histogram) (p50, p95, p99 float64) {
-	const microsPerMilli = 1000
-	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / microsPerMilli }
-	return at(50), at(95), at(99)
+func (row *Row) summarize() {
+	s := callers.Summarize(row.results)
+	row.Sent, row.Verdicts, row.Kinds = s.Sent, s.Count, s.Kinds
+	row.FirstP50, row.FirstP95, row.FirstP99 = millis(s.FirstP50), millis(s.FirstP95), millis(s.FirstP99)
+	row.TotalP50, row.TotalP95, row.TotalP99 = millis(s.P50), millis(s.P95), millis(s.P99)
 }
 
-// OK tells whether nothing was lost, doubled, cut off or wrongly answered.
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// OK tells whether no promise was broken and no answer was cut off or wrong.
 func (r *Report) OK() bool {
-	bad := r.Lost + r.Doubled + r.RanAnyway
+	bad := len(r.Violations)
 	for _, row := range r.Rows {
-		bad += row.Verdicts[broken.String()] + row.Verdicts[wrong.String()]
+		bad += row.Verdicts[callers.Broken] + row.Verdicts[callers.Crossed] + row.Verdicts[callers.NoAnswer]
 	}
 	return bad == 0
 }
@@ -112,18 +97,31 @@
 // Write prints the report as a table.
 func (r *Report) Write(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "phase\tjob\tsent\tcomplete\tnot-run\tunknown\tfailed\tbroken\twrong\tfirst p50\tp95\tp99\ttotal p50\tp95\tp99 ms\t")
+	fmt.Fprint(t, "phase\tjob\tsent\t")
+	for _, v := range callers.Verdicts {
+		fmt.Fprintf(t, "%s\t", v)
+	}
+	fmt.Fprintln(t, "first p50\tp95\tp99\ttotal p50\tp95\tp99 ms\t")
 	for _, row := range r.Rows {
-		v := row.Verdicts
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n",
-			row.Phase, row.Job, row.Sent, v["complete"], v["not-run"], v["unknown"], v["failed"], v["broken"], v["wrong"],
-			row.FirstP50, row.FirstP95, row.FirstP99, row.TotalP50, row.TotalP95, row.TotalP99)
+		row.write(t)
 	}
 	_ = t.Flush()
-	fmt.Fprintf(w, "lost %d, doubled %d, told not-run but ran %d\n", r.Lost, r.Doubled, r.RanAnyway)
+	fmt.Fprintf(w, "broken promises (lost, doubled, told not run but ran): %d\n", len(r.Violations))
+	for _, v := range r.Violations {
+		fmt.Fprintln(w, v)
+	}
 	for _, row := range r.Rows {
 		if len(row.Kinds) > 0 {
 			fmt.Fprintf(w, "%s %s kinds: %v\n", row.Phase, row.Job, row.Kinds)
 		}
 	}
 }
+
+func (row *Row) write(t io.Writer) {
+	fmt.Fprintf(t, "%s\t%s\t%d\t", row.Phase, row.Job, row.Sent)
+	for _, v := range callers.Verdicts {
+		fmt.Fprintf(t, "%d\t", row.Verdicts[v])
+	}
+	fmt.Fprintf(t, "%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n",
+		row.FirstP50, row.FirstP95, row.FirstP99, row.TotalP50, row.TotalP95, row.TotalP99)
+}
--- a/test/capacity/traffic_test.go
+++ b/test/capacity/traffic_test.go
@@ -85,7 +85,7 @@
 		Phases:  []load.Phase{{Name: "all", Duration: length}},
 		Jobs: []load.Job{{
 			Name: "stream", Keys: []string{apiKey}, Method: "POST", Path: "/" + poolName(0) + "/x",
-			Body: fmt.Sprintf(`{"max_tokens":%d,"stream":true}`, tokens), Rate: rate, Timeout: "20s",
+			Tokens: tokens, Rate: rate, Timeout: 20 * time.Second,
 		}},
 		MaxOpen: 1000,
 	}
