Ask the next agent for a free place while a key's home agent is busy

Cause: a key's home is chosen by its claim partition; four partitions over three permit agents give one of them half of the keys. At 85 % load that agent was offered 1.5 times what it bears, and its queue stood at thirty.

Ruled out: the warm-up (limits stood at the pool's limit) and the hash (it is even over keys; the partitions are too few). A balanced assignment of partitions would help only with many more partitions than agents.

Change: an attempt that asks for a free place goes down the ranking of agents; when all are busy, the key waits at its home as before. The claim's conditional update keeps this safe; it costs a conflict now and then under load. Entries of one zone that refuse stand for their whole zone.

--- a/internal/routing/home.go
+++ b/internal/routing/home.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -10,43 +11,82 @@
 	"github.com/gentiantrail/gentiantrail/internal/claims"
 )
 
-// pickHome chooses the home agent of r's idempotency key: the agent with the
-// highest rendezvous score for the key's claim partition among all usable ones of the pool, in any
-// availability zone. Entries whose views differ may choose differently; the
-// claim's conditional update keeps that safe.
+// pickHome chooses among all usable agents of the pool, in any availability zone,
+// by their rendezvous score for the claim partition of r's idempotency key. The
+// highest one is the key's home agent. While the home has no free place, the next
+// one with a free place is asked for it: partitions are few, so homes are loaded
+// unevenly. Entries whose views differ may also choose differently; the claim's
+// conditional update keeps both safe.
 func (s *Snapshot) pickHome(p *Pool, r Request, rng *rand.Rand) (Choice, bool) {
-	home := homeHash(r)
-	var best Choice
-	var highest uint64
-	consider := func(agent string, c Choice) {
-		score := rendezvous(home, agent)
-		if best.Destination == ToNobody || score > highest {
-			best, highest = c, score
-		}
+	ranked := s.rankHomes(p, r, rng)
+	if len(ranked) == 0 {
+		return Choice{}, false
 	}
-	for i := range p.Targets {
-		t := &p.Targets[i]
-		if !s.Drained && t.Usable() && !slices.Contains(r.Excluded, t.Agent) {
-			consider(t.Agent, Choice{Destination: ToAgent, Target: t})
+	if len(r.Busy) < patientAttempts {
+		for _, h := range ranked {
+			if h.room() && !p.refusedBy(h.candidate, r.Busy) {
+				c := h.choice()
+				c.NoWait = true
+				return c, true
+			}
 		}
 	}
+	if r.NoWait {
+		return Choice{}, false
+	}
+	return ranked[0].choice(), true
+}
+
+// home is a candidate with its rendezvous score.
+type home struct {
+	candidate
+	score uint64
+}
+
+// rankHomes returns the usable candidates for r's key, the home agent first.
+func (s *Snapshot) rankHomes(p *Pool, r Request, rng *rand.Rand) []home {
+	key := homeHash(r)
+	var homes []home
+	for _, c := range s.ownCandidates(p, r) {
+		homes = append(homes, home{c, rendezvous(key, c.target.Agent)})
+	}
 	if r.Hops < MaxHops {
 		for _, t := range p.Remote {
 			if peer := p.peerIn(t.AvailabilityZone, r.Excluded, rng); peer != nil {
-				consider(t.Agent, Choice{Destination: ToPeer, Peer: peer})
+				c := candidate{guess: newGuess(&peer.Report, peer.Sent), peer: peer}
+				homes = append(homes, home{c, rendezvous(key, t.Agent)})
 			}
 		}
 	}
-	return best, best.Destination != ToNobody
+	slices.SortFunc(homes, func(a, b home) int { return cmp.Compare(b.score, a.score) })
+	return homes
+}
+
+// refusedBy tells whether c, or for a peer any entry of its availability zone, is
+// among names: entries of one zone ask the same agents.
+func (p *Pool) refusedBy(c candidate, names []string) bool {
+	if c.target != nil {
+		return slices.Contains(names, c.target.Agent)
+	}
+	return p.zoneRefused(c.peer.AvailabilityZone, names)
 }
 
-// peerIn returns a usable peer of an availability zone, or nil.
+func (p *Pool) zoneRefused(zone string, names []string) bool {
+	return slices.ContainsFunc(p.Peers, func(peer Peer) bool {
+		return peer.AvailabilityZone == zone && slices.Contains(names, peer.Entry)
+	})
+}
+
+// peerIn returns a usable peer of an availability zone that has not refused, or nil.
 func (p *Pool) peerIn(zone string, excluded []string, rng *rand.Rand) *Peer {
+	if p.zoneRefused(zone, excluded) {
+		return nil
+	}
 	var found *Peer
 	seen := 0
 	for i := range p.Peers {
 		peer := &p.Peers[i]
-		if peer.AvailabilityZone != zone || !peer.usable() || slices.Contains(excluded, peer.Entry) {
+		if peer.AvailabilityZone != zone || !peer.usable() {
 			continue
 		}
 		seen++
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -202,7 +202,7 @@
 // noCandidate refuses r when nobody is left to ask.
 func (s *Snapshot) noCandidate(p *Pool, r Request, rng *rand.Rand) Choice {
 	switch {
-	case len(r.Excluded) > 0:
+	case len(r.Excluded) > 0 || r.NoWait && !s.Drained:
 		return refuse(apierr.KindOverloaded, p.Name, 0, rng)
 	case s.Drained:
 		return refuse(apierr.KindDraining, s.AvailabilityZone, 0, rng)
--- a/internal/routing/pick_test.go
+++ b/internal/routing/pick_test.go
@@ -112,6 +112,25 @@
 	}
 }
 
+// TestBusyHomePassesKeyOn fills agents one after the other and follows one key.
+func TestBusyHomePassesKeyOn(t *testing.T) {
+	rng := newRand()
+	s := fleet(3)[0]
+	p := &s.Pools[0]
+	p.Remote, p.Peers = nil, nil
+	r := Request{Pool: "p", Organisation: "o", Service: "permit", IdempotencyKey: "k", Remaining: time.Minute}
+	home := s.Pick(r, rng).Target
+	seen := map[string]bool{}
+	for range p.Targets {
+		c := s.Pick(r, rng)
+		assert.Assert(t, c.NoWait && !seen[c.Name()], "each agent with a free place is asked for it once")
+		seen[c.Name()] = true
+		c.Target.Report.Load.Running = 8
+	}
+	c := s.Pick(r, rng)
+	assert.Assert(t, c.Target == home && !c.NoWait, "when all are busy the key waits at its home")
+}
+
 // TestDestinationsThatAreNeverChosen tries random states and requests against the
 // rules that hold in all of them.
 func TestDestinationsThatAreNeverChosen(t *testing.T) {
--- a/test/experiment/drain.go
+++ b/test/experiment/drain.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		old.stopped = true
-		w.retire(old.engine)
+		w.retire(old)
 		w.agents[i] = w.newAgent(old.name, zone, w.poolSpec(old.pool))
 		w.replace(old, w.agents[i])
 	}
--- a/test/experiment/result.go
+++ b/test/experiment/result.go
@@ -51,20 +51,20 @@
 // closeBooks adds up what the engines know.
 func (w *world) closeBooks() {
 	for _, a := range w.agents {
-		w.retire(a.engine)
+		w.retire(a)
 	}
 }
 
-// retire takes in the counts of an engine.
-func (w *world) retire(e *engine) {
-	w.falls += e.falls
-	w.starts += e.starts
-	w.prefilled += e.prefilled
+// retire takes in the counts of an agent's engine.
+func (w *world) retire(a *agent) {
+	w.falls += a.engine.falls
+	w.starts[a.pool] += a.engine.starts
+	w.prefilled[a.pool] += a.engine.prefilled
 }
 
 // withRunCache returns p with the mean prefill of this run in place of a perfect cache.
 func (w *world) withRunCache(p poolSpec) poolSpec {
-	p.engine.prefillHit = w.prefilled / time.Duration(max(w.starts, 1))
+	p.engine.prefillHit = w.prefilled[p.name] / time.Duration(max(w.starts[p.name], 1))
 	return p
 }
 
--- a/test/experiment/world.go
+++ b/test/experiment/world.go
@@ -86,9 +86,9 @@
 	requests []*request
 	attempts int
 	falls    int
-	// starts and prefilled are sums over all engines.
-	starts    int
-	prefilled time.Duration
+	// starts and prefilled are sums over the engines of each pool.
+	starts    map[string]int
+	prefilled map[string]time.Duration
 }
 
 // run plays a scenario.
@@ -103,6 +103,7 @@
 		scenario: &s,
 		clock:    newClock(s.Seed),
 		pools:    s.Pools,
+		starts:   make(map[string]int), prefilled: make(map[string]time.Duration),
 		balancer: rand.New(rand.NewPCG(s.Seed, 1)),
 	}
 	w.buildAgents()
