Ask for a second good epoch before a step from a small limit

Cause: from a limit of 3 one step passes over the whole range between the first strain and failure; one epoch misjudged it where request sizes are uneven.

Ruled out: fewer completions before the first step (no change).

--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -44,7 +44,8 @@
 	// paceGain scales what the last step needed into what the next one waits for.
 	paceGain = 0.75
 	// smallLimit is the limit below which one step may pass over the whole range
-	// between the first strain and failure, so that each step waits for its pace.
+	// between the first strain and failure, so that each step waits for its pace
+	// and for a second good epoch.
 	smallLimit = 6
 	// checkShare is the share of the limit, in percent, that a check lowers it to.
 	checkShare = 75
@@ -168,7 +169,9 @@
 	l.since++
 	l.probed++
 	l.latency.add(s.latency())
-	l.stepUp(now)
+	if l.limit >= smallLimit {
+		l.stepUp(now)
+	}
 	if s.StartedAt < l.epoch.start || s.Running < l.limit {
 		return false
 	}
--- a/internal/warmup/step.go
+++ b/internal/warmup/step.go
@@ -14,7 +14,7 @@
 		return false
 	}
 	probing := l.limit > l.confirmed
-	switch l.latency.judge(mean, probing) {
+	switch l.latency.judge(mean, probing || l.limit < smallLimit) {
 	case good:
 		if probing && l.failed {
 			l.startCheck(mean)
