--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -2,9 +2,10 @@
 //
 // Queue is a start-time fair queue (Goyal, Vin and Cheng, "Start-time Fair
 // Queueing", SIGCOMM 1996) whose flows are organisations. It is work-conserving:
-// an organisation that waits alone gets everything, and an idle one neither
-// saves up a share nor owes for what it used while nobody else waited. Within an
-// organisation, higher priorities go first and equal ones in order of arrival.
+// an organisation that waits alone gets everything and owes nothing for it. One
+// that used less than its share has a credit of a few requests, which go first; an
+// idle one saves up no more than that. Within an organisation, higher priorities
+// go first and equal ones in order of arrival.
 package fairness
 
 import (
