Dial again within 500 ms, so that a restarted entry has its targets sooner

Cause: agents that lost an entry doubled their pause up to 2 s while it restarted; the entry was ready meanwhile and refused with no-target. Left: an entry is ready before its first link to an agent of each pool.

--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -18,7 +18,7 @@
 	defaultHandshakeTimeout = 2 * time.Second
 	defaultIdleTimeout      = 2 * time.Second
 	defaultBackoffMin       = 50 * time.Millisecond
-	defaultBackoffMax       = 2 * time.Second
+	defaultBackoffMax       = 500 * time.Millisecond
 	defaultMaxPending       = 256
 	defaultEventLoops       = 2
 )
@@ -37,7 +37,7 @@
 	// IdleTimeout is the time without any byte from the peer after which a link is
 	// closed; a peer that is alive answers pings well within it. Default 2 s.
 	IdleTimeout time.Duration
-	// BackoffMin and BackoffMax bound the pause before dialling again. Defaults 50 ms and 2 s.
+	// BackoffMin and BackoffMax bound the pause before dialling again. Defaults 50 ms and 500 ms.
 	BackoffMin, BackoffMax time.Duration
 	// MaxPending is the most accepted connections without a finished handshake. Default 256.
 	MaxPending int
