--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -20,9 +20,19 @@
 	leastAttempt = 5 * time.Millisecond
 )
 
-// dispatch sends x to one destination after another until an answer's head has
-// arrived or no further attempt is allowed.
+// dispatch gets x answered. A request of which any attempt may have run is never
+// reported as not run, whatever became of the later attempts.
 func (e *Entry) dispatch(x *exchange) (*answer, *apierr.Error) {
+	a, err := e.dispatchInTurn(x)
+	if err != nil && x.mayHaveRun != nil && err.Answer().Outcome == apierr.OutcomeNotRun {
+		return nil, x.mayHaveRun
+	}
+	return a, err
+}
+
+// dispatchInTurn sends x to one destination after another until an answer's head
+// has arrived or no further attempt is allowed.
+func (e *Entry) dispatchInTurn(x *exchange) (*answer, *apierr.Error) {
 	var last *apierr.Error
 	for {
 		x.view = e.view.Load()
@@ -30,9 +40,6 @@
 		if choice.Destination == routing.ToNobody {
 			return nil, firstOf(last, choice.Err)
 		}
-		if x.req.NoWait && !choice.NoWait {
-			return nil, firstOf(last, apierr.New(apierr.KindOverloaded, "no free place"))
-		}
 		x.attempts++
 		x.target = choice.Name()
 		a, err := e.attempt(x, choice)
@@ -45,7 +52,7 @@
 			return nil, err
 		}
 		last = err
-		x.excluded = append(x.excluded, x.target)
+		x.tried.Refused(choice, err.Kind)
 	}
 }
 
@@ -75,7 +82,9 @@
 		PrefixHash:     x.req.PrefixHash,
 		Remaining:      x.remaining(time.Now()),
 		Hops:           x.req.Hops,
-		Excluded:       x.excluded,
+		NoWait:         x.req.NoWait,
+		Busy:           x.tried.Busy,
+		Excluded:       x.tried.Excluded,
 	}, rng)
 }
 
@@ -111,6 +120,7 @@
 	}
 	a, err := e.awaitHead(x, c)
 	if err != nil {
+		x.failed(err)
 		sent.End()
 		e.calls.close(c)
 		return nil, err
@@ -126,6 +136,7 @@
 	req.Timeout = x.remaining(time.Now())
 	req.Window = streamWindow
 	req.NoWait = choice.NoWait
+	req.MaxWait = choice.MaxWait
 	if choice.Destination == routing.ToAgent {
 		req.Incarnation = choice.Target.Incarnation
 	} else {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
 
 // exchange is one request on its way through the filters.
@@ -28,8 +29,10 @@
 	route        config.Route
 	// admitted tells that the organisation's place must be given back.
 	admitted bool
-	// excluded names the agents and availability zones that were tried.
-	excluded []string
+	// tried notes the destinations that refused or failed the request.
+	tried routing.Request
+	// mayHaveRun is the failure of the first attempt that may have run.
+	mayHaveRun *apierr.Error
 	// attempts counts the dispatches.
 	attempts int
 	// abort is closed when the sender withdrew or cancelled the request; nil for callers over HTTP.
@@ -67,3 +70,10 @@
 	}
 	return nil
 }
+
+// failed notes the failure of an attempt that was sent.
+func (x *exchange) failed(err *apierr.Error) {
+	if x.mayHaveRun == nil && err.Answer().Outcome != apierr.OutcomeNotRun {
+		x.mayHaveRun = err
+	}
+}
--- a/test/scenario/start_test.go
+++ b/test/scenario/start_test.go
@@ -10,6 +10,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
 
 	"github.com/gentiantrail/gentiantrail/internal/standin/forwarder"
 )
@@ -27,6 +30,7 @@
 //	start plain NAME ZONE
 //	start entry NAME ZONE
 //	start agent NAME ZONE POOL TARGET
+//	start group NAME ZONE RANKS [STAND-IN FLAG…]
 //	start zone ZONE [entries=N] [drafting=N] [permits=N] [STAND-IN FLAG…]
 func (c *cluster) cmdStart(args []string) (string, error) {
 	switch {
@@ -40,10 +44,12 @@
 		return "", c.startEntry(args[1], args[2])
 	case len(args) == 5 && args[0] == "agent":
 		return "", c.startAgent(args[1], args[2], args[3], args[4])
+	case len(args) >= 4 && args[0] == "group":
+		return "", c.startGroup(args[1], args[2], args[3], args[4:])
 	case len(args) >= 2 && args[0] == "zone":
 		return "", c.startZone(args[1], args[2:])
 	default:
-		return "", errors.New("usage: start platform|engine|plain|entry|agent|zone …")
+		return "", errors.New("usage: start platform|engine|plain|entry|agent|group|zone …")
 	}
 }
 
@@ -230,9 +236,42 @@
 	c.balancer.Set(addrs...)
 }
 
+// probeInterval is the period of the balancer's readiness probes.
+const probeInterval = 100 * time.Millisecond
+
+// followReadiness keeps the entries that are ready in the balancer's service
+// until the script ends.
+func (c *cluster) followReadiness() {
+	entries := c.ofKind(kindEntry, "")
+	c.wg.Go(func() {
+		ticker := time.NewTicker(probeInterval)
+		defer ticker.Stop()
+		for {
+			var ready []string
+			for _, e := range entries {
+				status, _, err := fasthttp.GetTimeout(nil, "http://"+e.admin+"/readyz", probeInterval)
+				if err == nil && status == fasthttp.StatusOK {
+					ready = append(ready, e.serves)
+				}
+			}
+			c.balancer.Set(ready...)
+			select {
+			case <-ticker.C:
+			case <-c.closing:
+				return
+			}
+		}
+	})
+}
+
 // cmdBalance names the entries to which the platform's balancer sends load:
-// balance NAME… or balance all.
+// balance NAME…, balance all, or balance ready for those that say that they are
+// ready, from then on.
 func (c *cluster) cmdBalance(args []string) (string, error) {
+	if slices.Equal(args, []string{"ready"}) {
+		c.followReadiness()
+		return "", nil
+	}
 	if slices.Equal(args, []string{"all"}) {
 		c.balanceAll()
 		return "", nil
