Share the stand-ins' JSON bodies

Cause: three stand-ins held the same writeJSON and the same decoding with its 400. Ruled out: nothing. Change: internal/standin/jsonhttp. Conclusion: behaviour unchanged.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/gentiantrail/gentiantrail/internal/standin/jsonhttp"
 )
 
 // Config sizes an engine.
@@ -93,7 +95,7 @@
 	case "/stats":
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		writeJSON(ctx, e.stats)
+		jsonhttp.Write(ctx, e.stats)
 	case "/admin/faults":
 		e.setFaults(ctx)
 	default:
@@ -112,13 +114,12 @@
 	if e.cold() {
 		state = "cold"
 	}
-	writeJSON(ctx, Load{StartID: strconv.FormatUint(e.startID, 16), State: state, Running: e.running})
+	jsonhttp.Write(ctx, Load{StartID: strconv.FormatUint(e.startID, 16), State: state, Running: e.running})
 }
 
 func (e *Engine) setFaults(ctx *fasthttp.RequestCtx) {
 	var f Faults
-	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !jsonhttp.Read(ctx, &f) {
 		return
 	}
 	e.mu.Lock()
@@ -276,8 +277,3 @@
 	}
 	return nil
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	ctx.SetContentType("application/json")
-	_ = json.NewEncoder(ctx).Encode(v)
-}
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -4,12 +4,13 @@
 package plain
 
 import (
-	"encoding/json"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/gentiantrail/gentiantrail/internal/standin/jsonhttp"
 )
 
 // Service is one stand-in service.
@@ -48,11 +49,11 @@
 	case "/load":
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		writeJSON(ctx, load{StartID: s.start, State: "warm", Running: s.running})
+		jsonhttp.Write(ctx, load{StartID: s.start, State: "warm", Running: s.running})
 	case "/runs":
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		writeJSON(ctx, s.runs)
+		jsonhttp.Write(ctx, s.runs)
 	case "/admin/faults":
 		s.setFaults(ctx)
 	default:
@@ -62,8 +63,7 @@
 
 func (s *Service) setFaults(ctx *fasthttp.RequestCtx) {
 	var f Faults
-	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !jsonhttp.Read(ctx, &f) {
 		return
 	}
 	s.mu.Lock()
@@ -111,7 +111,7 @@
 		reset(ctx)
 		return
 	}
-	writeJSON(ctx, answer{Mark: r.Mark, Run: n, Path: r.Path})
+	jsonhttp.Write(ctx, answer{Mark: r.Mark, Run: n, Path: r.Path})
 }
 
 // reset closes the connection without an answer.
@@ -119,11 +119,6 @@
 	_ = ctx.Conn().Close()
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	ctx.SetContentType("application/json")
-	_ = json.NewEncoder(ctx).Encode(v)
-}
-
 // load is the service's load report.
 type load struct {
 	StartID string `json:"start_id"`
--- a/internal/standin/ranks/ranks.go
+++ b/internal/standin/ranks/ranks.go
@@ -4,7 +4,6 @@
 package ranks
 
 import (
-	"encoding/json"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/group"
 	"github.com/gentiantrail/gentiantrail/internal/rebalance"
 	"github.com/gentiantrail/gentiantrail/internal/standin/engine"
+	"github.com/gentiantrail/gentiantrail/internal/standin/jsonhttp"
 )
 
 // Config sizes a group.
@@ -170,7 +170,7 @@
 		case path == group.PathOrder:
 			g.serveOrder(ctx, index)
 		case path == group.PathPopularity:
-			writeJSON(ctx, g.popularity())
+			jsonhttp.Write(ctx, g.popularity())
 		case path == group.PathLoad:
 			time.Sleep(g.cfg.LoadTime)
 		case path == "/admin/record":
@@ -195,22 +195,21 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.ranks[index]
-	writeJSON(ctx, group.StateAnswer{AgeMillis: time.Since(r.started).Milliseconds(), State: r.maps.State})
+	jsonhttp.Write(ctx, group.StateAnswer{AgeMillis: time.Since(r.started).Milliseconds(), State: r.maps.State})
 }
 
 func (g *Group) serveOrder(ctx *fasthttp.RequestCtx, index int) {
 	var o expertmap.Order
-	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !jsonhttp.Read(ctx, &o) {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	writeJSON(ctx, g.ranks[index].maps.Apply(o))
+	jsonhttp.Write(ctx, g.ranks[index].maps.Apply(o))
 }
 
 func (g *Group) serveRecord(ctx *fasthttp.RequestCtx) {
-	writeJSON(ctx, g.Record())
+	jsonhttp.Write(ctx, g.Record())
 }
 
 // Record returns what the group did.
@@ -243,8 +242,3 @@
 	}
 	return p
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	ctx.SetContentType("application/json")
-	_ = json.NewEncoder(ctx).Encode(v)
-}
