Share the metrics of ended requests between entry and agent

Cause: both held the same counters by kind and the same histogram. Ruled out: one metric name for both (dashboards tell runs from requests). Change: observe.Ends; the names of the metrics stay. Before and after: tests of agent, entry and observe pass. Conclusion: behaviour unchanged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/observe"
 	"github.com/gentiantrail/gentiantrail/internal/target"
 )
 
@@ -65,7 +66,8 @@
 	parent context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
-	meters *meters
+	// ends counts refused and ended requests; the time is from admission to the end.
+	ends *observe.Ends
 }
 
 // New returns an Agent; Run starts it.
@@ -75,7 +77,7 @@
 		start:  time.Now(),
 		events: make(chan event, eventQueue),
 		done:   make(chan struct{}),
-		meters: newMeters(opts.Metrics),
+		ends:   observe.NewEnds(opts.Metrics, "runs", "run_duration"),
 	}
 	a.parent, a.cancel = context.WithCancel(context.Background())
 	a.load.Store(&message.Load{})
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -128,7 +128,7 @@
 	j.withdraw()
 	j.cancel()
 	c.settled.add(time.Now(), j.key, true)
-	c.agent.meters.refused(err.Kind)
+	c.agent.ends.Count(err.Kind)
 	c.agent.opts.Logger.Info().Str("event", "refused").Str("request", j.req.Trace).
 		Str("kind", err.Kind.String()).Str("detail", err.Detail).Msg("")
 	_ = j.peer.Send(refusal(j.req.ID, err, *c.agent.load.Load()))
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		kind = err.Kind
 	}
-	a.meters.ran(kind, took)
+	a.ends.Record(kind, took)
 	line := a.opts.Logger.Info().Str("event", "ran").Str("request", r.req.Trace).
 		Str("organisation", r.req.Organisation).Str("service", r.req.Service).
 		Str("kind", kind.String()).Dur("took", took).Int64("bytes", r.sent)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/observe"
 	"github.com/gentiantrail/gentiantrail/internal/retry"
 )
 
@@ -58,7 +59,8 @@
 	done   chan struct{}
 
 	forwards *forwardTable
-	meters   *meters
+	// ends counts ended requests; the time is from the head to the end of the answer.
+	ends *observe.Ends
 
 	budgetMu sync.Mutex
 	budget   *retry.Budget
@@ -75,7 +77,7 @@
 		gate:     newGate(opts.MaxRequests),
 		done:     make(chan struct{}),
 		forwards: newForwardTable(),
-		meters:   newMeters(opts.Metrics),
+		ends:     observe.NewEnds(opts.Metrics, "requests", "request_duration"),
 		budget:   retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
 	}
 	e.rngs.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -218,7 +218,7 @@
 		kind = err.Kind
 	}
 	took := time.Since(x.arrived)
-	e.meters.ended(kind, took)
+	e.ends.Record(kind, took)
 	line := e.endLine(kind).Str("event", "request").Str("request", x.req.Trace).
 		Str("organisation", x.req.Organisation).Str("service", x.req.Service).
 		Str("kind", kind.String()).Str("outcome", kind.Answer().Outcome.String()).
