Unexport what no other package uses

Cause: limits and defaults of the configuration, strictyaml.FieldNames, platform.OpenEntry, link.MinKeySize, retry.MaxAttempts and two names of daemon were exported without a user outside. Ruled out: the events, effects and constructors of the pure state machines; they are the seam for other drivers and stay exported. Types that appear in exported signatures stay too. Conclusion: behaviour unchanged.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -10,15 +10,15 @@
 
 // Bounds of values.
 const (
-	MaxWeight        = 1000
-	MaxQueue         = 65536
-	MaxServiceTime   = 10 * time.Minute
+	maxWeight        = 1000
+	maxQueue         = 65536
+	maxServiceTime   = 10 * time.Minute
 	MaxServiceBody   = 4 * MiB
-	MaxRoutePriority = 10
-	MaxRanks         = 1024
-	MaxLayers        = 1024
-	MaxExperts       = 4096
-	MaxExpertSize    = 64 * GiB
+	maxRoutePriority = 10
+	maxRanks         = 1024
+	maxLayers        = 1024
+	maxExperts       = 4096
+	maxExpertSize    = 64 * GiB
 )
 
 // digestSize is the number of bytes of a SHA-256 digest.
@@ -37,8 +37,8 @@
 	var problems []Problem
 	owner := map[string]string{}
 	for _, o := range list {
-		problems = append(problems, inRange(o, "weight", o.value.Weight, 1, MaxWeight)...)
-		problems = append(problems, inRange(o, "max_waiting", o.value.MaxWaiting, 1, MaxQueue)...)
+		problems = append(problems, inRange(o, "weight", o.value.Weight, 1, maxWeight)...)
+		problems = append(problems, inRange(o, "max_waiting", o.value.MaxWaiting, 1, maxQueue)...)
 		if len(o.value.KeyDigests) == 0 {
 			problems = append(problems, o.problem("key_digests", "organisation "+o.value.Name+" has no key digest", "write key_digests with the hex SHA-256 digest of each API key"))
 		}
@@ -71,11 +71,11 @@
 
 func checkPool(o *object[Pool]) []Problem {
 	p := &o.value
-	problems := inRange(o, "limit", p.Limit, 1, MaxQueue)
+	problems := inRange(o, "limit", p.Limit, 1, maxQueue)
 	if len(problems) == 0 {
 		problems = inRange(o, "cold_limit", p.ColdLimit, 1, p.Limit)
 	}
-	problems = append(problems, inRange(o, "queue_limit", p.QueueLimit, 0, MaxQueue)...)
+	problems = append(problems, inRange(o, "queue_limit", p.QueueLimit, 0, maxQueue)...)
 	if p.Kind != TargetModel && p.Kind != TargetPlain {
 		problems = append(problems, o.problem("kind", fmt.Sprintf("pool kind %q is unknown", p.Kind), "write model or plain"))
 	}
@@ -89,11 +89,11 @@
 }
 
 func checkGroup(o *object[Pool], g *Group) []Problem {
-	problems := inRange(o, "group.ranks", g.Ranks, 2, MaxRanks)
-	problems = append(problems, inRange(o, "group.layers", g.Layers, 1, MaxLayers)...)
-	problems = append(problems, inRange(o, "group.experts", g.Experts, 1, MaxExperts)...)
-	problems = append(problems, inRange(o, "group.slots_per_rank", g.SlotsPerRank, 1, MaxExperts)...)
-	problems = append(problems, inRange(o, "group.expert_size", g.ExpertSize, 1, MaxExpertSize)...)
+	problems := inRange(o, "group.ranks", g.Ranks, 2, maxRanks)
+	problems = append(problems, inRange(o, "group.layers", g.Layers, 1, maxLayers)...)
+	problems = append(problems, inRange(o, "group.experts", g.Experts, 1, maxExperts)...)
+	problems = append(problems, inRange(o, "group.slots_per_rank", g.SlotsPerRank, 1, maxExperts)...)
+	problems = append(problems, inRange(o, "group.expert_size", g.ExpertSize, 1, maxExpertSize)...)
 	problems = append(problems, inRange(o, "group.weight_rate", g.WeightRate, MiB, 64*GiB)...)
 	problems = append(problems, inRange(o, "group.rebalance_interval", g.RebalanceInterval, time.Second, time.Hour)...)
 	if len(problems) == 0 && g.Ranks*g.SlotsPerRank < g.Experts {
--- a/internal/config/check_service.go
+++ b/internal/config/check_service.go
@@ -19,7 +19,7 @@
 	if _, ok := pools[s.Pool]; !ok {
 		problems = append(problems, o.problem("pool", fmt.Sprintf("service %s names pool %q, which does not exist", s.Name, s.Pool), "name a pool that is defined under pools"))
 	}
-	problems = append(problems, inRange(o, "max_timeout", s.MaxTimeout, time.Millisecond, MaxServiceTime)...)
+	problems = append(problems, inRange(o, "max_timeout", s.MaxTimeout, time.Millisecond, maxServiceTime)...)
 	if len(problems) == 0 {
 		problems = inRange(o, "default_timeout", s.DefaultTimeout, time.Millisecond, s.MaxTimeout)
 	}
@@ -36,7 +36,7 @@
 func checkRoute(o *object[Service], i int) []Problem {
 	r := o.value.Routes[i]
 	path := fmt.Sprintf("routes[%d]", i)
-	problems := inRange(o, path+".priority", r.Priority, -MaxRoutePriority, MaxRoutePriority)
+	problems := inRange(o, path+".priority", r.Priority, -maxRoutePriority, maxRoutePriority)
 	if !slices.Contains(routeMethods, r.Method) {
 		problems = append(problems, o.problem(path+".method", fmt.Sprintf("method %q is unknown", r.Method), "write one of "+strings.Join(routeMethods, ", ")))
 	}
--- a/internal/config/driver.go
+++ b/internal/config/driver.go
@@ -87,7 +87,7 @@
 // Run follows the configuration until ctx ends.
 func (d *Driver) Run(ctx context.Context) {
 	f := NewFollower(d.opts.Follower, 0)
-	ticker := time.NewTicker(TickInterval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/config/files.go
+++ b/internal/config/files.go
@@ -14,14 +14,14 @@
 
 // Limits of a configuration folder.
 const (
-	// MaxFiles is the most files of a configuration.
-	MaxFiles = 1024
-	// MaxFileSize is the largest file in bytes.
-	MaxFileSize = 256 << 10
-	// MaxTotalSize is the largest sum of all files in bytes; it fits into one frame.
-	MaxTotalSize = 4 << 20
-	// MaxFileName is the longest file name in bytes.
-	MaxFileName = 128
+	// maxFiles is the most files of a configuration.
+	maxFiles = 1024
+	// maxFileSize is the largest file in bytes.
+	maxFileSize = 256 << 10
+	// maxTotalSize is the largest sum of all files in bytes; it fits into one frame.
+	maxTotalSize = 4 << 20
+	// maxFileName is the longest file name in bytes.
+	maxFileName = 128
 )
 
 // Problem is one fault in a configuration, with file, line and what to write instead.
@@ -92,23 +92,23 @@
 	sorted := slices.Clone(files)
 	slices.SortStableFunc(sorted, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
 	var problems []Problem
-	if len(sorted) > MaxFiles {
-		problems = append(problems, Problem{Text: fmt.Sprintf("%d files are more than %d", len(sorted), MaxFiles), Fix: "join small files"})
+	if len(sorted) > maxFiles {
+		problems = append(problems, Problem{Text: fmt.Sprintf("%d files are more than %d", len(sorted), maxFiles), Fix: "join small files"})
 	}
 	total := 0
 	for i, f := range sorted {
 		total += len(f.Content)
 		switch {
-		case !isYAML(f.Name) || len(f.Name) > MaxFileName || strings.ContainsAny(f.Name, "/\\\x00"):
+		case !isYAML(f.Name) || len(f.Name) > maxFileName || strings.ContainsAny(f.Name, "/\\\x00"):
 			problems = append(problems, Problem{File: f.Name, Text: "the file's name is not usable", Fix: "use a plain name that ends in .yaml"})
 		case i > 0 && sorted[i-1].Name == f.Name:
 			problems = append(problems, Problem{File: f.Name, Text: "two files have this name", Fix: "rename one"})
-		case len(f.Content) > MaxFileSize:
-			problems = append(problems, Problem{File: f.Name, Text: fmt.Sprintf("the file is larger than %d bytes", MaxFileSize), Fix: "split it"})
+		case len(f.Content) > maxFileSize:
+			problems = append(problems, Problem{File: f.Name, Text: fmt.Sprintf("the file is larger than %d bytes", maxFileSize), Fix: "split it"})
 		}
 	}
-	if total > MaxTotalSize {
-		problems = append(problems, Problem{Text: fmt.Sprintf("the files are larger than %d bytes together", MaxTotalSize), Fix: "remove objects that are not used"})
+	if total > maxTotalSize {
+		problems = append(problems, Problem{Text: fmt.Sprintf("the files are larger than %d bytes together", maxTotalSize), Fix: "remove objects that are not used"})
 	}
 	return sorted, problems
 }
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -10,11 +10,11 @@
 
 // Timing and limits of a Follower.
 const (
-	// TickInterval is the time between two Ticks.
-	TickInterval = 200 * time.Millisecond
-	// WatchersPerZone is the number of entries of an availability zone that watch
+	// tickInterval is the time between two Ticks.
+	tickInterval = 200 * time.Millisecond
+	// watchersPerZone is the number of entries of an availability zone that watch
 	// the platform.
-	WatchersPerZone = 2
+	watchersPerZone = 2
 	// pollInterval is the time between two reads of the head by a watcher; it bounds
 	// the harm of a missed watch event.
 	pollInterval = 2 * time.Second
--- a/internal/config/follower_event.go
+++ b/internal/config/follower_event.go
@@ -11,7 +11,7 @@
 
 // The events of a Follower.
 type (
-	// Tick tells that time has passed; one is due every TickInterval.
+	// Tick tells that time has passed; one is due every tickInterval.
 	Tick struct{}
 	// PeerUp tells of a new link to an entry or agent.
 	PeerUp struct{ Peer string }
--- a/internal/config/follower_platform.go
+++ b/internal/config/follower_platform.go
@@ -35,9 +35,9 @@
 // process watches. Processes with other views may choose otherwise; then more or
 // fewer entries watch for a while, which costs calls or falls back on heartbeats.
 func (f *Follower) electWatcher() {
-	elected := f.opts.Entry && f.rank() < WatchersPerZone
+	elected := f.opts.Entry && f.rank() < watchersPerZone
 	if elected && !f.watch.elected && f.active != nil {
-		f.read.next = min(f.read.next, f.now+f.jitter(TickInterval))
+		f.read.next = min(f.read.next, f.now+f.jitter(tickInterval))
 	}
 	f.watch.elected = elected
 }
--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -105,7 +105,7 @@
 	if err := json.Unmarshal(e.Head, &h); err != nil {
 		return nil, &HeadError{"unknown form"}
 	}
-	if h.Revision == 0 || len(h.Files) > MaxFiles {
+	if h.Revision == 0 || len(h.Files) > maxFiles {
 		return nil, &HeadError{"values out of range"}
 	}
 	return &h, nil
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -9,11 +9,11 @@
 
 // Defaults of fields that files need not name.
 const (
-	DefaultWeight     = 1
-	DefaultMaxWaiting = 256
-	DefaultTimeout    = 30 * time.Second
-	DefaultMaxTimeout = 120 * time.Second
-	DefaultMaxBody    = 1 * MiB
+	defaultWeight     = 1
+	defaultMaxWaiting = 256
+	defaultTimeout    = 30 * time.Second
+	defaultMaxTimeout = 120 * time.Second
+	defaultMaxBody    = 1 * MiB
 )
 
 // queueLimitUnset marks a pool whose queue limit follows its limit.
@@ -36,14 +36,14 @@
 	return &merger{
 		organisations: section[Organisation]{
 			kind:     "organisation",
-			defaults: func() Organisation { return Organisation{Weight: DefaultWeight, MaxWaiting: DefaultMaxWaiting} },
+			defaults: func() Organisation { return Organisation{Weight: defaultWeight, MaxWaiting: defaultMaxWaiting} },
 			setName:  func(o *Organisation, name string) { o.Name = name },
 			objects:  map[string]*object[Organisation]{},
 		},
 		services: section[Service]{
 			kind: "service",
 			defaults: func() Service {
-				return Service{DefaultTimeout: DefaultTimeout, MaxTimeout: DefaultMaxTimeout, MaxBody: DefaultMaxBody}
+				return Service{DefaultTimeout: defaultTimeout, MaxTimeout: defaultMaxTimeout, MaxBody: defaultMaxBody}
 			},
 			setName: func(s *Service, name string) { s.Name = name },
 			objects: map[string]*object[Service]{},
--- a/internal/config/merge_test.go
+++ b/internal/config/merge_test.go
@@ -53,9 +53,9 @@
 		"organisations:\n- name: a\n  override: true\n  weight: 7\n- name: b\n  remove: true\nservices:\n- name: s\n  override: true\n  max_body: 64KiB\n  routes:\n  - method: GET\n    path: /y*\n    idempotent: true\npools:\n- name: p\n  override: true\n  group:\n    ranks: 2\n    layers: 1\n    experts: 8\n    slots_per_rank: 4\n    expert_size: 1MiB\n",
 	))
 	assert.Equal(t, len(problems), 0, "%v", problems)
-	assert.DeepEqual(t, c.Organisations, []Organisation{{Name: "a", KeyDigests: []string{digest("a")}, Weight: 7, MaxWaiting: DefaultMaxWaiting}})
+	assert.DeepEqual(t, c.Organisations, []Organisation{{Name: "a", KeyDigests: []string{digest("a")}, Weight: 7, MaxWaiting: defaultMaxWaiting}})
 	assert.DeepEqual(t, c.Services, []Service{{
-		Name: "s", Pool: "p", DefaultTimeout: DefaultTimeout, MaxTimeout: DefaultMaxTimeout, MaxBody: 64 * KiB,
+		Name: "s", Pool: "p", DefaultTimeout: defaultTimeout, MaxTimeout: defaultMaxTimeout, MaxBody: 64 * KiB,
 		Routes: []Route{{Method: "GET", Path: "/y*", Idempotent: true}},
 	}})
 	assert.Equal(t, c.Pools[0].QueueLimit, 8)
--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -142,7 +142,7 @@
 	tick = func() {
 		if n.started == incarnation && n.up {
 			s.step(n, Tick{})
-			s.after(TickInterval, tick)
+			s.after(tickInterval, tick)
 		}
 	}
 	beat = func() {
--- a/internal/config/strictyaml/decode.go
+++ b/internal/config/strictyaml/decode.go
@@ -90,7 +90,7 @@
 func checkStruct(file string, f Field, t reflect.Type) []Problem {
 	fields, ok := Fields(f.Node)
 	if !ok {
-		return []Problem{{file, f.Line, "field " + f.Name + " is not a mapping", "write its fields below it: " + strings.Join(FieldNames(t), ", ")}}
+		return []Problem{{file, f.Line, "field " + f.Name + " is not a mapping", "write its fields below it: " + strings.Join(fieldNames(t), ", ")}}
 	}
 	problems := repeated(file, fields)
 	for _, sub := range fields {
@@ -105,11 +105,11 @@
 }
 
 func unknownField(file string, f Field, t reflect.Type) Problem {
-	return Problem{file, f.Line, "unknown field " + f.Name, "use one of: " + strings.Join(FieldNames(t), ", ")}
+	return Problem{file, f.Line, "unknown field " + f.Name, "use one of: " + strings.Join(fieldNames(t), ", ")}
 }
 
-// FieldNames returns the YAML names of the fields of t.
-func FieldNames(t reflect.Type) []string {
+// fieldNames returns the YAML names of the fields of t.
+func fieldNames(t reflect.Type) []string {
 	var names []string
 	for i := range t.NumField() {
 		if name := yamlName(t.Field(i)); name != "" {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,8 +59,8 @@
 	os.Exit(code)
 }
 
-// NewIncarnation returns a random number for this start of the process; it is never zero.
-func NewIncarnation() uint64 {
+// newIncarnation returns a random number for this start of the process; it is never zero.
+func newIncarnation() uint64 {
 	var raw [8]byte
 	_, _ = rand.Read(raw[:])
 	return binary.LittleEndian.Uint64(raw[:]) | 1
@@ -84,12 +84,12 @@
 	switch {
 	case err == nil:
 		os.Exit(ExitOK)
-	case errors.Is(err, ErrStopTimeout):
+	case errors.Is(err, errStopTimeout):
 		Fail(ExitForced, err)
 	default:
 		Fail(ExitFailure, err)
 	}
 }
 
-// ErrStopTimeout means that requests were still in flight when the stop timeout ended.
-var ErrStopTimeout = errors.New("stop timeout: requests are still in flight")
+// errStopTimeout means that requests were still in flight when the stop timeout ended.
+var errStopTimeout = errors.New("stop timeout: requests are still in flight")
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -37,7 +37,7 @@
 
 // NewProcess starts logs and metrics for id, which gets a new incarnation.
 func NewProcess(id message.Identity) *Process {
-	id.Incarnation = NewIncarnation()
+	id.Incarnation = newIncarnation()
 	program := "gentiantrail-" + id.Role.String()
 	tags := map[string]string{"instance": id.Name, "availability_zone": id.AvailabilityZone}
 	logger := observe.NewLogger(os.Stderr, logLevel, program, id.Name)
@@ -78,7 +78,7 @@
 	case <-done:
 		return nil
 	case <-time.After(timeout):
-		return ErrStopTimeout
+		return errStopTimeout
 	}
 }
 
--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -11,8 +11,8 @@
 
 // Defaults and bounds of Config.
 const (
-	// MinKeySize is the least length of the shared key in bytes.
-	MinKeySize = 16
+	// minKeySize is the least length of the shared key in bytes.
+	minKeySize = 16
 
 	defaultQueueLimit       = 4 << 20 // bytes
 	defaultHandshakeTimeout = 2 * time.Second
@@ -27,7 +27,7 @@
 type Config struct {
 	// Identity is what this process says of itself to its peers.
 	Identity message.Identity
-	// Key is the key that all processes share, at least MinKeySize bytes.
+	// Key is the key that all processes share, at least minKeySize bytes.
 	Key []byte
 	// QueueLimit is the most outgoing bytes that wait on one link. An empty queue
 	// takes one frame of any size. Default 4 MiB.
@@ -48,7 +48,7 @@
 }
 
 func (c Config) withDefaults() (Config, error) {
-	if len(c.Key) < MinKeySize {
+	if len(c.Key) < minKeySize {
 		return c, &Error{Reason: ReasonConfig, Detail: "the link key is shorter than 16 bytes"}
 	}
 	if c.Identity.Name == "" {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -281,7 +281,7 @@
 	assert.NilError(t, acceptor.Listen("127.0.0.1:0"))
 	dialler := newNode(t, "dialler", a, func(c *Config) {
 		logTo(c)
-		c.Key = []byte(strings.Repeat("x", MinKeySize))
+		c.Key = []byte(strings.Repeat("x", minKeySize))
 	})
 	dialler.Dial(acceptor.Addr())
 	eventually(t, func() bool { return sink.contains("another link key") })
--- a/internal/platform/writer.go
+++ b/internal/platform/writer.go
@@ -69,11 +69,11 @@
 	if err != nil {
 		return Entry{}, err
 	}
-	return OpenEntry(object)
+	return openEntry(object)
 }
 
-// OpenEntry decodes an object that a Writer wrote.
-func OpenEntry(o Object) (Entry, error) {
+// openEntry decodes an object that a Writer wrote.
+func openEntry(o Object) (Entry, error) {
 	var e envelope
 	if err := cbor.Unmarshal(o.Value, &e); err != nil {
 		return Entry{}, err
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -23,8 +23,8 @@
 	DefaultRatio = 0.1
 	// DefaultBurst is the number of repeats that a full budget allows at once.
 	DefaultBurst = 10
-	// MaxAttempts bounds the attempts of one request, the first one included.
-	MaxAttempts = 6
+	// maxAttempts bounds the attempts of one request, the first one included.
+	maxAttempts = 6
 )
 
 // NewBudget returns a full budget.
@@ -70,7 +70,7 @@
 // again only if it is idempotent, none of its answer was passed on, and the
 // budget allows it. Neither is tried past its attempts or its deadline.
 func Allowed(a Attempt, b *Budget) bool {
-	if a.HeadSent || a.Attempts >= MaxAttempts || a.Remaining <= a.Expected {
+	if a.HeadSent || a.Attempts >= maxAttempts || a.Remaining <= a.Expected {
 		return false
 	}
 	if a.Outcome == apierr.OutcomeNotRun {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -26,7 +26,7 @@
 				}
 				a.HeadSent = true
 				assert.Assert(t, !Allowed(a, full), "%v after a part of the answer", kind)
-				a.HeadSent, a.Attempts = false, MaxAttempts
+				a.HeadSent, a.Attempts = false, maxAttempts
 				assert.Assert(t, !Allowed(a, full))
 				a.Attempts, a.Expected = 1, time.Second
 				assert.Assert(t, !Allowed(a, full), "no time is left")
