Let the stand-in's ranks load weights at different speeds

Cause: in the group's test all ranks prepared well before the switch step, so trials without the hold and without the release did not mix maps. Ruled out: a shorter lead (it is the product's own constant). Change: rank n takes n+1 times as long; the slowest prepares after the switch step. Before: trials with the mechanisms off pass. Conclusion: the test now depends on the hold.

--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -55,7 +55,7 @@
 	c := &cluster{t: t, store: objectstore.New(), members: make(map[string]*member)}
 	c.ranks = ranks.New(ranks.Config{
 		Shape: shape, ChecksFencing: true,
-		StepTime: time.Millisecond, LoadTime: 5 * time.Millisecond, DriftTime: 5 * time.Second,
+		StepTime: time.Millisecond, LoadTime: 40 * time.Millisecond, DriftTime: 5 * time.Second,
 	})
 	stop := make(chan struct{})
 	go c.ranks.Run(stop)
--- a/internal/standin/ranks/ranks.go
+++ b/internal/standin/ranks/ranks.go
@@ -23,7 +23,7 @@
 	ChecksFencing bool
 	// StepTime is the time between two steps.
 	StepTime time.Duration
-	// LoadTime is the time that the weight store takes for one map.
+	// LoadTime is the time that rank 0 takes to load a map's weights; rank n takes n+1 times as long.
 	LoadTime time.Duration
 	// Shape is the size of the expert map.
 	Shape rebalance.Shape
@@ -172,7 +172,7 @@
 		case path == group.PathPopularity:
 			jsonhttp.Write(ctx, g.popularity())
 		case path == group.PathLoad:
-			time.Sleep(g.cfg.LoadTime)
+			time.Sleep(g.cfg.LoadTime * time.Duration(index+1))
 		case path == "/admin/record":
 			g.serveRecord(ctx)
 		case path == "/admin/restart":
