Load a planned map's weights on all ranks before its change begins

Cause: a rank loaded weights inside the change. With loads longer than the lead (64 steps) the ranks that were ready held the group, or every rank refused the passed switch step; the change never came about (TestGroupChangesItsMap... waited 60 s with loads of 40 to 160 ms after the stand-in's ranks became unequal). Ruled out: a longer lead (loads take minutes), a longer wait for promises (the ranks that are ready would hold the group for it), repeating the change (the group stalls once each time). Change: the coordinator first has every rank load the weights, paced by the store's rate; the change itself then finds them in memory. The preload promises nothing and is outside the explored protocol. Before: fails. Conclusion: a change no longer waits for weights.

--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -72,7 +72,7 @@
 		return
 	}
 	if s.Rank == d.opts.Rank {
-		d.toRank(ctx, expertmap.Received{From: d.opts.Identity.Name, Message: s.Message})
+		d.receive(ctx, d.opts.Identity.Name, s.Message)
 		return
 	}
 	m, known := d.members[s.Rank]
@@ -87,9 +87,7 @@
 // respond carries a rank's answer to the coordinator named to.
 func (d *Driver) respond(ctx context.Context, to string, m message.Message) {
 	if to == d.opts.Identity.Name {
-		if d.coordinator != nil {
-			d.coordinate(ctx, expertmap.FromRank{Message: m})
-		}
+		d.receive(ctx, to, m)
 		return
 	}
 	if p := d.peers[to]; p != nil {
--- a/internal/group/event.go
+++ b/internal/group/event.go
@@ -59,14 +59,21 @@
 	}
 }
 
-func (ev received) apply(ctx context.Context, d *Driver) {
-	switch ev.m.(type) {
+func (ev received) apply(ctx context.Context, d *Driver) { d.receive(ctx, ev.from, ev.m) }
+
+// receive handles a message of another agent of the group, or of this one.
+func (d *Driver) receive(ctx context.Context, from string, m message.Message) {
+	switch m := m.(type) {
 	case *message.MapState, *message.MapPromise:
 		if d.coordinator != nil {
-			d.coordinate(ctx, expertmap.FromRank{Message: ev.m})
+			d.coordinate(ctx, expertmap.FromRank{Message: m})
 		}
+	case *message.MapPreload:
+		d.servePreload(ctx, from, m)
+	case *message.MapPreloaded:
+		d.preloaded(ctx, m)
 	default:
-		d.toRank(ctx, expertmap.Received{From: ev.from, Message: ev.m})
+		d.toRank(ctx, expertmap.Received{From: from, Message: m})
 	}
 }
 
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -108,8 +108,12 @@
 	// activeMap is the map whose weights the rank loaded last.
 	activeMap []byte
 	pacer     rebalance.Pacer
-	peers     map[string]link.Peer
-	members   map[int]Member
+	// preload is the coordinator's; loading is the rank's load of weights ahead.
+	preload      *preload
+	preloadRound uint64
+	loading      preloadKey
+	peers        map[string]link.Peer
+	members      map[int]Member
 
 	mu    sync.Mutex
 	state State
@@ -189,6 +193,7 @@
 		d.coordinate(ctx, expertmap.Tick{})
 		d.rebalance(ctx)
 	}
+	d.tickPreload(ctx)
 }
 
 // logEvent begins the line of an event of the group.
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -55,7 +55,7 @@
 func (d *Driver) rebalance(ctx context.Context) {
 	p := d.plan
 	idle := d.coordinator != nil && d.coordinator.Phase() == expertmap.PhaseIdle
-	if !idle || p.asking || d.now()-p.last < p.cfg.RebalanceInterval {
+	if !idle || p.asking || d.preload != nil || d.now()-p.last < p.cfg.RebalanceInterval {
 		return
 	}
 	p.asking = true
@@ -102,7 +102,7 @@
 		return
 	}
 	d.logEvent("map-proposed").Int("moved", plan.Moved).Int64("bytes", plan.Bytes).Float64("gain", plan.Gain).Msg("")
-	d.coordinate(ctx, expertmap.Propose{Map: next})
+	d.beginPreload(ctx, next)
 }
 
 // movedBytes returns the size of the weights that a rank has to load for next.
--- a/internal/group/rank.go
+++ b/internal/group/rank.go
@@ -104,15 +104,20 @@
 	return size
 }
 
-// load brings weights into memory once the weight store's rate allows it.
+// load brings the weights of a prepared map into memory.
 func (d *Driver) load(ctx context.Context, incarnation uint64, l expertmap.Load, start time.Duration) {
+	err := d.loadWeights(ctx, l, start)
+	d.send(ctx, loaded{incarnation: incarnation, version: l.Version, err: err})
+}
+
+// loadWeights loads weights once the weight store's rate allows it.
+func (d *Driver) loadWeights(ctx context.Context, l expertmap.Load, start time.Duration) error {
 	select {
 	case <-time.After(start - d.now()):
+		return d.opts.Engine.Load(ctx, l)
 	case <-ctx.Done():
-		return
+		return ctx.Err()
 	}
-	err := d.opts.Engine.Load(ctx, l)
-	d.post(loaded{incarnation: incarnation, version: l.Version, err: err})
 }
 
 func (d *Driver) orderEngine(ctx context.Context, incarnation uint64, o expertmap.Order) {
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -102,4 +102,6 @@
 	TypeMapState:     func() Message { return new(MapState) },
 	TypeZoneReport:   func() Message { return new(ZoneReport) },
 	TypeMapJoin:      func() Message { return new(MapJoin) },
+	TypeMapPreload:   func() Message { return new(MapPreload) },
+	TypeMapPreloaded: func() Message { return new(MapPreloaded) },
 }
--- a/internal/message/codec_test.go
+++ b/internal/message/codec_test.go
@@ -21,7 +21,7 @@
 }
 
 func TestEveryTypeDecodesToItself(t *testing.T) {
-	for typ := TypeHello; typ <= TypeMapJoin; typ++ {
+	for typ := TypeHello; typ <= TypeMapPreloaded; typ++ {
 		m := newMessage(typ)
 		assert.Assert(t, m != nil, "type %d", typ)
 		assert.Equal(t, m.FrameType(), typ)
@@ -48,7 +48,7 @@
 		frame := rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "frame")
 		if len(frame) > 1 {
 			frame[0] = Version
-			frame[1] = byte(rapid.IntRange(0, int(TypeMapJoin)+1).Draw(t, "type"))
+			frame[1] = byte(rapid.IntRange(0, int(TypeMapPreloaded)+1).Draw(t, "type"))
 		}
 		_, _ = Decode(frame)
 	})
--- a/internal/message/expertmap.go
+++ b/internal/message/expertmap.go
@@ -97,3 +97,21 @@
 	PendingStep uint64 `cbor:"9,keyasint,omitempty"`
 	PendingMap  []byte `cbor:"10,keyasint,omitempty"`
 }
+
+// MapPreload asks a rank to bring the weights of a map into memory before it is
+// proposed. It promises nothing and changes no state of the engine's map.
+type MapPreload struct {
+	Group string `cbor:"1,keyasint"`
+	Fence uint64 `cbor:"2,keyasint"`
+	// Round identifies the preload under Fence.
+	Round uint64 `cbor:"3,keyasint"`
+	Map   []byte `cbor:"4,keyasint"`
+}
+
+// MapPreloaded answers MapPreload once the weights are in memory.
+type MapPreloaded struct {
+	Group string `cbor:"1,keyasint"`
+	Rank  int    `cbor:"2,keyasint"`
+	Fence uint64 `cbor:"3,keyasint"`
+	Round uint64 `cbor:"4,keyasint"`
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -35,6 +35,8 @@
 	TypeMapState
 	TypeZoneReport
 	TypeMapJoin
+	TypeMapPreload
+	TypeMapPreloaded
 )
 
 // Message is implemented by every frame body.
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -71,3 +71,9 @@
 
 // FrameType implements Message.
 func (*MapJoin) FrameType() Type { return TypeMapJoin }
+
+// FrameType implements Message.
+func (*MapPreload) FrameType() Type { return TypeMapPreload }
+
+// FrameType implements Message.
+func (*MapPreloaded) FrameType() Type { return TypeMapPreloaded }
--- a/internal/standin/ranks/ranks.go
+++ b/internal/standin/ranks/ranks.go
@@ -4,6 +4,7 @@
 package ranks
 
 import (
+	"bytes"
 	"strings"
 	"sync"
 	"time"
@@ -50,6 +51,8 @@
 	maps    expertmap.Engine
 	started time.Time
 	engine  *engine.Engine
+	// loaded is the map whose weights are in memory.
+	loaded []byte
 }
 
 // Record is what the group did.
@@ -172,7 +175,7 @@
 		case path == group.PathPopularity:
 			jsonhttp.Write(ctx, g.popularity())
 		case path == group.PathLoad:
-			time.Sleep(g.cfg.LoadTime * time.Duration(index+1))
+			g.serveLoad(ctx, index)
 		case path == "/admin/record":
 			g.serveRecord(ctx)
 		case path == "/admin/restart":
@@ -208,6 +211,24 @@
 	jsonhttp.Write(ctx, g.ranks[index].maps.Apply(o))
 }
 
+// serveLoad takes its time unless the rank holds the map's weights already.
+func (g *Group) serveLoad(ctx *fasthttp.RequestCtx, index int) {
+	var l expertmap.Load
+	if !jsonhttp.Read(ctx, &l) {
+		return
+	}
+	g.mu.Lock()
+	held := bytes.Equal(g.ranks[index].loaded, l.Map)
+	g.mu.Unlock()
+	if held {
+		return
+	}
+	time.Sleep(g.cfg.LoadTime * time.Duration(index+1))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[index].loaded = l.Map
+}
+
 func (g *Group) serveRecord(ctx *fasthttp.RequestCtx) {
 	jsonhttp.Write(ctx, g.Record())
 }
