Use standard English in comments and names

Cause: comments and the experiment called admission a door; functions that return a bool "told whether" instead of "report whether", the usual form of this language. Change: comments; door, FixedDoor and newDoor of test/experiment become admitter, FixedLimit and newAdmitter. Conclusion: behaviour unchanged.

--- a/cmd/gentiantrail-agent/main.go
+++ b/cmd/gentiantrail-agent/main.go
@@ -1,4 +1,4 @@
-// Command gentiantrail-agent is the only door to one target. See
+// Command gentiantrail-agent controls all access to one target. See
 // docs/OPERATORS.md for its settings, signals and exit codes.
 package main
 
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,4 +1,4 @@
-// Package admission decides, at the only door to one target, which requests run
+// Package admission decides, in the agent of one target, which requests run
 // now, which wait and which are refused at once.
 //
 // A Controller runs no more requests than the warm-up limit allows, shares the
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,4 +1,4 @@
-// Package agent is the only door to one target.
+// Package agent controls all access to one target.
 //
 // A request passes the stages accept, admit, claim, run, relay and settle. One
 // goroutine owns the control state: which requests wait or run, the fate of those
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -37,7 +37,7 @@
 	return err
 }
 
-// callerLost tells whether a failure can come from the way to the caller.
+// callerLost reports whether a failure can come from the way to the caller.
 func callerLost(k apierr.Kind) bool {
 	return k == apierr.KindTimeout || causedByCaller(k)
 }
--- a/internal/agent/claim.go
+++ b/internal/agent/claim.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// neverRan tells whether a claimed request provably did not reach its target.
+// neverRan reports whether a claimed request provably did not reach its target.
 func neverRan(r *run, err *apierr.Error) bool {
 	if phase(r.phase.Load()) != phaseStarted {
 		return true
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -75,5 +75,5 @@
 		phase(j.phase.Load()) == phaseWithdrawn
 }
 
-// interruptible tells whether the run may be cut once nobody waits for it.
+// interruptible reports whether the run may be cut once nobody waits for it.
 func (j *job) interruptible() bool { return j.req.Idempotent }
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -86,7 +86,7 @@
 	})
 }
 
-// causedByCaller tells whether a failure says nothing about the target.
+// causedByCaller reports whether a failure says nothing about the target.
 func causedByCaller(k apierr.Kind) bool {
 	return k == apierr.KindCancelled || k == apierr.KindLinkLost
 }
--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -116,7 +116,7 @@
 	Status int
 	// Outcome is what the caller may conclude about the run.
 	Outcome Outcome
-	// RetryInside tells whether the entry may try another target by itself.
+	// RetryInside reports whether the entry may try another target by itself.
 	RetryInside bool
 	// RetryAfter is the least time after which a caller should try again; zero omits the header.
 	RetryAfter time.Duration
--- a/internal/claims/advance.go
+++ b/internal/claims/advance.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// needsRead tells whether something waits for a newer view.
+// needsRead reports whether something waits for a newer view.
 func (p *Partition) needsRead() bool {
 	if p.log.stale {
 		return p.Unsettled() > 0
--- a/internal/claims/explore_test.go
+++ b/internal/claims/explore_test.go
@@ -26,7 +26,7 @@
 	chooseRelease                   // the process reports that its claimed request did not run
 )
 
-// costs tells whether c is a fault.
+// costs reports whether c is a fault.
 func (c choice) costs() int {
 	if c.kind == chooseGiveUp || c.kind == chooseDeliver && c.fate != fateDone {
 		return 1
--- a/internal/claims/index.go
+++ b/internal/claims/index.go
@@ -15,12 +15,12 @@
 	local *Outcome
 }
 
-// ownedBy tells whether the claim is the one of owner with seq.
+// ownedBy reports whether the claim is the one of owner with seq.
 func (s *claimState) ownedBy(owner Owner, seq uint64) bool {
 	return s.owner == owner && s.seq == seq
 }
 
-// released tells whether the key can be claimed again.
+// released reports whether the key can be claimed again.
 func (s *claimState) released() bool { return s.status == recordReleased }
 
 // result returns the status of a repeat of the claim.
@@ -114,7 +114,7 @@
 	return s
 }
 
-// expired tells whether all records of s are older than window at clock.
+// expired reports whether all records of s are older than window at clock.
 func (s *sealed) expired(clock uint64, window time.Duration) bool {
 	return s.clock+uint64(window.Milliseconds()) < clock
 }
--- a/internal/claims/resolve.go
+++ b/internal/claims/resolve.go
@@ -52,7 +52,7 @@
 	p.dropDurable()
 }
 
-// settle tells whether q is finished, and answers it.
+// settle reports whether q is finished, and answers it.
 func (p *Partition) settle(q *pending) bool {
 	v := p.judge(q)
 	if q.abandoned {
@@ -90,7 +90,7 @@
 	return !q.doubt
 }
 
-// refusing tells whether the platform has failed so often that claims do not wait for it.
+// refusing reports whether the platform has failed so often that claims do not wait for it.
 func (p *Partition) refusing() bool {
 	return p.broken != "" || p.failures >= failFast && p.now < p.retryAt
 }
--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// behind tells whether a live node lacks the newest revision.
+// behind reports whether a live node lacks the newest revision.
 func (s *sim) behind() bool {
 	for _, n := range s.nodes {
 		if n.up && n.f.Revision() < s.newest {
--- a/internal/config/check_service.go
+++ b/internal/config/check_service.go
@@ -53,7 +53,7 @@
 	return problems
 }
 
-// covers tells whether a serves every request that b serves.
+// covers reports whether a serves every request that b serves.
 func covers(a, b Route) bool {
 	if a.Method != anyMethod && a.Method != b.Method {
 		return false
--- a/internal/config/driver.go
+++ b/internal/config/driver.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// Message posts a message from a peer and tells whether it was one for the Follower.
+// Message posts a message from a peer and reports whether it was one for the Follower.
 func (d *Driver) Message(peer string, m message.Message) bool {
 	switch m := m.(type) {
 	case *message.ConfigHead:
--- a/internal/config/follower_adopt.go
+++ b/internal/config/follower_adopt.go
@@ -41,7 +41,7 @@
 	f.pending = &pendingHead{head: h, raw: slices.Clone(raw), fromPlatform: fromPlatform}
 }
 
-// holds tells whether raw is the head in force or the one being fetched.
+// holds reports whether raw is the head in force or the one being fetched.
 func (f *Follower) holds(raw []byte) bool {
 	return f.active != nil && bytes.Equal(raw, f.activeRaw) || f.pending != nil && bytes.Equal(raw, f.pending.raw)
 }
@@ -160,7 +160,7 @@
 }
 
 // addFiles keeps contents that the pending head lacks and lets the next source be
-// asked at once if some are still missing. It tells whether there were any.
+// asked at once if some are still missing. It reports whether there were any.
 func (f *Follower) addFiles(files []File) bool {
 	if f.pending == nil {
 		return false
--- a/internal/config/index.go
+++ b/internal/config/index.go
@@ -95,18 +95,18 @@
 	return z, ok
 }
 
-// AvailabilityZoneDrained tells whether the availability zone takes no new work.
+// AvailabilityZoneDrained reports whether the availability zone takes no new work.
 // An availability zone that the configuration does not know is not drained.
 func (x *Index) AvailabilityZoneDrained(name string) bool {
 	z, ok := x.zones[name]
 	return ok && z.Drained
 }
 
-// InstanceDrained tells whether the agent or entry with the name takes no new work.
+// InstanceDrained reports whether the agent or entry with the name takes no new work.
 func (x *Index) InstanceDrained(name string) bool { return x.drained[name] }
 
 // Route returns the first route for the method and the path below /SERVICE. If
-// none is found, pathKnown tells whether another method is served on the path.
+// none is found, pathKnown reports whether another method is served on the path.
 func (s *Service) Route(method, path string) (route Route, found, pathKnown bool) {
 	for _, r := range s.Routes {
 		if !matchPath(r.Path, path) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// silent tells whether a failure came without any answer from the destination.
+// silent reports whether a failure came without any answer from the destination.
 func silent(k apierr.Kind) bool {
 	return k == apierr.KindTimeout || k == apierr.KindLinkLost || k == apierr.KindTargetUnreachable
 }
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -29,7 +29,7 @@
 		peer   link.Peer
 		report *message.ZoneReport
 	}
-	// dispatched tells whether a dispatch got any answer from the named process.
+	// dispatched reports whether a dispatch got any answer from the named process.
 	dispatched struct {
 		name     string
 		answered bool
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -44,7 +44,7 @@
 // remaining returns the time left until the deadline.
 func (x *exchange) remaining(now time.Time) time.Duration { return x.deadline.Sub(now) }
 
-// aborted tells whether the sender withdrew or cancelled the request.
+// aborted reports whether the sender withdrew or cancelled the request.
 func (x *exchange) aborted() bool {
 	if x.abort == nil {
 		return false
--- a/internal/entry/filter_prepare.go
+++ b/internal/entry/filter_prepare.go
@@ -39,7 +39,7 @@
 	return nil
 }
 
-// forTarget tells whether a caller's header is passed on.
+// forTarget reports whether a caller's header is passed on.
 func forTarget(name string) bool {
 	lower := strings.ToLower(name)
 	switch lower {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// withdrawForward gives up a forward; its final frame tells whether it ran.
+// withdrawForward gives up a forward; its final frame reports whether it ran.
 func (e *Entry) withdrawForward(p link.Peer, id uint64) {
 	if f := e.forwards.get(p, id); f != nil {
 		f.giveUp(false)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// wanted tells whether a link to an entry is missing.
+// wanted reports whether a link to an entry is missing.
 func (c *control) wanted(id message.Identity) bool {
 	own := c.entry.opts.Identity
 	if id.Role != message.RoleEntry || id.Name == own.Name || id.Address == "" || c.linked(id.Name) {
@@ -86,7 +86,7 @@
 	return c.linksTo(id.AvailabilityZone)+c.dialsTo(id.AvailabilityZone) < linksPerRemoteZone
 }
 
-// linked tells whether there is a link to an entry.
+// linked reports whether there is a link to an entry.
 func (c *control) linked(name string) bool {
 	s := c.peers[name]
 	return s != nil && len(s.links) > 0
--- a/internal/entry/publish.go
+++ b/internal/entry/publish.go
@@ -133,7 +133,7 @@
 	return r
 }
 
-// sameTargets tells whether two peers reported the same targets of a pool.
+// sameTargets reports whether two peers reported the same targets of a pool.
 func (r *remotePeer) sameTargets(other *remotePeer, pool string) bool {
 	return r.peer.AvailabilityZone == other.peer.AvailabilityZone &&
 		slices.Equal(r.pools[pool].agents, other.pools[pool].agents)
@@ -148,13 +148,13 @@
 	return keys
 }
 
-// suspected tells whether a peer was silent for too long or failed dispatches.
+// suspected reports whether a peer was silent for too long or failed dispatches.
 func (c *control) suspected(name string) bool {
 	p, known := c.tracker.State(time.Now(), name)
 	return !known || p.State == membership.Suspect || p.State == membership.Dead
 }
 
-// leaving tells whether a peer has said that it takes no new work.
+// leaving reports whether a peer has said that it takes no new work.
 func (c *control) leaving(name string) bool {
 	p, known := c.tracker.State(time.Now(), name)
 	return known && p.State == membership.Leaving
--- a/internal/expertmap/explore_test.go
+++ b/internal/expertmap/explore_test.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// matters tells whether rank i may still act on p.
+// matters reports whether rank i may still act on p.
 func (w *world) matters(i int, p *packet) bool {
 	r, e := w.ranks[i], w.engines[i]
 	if p.fence < r.fence && !w.v.noFence {
@@ -143,7 +143,7 @@
 	return &n
 }
 
-// informs tells whether the coordinator may still act on rank i's packet p.
+// informs reports whether the coordinator may still act on rank i's packet p.
 func (w *world) informs(i int, p *packet) bool {
 	c := w.coordOf(p.fence)
 	if c.phase == PhaseStopped {
--- a/internal/expertmap/protocol_test.go
+++ b/internal/expertmap/protocol_test.go
@@ -6,7 +6,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// resolvedFrom tells whether a coordinator with the next fence can bring the
+// resolvedFrom reports whether a coordinator with the next fence can bring the
 // group of w to one map and through all steps, without further faults.
 func resolvedFrom(w *world) bool {
 	w = w.clone()
--- a/internal/expertmap/world_test.go
+++ b/internal/expertmap/world_test.go
@@ -330,7 +330,7 @@
 	w.ownEngine(i).Apply(o)
 }
 
-// canEnter tells whether the lock-step lets rank i enter its next step.
+// canEnter reports whether the lock-step lets rank i enter its next step.
 func (w *world) canEnter(i int) bool {
 	step, _, ok := w.engines[i].NextStep()
 	if w.v.noHold && w.engines[i].State.Active != 0 || w.v.noRelease && w.engines[i].State.Pending.Decided {
--- a/internal/lease/candidate.go
+++ b/internal/lease/candidate.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// free tells whether the lease may be taken over: it was released, or it has not been
+// free reports whether the lease may be taken over: it was released, or it has not been
 // renewed for its whole term as measured here.
 func (c *Candidate) free() bool {
 	never := c.version == 0 && c.maxFence == 0
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// step handles e and tells whether the release has ended.
+// step handles e and reports whether the release has ended.
 func (k *Keeper) step(ctx context.Context, e Event) (finished bool) {
 	for _, effect := range k.candidate.Step(time.Since(k.start), e) {
 		switch effect := effect.(type) {
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// await returns when l has ended and tells whether it was ever authenticated. It
+// await returns when l has ended and reports whether it was ever authenticated. It
 // closes l when ctx ends, except when the whole Node closes: queued output is
 // sent first then.
 func (n *Node) await(ctx context.Context, l *link) bool {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -24,7 +24,7 @@
 type Peer interface {
 	// Identity returns what the peer said of itself in the handshake.
 	Identity() message.Identity
-	// Dialled tells whether this process opened the link.
+	// Dialled reports whether this process opened the link.
 	Dialled() bool
 	// Send queues m. It returns ErrClosed after the link ended and ErrFull when the
 	// outgoing queue is at its limit; in both cases m was not sent.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -130,6 +130,6 @@
 	Silence time.Duration
 }
 
-// TakesWork tells whether new work may be given to the peer. Suspect peers take
+// TakesWork reports whether new work may be given to the peer. Suspect peers take
 // work only when no live peer can; the caller orders them.
 func (p Peer) TakesWork() bool { return p.State == Live || p.State == Suspect }
--- a/internal/message/request.go
+++ b/internal/message/request.go
@@ -28,7 +28,7 @@
 	Body         []byte        `cbor:"9,keyasint,omitempty"`
 	Timeout      time.Duration `cbor:"10,keyasint"`
 	Priority     int           `cbor:"11,keyasint,omitempty"`
-	// Idempotent tells whether the request may run more than once.
+	// Idempotent reports whether the request may run more than once.
 	Idempotent bool `cbor:"12,keyasint,omitempty"`
 	// IdempotencyKey is the caller's key for a non-idempotent request.
 	IdempotencyKey string `cbor:"13,keyasint,omitempty"`
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -65,7 +65,7 @@
 	Expected time.Duration
 }
 
-// Allowed tells whether the request may be tried again. A request that did not
+// Allowed reports whether the request may be tried again. A request that did not
 // run is tried again when its kind allows it. One that may have run is tried
 // again only if it is idempotent, none of its answer was passed on, and the
 // budget allows it. Neither is tried past its attempts or its deadline.
--- a/internal/routing/guess.go
+++ b/internal/routing/guess.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// room tells whether one more request would run at once.
+// room reports whether one more request would run at once.
 func (g guess) room() bool { return g.load < g.limit }
 
 // wait returns the expected wait of one more request.
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -122,12 +122,12 @@
 	return nil
 }
 
-// Usable tells whether t may get new work.
+// Usable reports whether t may get new work.
 func (t *Target) Usable() bool {
 	down := t.Report.Known && t.Report.Load.State == message.TargetDown
 	leaving := t.Report.Known && t.Report.Load.State == message.TargetLeaving
 	return !t.Suspected && !t.Leaving && !t.Drained && !down && !leaving
 }
 
-// usable tells whether p may get new work.
+// usable reports whether p may get new work.
 func (p *Peer) usable() bool { return !p.Suspected && !p.Leaving && !p.Drained }
--- a/internal/standin/callers/generator.go
+++ b/internal/standin/callers/generator.go
@@ -128,7 +128,7 @@
 	}
 }
 
-// attempt sends all copies and tells whether one of them got the whole answer.
+// attempt sends all copies and reports whether one of them got the whole answer.
 func (g *Generator) attempt(r Request) bool {
 	var complete atomic.Bool
 	var wg sync.WaitGroup
--- a/internal/standin/callers/request.go
+++ b/internal/standin/callers/request.go
@@ -30,7 +30,7 @@
 	Stream bool
 }
 
-// recorded tells whether the targets keep a record of the request's runs.
+// recorded reports whether the targets keep a record of the request's runs.
 func (r Request) recorded() bool { return r.Tokens == 0 && r.Method != http.MethodGet }
 
 // Verdict is what a caller makes of one exchange.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -133,7 +133,7 @@
 	}
 }
 
-// cold tells whether the engine still warms up; e.mu is held.
+// cold reports whether the engine still warms up; e.mu is held.
 func (e *Engine) cold() bool { return e.sinceCold < e.cfg.WarmAfter }
 
 // bears returns the most requests that the engine bears now; e.mu is held.
--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// own registers c for Close; it tells whether the Network is still open.
+// own registers c for Close; it reports whether the Network is still open.
 func (n *Network) own(c io.Closer) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -91,7 +91,7 @@
 	}
 }
 
-// blocked tells whether a cut lies between a and b; n.mu is held.
+// blocked reports whether a cut lies between a and b; n.mu is held.
 func (n *Network) blocked(a, b Names) bool {
 	for _, x := range a {
 		for _, y := range b {
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -85,7 +85,7 @@
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// OK tells whether no promise was broken and no answer was cut off or wrong.
+// OK reports whether no promise was broken and no answer was cut off or wrong.
 func (r *Report) OK() bool {
 	bad := len(r.Violations)
 	for _, row := range r.Rows {
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -266,7 +266,7 @@
 	return out
 }
 
-// hopByHop tells whether a header belongs to one connection; see RFC 9110, section 7.6.1.
+// hopByHop reports whether a header belongs to one connection; see RFC 9110, section 7.6.1.
 func hopByHop(name string) bool {
 	switch strings.ToLower(name) {
 	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te",
--- a/internal/warmup/latency.go
+++ b/internal/warmup/latency.go
@@ -67,7 +67,7 @@
 	l.variance += smoothing * (off*off - l.variance)
 }
 
-// unusual tells whether one request was far slower than the target's requests are.
+// unusual reports whether one request was far slower than the target's requests are.
 func (l *latency) unusual(seconds float64) bool {
 	margin := max(math.Log(slowRatio), slowDeviations*math.Sqrt(l.variance))
 	return l.seen && logarithm(seconds) > l.baseline+margin
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -191,7 +191,7 @@
 	return true
 }
 
-// isSlow tells whether s is the last of too many slow requests in a row. At the
+// isSlow reports whether s is the last of too many slow requests in a row. At the
 // cold limit there is nothing to fall from.
 func (l *Limiter) isSlow(s Sample) bool {
 	if l.limit == l.cfg.ColdLimit {
--- a/test/capacity/traffic_test.go
+++ b/test/capacity/traffic_test.go
@@ -103,7 +103,7 @@
 	}, poll.WithTimeout(patience))
 }
 
-// startLoad sends requests until the measurement is over; the result tells whether
+// startLoad sends requests until the measurement is over; the result reports whether
 // all were answered.
 func startLoad(t *testing.T, listen string, rate, tokens int) <-chan error {
 	t.Helper()
--- a/test/experiment/agent.go
+++ b/test/experiment/agent.go
@@ -9,8 +9,8 @@
 	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
 
-// door is what an agent needs of its admission; *admission.Controller is the real one.
-type door interface {
+// admitter is what an agent needs of its admission; *admission.Controller is the real one.
+type admitter interface {
 	Offer(now time.Duration, it admission.Item) admission.Decision
 	Finish(now time.Duration, id uint64, r admission.Result) admission.Effects
 	Remove(now time.Duration, id uint64) bool
@@ -43,13 +43,13 @@
 	first time.Duration
 }
 
-// agent is a fake of the agent process: the door, the engine, and nothing else.
+// agent is a fake of the agent process: admission, the engine, and nothing else.
 type agent struct {
 	name     string
 	zone     string
 	pool     string
 	clock    *clock
-	door     door
+	admitter admitter
 	engine   *engine
 	jobs     map[uint64]*job
 	nextID   uint64
@@ -62,7 +62,7 @@
 	a.nextID++
 	id := a.nextID
 	a.jobs[id] = &job{req: req, reply: answer}
-	d := a.door.Offer(a.clock.now, admission.Item{
+	d := a.admitter.Offer(a.clock.now, admission.Item{
 		ID:           id,
 		Organisation: req.org.name,
 		Weight:       req.org.weight,
@@ -87,13 +87,13 @@
 		return
 	}
 	delete(a.jobs, id)
-	if a.door.Remove(a.clock.now, id) {
+	if a.admitter.Remove(a.clock.now, id) {
 		return
 	}
 	if j.run != nil {
 		a.engine.cancel(j.run)
 	}
-	a.apply(a.door.Finish(a.clock.now, id, admission.Result{Cancelled: true}))
+	a.apply(a.admitter.Finish(a.clock.now, id, admission.Result{Cancelled: true}))
 }
 
 func (a *agent) apply(e admission.Effects) {
@@ -115,7 +115,7 @@
 		return
 	}
 	delete(a.jobs, id)
-	r.load, r.agent = a.door.Load(a.clock.now), a.name
+	r.load, r.agent = a.admitter.Load(a.clock.now), a.name
 	j.reply(r)
 }
 
@@ -141,7 +141,7 @@
 			work = j.req.decode.Seconds()
 		}
 	}
-	e := a.door.Finish(a.clock.now, id, admission.Result{ServiceTime: r.service, Work: work, OK: r.ok})
+	e := a.admitter.Finish(a.clock.now, id, admission.Result{ServiceTime: r.service, Work: work, OK: r.ok})
 	if r.ok {
 		a.settle(id, reply{outcome: apierr.OutcomeRan, first: first})
 	} else {
@@ -153,7 +153,7 @@
 
 // unreachable ends a run that could not be handed to the engine.
 func (a *agent) unreachable(id uint64) {
-	e := a.door.Finish(a.clock.now, id, admission.Result{})
+	e := a.admitter.Finish(a.clock.now, id, admission.Result{})
 	a.refuse(id, apierr.New(apierr.KindTargetUnreachable, a.name))
 	a.watchHealth()
 	a.apply(e)
@@ -162,17 +162,17 @@
 // healthInterval is the interval of the agent's health checks of a failed engine.
 const healthInterval = 500 * time.Millisecond
 
-// watchHealth closes the door until the engine is up again.
+// watchHealth marks the admission unhealthy until the engine is up again.
 func (a *agent) watchHealth() {
 	if !a.engine.down {
 		return
 	}
-	a.apply(a.door.SetHealthy(a.clock.now, false))
+	a.apply(a.admitter.SetHealthy(a.clock.now, false))
 	a.clock.after(healthInterval, func() {
 		if a.engine.down {
 			a.watchHealth()
 			return
 		}
-		a.apply(a.door.SetHealthy(a.clock.now, true))
+		a.apply(a.admitter.SetHealthy(a.clock.now, true))
 	})
 }
--- a/test/experiment/bound.go
+++ b/test/experiment/bound.go
@@ -106,7 +106,7 @@
 
 func (w *world) newPlan(p poolSpec) *plan { return &plan{pool: p, curve: w.capacityCurve(p)} }
 
-// idle moves the plan on to now and tells whether everything planned is done.
+// idle moves the plan on to now and reports whether everything planned is done.
 func (p *plan) idle(now time.Duration) bool {
 	if floor := p.curve.at(now); p.position <= floor {
 		p.position = floor
--- a/test/experiment/cold_test.go
+++ b/test/experiment/cold_test.go
@@ -31,7 +31,7 @@
 		name: "target", clock: c, hideWork: p.hideWork,
 		engine: &engine{spec: p.spec, clock: c, startID: 1}, jobs: make(map[uint64]*job),
 	}
-	a.door = admission.New(admission.Config{
+	a.admitter = admission.New(admission.Config{
 		Limit: p.spec.limit, ColdLimit: p.spec.coldLimit, ProbeWhileCold: true, QueueLimit: 2 * p.spec.limit,
 	})
 	rng := rand.New(rand.NewPCG(p.seed, 1))
@@ -40,7 +40,7 @@
 	c.every(50*time.Millisecond, running, func() { a.apply(a.observe()) })
 	c.every(heartbeatInterval, running, func() {
 		startID, cold := a.engine.startID, a.engine.warmth() < 1
-		c.after(5*time.Second, func() { a.apply(a.door.Report(c.now, startID, cold)) })
+		c.after(5*time.Second, func() { a.apply(a.admitter.Report(c.now, startID, cold)) })
 	})
 	if change != nil {
 		c.after(at, func() { change(a) })
@@ -51,7 +51,7 @@
 
 func (p probe) fill(a *agent, rng *rand.Rand) {
 	org := &organisation{name: "o", weight: 1}
-	for !a.engine.down && a.door.Load(a.clock.now).Queued < p.spec.limit {
+	for !a.engine.down && a.admitter.Load(a.clock.now).Queued < p.spec.limit {
 		size := math.Exp(rng.NormFloat64()*p.sigma - p.sigma*p.sigma/2)
 		req := &request{
 			org: org, prefix: rng.Uint64N(20),
@@ -65,7 +65,7 @@
 func (a *agent) observe() admission.Effects {
 	var e admission.Effects
 	for _, run := range a.engine.runs {
-		more := a.door.(*admission.Controller).Progress(a.clock.now, a.engine.strain(run))
+		more := a.admitter.(*admission.Controller).Progress(a.clock.now, a.engine.strain(run))
 		e.Refused = append(e.Refused, more.Refused...)
 		e.Start = append(e.Start, more.Start...)
 	}
@@ -86,7 +86,7 @@
 					a := p.saturate(15*time.Minute, 0, nil)
 					assert.Equal(t, a.engine.falls, 0, "%+v", p)
 					if warmAfter <= 300 {
-						assert.Assert(t, a.door.Load(0).Limit > 2*spec.coldLimit, "%+v never warms", p)
+						assert.Assert(t, a.admitter.Load(0).Limit > 2*spec.coldLimit, "%+v never warms", p)
 					}
 				}
 			}
@@ -106,11 +106,11 @@
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				p := probe{spec: draftingPool().engine, sigma: 0.5, seed: seed}
 				a := p.saturate(15*time.Minute, 5*time.Minute, func(a *agent) {
-					assert.Equal(t, a.door.Load(0).Limit, p.spec.limit, "warm before the change")
+					assert.Equal(t, a.admitter.Load(0).Limit, p.spec.limit, "warm before the change")
 					change(a)
 				})
 				assert.Equal(t, a.engine.falls, 0)
-				assert.Equal(t, a.door.Load(0).Limit, p.spec.limit, "warm again")
+				assert.Equal(t, a.admitter.Load(0).Limit, p.spec.limit, "warm again")
 			})
 		}
 	}
@@ -131,7 +131,7 @@
 		s.DrainedZone = zone
 		assert.Equal(t, run(s).falls, 0, "zone %s", zones[zone])
 	}
-	s.FixedDoor = true
+	s.FixedLimit = true
 	assert.Assert(t, run(s).falls > 0, "the fault must be real")
 }
 
@@ -147,6 +147,6 @@
 	w := run(s)
 	assert.Equal(t, w.falls, 0)
 	assert.Assert(t, len(w.entries) >= 50)
-	s.FixedDoor = true
+	s.FixedLimit = true
 	assert.Assert(t, run(s).falls > 0, "the fault must be real")
 }
--- a/test/experiment/drain.go
+++ b/test/experiment/drain.go
@@ -7,7 +7,7 @@
 	zone := zones[w.scenario.DrainedZone]
 	for _, a := range w.agents {
 		if a.zone == zone {
-			w.soon(a.door.Drain)
+			w.soon(a.admitter.Drain)
 		}
 	}
 	for _, e := range w.entries {
--- a/test/experiment/experiment_test.go
+++ b/test/experiment/experiment_test.go
@@ -37,7 +37,7 @@
 	late := plain
 	late.Name, late.Piggyback = "policy, heartbeats only", false
 	rr := plain
-	rr.Name, rr.Router, rr.Direct, rr.FixedDoor = "round robin, no warm-up", newRoundRobin(), true, true
+	rr.Name, rr.Router, rr.Direct, rr.FixedLimit = "round robin, no warm-up", newRoundRobin(), true, true
 	ll := plain
 	ll.Name, ll.Router, ll.Direct, ll.Piggyback = "least loaded, stale reports", leastLoaded, true, false
 	unlimited := plain
@@ -78,7 +78,7 @@
 	for _, factor := range []float64{2, 3, 6} {
 		s := flood(factor)
 		run(s).writeFlood(os.Stdout)
-		s.FixedDoor, s.Name = true, s.Name+", fixed limit"
+		s.FixedLimit, s.Name = true, s.Name+", fixed limit"
 		run(s).writeFlood(os.Stdout)
 	}
 }
--- a/test/experiment/naive.go
+++ b/test/experiment/naive.go
@@ -8,16 +8,16 @@
 	"github.com/gentiantrail/gentiantrail/internal/message"
 )
 
-// fixedDoor is the baseline admission: a fixed limit from the first moment on
+// fixedLimit is the baseline admission: a fixed limit from the first moment on
 // and one first-in-first-out queue, with no regard to deadlines or organisations.
-type fixedDoor struct {
+type fixedLimit struct {
 	limit, queueLimit int
 	running           int
 	waiting           []uint64
 	draining, down    bool
 }
 
-func (d *fixedDoor) Offer(_ time.Duration, it admission.Item) admission.Decision {
+func (d *fixedLimit) Offer(_ time.Duration, it admission.Item) admission.Decision {
 	switch {
 	case d.draining:
 		return admission.Decision{Err: apierr.New(apierr.KindDraining, "target")}
@@ -34,7 +34,7 @@
 	}
 }
 
-func (d *fixedDoor) Finish(time.Duration, uint64, admission.Result) admission.Effects {
+func (d *fixedLimit) Finish(time.Duration, uint64, admission.Result) admission.Effects {
 	d.running--
 	if len(d.waiting) == 0 || d.down {
 		return admission.Effects{}
@@ -45,7 +45,7 @@
 	return admission.Effects{Start: []uint64{id}}
 }
 
-func (d *fixedDoor) Remove(_ time.Duration, id uint64) bool {
+func (d *fixedLimit) Remove(_ time.Duration, id uint64) bool {
 	for i, w := range d.waiting {
 		if w == id {
 			d.waiting = append(d.waiting[:i:i], d.waiting[i+1:]...)
@@ -55,13 +55,13 @@
 	return false
 }
 
-func (d *fixedDoor) Expire(time.Duration) []admission.Refused { return nil }
+func (d *fixedLimit) Expire(time.Duration) []admission.Refused { return nil }
 
-func (d *fixedDoor) Report(time.Duration, uint64, bool) admission.Effects {
+func (d *fixedLimit) Report(time.Duration, uint64, bool) admission.Effects {
 	return admission.Effects{}
 }
 
-func (d *fixedDoor) SetHealthy(_ time.Duration, healthy bool) admission.Effects {
+func (d *fixedLimit) SetHealthy(_ time.Duration, healthy bool) admission.Effects {
 	d.down = !healthy
 	var e admission.Effects
 	for d.down && len(d.waiting) > 0 {
@@ -72,7 +72,7 @@
 	return e
 }
 
-func (d *fixedDoor) Load(time.Duration) message.Load {
+func (d *fixedLimit) Load(time.Duration) message.Load {
 	state := message.TargetWarm
 	if d.down {
 		state = message.TargetDown
@@ -83,4 +83,4 @@
 	}
 }
 
-func (d *fixedDoor) Drain() { d.draining = true }
+func (d *fixedLimit) Drain() { d.draining = true }
--- a/test/experiment/world.go
+++ b/test/experiment/world.go
@@ -32,8 +32,8 @@
 	Router router
 	// Direct lets entries reach targets of all availability zones without a peer.
 	Direct bool
-	// FixedDoor replaces admission and warm-up by a fixed limit and a queue.
-	FixedDoor bool
+	// FixedLimit replaces admission and warm-up by a fixed limit and a queue.
+	FixedLimit bool
 	// UnlimitedRetries repeats every failed attempt until the deadline.
 	UnlimitedRetries bool
 	// Entries is the number of entries in each availability zone; nil means entriesPerZone.
@@ -137,19 +137,19 @@
 		engine: &engine{spec: p.engine, clock: w.clock, startID: 1},
 		jobs:   make(map[uint64]*job),
 	}
-	a.door = w.newDoor(p)
+	a.admitter = w.newAdmitter(p)
 	stopped := func() bool { return a.stopped }
 	w.clock.every(expireInterval, stopped, func() {
-		a.apply(admission.Effects{Refused: a.door.Expire(w.clock.now)})
+		a.apply(admission.Effects{Refused: a.admitter.Expire(w.clock.now)})
 	})
 	w.clock.every(heartbeatInterval, stopped, func() { w.heartbeat(a) })
 	w.clock.after(0, func() { w.heartbeat(a) })
 	return a
 }
 
-func (w *world) newDoor(p poolSpec) door {
-	if w.scenario.FixedDoor {
-		return &fixedDoor{limit: p.engine.limit, queueLimit: queueFactor * p.engine.limit}
+func (w *world) newAdmitter(p poolSpec) admitter {
+	if w.scenario.FixedLimit {
+		return &fixedLimit{limit: p.engine.limit, queueLimit: queueFactor * p.engine.limit}
 	}
 	return admission.New(admission.Config{
 		Limit: p.engine.limit, ColdLimit: p.engine.coldLimit, ProbeWhileCold: true,
@@ -162,11 +162,11 @@
 
 // heartbeat sends an agent's load, and its engine's report to the agent, late.
 func (w *world) heartbeat(a *agent) {
-	load := a.door.Load(w.clock.now)
+	load := a.admitter.Load(w.clock.now)
 	startID := a.engine.startID
 	cold := a.engine.warmth() < 1
 	w.clock.after(w.scenario.ReportLag, func() {
-		a.apply(a.door.Report(w.clock.now, startID, cold))
+		a.apply(a.admitter.Report(w.clock.now, startID, cold))
 		for _, e := range w.entries {
 			if e.agents[a.name] == a {
 				e.report(a.name, load)
--- a/test/scenario/group_test.go
+++ b/test/scenario/group_test.go
@@ -177,7 +177,7 @@
 	}
 }
 
-// coordinates tells whether the agent holds its group's lease.
+// coordinates reports whether the agent holds its group's lease.
 func (p *process) coordinates() bool {
 	var state struct {
 		Group struct {
