Name what an agent remembers of settled requests plainly

Cause: "fate" held one bool; comments on stopLinger read badly. Ruled out: apierr.Outcome as the value (withdrawal needs only "never runs"). Before and after: tests of agent and entry pass. Conclusion: behaviour unchanged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,7 +1,7 @@
 // Package agent controls all access to one target.
 //
 // A request passes the stages accept, admit, claim, run, relay and settle. One
-// goroutine owns the control state: which requests wait or run, the fate of those
+// goroutine owns the control state: which requests wait or run, the outcome of those
 // that ended, the target's health. Each running request has a goroutine of its
 // own that talks to the target and relays its answer.
 package agent
@@ -31,8 +31,8 @@
 	// outcomeGrace is how long a run that may not be repeated may outlast its
 	// caller's deadline before its connection to the target is closed.
 	outcomeGrace = time.Minute
-	// stopLinger is the least time from the word to the entries that the agent leaves
-	// to its end; requests that they sent before they heard it are refused meanwhile.
+	// stopLinger is the least time between telling the entries of the stop and the
+	// agent's end; requests that they sent before are refused meanwhile.
 	stopLinger = 500 * time.Millisecond
 	// eventQueue bounds the events that wait for the control goroutine.
 	eventQueue = 4096
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -179,8 +179,8 @@
 }
 
 func (c *control) withdrawJob(key jobID) bool {
-	if f, known := c.settled.get(key); known {
-		return f.notRun
+	if notRun, known := c.settled.get(key); known {
+		return notRun
 	}
 	j := c.jobs[key]
 	if j == nil {
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -53,7 +53,7 @@
 		Name: id.Name, AvailabilityZone: id.AvailabilityZone, Pool: id.Pool, Incarnation: id.Incarnation,
 		TargetUp: c.up, TargetState: load.State.String(), Stopping: c.stopping, Drained: c.drained,
 		Running: load.Running, Queued: load.Queued, Limit: load.Limit, QueueLimit: load.QueueLimit,
-		ServiceTime: load.ServiceTime.String(), Settled: len(c.settled.fate),
+		ServiceTime: load.ServiceTime.String(), Settled: len(c.settled.notRun),
 	}
 	if c.index != nil {
 		s.ConfigRevision = c.index.Revision()
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -14,8 +14,8 @@
 // in each other availability zone.
 const linksPerRemoteZone = 3
 
-// stopLinger is the least time from the word to the peers that the entry leaves to
-// its end.
+// stopLinger is the least time between telling the peers of the stop and the entry's
+// end.
 const stopLinger = 500 * time.Millisecond
 
 // agentState is what the control goroutine knows of one agent.
