Prove that a claim past its window never runs

Cause: the agent's check of RunBefore had no test. Ruled out: nothing. Change: TestClaimPastItsWindowNeverRuns. Before (check off in a scratch change): the request runs, "ok != claim-unavailable". After: passes, twice, with the race detector; the key is released. Conclusion: the last step of the window of a key is covered.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -310,6 +310,19 @@
 	assert.Equal(t, h.target.ran("/free"), 0)
 }
 
+// TestClaimPastItsWindowNeverRuns wins a claim whose right to run has ended, as
+// after a long pause: the request does not run and its key is released.
+func TestClaimPastItsWindowNeverRuns(t *testing.T) {
+	h := newHarness(t, 4)
+	h.claims.result = claims.Result{Status: claims.Claimed, RunBefore: time.Now().Add(-time.Second)}
+	close(h.claims.gate)
+	h.request(1, "/free", func(r *message.Request) { r.IdempotencyKey = "k" })
+	assert.Equal(t, h.final(1), apierr.KindClaimUnavailable)
+	assert.Equal(t, h.target.ran("/free"), 0)
+	assert.Equal(t, len(h.claims.outcomes), 1)
+	assert.Assert(t, !h.claims.outcomes[0].Ran)
+}
+
 func TestClaimDecidesWhetherARequestRuns(t *testing.T) {
 	kept := &claims.Answer{Status: 201, Body: []byte("first")}
 	for status, want := range map[claims.Status]apierr.Kind{
