Check a target anew before it takes work after a drain

Cause: the engine behind a drained agent was replaced within the 250 ms between two load reports. Change: after a drain the agent refuses until a check that began after the drain's end has seen the target up. Left: an idle target that is replaced unnoticed without a drain has the same window.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -19,7 +19,10 @@
 	stopping  bool
 	stoppedAt time.Duration
 	drained   bool
-	peers     map[link.Peer]struct{}
+	// unchecked tells that the target was not seen up since the end of a drain at undrainedAt.
+	unchecked   bool
+	undrainedAt time.Duration
+	peers       map[link.Peer]struct{}
 	// jobs holds every request that waits or runs, byAdmission the same by admission id.
 	jobs        map[jobID]*job
 	byAdmission map[uint64]*job
@@ -91,7 +94,7 @@
 		return apierr.New(apierr.KindStaleIncarnation, c.agent.opts.Identity.Name)
 	}
 	switch {
-	case c.stopping, c.drained:
+	case c.stopping, c.drained, c.unchecked:
 		return apierr.New(apierr.KindDraining, c.agent.opts.Identity.Name)
 	case c.index == nil:
 		return apierr.New(apierr.KindConfigUnavailable, c.agent.opts.Identity.Name)
@@ -236,12 +239,33 @@
 	if p, ok := x.Pool(id.Pool); ok {
 		c.admission.Configure(admissionConfig(p))
 	}
+	wasDrained := c.drained
 	c.drained = x.AvailabilityZoneDrained(id.AvailabilityZone) || x.InstanceDrained(id.Name)
-	if c.drained || c.stopping {
+	if wasDrained && !c.drained {
+		c.unchecked = true
+		c.undrainedAt = c.agent.now()
+	}
+	c.updateDrain()
+	c.announce()
+}
+
+// updateDrain closes or opens the admission.
+func (c *control) updateDrain() {
+	if c.stopping || c.drained || c.unchecked {
 		c.admission.Drain()
-	} else {
-		c.admission.Undrain()
+		return
+	}
+	c.admission.Undrain()
+}
+
+// checked ends the wait for a health check that began after the end of a drain. No
+// request would have shown that the target was replaced meanwhile.
+func (c *control) checked(began time.Duration) {
+	if !c.unchecked || began < c.undrainedAt {
+		return
 	}
+	c.unchecked = false
+	c.updateDrain()
 	c.announce()
 }
 
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"github.com/gentiantrail/gentiantrail/internal/admission"
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/config"
@@ -43,6 +45,7 @@
 		up      bool
 		startID uint64
 		cold    bool
+		began   time.Duration // when the check was sent
 	}
 	members    struct{ list []message.Member }
 	configured struct{ index *config.Index }
@@ -91,6 +94,7 @@
 	c.up = ev.up
 	if ev.up {
 		c.effects(c.admission.Report(now, ev.startID, ev.cold))
+		c.checked(ev.began)
 	}
 	c.effects(c.admission.SetHealthy(now, ev.up))
 	if wasUp != ev.up {
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -37,6 +37,7 @@
 func (a *Agent) WatchHealth(ctx context.Context) {
 	failures := 0
 	for {
+		began := a.now()
 		report, ok := a.checkHealth(ctx)
 		if ctx.Err() != nil {
 			return
@@ -47,7 +48,7 @@
 			failures++
 		}
 		if ok || failures >= failuresUntilDown {
-			a.post(healthChecked{up: ok, startID: hashID(report.StartID), cold: report.State == stateCold})
+			a.post(healthChecked{up: ok, startID: hashID(report.StartID), cold: report.State == stateCold, began: began})
 		}
 		select {
 		case <-time.After(healthInterval):
