--- a/test/capacity/client_test.go
+++ b/test/capacity/client_test.go
@@ -16,9 +16,6 @@
 // TestClientCalls counts what the operators' client asks of the platform for one
 // changed file in folders of several sizes with 810 organisations.
 func TestClientCalls(t *testing.T) {
-	if _, err := os.Stat(filepath.Join(*binDir, "gentiantrailctl")); err != nil {
-		t.Skip("build the programs first: go build -o bin/ ./cmd/...")
-	}
 	sizes := []int{5}
 	if *slopes {
 		sizes = []int{10, 50, 100}
--- a/test/capacity/doc.go
+++ b/test/capacity/doc.go
@@ -6,5 +6,5 @@
 // the platform are stand-ins in the test process. Without -slopes only a small
 // run checks that the measurement works:
 //
-//	go build -o bin/ ./cmd/... && go test ./test/capacity -run TestSlopes -slopes -v -timeout 20m
+//	go test ./test/capacity -run TestSlopes -slopes -v -timeout 20m
 package capacity
--- a/test/capacity/slopes_test.go
+++ b/test/capacity/slopes_test.go
@@ -3,8 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -17,7 +15,6 @@
 
 var (
 	slopes = flag.Bool("slopes", false, "measure all sizes and print the table")
-	binDir = flag.String("bin", "../../bin", "folder of the built programs")
 	window = flag.Duration("window", 8*time.Second, "length of one measurement with -slopes")
 )
 
@@ -117,9 +114,6 @@
 
 // TestSlopes measures the control cost of a daemon over the number of its peers.
 func TestSlopes(t *testing.T) {
-	if _, err := os.Stat(filepath.Join(*binDir, "gentiantrail-entry")); err != nil {
-		t.Skip("build the programs first: go build -o bin/ ./cmd/...")
-	}
 	if !*slopes {
 		s := measureEntry(t, 3, 2, 1, 3)
 		assert.Assert(t, s.inKB > 0 && s.outKB > 0 && s.memory > 0, "%+v", s)
--- a/test/capacity/traffic_test.go
+++ b/test/capacity/traffic_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -27,9 +25,6 @@
 
 // TestTraffic measures the cost of a request and of a relayed token.
 func TestTraffic(t *testing.T) {
-	if _, err := os.Stat(filepath.Join(*binDir, "gentiantrail-entry")); err != nil {
-		t.Skip("build the programs first: go build -o bin/ ./cmd/...")
-	}
 	if !*slopes {
 		c := measureTraffic(t, 20, 2)
 		assert.Assert(t, c.entry.memory > 0 && c.agent.memory > 0)
