Hedge late reports of popularity

Per interval (trial) the loss lay in the three minutes before the shift is reported: the planner's map, fitted closely to the last report, had left cold experts with fewer replicas than the re-pack. Change: each reported load counts 95% plus 5% of the layer's mean.

--- a/internal/rebalance/planner.go
+++ b/internal/rebalance/planner.go
@@ -34,6 +34,9 @@
 // improved load by load; that is faster, and after a sudden shift better.
 const repackSkew = 1.75
 
+// hedge is the share of a report's load that is taken as spread evenly.
+const hedge = 0.05
+
 // repackTrust is the least trust for which a layer is packed anew. Popularity that
 // jumps to and fro is served better by a map that was changed step by step.
 const repackTrust = 0.25
@@ -53,12 +56,29 @@
 // Observe adds a report; the planner keeps the last Window of them.
 func (p *Planner) Observe(report Popularity) {
 	p.trust.observe(report, p.cfg.Delay)
-	p.reports = append(p.reports, report)
+	p.reports = append(p.reports, hedged(report))
 	if extra := len(p.reports) - p.cfg.Window; extra > 0 {
 		p.reports = append([]Popularity(nil), p.reports[extra:]...)
 	}
 }
 
+// hedged returns the report with each expert's load moved towards the mean of its
+// layer, as a report is late and popularity may have changed since.
+func hedged(report Popularity) Popularity {
+	h := Popularity{Experts: report.Experts, Load: make([]float64, len(report.Load))}
+	for l := range len(report.Load) / report.Experts {
+		sum := 0.0
+		for _, v := range report.Layer(l) {
+			sum += v
+		}
+		mean := sum / float64(report.Experts)
+		for e, v := range report.Layer(l) {
+			h.Layer(l)[e] = (1-hedge)*v + hedge*mean
+		}
+	}
+	return h
+}
+
 // Plan is a decision: the map to change to and what it costs and gains.
 type Plan struct {
 	Map Map
