Count the minutes in which a policy is worse than the static map

Cause: a mean hides single minutes worse than static. Ruled out: a bound on every minute as a goal; right after a shift no late policy can keep it. Change: a column in the report. Before: not counted. After: counted by go test ./test/rebalance -run TestReport -report -v.

--- a/test/rebalance/report_test.go
+++ b/test/rebalance/report_test.go
@@ -82,11 +82,11 @@
 func (r result) table() string {
 	full := r.find("re-pack, matched")
 	text := fmt.Sprintf("\n### %d ranks, %s, seed %d\n\n", r.shape.Ranks, r.drift, *seed)
-	text += "| Policy | Skew | To re-pack | Experts moved | To matched re-pack | Most in a minute |\n|---|---|---|---|---|---|\n"
-	text += fmt.Sprintf("| lower bound | %.4f | | | | |\n", r.bound)
+	text += "| Policy | Skew | To re-pack | Experts moved | To matched re-pack | Most in a minute | Minutes worse than static |\n|---|---|---|---|---|---|---|\n"
+	text += fmt.Sprintf("| lower bound | %.4f | | | | | |\n", r.bound)
 	for _, o := range r.outcomes {
-		text += fmt.Sprintf("| %s | %.4f | %+.1f%% | %d | %.1f%% | %d |\n", o.policy, o.skew,
-			100*(o.skew/full.skew-1), o.moved, 100*float64(o.moved)/float64(full.moved), o.most)
+		text += fmt.Sprintf("| %s | %.4f | %+.1f%% | %d | %.1f%% | %d | %d |\n", o.policy, o.skew,
+			100*(o.skew/full.skew-1), o.moved, 100*float64(o.moved)/float64(full.moved), o.most, o.worseThan(r.find("static")))
 	}
 	return text
 }
--- a/test/rebalance/run_test.go
+++ b/test/rebalance/run_test.go
@@ -93,6 +93,19 @@
 	skew float64
 	// moved is the number of experts loaded; most is the largest number in one interval.
 	moved, most int
+	// series holds the skew of each interval.
+	series []float64
+}
+
+// worseThan returns the number of intervals in which o's skew is above other's.
+func (o outcome) worseThan(other outcome) int {
+	n := 0
+	for i, v := range o.series {
+		if v > other.series[i] {
+			n++
+		}
+	}
+	return n
 }
 
 // result is one run of all policies on the same popularity.
@@ -130,7 +143,8 @@
 		o.moved += moved
 		o.most = max(o.most, moved)
 		current = next
-		o.skew += rebalance.Skew(current, truth[t+1]) / (intervals - reportLag - 1)
+		o.series = append(o.series, rebalance.Skew(current, truth[t+1]))
+		o.skew += o.series[len(o.series)-1] / (intervals - reportLag - 1)
 	}
 	return o
 }
