Give each case of the load report's test services of its own

Cause: the cases ran in map order; with the contradicting one first, the agreeing one judged records that the other had left ('ran 1 times but was never sent'). Ruled out: a fault of the judge (its finding was right). Change: fresh services in each case, a fixed order; the same assertions. Conclusion: the test was wrong, not the code.

--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -25,9 +25,7 @@
 // TestReportFailsWhenTheRecordContradictsTheAnswers lets a plain service answer for
 // itself; with another service's empty record, every answered request is lost.
 func TestReportFailsWhenTheRecordContradictsTheAnswers(t *testing.T) {
-	addr, other := servePlain(t), servePlain(t)
 	plan := &Plan{
-		Entries: []string{addr},
 		Phases:  []Phase{{"first", 50 * time.Millisecond}, {"second", 50 * time.Millisecond}},
 		Jobs: []Job{
 			{Name: "once", Keys: []string{"k"}, Method: "POST", Path: "/x", Rate: 100, Keyed: true},
@@ -35,8 +33,12 @@
 		},
 		MaxOpen: 100,
 	}
-	for judge, ok := range map[string]bool{addr: true, other: false} {
-		plan.Judges = []string{judge}
+	for _, ok := range []bool{true, false} {
+		addr, other := servePlain(t), servePlain(t)
+		plan.Entries, plan.Judges = []string{addr}, []string{other}
+		if ok {
+			plan.Judges = []string{addr}
+		}
 		r, err := Run(plan)
 		assert.NilError(t, err)
 		assert.Equal(t, r.OK(), ok, "%v", r.Violations)
