--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -26,7 +26,7 @@
 // itself; with another service's empty record, every answered request is lost.
 func TestReportFailsWhenTheRecordContradictsTheAnswers(t *testing.T) {
 	plan := &Plan{
-		Phases:  []Phase{{"first", 50 * time.Millisecond}, {"second", 50 * time.Millisecond}},
+		Phases: []Phase{{"first", 50 * time.Millisecond}, {"second", 50 * time.Millisecond}},
 		Jobs: []Job{
 			{Name: "once", Keys: []string{"k"}, Method: "POST", Path: "/x", Rate: 100, Keyed: true},
 			{Name: "lookup", Keys: []string{"k"}, Method: "GET", Path: "/x", Rate: 100},
