--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,7 +1,7 @@
-// Package agent is the only door to one target.
+// Package agent controls all access to one target.
 //
 // A request passes the stages accept, admit, claim, run, relay and settle. One
-// goroutine owns the control state: which requests wait or run, the fate of those
+// goroutine owns the control state: which requests wait or run, the outcome of those
 // that ended, the target's health. Each running request has a goroutine of its
 // own that talks to the target and relays its answer.
 package agent
@@ -19,6 +19,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/observe"
 	"github.com/gentiantrail/gentiantrail/internal/target"
 )
 
@@ -30,8 +31,8 @@
 	// outcomeGrace is how long a run that may not be repeated may outlast its
 	// caller's deadline before its connection to the target is closed.
 	outcomeGrace = time.Minute
-	// stopLinger is the least time from the word to the entries that the agent leaves
-	// to its end; requests that they sent before they heard it are refused meanwhile.
+	// stopLinger is the least time between telling the entries of the stop and the
+	// agent's end; requests that they sent before are refused meanwhile.
 	stopLinger = 500 * time.Millisecond
 	// eventQueue bounds the events that wait for the control goroutine.
 	eventQueue = 4096
@@ -65,7 +66,8 @@
 	parent context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
-	meters *meters
+	// ends counts refused and ended requests; the time is from admission to the end.
+	ends *observe.Ends
 }
 
 // New returns an Agent; Run starts it.
@@ -75,7 +77,7 @@
 		start:  time.Now(),
 		events: make(chan event, eventQueue),
 		done:   make(chan struct{}),
-		meters: newMeters(opts.Metrics),
+		ends:   observe.NewEnds(opts.Metrics, "runs", "run_duration"),
 	}
 	a.parent, a.cancel = context.WithCancel(context.Background())
 	a.load.Store(&message.Load{})
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -19,7 +19,10 @@
 	stopping  bool
 	stoppedAt time.Duration
 	drained   bool
-	peers     map[link.Peer]struct{}
+	// unchecked tells that the target was not seen up since the end of a drain at undrainedAt.
+	unchecked   bool
+	undrainedAt time.Duration
+	peers       map[link.Peer]struct{}
 	// jobs holds every request that waits or runs, byAdmission the same by admission id.
 	jobs        map[jobID]*job
 	byAdmission map[uint64]*job
@@ -91,7 +94,7 @@
 		return apierr.New(apierr.KindStaleIncarnation, c.agent.opts.Identity.Name)
 	}
 	switch {
-	case c.stopping, c.drained:
+	case c.stopping, c.drained, c.unchecked:
 		return apierr.New(apierr.KindDraining, c.agent.opts.Identity.Name)
 	case c.index == nil:
 		return apierr.New(apierr.KindConfigUnavailable, c.agent.opts.Identity.Name)
@@ -128,7 +131,7 @@
 	j.withdraw()
 	j.cancel()
 	c.settled.add(time.Now(), j.key, true)
-	c.agent.meters.refused(err.Kind)
+	c.agent.ends.Count(err.Kind)
 	c.agent.opts.Logger.Info().Str("event", "refused").Str("request", j.req.Trace).
 		Str("kind", err.Kind.String()).Str("detail", err.Detail).Msg("")
 	_ = j.peer.Send(refusal(j.req.ID, err, *c.agent.load.Load()))
@@ -179,8 +182,8 @@
 }
 
 func (c *control) withdrawJob(key jobID) bool {
-	if f, known := c.settled.get(key); known {
-		return f.notRun
+	if notRun, known := c.settled.get(key); known {
+		return notRun
 	}
 	j := c.jobs[key]
 	if j == nil {
@@ -236,12 +239,33 @@
 	if p, ok := x.Pool(id.Pool); ok {
 		c.admission.Configure(admissionConfig(p))
 	}
+	wasDrained := c.drained
 	c.drained = x.AvailabilityZoneDrained(id.AvailabilityZone) || x.InstanceDrained(id.Name)
-	if c.drained || c.stopping {
+	if wasDrained && !c.drained {
+		c.unchecked = true
+		c.undrainedAt = c.agent.now()
+	}
+	c.updateDrain()
+	c.announce()
+}
+
+// updateDrain closes or opens the admission.
+func (c *control) updateDrain() {
+	if c.stopping || c.drained || c.unchecked {
 		c.admission.Drain()
-	} else {
-		c.admission.Undrain()
+		return
+	}
+	c.admission.Undrain()
+}
+
+// checked ends the wait for a health check that began after the end of a drain. No
+// request would have shown that the target was replaced meanwhile.
+func (c *control) checked(began time.Duration) {
+	if !c.unchecked || began < c.undrainedAt {
+		return
 	}
+	c.unchecked = false
+	c.updateDrain()
 	c.announce()
 }
 
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -86,7 +86,7 @@
 	})
 }
 
-// causedByCaller tells whether a failure says nothing about the target.
+// causedByCaller reports whether a failure says nothing about the target.
 func causedByCaller(k apierr.Kind) bool {
 	return k == apierr.KindCancelled || k == apierr.KindLinkLost
 }
@@ -106,7 +106,7 @@
 	if err != nil {
 		kind = err.Kind
 	}
-	a.meters.ran(kind, took)
+	a.ends.Record(kind, took)
 	line := a.opts.Logger.Info().Str("event", "ran").Str("request", r.req.Trace).
 		Str("organisation", r.req.Organisation).Str("service", r.req.Service).
 		Str("kind", kind.String()).Dur("took", took).Int64("bytes", r.sent)
--- a/internal/config/driver.go
+++ b/internal/config/driver.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// Message posts a message from a peer and tells whether it was one for the Follower.
+// Message posts a message from a peer and reports whether it was one for the Follower.
 func (d *Driver) Message(peer string, m message.Message) bool {
 	switch m := m.(type) {
 	case *message.ConfigHead:
@@ -87,7 +87,7 @@
 // Run follows the configuration until ctx ends.
 func (d *Driver) Run(ctx context.Context) {
 	f := NewFollower(d.opts.Follower, 0)
-	ticker := time.NewTicker(TickInterval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/standin/ranks/ranks.go
+++ b/internal/standin/ranks/ranks.go
@@ -4,7 +4,7 @@
 package ranks
 
 import (
-	"encoding/json"
+	"bytes"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +15,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/group"
 	"github.com/gentiantrail/gentiantrail/internal/rebalance"
 	"github.com/gentiantrail/gentiantrail/internal/standin/engine"
+	"github.com/gentiantrail/gentiantrail/internal/standin/jsonhttp"
 )
 
 // Config sizes a group.
@@ -23,7 +24,7 @@
 	ChecksFencing bool
 	// StepTime is the time between two steps.
 	StepTime time.Duration
-	// LoadTime is the time that the weight store takes for one map.
+	// LoadTime is the time that rank 0 takes to load a map's weights; rank n takes n+1 times as long.
 	LoadTime time.Duration
 	// Shape is the size of the expert map.
 	Shape rebalance.Shape
@@ -50,6 +51,8 @@
 	maps    expertmap.Engine
 	started time.Time
 	engine  *engine.Engine
+	// loaded is the map whose weights are in memory.
+	loaded []byte
 }
 
 // Record is what the group did.
@@ -170,9 +173,9 @@
 		case path == group.PathOrder:
 			g.serveOrder(ctx, index)
 		case path == group.PathPopularity:
-			writeJSON(ctx, g.popularity())
+			jsonhttp.Write(ctx, g.popularity())
 		case path == group.PathLoad:
-			time.Sleep(g.cfg.LoadTime)
+			g.serveLoad(ctx, index)
 		case path == "/admin/record":
 			g.serveRecord(ctx)
 		case path == "/admin/restart":
@@ -195,22 +198,39 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.ranks[index]
-	writeJSON(ctx, group.StateAnswer{AgeMillis: time.Since(r.started).Milliseconds(), State: r.maps.State})
+	jsonhttp.Write(ctx, group.StateAnswer{AgeMillis: time.Since(r.started).Milliseconds(), State: r.maps.State})
 }
 
 func (g *Group) serveOrder(ctx *fasthttp.RequestCtx, index int) {
 	var o expertmap.Order
-	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !jsonhttp.Read(ctx, &o) {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	writeJSON(ctx, g.ranks[index].maps.Apply(o))
+	jsonhttp.Write(ctx, g.ranks[index].maps.Apply(o))
+}
+
+// serveLoad takes its time unless the rank holds the map's weights already.
+func (g *Group) serveLoad(ctx *fasthttp.RequestCtx, index int) {
+	var l expertmap.Load
+	if !jsonhttp.Read(ctx, &l) {
+		return
+	}
+	g.mu.Lock()
+	held := bytes.Equal(g.ranks[index].loaded, l.Map)
+	g.mu.Unlock()
+	if held {
+		return
+	}
+	time.Sleep(g.cfg.LoadTime * time.Duration(index+1))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[index].loaded = l.Map
 }
 
 func (g *Group) serveRecord(ctx *fasthttp.RequestCtx) {
-	writeJSON(ctx, g.Record())
+	jsonhttp.Write(ctx, g.Record())
 }
 
 // Record returns what the group did.
@@ -243,8 +263,3 @@
 	}
 	return p
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	ctx.SetContentType("application/json")
-	_ = json.NewEncoder(ctx).Encode(v)
-}
