Offer a request to a suspected target when nobody else is left; count answers as signs of life

Cause: an agent that answers but whose heartbeats are late is suspect after 1.2 s, and a pool whose targets are all suspect refused everything with no-target. Seen in BenchmarkStreamedTokens, whose agent does not beat. Ruled out: a longer silence (frozen targets would get work for longer). Change: Pick falls back to suspected targets that are not down, leaving or drained; an answered dispatch counts as heard. Before: TestSuspectedTargetIsTheLastResort fails (no choice). After: passes.

--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -61,6 +61,9 @@
 func (ev dispatched) apply(c *control) {
 	if ev.answered {
 		c.tracker.Succeeded(ev.name)
+		if a := c.agents[ev.name]; a != nil {
+			c.tracker.Heard(time.Now(), a.identity, false)
+		}
 		return
 	}
 	c.tracker.Failed(time.Now(), ev.name)
--- a/internal/routing/home.go
+++ b/internal/routing/home.go
@@ -47,7 +47,7 @@
 func (s *Snapshot) rankHomes(p *Pool, r Request, rng *rand.Rand) []home {
 	key := homeHash(r)
 	var homes []home
-	for _, c := range s.ownCandidates(p, r) {
+	for _, c := range s.ownCandidates(p, r, (*Target).Usable) {
 		homes = append(homes, home{c, rendezvous(key, c.target.Agent)})
 	}
 	if r.Hops < MaxHops {
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -114,8 +114,12 @@
 		}
 		return s.noCandidate(p, r, rng)
 	}
-	own := s.ownCandidates(p, r)
+	own := s.ownCandidates(p, r, (*Target).Usable)
 	peers := s.peerCandidates(p, r)
+	if len(own) == 0 && len(peers) == 0 {
+		// Suspicion may be wrong; with nobody else left the request is offered.
+		own = s.ownCandidates(p, r, (*Target).open)
+	}
 	if len(r.Busy) < patientAttempts {
 		if c, ok := pickFree(own, peers, r, rng); ok {
 			return c
@@ -148,14 +152,14 @@
 	return Choice{Destination: ToPeer, Peer: c.peer}
 }
 
-func (s *Snapshot) ownCandidates(p *Pool, r Request) []candidate {
+func (s *Snapshot) ownCandidates(p *Pool, r Request, eligible func(*Target) bool) []candidate {
 	if s.Drained {
 		return nil
 	}
 	cs := make([]candidate, 0, len(p.Targets))
 	for i := range p.Targets {
 		t := &p.Targets[i]
-		if t.Usable() && !slices.Contains(r.Excluded, t.Agent) {
+		if eligible(t) && !slices.Contains(r.Excluded, t.Agent) {
 			cs = append(cs, candidate{guess: newGuess(&t.Report, t.Sent), target: t})
 		}
 	}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -123,10 +123,13 @@
 }
 
 // Usable reports whether t may get new work.
-func (t *Target) Usable() bool {
+func (t *Target) Usable() bool { return !t.Suspected && t.open() }
+
+// open tells whether nothing but suspicion speaks against new work for t.
+func (t *Target) open() bool {
 	down := t.Report.Known && t.Report.Load.State == message.TargetDown
 	leaving := t.Report.Known && t.Report.Load.State == message.TargetLeaving
-	return !t.Suspected && !t.Leaving && !t.Drained && !down && !leaving
+	return !t.Leaving && !t.Drained && !down && !leaving
 }
 
 // usable reports whether p may get new work.
