Check a target that closed the probe's connection before anything new goes to it

Ruled out: shorter checks (a smaller hole), a second idle connection (servers close idle ones, and each end would refuse requests for a moment). Change: health checks travel on one connection that stays open; its end refuses new work until the check that follows at once, and idle connections are dropped. Conclusion: the hole is closed for targets whose process ends.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,6 +50,8 @@
 	Claims Claimer
 	// Dial keeps a link to an entry's address alive.
 	Dial func(addr string)
+	// HealthInterval is the period of the target's health check. Default 250 ms.
+	HealthInterval time.Duration
 	// Logger receives one line for each event.
 	Logger *log.Logger
 	// Metrics receives counters and timers.
@@ -72,6 +74,9 @@
 
 // New returns an Agent; Run starts it.
 func New(opts Options) *Agent {
+	if opts.HealthInterval == 0 {
+		opts.HealthInterval = defaultHealthInterval
+	}
 	a := &Agent{
 		opts:   opts,
 		start:  time.Now(),
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -363,3 +363,73 @@
 	assert.Assert(t, h.claims.outcomes[0].Ran)
 	assert.Equal(t, string(h.claims.outcomes[0].Answer.Body), "answer of /held")
 }
+
+// TestReplacedTargetIsCheckedBeforeItsNextRequest lets an idle target vanish between
+// two health checks and come back cold: nothing reaches it before a check, and then
+// no more than its cold limit.
+func TestReplacedTargetIsCheckedBeforeItsNextRequest(t *testing.T) {
+	h := newHarness(t, 4)
+	h.request(1, "/free", nil)
+	assert.Equal(t, h.final(1), apierr.KindNone)
+	h.agent.post(targetLost{})
+	h.request(2, "/free", nil)
+	assert.Equal(t, h.final(2), apierr.KindDraining)
+	assert.Equal(t, h.target.ran("/free"), 1)
+	h.agent.post(healthChecked{up: true, startID: 2, cold: true, began: h.agent.now()})
+	h.request(3, "/free", nil)
+	assert.Equal(t, h.final(3), apierr.KindNone)
+}
+
+// TestEndOfTheProbesConnectionBringsACheckForward closes the target's connections
+// while the next health check is an hour away.
+func TestEndOfTheProbesConnectionBringsACheckForward(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	var mu sync.Mutex
+	var conns []net.Conn
+	checks := 0
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, conn)
+			mu.Unlock()
+			go func() {
+				_ = fasthttp.ServeConn(conn, func(*fasthttp.RequestCtx) {
+					mu.Lock()
+					defer mu.Unlock()
+					checks++
+				})
+			}()
+		}
+	}()
+	a := New(Options{Target: target.New(ln.Addr().String()), HealthInterval: time.Hour, Metrics: tally.NoopScope})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go a.WatchHealth(ctx)
+	counts := func() (int, int) {
+		mu.Lock()
+		defer mu.Unlock()
+		return checks, len(conns)
+	}
+	await := func(done func() bool) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if done() {
+				return poll.Success()
+			}
+			return poll.Continue("waiting")
+		}, poll.WithTimeout(patience), poll.WithDelay(time.Millisecond))
+	}
+	await(func() bool { n, open := counts(); return n == 1 && open == 1 })
+	mu.Lock()
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	mu.Unlock()
+	await(func() bool { n, _ := counts(); return n >= 2 })
+}
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -19,9 +19,9 @@
 	stopping  bool
 	stoppedAt time.Duration
 	drained   bool
-	// unchecked tells that the target was not seen up since the end of a drain at undrainedAt.
+	// unchecked tells that the target was not seen up since the end of a drain at uncheckedAt.
 	unchecked   bool
-	undrainedAt time.Duration
+	uncheckedAt time.Duration
 	peers       map[link.Peer]struct{}
 	// jobs holds every request that waits or runs, byAdmission the same by admission id.
 	jobs        map[jobID]*job
@@ -243,6 +243,13 @@
 	}
 }
 
+// uncheck refuses new work until the target has answered a health check that
+// begins from now on; it may have been replaced.
+func (c *control) uncheck() {
+	c.unchecked = true
+	c.uncheckedAt = c.agent.now()
+}
+
 // configure takes over the limits and drains of a configuration.
 func (c *control) configure(x *config.Index) {
 	id := c.agent.opts.Identity
@@ -253,8 +260,7 @@
 	wasDrained := c.drained
 	c.drained = x.AvailabilityZoneDrained(id.AvailabilityZone) || x.InstanceDrained(id.Name)
 	if wasDrained && !c.drained {
-		c.unchecked = true
-		c.undrainedAt = c.agent.now()
+		c.uncheck()
 	}
 	c.updateDrain()
 	c.announce()
@@ -272,7 +278,7 @@
 // checked ends the wait for a health check that began after the end of a drain. No
 // request would have shown that the target was replaced meanwhile.
 func (c *control) checked(began time.Duration) {
-	if !c.unchecked || began < c.undrainedAt {
+	if !c.unchecked || began < c.uncheckedAt {
 		return
 	}
 	c.unchecked = false
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -47,7 +47,9 @@
 		cold    bool
 		began   time.Duration // when the check was sent
 	}
-	members    struct{ list []message.Member }
+	members struct{ list []message.Member }
+	// targetLost tells that the target closed the probe's connection.
+	targetLost struct{}
 	configured struct{ index *config.Index }
 	stopAsked  struct{}
 	dumpAsked  struct{ reply chan State }
@@ -111,6 +113,12 @@
 
 func (ev configured) apply(c *control) { c.configure(ev.index) }
 
+func (ev targetLost) apply(c *control) {
+	c.uncheck()
+	c.updateDrain()
+	c.publish()
+}
+
 func (ev stopAsked) apply(c *control) {
 	c.stopping = true
 	c.stoppedAt = c.agent.now()
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -4,16 +4,15 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/target"
 )
 
 const (
-	// healthInterval is the period of the target's health check.
-	healthInterval = 250 * time.Millisecond
+	// defaultHealthInterval is the period of the target's health check.
+	defaultHealthInterval = 250 * time.Millisecond
 	// healthTimeout bounds one health check.
 	healthTimeout = time.Second
 	// healthPath is where a target reports its load.
@@ -33,12 +32,16 @@
 // stateCold is the state of an engine that still warms up.
 const stateCold = "cold"
 
-// WatchHealth checks the target until ctx ends and reports to the control goroutine.
+// WatchHealth checks the target until ctx ends and reports to the control
+// goroutine. When the target closes the probe's connection, it may have been
+// replaced: nothing new goes to it before the check that follows at once.
 func (a *Agent) WatchHealth(ctx context.Context) {
+	probe := a.opts.Target.NewProbe()
+	defer probe.Close()
 	failures := 0
 	for {
 		began := a.now()
-		report, ok := a.checkHealth(ctx)
+		report, ok := checkHealth(ctx, probe)
 		if ctx.Err() != nil {
 			return
 		}
@@ -50,31 +53,22 @@
 		if ok || failures >= failuresUntilDown {
 			a.post(healthChecked{up: ok, startID: hashID(report.StartID), cold: report.State == stateCold, began: began})
 		}
-		select {
-		case <-time.After(healthInterval):
-		case <-ctx.Done():
-			return
+		if probe.Wait(ctx, a.opts.HealthInterval) {
+			a.opts.Target.CloseIdle()
+			a.post(targetLost{})
 		}
 	}
 }
 
 // checkHealth asks the target for its load. A target without a load report counts
 // as up while it answers at all.
-func (a *Agent) checkHealth(ctx context.Context) (loadReport, bool) {
-	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
-	defer cancel()
+func checkHealth(ctx context.Context, probe *target.Probe) (loadReport, bool) {
 	var report loadReport
-	req := &message.Request{Method: http.MethodGet, Path: healthPath, Idempotent: true}
-	resp, err := a.opts.Target.Do(ctx, req)
-	if err != nil {
-		return report, false
-	}
-	defer resp.Close()
-	body, readErr := io.ReadAll(io.LimitReader(resp.Body, maxReport))
-	if readErr != nil || resp.Status >= http.StatusInternalServerError {
+	status, body, err := probe.Get(ctx, healthPath, healthTimeout, maxReport)
+	if err != nil || status >= http.StatusInternalServerError {
 		return report, false
 	}
-	if resp.Status == http.StatusOK {
+	if status == http.StatusOK {
 		_ = json.Unmarshal(body, &report)
 	}
 	return report, true
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -137,8 +137,7 @@
 			return cn, nil
 		}
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", c.addr)
+	raw, err := c.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -147,6 +146,12 @@
 	return cn, nil
 }
 
+// dial opens a connection to the target.
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", c.addr)
+}
+
 // popIdle returns the most recently used idle connection, or nil.
 func (c *Client) popIdle() *conn {
 	c.mu.Lock()
