--- a/test/rebalance/plot_test.go
+++ b/test/rebalance/plot_test.go
@@ -10,13 +10,17 @@
 	"gonum.org/v1/plot/vg"
 )
 
+// minX is the left edge of the logarithmic axis, in GiB a minute.
+const minX = 0.01
+
 // plotResults writes the trade-off curves of skew against weights moved as SVG.
 func plotResults(path string, results []result) error {
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%d ranks, %d experts, %d layers", results[0].shape.Ranks, results[0].shape.Experts, results[0].shape.Layers)
-	p.X.Label.Text = "weights moved, GiB per minute"
+	p.X.Label.Text = "weights moved, GiB per minute (static map: at the left edge)"
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.Y.Label.Text = "mean over layers of max/mean rank load"
-	p.X.Min, p.Y.Min = 0, 1
+	p.X.Min, p.Y.Min = minX, 1
 	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
 	for i, r := range results {
@@ -32,7 +36,8 @@
 	var curve, baselines plotter.XYs
 	for _, o := range r.outcomes {
 		const gib = 1 << 30
-		xy := plotter.XY{X: float64(o.moved) * expertSize / gib / (intervals - reportLag - 1), Y: o.skew}
+		rate := float64(o.moved) * expertSize / gib / (intervals - reportLag - 1)
+		xy := plotter.XY{X: max(rate, minX), Y: o.skew}
 		if strings.HasPrefix(o.policy, "planner") {
 			curve = append(curve, xy)
 			continue
