--- /dev/null
+++ b/cmd/gentiantrail-agent/main.go
@@ -0,0 +1,101 @@
+// Command gentiantrail-agent controls all access to one target. See
+// docs/OPERATORS.md for its settings, signals and exit codes.
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/agent"
+	"github.com/gentiantrail/gentiantrail/internal/claims"
+	"github.com/gentiantrail/gentiantrail/internal/config"
+	"github.com/gentiantrail/gentiantrail/internal/daemon"
+	"github.com/gentiantrail/gentiantrail/internal/group"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/platform"
+	"github.com/gentiantrail/gentiantrail/internal/settings"
+	"github.com/gentiantrail/gentiantrail/internal/target"
+)
+
+// platformRate is the agent's budget of platform calls per second; the home of
+// every claim partition of a service needs most of it at full load.
+const platformRate = 120
+
+// flushTimeout bounds the recording of the last outcomes at a stop.
+const flushTimeout = 5 * time.Second
+
+func main() {
+	args := daemon.ParseArgs()
+	s, err := settings.LoadAgent(args.Settings)
+	if err != nil {
+		daemon.Fail(daemon.ExitUsage, err)
+	}
+	if !args.Check {
+		daemon.Exit(run(s))
+	}
+}
+
+// dump is the state dump of the process.
+type dump struct {
+	agent.State
+	Config config.FollowerState `json:"config"`
+	Claims claims.Stats         `json:"claims"`
+	Group  *group.State         `json:"group,omitempty"`
+}
+
+func run(s *settings.Agent) error {
+	p := daemon.NewProcess(message.Identity{
+		Role: message.RoleAgent, Name: s.Name, AvailabilityZone: s.AvailabilityZone,
+		Address: s.Advertise, Pool: s.Pool,
+	})
+	store := platform.NewClient(s.PlatformAddress, platform.Options{Rate: platformRate})
+	owned := claims.NewService(store, claims.Config{}, claims.NewOwner())
+	a := agent.New(agent.Options{
+		Identity: p.Identity,
+		Target:   target.New(s.TargetAddress),
+		Claims:   owned,
+		Dial:     p.Dial,
+		Logger:   p.Logger,
+		Metrics:  p.Metrics.Scope,
+	})
+	rank := newRank(s, p, store)
+	follower := p.NewConfigFollower(store, func(x *config.Index) {
+		a.Configure(x)
+		rank.configure(x)
+	})
+	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, follower.Wrap(rank.wrap(a))); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := p.OpenAdmin(s.AdminAddress, a.Ready, func() any {
+		held, _ := owned.Stats(ctx)
+		return dump{a.State(), follower.State(), held, rank.state()}
+	}); err != nil {
+		return err
+	}
+	inGroup, leaveGroup := context.WithCancel(ctx)
+	defer leaveGroup()
+	go rank.run(inGroup)
+	go a.Run()
+	go a.WatchHealth(ctx)
+	go owned.Run(ctx)
+	go follower.Run(ctx)
+	for _, entry := range s.Entries {
+		p.Dial(entry)
+	}
+	p.LogStart()
+	<-daemon.StopSignals()
+	a.Stop()
+	if err := daemon.Await(a.Done(), s.StopTimeout); err != nil {
+		return err
+	}
+	leaveGroup()
+	<-rank.done
+	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
+	defer cancelFlush()
+	if err := owned.Flush(flush); err != nil {
+		p.Logger.Warn().Str("event", "outcomes-not-recorded").Str("detail", err.Error()).Msg("")
+	}
+	return p.Close()
+}
--- /dev/null
+++ b/cmd/gentiantrail-entry/main.go
@@ -0,0 +1,83 @@
+// Command gentiantrail-entry takes callers' requests over HTTP and routes them to
+// targets. See docs/OPERATORS.md for its settings, signals and exit codes.
+package main
+
+import (
+	"context"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/gentiantrail/gentiantrail/internal/config"
+	"github.com/gentiantrail/gentiantrail/internal/daemon"
+	"github.com/gentiantrail/gentiantrail/internal/entry"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/platform"
+	"github.com/gentiantrail/gentiantrail/internal/settings"
+)
+
+func main() {
+	args := daemon.ParseArgs()
+	s, err := settings.LoadEntry(args.Settings)
+	if err != nil {
+		daemon.Fail(daemon.ExitUsage, err)
+	}
+	if !args.Check {
+		daemon.Exit(run(s))
+	}
+}
+
+// dump is the state dump of the process.
+type dump struct {
+	entry.State
+	Config config.FollowerState `json:"config"`
+}
+
+func run(s *settings.Entry) error {
+	p := daemon.NewProcess(message.Identity{
+		Role: message.RoleEntry, Name: s.Name, AvailabilityZone: s.AvailabilityZone, Address: s.Advertise,
+	})
+	e := entry.New(entry.Options{
+		Identity:    p.Identity,
+		MaxRequests: s.Limits.Requests,
+		Dial:        p.Dial,
+		Logger:      p.Logger,
+		Metrics:     p.Metrics.Scope,
+	})
+	store := platform.NewClient(s.PlatformAddress, platform.Options{})
+	follower := p.NewConfigFollower(store, e.Configure)
+	if err := p.OpenLinks(s.LinkKey, s.LinkAddress, follower.Wrap(e)); err != nil {
+		return err
+	}
+	if err := p.OpenAdmin(s.AdminAddress, e.Ready, func() any { return dump{e.State(), follower.State()} }); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go e.Run()
+	go follower.Run(ctx)
+	for _, peer := range s.Peers {
+		p.Dial(peer)
+	}
+	server := e.NewServer(s.Limits)
+	failed := make(chan error, 1)
+	go func() { failed <- server.ListenAndServe(s.Listen) }()
+	p.LogStart()
+	select {
+	case err := <-failed:
+		return err
+	case <-daemon.StopSignals():
+		return stop(s, p, e, server)
+	}
+}
+
+// stop refuses new work and returns once every request in flight is answered.
+func stop(s *settings.Entry, p *daemon.Process, e *entry.Entry, server *fasthttp.Server) error {
+	e.Stop()
+	if err := daemon.Await(e.Done(), s.Limits.StopTimeout); err != nil {
+		return err
+	}
+	if err := daemon.ShutdownServer(server); err != nil {
+		return err
+	}
+	return p.Close()
+}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,4 +1,4 @@
-// Package admission decides, at the only door to one target, which requests run
+// Package admission decides, in the agent of one target, which requests run
 // now, which wait and which are refused at once.
 //
 // A Controller runs no more requests than the warm-up limit allows, shares the
@@ -16,86 +16,11 @@
 	"github.com/gentiantrail/gentiantrail/internal/warmup"
 )
 
-// Config bounds a Controller.
-type Config struct {
-	// Limit is the most requests that a warm target runs at once.
-	Limit int
-	// ColdLimit is the most requests that a target runs at once just after its start.
-	ColdLimit int
-	// QueueLimit is the most requests that wait.
-	QueueLimit int
-	// OrganisationQueueLimit is the most requests of one organisation that wait; zero means QueueLimit.
-	OrganisationQueueLimit int
-	// MaxWait is the longest time that a request waits; zero means that only its deadline bounds it.
-	MaxWait time.Duration
-	// ServiceTime is assumed until the first request has completed.
-	ServiceTime time.Duration
-}
-
-// Item is a request that asks to run.
-type Item struct {
-	// ID is unique among the requests that wait or run.
-	ID uint64
-	// Organisation is charged for the request.
-	Organisation string
-	// Weight is the organisation's share; values below 1 count as 1.
-	Weight int
-	// Priority orders the waiting requests of one organisation; higher goes first.
-	Priority int
-	// Deadline is the time by which the answer must be complete.
-	Deadline time.Duration
-}
-
-// Verdict is what happens to an offered request.
-type Verdict uint8
-
-// The verdicts.
-const (
-	// Refuse means that the request did not run and never will; Decision.Err says why.
-	Refuse Verdict = iota
-	// Queue means that the request waits; a later Effects names it.
-	Queue
-	// Run means that the request must be started now.
-	Run
-)
-
-// Decision answers Offer.
-type Decision struct {
-	// Verdict is what happens to the offered request.
-	Verdict Verdict
-	// Err is set exactly when Verdict is Refuse.
-	Err *apierr.Error
-	// Effects names the other requests that the offer displaced.
-	Effects Effects
-}
-
-// Refused is a waiting request that will never run.
-type Refused struct {
-	// ID names the request.
-	ID uint64
-	// Err is the answer to the caller.
-	Err *apierr.Error
-}
-
-// Effects lists what the caller of a Controller has to do.
-type Effects struct {
-	// Start lists the waiting requests that must be started now.
-	Start []uint64
-	// Refused lists the waiting requests that must be answered now.
-	Refused []Refused
-}
-
-// Result describes the end of a running request.
-type Result struct {
-	// ServiceTime is the time from start to end.
-	ServiceTime time.Duration
-	// Work is the request's size for the latency baseline, for example generated tokens; zero means one.
-	Work float64
-	// OK is false when the target failed: reset, unreachable or overloaded.
-	// An answer with an error status that the request itself deserves is OK.
-	OK bool
-	// Cancelled tells that the caller gave up; the run says nothing about the target.
-	Cancelled bool
+// runStart describes the start of a running request.
+type runStart struct {
+	at time.Duration
+	// running is the number of requests that ran just after the start.
+	running int
 }
 
 // Controller is the admission of one target. It is not safe for concurrent use.
@@ -103,8 +28,9 @@
 	cfg      Config
 	limiter  *warmup.Limiter
 	queue    *fairness.Queue
-	running  map[uint64]time.Duration
+	running  map[uint64]runStart
 	service  estimate
+	reports  uint64
 	draining bool
 	down     bool
 }
@@ -112,9 +38,9 @@
 // New returns a Controller for a target that counts as cold and healthy.
 func New(cfg Config) *Controller {
 	c := &Controller{
-		limiter: warmup.New(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit}),
+		limiter: warmup.New(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit, ProbeWhileCold: cfg.ProbeWhileCold}),
 		queue:   fairness.New(fairness.Limits{}),
-		running: make(map[uint64]time.Duration),
+		running: make(map[uint64]runStart),
 	}
 	c.service.assumed = cfg.ServiceTime
 	c.Configure(cfg)
@@ -124,7 +50,7 @@
 // Configure takes over new bounds; requests that wait or run stay.
 func (c *Controller) Configure(cfg Config) {
 	c.cfg = cfg
-	c.limiter.Configure(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit})
+	c.limiter.Configure(warmup.Config{Limit: cfg.Limit, ColdLimit: cfg.ColdLimit, ProbeWhileCold: cfg.ProbeWhileCold})
 	c.queue.SetLimits(fairness.Limits{Items: cfg.QueueLimit, PerOrganisation: cfg.OrganisationQueueLimit})
 }
 
@@ -141,12 +67,15 @@
 		c.start(now, it.ID)
 		return Decision{Verdict: Run}
 	}
+	if it.NoWait {
+		return Decision{Err: refusal(apierr.KindOverloaded, "no free place", c.waitBehind(c.queue.Len()))}
+	}
 	return c.enqueue(now, it)
 }
 
 // Finish ends a running request and returns what to do with the places it frees.
 func (c *Controller) Finish(now time.Duration, id uint64, r Result) Effects {
-	startedAt, ok := c.running[id]
+	started, ok := c.running[id]
 	if !ok {
 		return Effects{}
 	}
@@ -158,7 +87,8 @@
 		c.service.add(r.ServiceTime)
 	}
 	fell := c.limiter.Finished(now, warmup.Sample{
-		StartedAt:   startedAt,
+		StartedAt:   started.at,
+		Running:     started.running,
 		ServiceTime: r.ServiceTime,
 		Work:        r.Work,
 		OK:          r.OK,
@@ -235,6 +165,7 @@
 
 // Load returns the report for entries.
 func (c *Controller) Load(_ time.Duration) message.Load {
+	c.reports++
 	return message.Load{
 		State:       c.state(),
 		Running:     len(c.running),
@@ -243,6 +174,7 @@
 		QueueLimit:  c.cfg.QueueLimit,
 		ServiceTime: c.service.mean(),
 		WaitTime:    c.waitBehind(c.queue.Len()),
+		Seq:         c.reports,
 	}
 }
 
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/link"
@@ -15,15 +14,36 @@
 const (
 	// maxChunk is the most body bytes in one ResponseData frame.
 	maxChunk = 32 << 10
-	// fullRetry is the wait before a frame is offered again to a full link queue.
-	fullRetry = time.Millisecond
+	// maxWhole is the largest body that travels in the same frame as the answer's head, in bytes.
+	maxWhole = 16 << 10
 )
 
+// relayWhole reads a short answer to its end and sends it in one frame. It sends
+// nothing if the answer is cut short.
+func relayWhole(j *job, r *target.Response, keep func([]byte), load message.Load) (int64, *apierr.Error) {
+	body := make([]byte, r.Length)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return 0, bodyFailure(j.ctx, err)
+	}
+	// The end must be read for the connection to be used again.
+	if _, err := r.Body.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		return 0, bodyFailure(j.ctx, err)
+	}
+	if keep != nil {
+		keep(body)
+	}
+	head := &message.ResponseHead{
+		ID: j.req.ID, Status: r.Status, Headers: r.Headers, Length: r.Length,
+		Whole: true, Body: body, Load: load,
+	}
+	return r.Length, send(j.caller, j.peer, head)
+}
+
 // relay copies a target's answer to the link within the receiver's window and
 // returns the number of body bytes sent. keep, if not nil, sees each piece.
 func relay(j *job, r *target.Response, keep func([]byte)) (int64, *apierr.Error) {
 	head := &message.ResponseHead{ID: j.req.ID, Status: r.Status, Headers: r.Headers, Length: r.Length}
-	if err := send(j.ctx, j.peer, head); err != nil {
+	if err := send(j.caller, j.peer, head); err != nil {
 		return 0, err
 	}
 	var sent int64
@@ -51,12 +71,12 @@
 // sendData sends p, which starts at offset in the body, in pieces that fit the window.
 func sendData(j *job, p []byte, offset int64) *apierr.Error {
 	for len(p) > 0 {
-		n, err := j.window.take(j.ctx, len(p))
+		n, err := j.window.take(j.caller, len(p))
 		if err != nil {
-			return bodyFailure(j.ctx, err)
+			return bodyFailure(j.caller, err)
 		}
 		data := &message.ResponseData{ID: j.req.ID, Offset: offset, Data: p[:n]}
-		if e := send(j.ctx, j.peer, data); e != nil {
+		if e := send(j.caller, j.peer, data); e != nil {
 			return e
 		}
 		p = p[n:]
@@ -67,19 +87,14 @@
 
 // send queues m, waiting while the link's queue is full.
 func send(ctx context.Context, p link.Peer, m message.Message) *apierr.Error {
-	for {
-		err := p.Send(m)
-		if err == nil {
-			return nil
-		}
-		if !errors.Is(err, link.ErrFull) {
-			return apierr.Wrap(apierr.KindLinkLost, p.Identity().Name, err)
-		}
-		select {
-		case <-time.After(fullRetry):
-		case <-ctx.Done():
-			return bodyFailure(ctx, ctx.Err())
-		}
+	err := link.SendWait(ctx, p, m)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return bodyFailure(ctx, err)
+	default:
+		return apierr.Wrap(apierr.KindLinkLost, p.Identity().Name, err)
 	}
 }
 
--- /dev/null
+++ b/internal/entry/publish.go
@@ -0,0 +1,221 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/link"
+	"github.com/gentiantrail/gentiantrail/internal/membership"
+	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/routing"
+)
+
+// publish makes the present control state visible to traffic goroutines.
+func (c *control) publish() {
+	c.dirty = false
+	v := &view{
+		index:    c.index,
+		routing:  c.snapshot(),
+		links:    make(map[string]link.Peer, len(c.agents)+len(c.peers)),
+		stopping: c.stopping,
+	}
+	for name, a := range c.agents {
+		if len(a.links) > 0 {
+			v.links[name] = a.links[0]
+		}
+	}
+	for name, s := range c.peers {
+		if len(s.links) > 0 {
+			v.links[name] = s.links[0]
+		}
+	}
+	c.entry.view.Store(v)
+}
+
+// snapshot builds what requests are routed by.
+func (c *control) snapshot() *routing.Snapshot {
+	s := &routing.Snapshot{AvailabilityZone: c.entry.opts.Identity.AvailabilityZone}
+	if c.index == nil {
+		return s
+	}
+	s.Drained = c.index.AvailabilityZoneDrained(s.AvailabilityZone)
+	pools := c.index.Config().Pools
+	targets, peers := c.targetsByPool(), c.remotePeers()
+	s.Pools = make([]routing.Pool, len(pools))
+	for i := range pools {
+		name := pools[i].Name
+		s.Pools[i] = routing.Pool{Name: name, Targets: targets[name], Peers: make([]routing.Peer, 0, len(peers))}
+		var last *remotePeer
+		for j := range peers {
+			last = peers[j].addTo(&s.Pools[i], last)
+		}
+	}
+	return s
+}
+
+// targetsByPool returns the linked targets of each pool, sorted by name.
+func (c *control) targetsByPool() map[string][]routing.Target {
+	targets := make(map[string][]routing.Target)
+	for _, agent := range sortedKeys(c.agents) {
+		if a := c.agents[agent]; len(a.links) > 0 {
+			targets[a.identity.Pool] = append(targets[a.identity.Pool], c.target(a))
+		}
+	}
+	return targets
+}
+
+func (c *control) target(a *agentState) routing.Target {
+	return routing.Target{
+		Agent:       a.identity.Name,
+		Incarnation: a.identity.Incarnation,
+		Report:      a.report,
+		Sent:        a.sent,
+		Suspected:   c.suspected(a.identity.Name),
+		Leaving:     c.leaving(a.identity.Name),
+		Drained:     c.index.InstanceDrained(a.identity.Name),
+	}
+}
+
+// remotePeer is a linked entry of another availability zone.
+type remotePeer struct {
+	pools       map[string]*poolState
+	zoneDrained bool
+	// peer holds what is the same for every pool.
+	peer routing.Peer
+}
+
+// remotePeers returns the linked entries of other availability zones, sorted by
+// availability zone and name.
+func (c *control) remotePeers() []remotePeer {
+	peers := make([]remotePeer, 0, len(c.peers))
+	for _, name := range sortedKeys(c.peers) {
+		s := c.peers[name]
+		zone := s.identity.AvailabilityZone
+		if zone == c.entry.opts.Identity.AvailabilityZone || len(s.links) == 0 {
+			continue
+		}
+		drained := c.index.AvailabilityZoneDrained(zone)
+		peers = append(peers, remotePeer{pools: s.pools, zoneDrained: drained, peer: routing.Peer{
+			Entry:            name,
+			AvailabilityZone: zone,
+			Suspected:        c.suspected(name),
+			Leaving:          c.leaving(name),
+			Drained:          drained || c.index.InstanceDrained(name),
+		}})
+	}
+	slices.SortStableFunc(peers, func(a, b remotePeer) int {
+		return strings.Compare(a.peer.AvailabilityZone, b.peer.AvailabilityZone)
+	})
+	return peers
+}
+
+// addTo adds the peer to a pool if it reported it, and returns the last peer that
+// did. Entries of one availability zone mostly report the same targets, so that a
+// peer's targets are compared with those of the last one first.
+func (r *remotePeer) addTo(p *routing.Pool, last *remotePeer) *remotePeer {
+	st := r.pools[p.Name]
+	if st == nil {
+		return last
+	}
+	peer := r.peer
+	peer.Report, peer.Sent = st.report, st.sent
+	p.Peers = append(p.Peers, peer)
+	if r.zoneDrained || last != nil && r.sameTargets(last, p.Name) {
+		return r
+	}
+	for _, agent := range st.agents {
+		remote := routing.RemoteTarget{Agent: agent, AvailabilityZone: peer.AvailabilityZone}
+		if !slices.Contains(p.Remote, remote) {
+			p.Remote = append(p.Remote, remote)
+		}
+	}
+	return r
+}
+
+// sameTargets reports whether two peers reported the same targets of a pool.
+func (r *remotePeer) sameTargets(other *remotePeer, pool string) bool {
+	return r.peer.AvailabilityZone == other.peer.AvailabilityZone &&
+		slices.Equal(r.pools[pool].agents, other.pools[pool].agents)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, strings.Compare)
+	return keys
+}
+
+// suspected reports whether a peer was silent for too long or failed dispatches.
+func (c *control) suspected(name string) bool {
+	p, known := c.tracker.State(time.Now(), name)
+	return !known || p.State == membership.Suspect || p.State == membership.Dead
+}
+
+// leaving reports whether a peer has said that it takes no new work.
+func (c *control) leaving(name string) bool {
+	p, known := c.tracker.State(time.Now(), name)
+	return known && p.State == membership.Leaving
+}
+
+// reportToPeers sends a sign of life to the other entries, with this availability
+// zone's loads to those of the other zones.
+func (c *control) reportToPeers() {
+	c.lastReport = c.entry.now()
+	loads := c.zoneLoads()
+	for _, s := range c.peers {
+		if len(s.links) > 0 {
+			_ = s.links[0].Send(c.reportFor(s, loads))
+		}
+	}
+}
+
+// reportFor returns the report for one peer; entries of the own availability zone
+// hear of its targets from the agents.
+func (c *control) reportFor(s *peerState, loads []message.PoolReport) *message.ZoneReport {
+	r := &message.ZoneReport{Leaving: c.stopping}
+	if c.index != nil {
+		r.ConfigRevision = c.index.Revision()
+	}
+	if s.identity.AvailabilityZone != c.entry.opts.Identity.AvailabilityZone {
+		r.Pools = loads
+	}
+	return r
+}
+
+// zoneLoads returns the loads of this availability zone, none without a configuration.
+func (c *control) zoneLoads() []message.PoolReport {
+	if c.index == nil {
+		return nil
+	}
+	return c.poolReports()
+}
+
+// poolReports sums up the usable targets of each pool.
+func (c *control) poolReports() []message.PoolReport {
+	snapshot := c.snapshot()
+	if snapshot.Drained {
+		return nil
+	}
+	reports := make([]message.PoolReport, 0, len(snapshot.Pools))
+	for i := range snapshot.Pools {
+		p := &snapshot.Pools[i]
+		r := message.PoolReport{Pool: p.Name, Load: snapshot.ZoneLoad(p.Name), Agents: usableAgents(p)}
+		if len(r.Agents) > 0 {
+			reports = append(reports, r)
+		}
+	}
+	return reports
+}
+
+func usableAgents(p *routing.Pool) []string {
+	var names []string
+	for i := range p.Targets {
+		if t := &p.Targets[i]; t.Usable() {
+			names = append(names, t.Agent)
+		}
+	}
+	return names
+}
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -100,5 +100,8 @@
 	TypeMapDecide:    func() Message { return new(MapDecide) },
 	TypeMapQuery:     func() Message { return new(MapQuery) },
 	TypeMapState:     func() Message { return new(MapState) },
+	TypeZoneReport:   func() Message { return new(ZoneReport) },
 	TypeMapJoin:      func() Message { return new(MapJoin) },
+	TypeMapPreload:   func() Message { return new(MapPreload) },
+	TypeMapPreloaded: func() Message { return new(MapPreloaded) },
 }
--- a/internal/message/types.go
+++ b/internal/message/types.go
@@ -66,5 +66,14 @@
 // FrameType implements Message.
 func (*MapState) FrameType() Type { return TypeMapState }
 
+// FrameType implements Message.
+func (*ZoneReport) FrameType() Type { return TypeZoneReport }
+
 // FrameType implements Message.
 func (*MapJoin) FrameType() Type { return TypeMapJoin }
+
+// FrameType implements Message.
+func (*MapPreload) FrameType() Type { return TypeMapPreload }
+
+// FrameType implements Message.
+func (*MapPreloaded) FrameType() Type { return TypeMapPreloaded }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -23,8 +23,8 @@
 	DefaultRatio = 0.1
 	// DefaultBurst is the number of repeats that a full budget allows at once.
 	DefaultBurst = 10
-	// MaxAttempts bounds the attempts of one request, the first one included.
-	MaxAttempts = 4
+	// maxAttempts bounds the attempts of one request, the first one included.
+	maxAttempts = 6
 )
 
 // NewBudget returns a full budget.
@@ -65,12 +65,12 @@
 	Expected time.Duration
 }
 
-// Allowed tells whether the request may be tried again. A request that did not
+// Allowed reports whether the request may be tried again. A request that did not
 // run is tried again when its kind allows it. One that may have run is tried
 // again only if it is idempotent, none of its answer was passed on, and the
 // budget allows it. Neither is tried past its attempts or its deadline.
 func Allowed(a Attempt, b *Budget) bool {
-	if a.HeadSent || a.Attempts >= MaxAttempts || a.Remaining <= a.Expected {
+	if a.HeadSent || a.Attempts >= maxAttempts || a.Remaining <= a.Expected {
 		return false
 	}
 	if a.Outcome == apierr.OutcomeNotRun {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/gentiantrail/gentiantrail/internal/standin/jsonhttp"
 )
 
 // Config sizes an engine.
@@ -45,6 +47,8 @@
 
 // Stats counts what happened to an engine.
 type Stats struct {
+	// Arrived counts the requests that reached the engine, whatever became of them.
+	Arrived    int `json:"arrived"`
 	Completed  int `json:"completed"`
 	Broken     int `json:"broken"`
 	Refused    int `json:"refused"`
@@ -91,7 +95,7 @@
 	case "/stats":
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		writeJSON(ctx, e.stats)
+		jsonhttp.Write(ctx, e.stats)
 	case "/admin/faults":
 		e.setFaults(ctx)
 	default:
@@ -110,13 +114,12 @@
 	if e.cold() {
 		state = "cold"
 	}
-	writeJSON(ctx, Load{StartID: strconv.FormatUint(e.startID, 16), State: state, Running: e.running})
+	jsonhttp.Write(ctx, Load{StartID: strconv.FormatUint(e.startID, 16), State: state, Running: e.running})
 }
 
 func (e *Engine) setFaults(ctx *fasthttp.RequestCtx) {
 	var f Faults
-	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !jsonhttp.Read(ctx, &f) {
 		return
 	}
 	e.mu.Lock()
@@ -130,7 +133,7 @@
 	}
 }
 
-// cold tells whether the engine still warms up; e.mu is held.
+// cold reports whether the engine still warms up; e.mu is held.
 func (e *Engine) cold() bool { return e.sinceCold < e.cfg.WarmAfter }
 
 // bears returns the most requests that the engine bears now; e.mu is held.
@@ -153,6 +156,7 @@
 func (e *Engine) begin() (start uint64, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stats.Arrived++
 	if time.Now().Before(e.downUntil) {
 		e.stats.Refused++
 		return 0, false
@@ -273,8 +277,3 @@
 	}
 	return nil
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	ctx.SetContentType("application/json")
-	_ = json.NewEncoder(ctx).Encode(v)
-}
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -1,11 +1,18 @@
 // Package warmup decides how many requests a target may run at once.
 //
-// A Limiter starts at the pool's cold limit and grows step by step up to the
-// pool's limit. A step is taken only after a full epoch of requests that started
-// and completed at the present limit, with the limit in use and the latency
-// good: time alone never raises it. A new engine start, a reported cold state, a
-// failed request, or latency far above the target's own baseline puts it back to
-// the cold limit.
+// A Limiter starts at the pool's cold limit and probes its way up to the pool's
+// limit. It steps up only after enough requests have completed, and keeps the
+// step only if an epoch of requests that ran at the new limit was about as fast
+// as before; otherwise it steps back and waits for more completions. The number
+// of completions between steps follows what the last steps needed, so that a
+// target that warms slowly is probed slowly. Time alone never raises the limit. A
+// new engine start, a reported cold state, a failed request, or latency far above
+// the target's own puts it back to the cold limit.
+//
+// While the engine reports itself cold, the limit stays at the cold limit, unless
+// ProbeWhileCold is set. What a Limiter cannot see, it cannot avoid: a target that
+// gives no sign of strain before it fails, and does not report itself cold, is safe
+// only up to its cold limit.
 package warmup
 
 import (
@@ -20,33 +27,44 @@
 	Limit int
 	// ColdLimit is the most requests that a target runs at once just after its start.
 	ColdLimit int
+	// ProbeWhileCold lets the limit grow while the engine still reports itself cold.
+	// It is safe only for engines whose latency shows strain before they fail.
+	ProbeWhileCold bool
 }
 
 const (
-	// minEpochSamples is the least number of completions that judge a limit.
-	minEpochSamples = 4
 	// growthDivisor sets a step's size: limit/growthDivisor, at least one request.
-	growthDivisor = 8
-	// goodRatio is the highest epoch latency, in baselines, at which the limit grows.
-	goodRatio = 1.3
-	// goodCeiling is the highest epoch latency, in best epochs, at which the limit grows.
-	goodCeiling = 2.0
-	// coldRatio is the epoch latency, in baselines, from which the target counts as cold.
-	coldRatio = 2.5
-	// slowRatio is the latency, in baselines, from which one request counts as slow.
+	growthDivisor = 16
+	// firstPace is the number of completions before the first step.
+	firstPace = 8
+	// minPace is the least number of completions between two steps.
+	minPace = 4
+	// maxPace bounds the completions between two steps.
+	maxPace = 96
+	// paceGain scales what the last step needed into what the next one waits for.
+	paceGain = 0.75
+	// smallLimit is the limit below which one step may pass over the whole range
+	// between the first strain and failure, so that each step waits for its pace
+	// and for a second good epoch.
+	smallLimit = 6
+	// checkShare is the share of the limit, in percent, that a check lowers it to.
+	checkShare = 75
+	// contrastRatio is the latency, against that at checkShare, from which a limit is strained.
+	contrastRatio = 1.25
+	// slowRatio is the latency, against the usual, from which one observation counts as slow.
 	slowRatio = 3.0
-	// slowInRow is the number of slow requests in a row that mark a cold target.
+	// slowDeviations is the same in standard deviations; the larger of both counts.
+	slowDeviations = 2.5
+	// slowInRow is the number of slow observations in a row that mark a cold target.
 	slowInRow = 3
-	// baselineShare is the weight of a new good epoch in the baseline.
-	baselineShare = 0.25
-	// bestDrift lets the best epoch age, so that a lasting change of workload is accepted.
-	bestDrift = 1.01
 )
 
 // Sample describes one completed request.
 type Sample struct {
 	// StartedAt is when the request was given to the target.
 	StartedAt time.Duration
+	// Running is the number of requests that ran just after the start, this one included.
+	Running int
 	// ServiceTime is how long the target took.
 	ServiceTime time.Duration
 	// Work is the size of the request in any unit, for example generated
@@ -68,32 +86,40 @@
 type Limiter struct {
 	cfg   Config
 	limit int
+	// confirmed is the highest limit that an epoch has shown to be good.
+	confirmed int
+	// since counts completions since confirmed last changed.
+	since int
+	// probed counts completions since the last step up.
+	probed int
+	// settled tells that the present limit was judged good.
+	settled bool
+	// failed tells that a step was taken back since confirmed last changed.
+	failed bool
+	// checking tells that the limit is lowered to check the limit checked, at which
+	// the mean logarithm of latencies was atLimit.
+	checking bool
+	checked  int
+	atLimit  float64
+	// pace is the value of since from which the next step is taken.
+	pace int
 	// startID is the engine start that the limit was learned on; zero before the first report.
 	startID uint64
 	// cold is the engine's last reported cold state.
-	cold  bool
+	cold bool
+	// epoch judges the present limit.
 	epoch epoch
-	// baseline is the smoothed latency of good epochs; zero before the first.
-	baseline float64
-	// best is the lowest epoch latency, slowly ageing; zero before the first.
-	best float64
-	// slow counts slow requests in a row.
-	slow int
-}
-
-// epoch gathers what is known about the present limit.
-type epoch struct {
-	start     time.Duration
-	completed int
-	latency   float64
-	inUse     bool
+	// latency is what is known about the target's latency.
+	latency latency
+	// slow and slowSteps count slow requests and slow steps of requests.
+	slow, slowSteps streak
 }
 
 // New returns a Limiter at the cold limit.
 func New(cfg Config) *Limiter {
 	l := &Limiter{}
 	l.Configure(cfg)
-	l.limit = l.cfg.ColdLimit
+	l.drop(0)
 	return l
 }
 
@@ -104,6 +130,7 @@
 	cfg.ColdLimit = min(max(cfg.ColdLimit, 1), cfg.Limit)
 	l.cfg = cfg
 	l.limit = min(max(l.limit, cfg.ColdLimit), cfg.Limit)
+	l.confirmed = min(max(l.confirmed, cfg.ColdLimit), cfg.Limit)
 }
 
 // Limit returns the number of requests that the target may run at once.
@@ -133,32 +160,26 @@
 	return true
 }
 
-// Running notes how many requests run after a start, as evidence that the limit is in use.
-func (l *Limiter) Running(running int) {
-	if running >= l.limit {
-		l.epoch.inUse = true
-	}
-}
-
-// Finished takes in a completed request and returns true if the limit fell.
+// Finished takes in a completed request and returns true if the limit fell back.
 func (l *Limiter) Finished(now time.Duration, s Sample) bool {
-	if !s.OK {
+	if !s.OK || l.isSlow(s) {
 		l.drop(now)
 		return true
 	}
-	if l.limit > l.cfg.ColdLimit && l.isSlow(s) {
-		l.drop(now)
-		return true
+	l.since++
+	l.probed++
+	l.latency.add(s.latency())
+	if l.limit >= smallLimit {
+		l.stepUp(now)
 	}
-	if s.StartedAt < l.epoch.start {
+	if s.StartedAt < l.epoch.start || s.Running < l.limit {
 		return false
 	}
-	l.epoch.completed++
-	l.epoch.latency += s.latency()
-	if l.epoch.completed < max(l.limit, minEpochSamples) {
+	l.epoch.add(s.latency())
+	if l.epoch.samples < l.latency.samplesNeeded() {
 		return false
 	}
-	return l.endEpoch(now)
+	return l.judge(now)
 }
 
 // Progress takes in the latency of one step of a running request, as a ratio to
@@ -166,75 +187,46 @@
 // over the usual gap. It shows a target that turned cold before any request
 // completes. It returns true if the limit fell.
 func (l *Limiter) Progress(now time.Duration, ratio float64) bool {
-	if !l.countSlow(ratio >= slowRatio) {
+	if l.limit == l.cfg.ColdLimit || !l.slowSteps.add(ratio >= slowRatio) {
 		return false
 	}
 	l.drop(now)
 	return true
 }
 
+// isSlow reports whether s is the last of too many slow requests in a row. At the
+// cold limit there is nothing to fall from.
 func (l *Limiter) isSlow(s Sample) bool {
-	return l.baseline > 0 && l.countSlow(s.latency() >= slowRatio*l.baseline)
-}
-
-// countSlow returns true at the last of slowInRow slow observations.
-func (l *Limiter) countSlow(slow bool) bool {
-	if !slow {
-		l.slow = 0
-		return false
-	}
-	l.slow++
-	return l.slow >= slowInRow
-}
-
-// endEpoch judges the present limit and starts the next epoch. At the cold limit
-// a worse latency is learned as the new baseline, so that a lasting change of the
-// workload cannot hold the limit down for good.
-func (l *Limiter) endEpoch(now time.Duration) bool {
-	mean := l.epoch.latency / float64(l.epoch.completed)
-	inUse := l.epoch.inUse
-	l.epoch = epoch{start: now}
-	if l.limit == l.cfg.ColdLimit && !l.good(mean) {
-		l.learn(mean)
-		return false
-	}
-	if l.baseline > 0 && mean >= coldRatio*l.baseline {
-		l.drop(now)
-		return true
-	}
-	if !l.good(mean) {
+	if l.limit == l.cfg.ColdLimit {
 		return false
 	}
-	l.learn(mean)
-	if inUse {
-		l.limit = min(l.limit+max(1, l.limit/growthDivisor), l.cfg.Limit)
-	}
-	return false
+	return l.slow.add(l.latency.unusual(s.latency()))
 }
 
-func (l *Limiter) good(mean float64) bool {
-	if l.baseline == 0 {
-		return true
-	}
-	return mean <= goodRatio*l.baseline && mean <= goodCeiling*l.best
-}
+// streak counts slow observations in a row.
+type streak int
 
-func (l *Limiter) learn(mean float64) {
-	if l.baseline == 0 {
-		l.baseline, l.best = mean, mean
-		return
-	}
-	l.baseline += baselineShare * (mean - l.baseline)
-	l.best = min(l.best*bestDrift, mean)
-	if l.limit == l.cfg.ColdLimit {
-		l.best = l.baseline
+// add returns true at the last of slowInRow slow observations.
+func (n *streak) add(slow bool) bool {
+	if !slow {
+		*n = 0
+		return false
 	}
+	*n++
+	return *n >= slowInRow
 }
 
-// drop puts the limit back to the cold limit. The baseline is kept: it is the
-// target's own warm latency, which the cold target has to come back to.
+// drop puts the limit back to the cold limit. After a step that was not
+// confirmed yet, the completions so far still count for the pace of the next one.
 func (l *Limiter) drop(now time.Duration) {
-	l.limit = l.cfg.ColdLimit
+	probing := l.limit > l.confirmed
+	l.limit, l.confirmed = l.cfg.ColdLimit, l.cfg.ColdLimit
+	l.settled, l.failed, l.checking = false, probing, false
+	if !probing {
+		l.since = 0
+	}
+	l.pace = l.since + max(l.since/4, firstPace)
 	l.epoch = epoch{start: now}
-	l.slow = 0
+	l.latency.forget()
+	l.slow, l.slowSteps = 0, 0
 }
--- /dev/null
+++ b/test/capacity/process_test.go
@@ -0,0 +1,134 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const (
+	// ticksPerSecond is the unit of the processor times in /proc/PID/stat.
+	ticksPerSecond = 100
+	patience       = 20 * time.Second
+)
+
+// daemon is the process under measurement.
+type daemon struct {
+	t     *testing.T
+	cmd   *exec.Cmd
+	admin string
+}
+
+// startDaemon runs a program with settings and waits until it is ready.
+func startDaemon(t *testing.T, program, settings string) *daemon {
+	t.Helper()
+	admin := freeAddr(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	text := settings + "admin_address: " + admin + "\nlink_key: " + linkKey + "\n"
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	logs := &bytes.Buffer{}
+	cmd := exec.Command(filepath.Join(*binDir, program), "--settings", path)
+	cmd.Stderr = logs
+	assert.NilError(t, cmd.Start())
+	d := &daemon{t: t, cmd: cmd, admin: admin}
+	t.Cleanup(func() {
+		d.kill()
+		if t.Failed() {
+			t.Log(logs.String()[max(0, logs.Len()-500):])
+		}
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + admin + "/readyz")
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return poll.Continue("status %d", resp.StatusCode)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+	return d
+}
+
+// kill ends the daemon at once; killing it again does nothing.
+func (d *daemon) kill() {
+	_ = d.cmd.Process.Signal(syscall.SIGKILL)
+	_ = d.cmd.Wait()
+}
+
+// cpu returns the processor time that the daemon has used.
+func (d *daemon) cpu() time.Duration {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.cmd.Process.Pid))
+	assert.NilError(d.t, err)
+	// utime and stime are the 12th and 13th fields after the command's name.
+	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+	user, err := strconv.Atoi(fields[11])
+	assert.NilError(d.t, err)
+	system, err := strconv.Atoi(fields[12])
+	assert.NilError(d.t, err)
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
+// memory returns the daemon's resident memory in MB.
+func (d *daemon) memory() float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
+	assert.NilError(d.t, err)
+	for line := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.Atoi(strings.Fields(rest)[0])
+			assert.NilError(d.t, err)
+			return float64(kb) * 1024 / 1e6
+		}
+	}
+	d.t.Fatal("no VmRSS")
+	return 0
+}
+
+// Ports are taken below the range from which outgoing connections get theirs, on a
+// loopback address of this test process alone.
+const (
+	firstPort = 15_000
+	portCount = 15_000
+)
+
+var (
+	portsTaken atomic.Uint32
+	host       = fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()%250, 1+os.Getpid()/250%250)
+)
+
+// freeAddr returns an address that nothing listens on. It is handed out once.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	for range portCount {
+		addr := fmt.Sprintf("%s:%d", host, firstPort+portsTaken.Add(1)%portCount)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			_ = ln.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// maxMemory returns the most resident memory of an ended process in MB.
+func maxMemory(state *os.ProcessState) float64 {
+	usage, ok := state.SysUsage().(*syscall.Rusage)
+	if !ok {
+		return 0
+	}
+	return float64(usage.Maxrss) * 1024 / 1e6
+}
