--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -78,11 +78,11 @@
 	}
 	c.jobs[j.key] = j
 	c.byAdmission[j.admitted] = j
+	c.effects(d.Effects)
 	if d.Verdict == admission.Run {
 		c.run(j)
+		return
 	}
-	c.effects(d.Effects)
-	c.publish()
 	_ = p.Send(&message.Accepted{ID: req.ID, Load: *c.agent.load.Load()})
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -157,7 +157,6 @@
 func (e *Entry) Message(p link.Peer, m message.Message) {
 	switch m := m.(type) {
 	case *message.Accepted:
-		e.calls.deliver(p, m.ID, m)
 		e.hint(loadSeen{peer: p, load: m.Load})
 	case *message.ResponseHead:
 		e.calls.deliver(p, m.ID, m)
--- a/internal/message/request.go
+++ b/internal/message/request.go
@@ -44,7 +44,8 @@
 	MaxWait time.Duration `cbor:"18,keyasint,omitempty"`
 }
 
-// Accepted tells that the agent has taken the request into its queue.
+// Accepted reports the load after a request was put into the agent's queue; a
+// request that runs at once is not reported.
 type Accepted struct {
 	ID   uint64 `cbor:"1,keyasint"`
 	Load Load   `cbor:"2,keyasint"`
