Let three agents of a group compete for its lease; repeat a blank rank's hello

Cause: docs/CAPACITY.md: with every rank's agent a candidate that reads the members every 5 s, 4,800 agents make some 4,160 platform reads/s, above 2,000; rounds of queries every second cost a coordinator of 128 ranks 6% of a core. Ruled out: fewer reads by all (a takeover would be slow), a fixed coordinator. Change: ranks 0 to 2 compete and read the members; rounds at rest come every 10 s; a rank without a map says hello every 500 ms until it has joined, so that it does not wait for a round.

--- a/internal/group/coordinate.go
+++ b/internal/group/coordinate.go
@@ -13,7 +13,7 @@
 const (
 	changeLead    = 64 // steps
 	resendAfter   = 200 * time.Millisecond
-	pollInterval  = time.Second
+	pollInterval  = 10 * time.Second
 	changeTimeout = 2 * time.Second
 )
 
--- a/internal/group/event.go
+++ b/internal/group/event.go
@@ -49,7 +49,6 @@
 
 func (ev peerUp) apply(_ context.Context, d *Driver) {
 	d.peers[ev.peer.Identity().Name] = ev.peer
-	d.hello(ev.peer)
 }
 
 func (ev peerDown) apply(_ context.Context, d *Driver) {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -25,6 +25,11 @@
 const (
 	// tickInterval is the period of the driver's housekeeping.
 	tickInterval = 50 * time.Millisecond
+	// candidates is the number of ranks, from 0, whose agents compete for the lease;
+	// the others cost the platform nothing at rest.
+	candidates = 3
+	// helloInterval is the period at which a rank without a map asks to join.
+	helloInterval = 500 * time.Millisecond
 	// registryInterval is the period of reading the group's members.
 	registryInterval = 5 * time.Second
 	// leaseTerm is the term of a group's lease.
@@ -101,6 +106,9 @@
 	rank        *expertmap.Rank
 	incarnation uint64
 	starting    bool
+	// blank tells that the engine holds no map yet.
+	blank       bool
+	helloAt     time.Duration
 	engineBegan time.Time
 	coordinator *expertmap.Coordinator
 	fence       uint64
@@ -153,7 +161,7 @@
 		}
 		d.publish()
 	}
-	if d.cfg == nil {
+	if d.cfg == nil || !d.candidate() {
 		return
 	}
 	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
@@ -161,6 +169,9 @@
 	d.keeper.Release(release)
 }
 
+// candidate reports whether this rank's agent competes for the group's lease.
+func (d *Driver) candidate() bool { return d.opts.Rank < candidates }
+
 // now returns the time since the driver's start, as package expertmap counts it.
 func (d *Driver) now() time.Duration { return time.Since(d.start) }
 
@@ -178,7 +189,9 @@
 	d.cfg = &c
 	d.plan = newPlanning(c)
 	d.pacer.Rate = c.WeightRate / int64(c.Shape.Ranks)
-	go d.keeper.Run(context.WithoutCancel(ctx))
+	if d.candidate() {
+		go d.keeper.Run(context.WithoutCancel(ctx))
+	}
 	go d.watchRegistry(ctx, c.Shape.Ranks)
 	go d.watchEngine(ctx)
 	d.restartRank(ctx)
@@ -194,6 +207,7 @@
 		d.rebalance(ctx)
 	}
 	d.tickPreload(ctx)
+	d.tickHello(ctx)
 }
 
 // logEvent begins the line of an event of the group.
--- a/internal/group/rank.go
+++ b/internal/group/rank.go
@@ -6,7 +6,6 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/expertmap"
 	"github.com/gentiantrail/gentiantrail/internal/lease"
-	"github.com/gentiantrail/gentiantrail/internal/link"
 )
 
 // startRank makes the rank once the platform has told the lease's fence and the
@@ -65,17 +64,20 @@
 	if d.rank.Excluded() {
 		d.logEvent("rank-excluded").Str("detail", "the engine ignores fencing; restart it to take part in changes").Msg("")
 	}
-	if ev.engine.Active != 0 {
+	d.blank = ev.engine.Active == 0
+}
+
+// tickHello makes a rank without a map known to the coordinator, whoever it is,
+// until it has joined.
+func (d *Driver) tickHello(ctx context.Context) {
+	if !d.blank || d.rank == nil || d.rank.Excluded() || d.now()-d.helloAt < helloInterval {
 		return
 	}
-	for _, p := range d.peers {
-		d.hello(p)
+	d.helloAt = d.now()
+	if d.coordinator != nil {
+		d.coordinate(ctx, expertmap.FromRank{Message: d.rank.Hello()})
 	}
-}
-
-// hello makes a rank without a map known to the coordinator, whoever it is.
-func (d *Driver) hello(p link.Peer) {
-	if d.rank != nil && !d.rank.Excluded() {
+	for _, p := range d.peers {
 		_ = p.Send(d.rank.Hello())
 	}
 }
@@ -146,6 +148,7 @@
 		return
 	}
 	if ev.err == nil {
+		d.blank = ev.reply.State.Active == 0
 		d.toRank(ctx, expertmap.Ordered{Reply: ev.reply})
 		return
 	}
--- a/internal/group/registry.go
+++ b/internal/group/registry.go
@@ -20,15 +20,16 @@
 	Address string `json:"address"`
 }
 
-// watchRegistry writes this rank's member object and reads the group's until ctx ends.
+// watchRegistry writes this rank's member object and, at candidates, reads the
+// group's until ctx ends.
 func (d *Driver) watchRegistry(ctx context.Context, ranks int) {
 	written := false
 	for ctx.Err() == nil {
 		if !written {
 			written = d.register(ctx) == nil
 		}
-		if members, err := d.readMembers(ctx, ranks); err == nil {
-			d.post(registered{members: members})
+		if d.candidate() {
+			d.refreshMembers(ctx, ranks)
 		}
 		wait := registryInterval
 		if !written {
@@ -41,6 +42,13 @@
 	}
 }
 
+// refreshMembers reads the group's members, whom a coordinator has to reach.
+func (d *Driver) refreshMembers(ctx context.Context, ranks int) {
+	if members, err := d.readMembers(ctx, ranks); err == nil {
+		d.post(registered{members: members})
+	}
+}
+
 // register replaces whatever an earlier agent of the rank has written.
 func (d *Driver) register(ctx context.Context) error {
 	value, err := json.Marshal(Member{Rank: d.opts.Rank, Name: d.opts.Identity.Name, Address: d.opts.Identity.Address})
