--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,6 +1,6 @@
 // Package agent controls all access to one target.
 //
-// A request passes the stages accept, admit, claim, run, relay and settle. One
+// A request passes the stages accept, admit, claim, begin, call, relay and record. One
 // goroutine owns the control state: which requests wait or run, the outcome of those
 // that ended, the target's health. Each running request has a goroutine of its
 // own that talks to the target and relays its answer.
@@ -90,7 +90,8 @@
 	return a
 }
 
-// Run handles events until Stop has been called and no request waits or runs.
+// Run handles events until Stop has been called, no request waits or runs and
+// stopLinger has passed.
 func (a *Agent) Run() {
 	defer close(a.done)
 	defer a.cancel()
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -33,7 +33,8 @@
 	pools    map[string]*poolState
 }
 
-// poolState is what a peer entry reported about one pool of its availability zone.
+// poolState is what a peer entry reported about one pool of its availability zone,
+// and the requests that this entry has sent to the pool through it.
 type poolState struct {
 	sent   *routing.Counter
 	report routing.Report
@@ -50,7 +51,8 @@
 	peers     map[string]*peerState
 	dialled   map[string]dial
 	tracker   *membership.Tracker
-	dirty     bool
+	// dirty tells that the view is older than what the control goroutine knows.
+	dirty bool
 	// joined tells that an entry was linked since the last tellMembers.
 	joined     bool
 	lastReport time.Duration
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,7 +59,7 @@
 	done   chan struct{}
 
 	forwards *forwardTable
-	// ends counts ended requests; the time is from the head to the end of the answer.
+	// ends counts ended requests; the time is from their arrival to the end of the answer.
 	ends *observe.Ends
 
 	budgetMu sync.Mutex
@@ -86,7 +86,8 @@
 	return e
 }
 
-// Run handles events until Stop has been called and no request is in flight.
+// Run handles events until Stop has been called, no request is in flight and
+// stopLinger has passed.
 func (e *Entry) Run() {
 	defer close(e.done)
 	timer := time.NewTimer(0)
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -29,7 +29,8 @@
 		peer   link.Peer
 		report *message.ZoneReport
 	}
-	// dispatched reports whether a dispatch got any answer from the named process.
+	// dispatched reports whether a dispatch got any answer from the named agent or entry;
+	// an answer counts as a sign of life of an agent.
 	dispatched struct {
 		name     string
 		answered bool
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -15,9 +15,9 @@
 type exchange struct {
 	// head is the caller's header; it is valid only until the filters have run.
 	head *fasthttp.RequestHeader
-	// view is the control state that the whole exchange is served from.
+	// view is the control state that the filters see; each dispatch takes the newest.
 	view *view
-	// arrived is when the request's head was read.
+	// arrived is when the whole request had been read, or its frame had come from a peer.
 	arrived time.Time
 	// deadline is when the caller's complete answer is due.
 	deadline time.Time
@@ -27,7 +27,7 @@
 	organisation *config.Organisation
 	service      *config.Service
 	route        config.Route
-	// admitted tells that the organisation's place must be given back.
+	// admitted tells that the exchange holds a place in the gate, to be given back.
 	admitted bool
 	// tried notes the destinations that refused or failed the request.
 	tried routing.Request
--- a/internal/group/engine.go
+++ b/internal/group/engine.go
@@ -23,7 +23,7 @@
 	Order(ctx context.Context, o expertmap.Order) (expertmap.Reply, error)
 	// Popularity returns the group's load of each expert, reported late.
 	Popularity(ctx context.Context) (rebalance.Popularity, error)
-	// Load brings the weights of a map into memory, within the weight store's rate.
+	// Load brings the weights of a map into memory; the Driver paces the calls.
 	Load(ctx context.Context, l expertmap.Load) error
 }
 
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -97,7 +97,9 @@
 	events chan event
 
 	// cfg is nil until the first configuration; the driver waits for it.
-	cfg         *Config
+	cfg *Config
+	// rank is nil until it has started, also after a restart; incarnation is then zero, so that the
+	// results of its earlier loads and orders are dropped.
 	rank        *expertmap.Rank
 	incarnation uint64
 	starting    bool
@@ -105,10 +107,12 @@
 	coordinator *expertmap.Coordinator
 	fence       uint64
 	plan        *planning
-	// activeMap is the map whose weights the rank loaded last.
+	// activeMap is the map whose weights the rank was last asked to load; the next
+	// load is paced by what it adds to this one.
 	activeMap []byte
 	pacer     rebalance.Pacer
-	// preload is the coordinator's; loading is the rank's load of weights ahead.
+	// preload is the planned map that the ranks are loading, nil if there is none or
+	// another rank coordinates; loading is the preload that this rank is carrying out.
 	preload      *preload
 	preloadRound uint64
 	loading      preloadKey
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -8,7 +8,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/rebalance"
 )
 
-// Estimates that the planner weighs a change with.
+// Estimates that the planner weighs a change with; see rebalance.Config.
 const (
 	planStepTime     = 15 * time.Millisecond
 	planStepInterval = 29 * time.Millisecond
