--- a/internal/agent/kept.go
+++ b/internal/agent/kept.go
@@ -8,7 +8,8 @@
 	"github.com/gentiantrail/gentiantrail/internal/message"
 )
 
-// maxKeptBody is the largest answer body that is recorded for repeats, in bytes.
+// maxKeptBody is the largest answer body that is gathered for repeats, in bytes;
+// package claims keeps what fits claims.Config.MaxAnswer.
 const maxKeptBody = 4 << 10
 
 // keptAnswer gathers an answer that is to be recorded with its claim.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -99,10 +99,12 @@
 }
 
 // Pick chooses where r goes. A request with an idempotency key goes to the key's
-// home agent, or to the next agent with a free place. Any other one goes to a target of the own availability zone with
-// room, else to a peer whose zone has room, else to a short wait, else it is
-// refused. The first choices do not wait in the agent's queue: a refusal from a
-// target that looked free costs less than a wait there while another is free.
+// home agent, or to the next agent with a free place. Any other one goes to a
+// target of the own availability zone with room, else to a peer whose zone has
+// room, else to a short wait, else it is refused. Suspected targets are offered it
+// only if there is no other target and no peer. The first choices do not wait in
+// the agent's queue: a refusal from a target that looked free costs less than a
+// wait there while another is free.
 func (s *Snapshot) Pick(r Request, rng *rand.Rand) Choice {
 	p := s.pool(r.Pool)
 	if p == nil {
