Report to other availability zones every 2 s and name targets only when they change

Ruled out: delta-coded loads (small against the names). Change: a report goes out every 2 s, and at the next check (0.5 s) when the usable targets change; names travel once for each link and change; entries are suspected after 4.5 s of silence, as a dead link shows within its idle timeout. Reporting has a file of its own.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -31,6 +31,7 @@
 	identity message.Identity
 	links    []link.Peer
 	pools    map[string]*poolState
+	told     reported
 }
 
 // poolState is what a peer entry reported about one pool of its availability zone,
@@ -50,13 +51,19 @@
 	agents    map[string]*agentState
 	peers     map[string]*peerState
 	dialled   map[string]dial
-	tracker   *membership.Tracker
+	// tracker holds the beliefs about agents, peerTracker those about entries, which
+	// report less often.
+	tracker     *membership.Tracker
+	peerTracker *membership.Tracker
 	// dirty tells that the view is older than what the control goroutine knows.
 	dirty bool
 	// joined tells that an entry was linked since the last tellMembers.
 	joined     bool
 	lastReport time.Duration
-	lastTick   time.Duration
+	lastCheck  time.Duration
+	// reportedTargets is the digest of the targets named in the last reports.
+	reportedTargets uint64
+	lastTick        time.Duration
 }
 
 func newControl(e *Entry) *control {
@@ -66,9 +73,20 @@
 		peers:   make(map[string]*peerState),
 		dialled: make(map[string]dial),
 		tracker: membership.New(membership.Config{}),
+		peerTracker: membership.New(membership.Config{
+			SuspectAfter: 2*peerReportInterval + reportInterval, DeadAfter: 4 * peerReportInterval,
+		}),
 	}
 }
 
+// trackerOf returns the tracker that knows the named process.
+func (c *control) trackerOf(name string) *membership.Tracker {
+	if c.peers[name] != nil {
+		return c.peerTracker
+	}
+	return c.tracker
+}
+
 // finished tells that the entry is stopping, no request is in flight, and requests
 // that peers passed on before they heard of it have been refused.
 func (c *control) finished() bool {
@@ -77,7 +95,7 @@
 
 // due returns when tick is to be called next.
 func (c *control) due() time.Duration {
-	report := c.lastReport + reportInterval
+	report := c.lastCheck + reportInterval
 	if !c.dirty && !c.stopping {
 		return report
 	}
@@ -88,8 +106,8 @@
 func (c *control) tick() {
 	now := c.entry.now()
 	c.lastTick = now
-	if now-c.lastReport >= reportInterval {
-		c.reportToPeers()
+	if now-c.lastCheck >= reportInterval {
+		c.checkReport()
 		c.tellJoined()
 		c.dirty = true // silence changes what is believed of the peers
 	}
@@ -120,9 +138,9 @@
 		c.peers[id.Name] = s
 	}
 	s.links = append(s.links, p)
-	c.tracker.Heard(time.Now(), id, false)
+	c.peerTracker.Heard(time.Now(), id, false)
 	c.publish()
-	_ = p.Send(c.reportFor(s, c.zoneLoads()))
+	c.sendReport(s, p, c.zoneLoads())
 	c.tellMembersTo(p)
 	c.joined = true
 }
@@ -140,7 +158,7 @@
 		left += len(s.links)
 	}
 	if left == 0 {
-		c.tracker.Lost(name)
+		c.trackerOf(name).Lost(name)
 	}
 	c.publish()
 }
@@ -177,7 +195,7 @@
 	if s == nil {
 		return
 	}
-	c.tracker.Heard(time.Now(), p.Identity(), r.Leaving)
+	c.peerTracker.Heard(time.Now(), p.Identity(), r.Leaving)
 	reported := make(map[string]*poolState, len(r.Pools))
 	for _, pool := range r.Pools {
 		st := s.pools[pool.Pool]
@@ -185,7 +203,9 @@
 			st = &poolState{sent: new(routing.Counter)}
 		}
 		st.report.Update(pool.Load, st.sent.InFlight())
-		st.agents = pool.Agents
+		if !r.SameAgents {
+			st.agents = pool.Agents
+		}
 		reported[pool.Pool] = st
 	}
 	s.pools = reported
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,7 +27,7 @@
 const (
 	// tickInterval is the least time between two views that late reports cause.
 	tickInterval = 20 * time.Millisecond
-	// reportInterval is the period of reports to peer entries.
+	// reportInterval is the period of checks whether peers need a report.
 	reportInterval = 500 * time.Millisecond
 	// eventQueue bounds the events that wait for the control goroutine.
 	eventQueue = 8192
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -61,13 +61,13 @@
 
 func (ev dispatched) apply(c *control) {
 	if ev.answered {
-		c.tracker.Succeeded(ev.name)
+		c.trackerOf(ev.name).Succeeded(ev.name)
 		if a := c.agents[ev.name]; a != nil {
 			c.tracker.Heard(time.Now(), a.identity, false)
 		}
 		return
 	}
-	c.tracker.Failed(time.Now(), ev.name)
+	c.trackerOf(ev.name).Failed(time.Now(), ev.name)
 	c.dirty = true
 }
 
--- a/internal/entry/publish.go
+++ b/internal/entry/publish.go
@@ -7,7 +7,6 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/membership"
-	"github.com/gentiantrail/gentiantrail/internal/message"
 	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
 
@@ -150,72 +149,12 @@
 
 // suspected reports whether a peer was silent for too long or failed dispatches.
 func (c *control) suspected(name string) bool {
-	p, known := c.tracker.State(time.Now(), name)
+	p, known := c.trackerOf(name).State(time.Now(), name)
 	return !known || p.State == membership.Suspect || p.State == membership.Dead
 }
 
 // leaving reports whether a peer has said that it takes no new work.
 func (c *control) leaving(name string) bool {
-	p, known := c.tracker.State(time.Now(), name)
+	p, known := c.trackerOf(name).State(time.Now(), name)
 	return known && p.State == membership.Leaving
 }
-
-// reportToPeers sends a sign of life to the other entries, with this availability
-// zone's loads to those of the other zones.
-func (c *control) reportToPeers() {
-	c.lastReport = c.entry.now()
-	loads := c.zoneLoads()
-	for _, s := range c.peers {
-		if len(s.links) > 0 {
-			_ = s.links[0].Send(c.reportFor(s, loads))
-		}
-	}
-}
-
-// reportFor returns the report for one peer; entries of the own availability zone
-// hear of its targets from the agents.
-func (c *control) reportFor(s *peerState, loads []message.PoolReport) *message.ZoneReport {
-	r := &message.ZoneReport{Leaving: c.stopping}
-	if c.index != nil {
-		r.ConfigRevision = c.index.Revision()
-	}
-	if s.identity.AvailabilityZone != c.entry.opts.Identity.AvailabilityZone {
-		r.Pools = loads
-	}
-	return r
-}
-
-// zoneLoads returns the loads of this availability zone, none without a configuration.
-func (c *control) zoneLoads() []message.PoolReport {
-	if c.index == nil {
-		return nil
-	}
-	return c.poolReports()
-}
-
-// poolReports sums up the usable targets of each pool.
-func (c *control) poolReports() []message.PoolReport {
-	snapshot := c.snapshot()
-	if snapshot.Drained {
-		return nil
-	}
-	reports := make([]message.PoolReport, 0, len(snapshot.Pools))
-	for i := range snapshot.Pools {
-		p := &snapshot.Pools[i]
-		r := message.PoolReport{Pool: p.Name, Load: snapshot.ZoneLoad(p.Name), Agents: usableAgents(p)}
-		if len(r.Agents) > 0 {
-			reports = append(reports, r)
-		}
-	}
-	return reports
-}
-
-func usableAgents(p *routing.Pool) []string {
-	var names []string
-	for i := range p.Targets {
-		if t := &p.Targets[i]; t.Usable() {
-			names = append(names, t.Agent)
-		}
-	}
-	return names
-}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -75,7 +75,7 @@
 
 // memberState returns what is believed of a peer and why.
 func (c *control) memberState(name string) string {
-	p, known := c.tracker.State(time.Now(), name)
+	p, known := c.trackerOf(name).State(time.Now(), name)
 	if !known {
 		return "unknown"
 	}
--- a/internal/message/state.go
+++ b/internal/message/state.go
@@ -74,6 +74,7 @@
 	// Load is the sum over the pool's usable targets.
 	Load Load `cbor:"2,keyasint"`
 	// Agents are the names of the usable targets' agents.
+	// It is empty if ZoneReport.SameAgents is set.
 	Agents []string `cbor:"3,keyasint,omitempty"`
 }
 
@@ -84,4 +85,7 @@
 	Leaving bool `cbor:"2,keyasint,omitempty"`
 	// ConfigRevision is the highest configuration revision in force at the sender.
 	ConfigRevision uint64 `cbor:"3,keyasint"`
+	// SameAgents tells that the pools and their agents are those of the last report
+	// on this link that named them.
+	SameAgents bool `cbor:"4,keyasint,omitempty"`
 }
