Split the agent's control state by concern; give its tests' harness a file of its own

Ruled out: more packages (they share one goroutine's state). Change: withdraw.go, drain.go, harness_test.go; code moved only. Before and after: the agent's tests pass. Conclusion: none.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -174,53 +174,6 @@
 	c.settled.add(time.Now(), j.key, notRun)
 }
 
-// withdraw answers whether a request can still be kept from running. A request
-// that the agent does not know yet is withdrawn before it arrives.
-func (c *control) withdraw(p link.Peer, id uint64) {
-	key := jobID{sender: p.Identity().Incarnation, id: id}
-	notRun := c.withdrawJob(key)
-	_ = p.Send(&message.Withdrawn{ID: id, NotRun: notRun})
-}
-
-func (c *control) withdrawJob(key jobID) bool {
-	if notRun, known := c.settled.get(key); known {
-		return notRun
-	}
-	j := c.jobs[key]
-	if j == nil {
-		c.settled.add(time.Now(), key, true)
-		return true
-	}
-	if !j.withdraw() {
-		return false
-	}
-	c.settled.add(time.Now(), key, true)
-	c.removeWaiting(j)
-	return true
-}
-
-// removeWaiting forgets j if it still waits; a claiming job ends by itself.
-func (c *control) removeWaiting(j *job) {
-	if c.admission.Remove(c.agent.now(), j.admitted) {
-		c.forget(j)
-		j.cancel()
-	}
-}
-
-// abandon handles a job for whose answer nobody waits any more. A run that may
-// not be repeated goes on to its end.
-func (c *control) abandon(j *job) {
-	if j.withdraw() {
-		c.settled.add(time.Now(), j.key, true)
-		c.removeWaiting(j)
-		return
-	}
-	j.leave()
-	if j.interruptible() {
-		j.cancel()
-	}
-}
-
 // due returns when tick is to be called next.
 func (c *control) due() time.Duration {
 	beat := c.lastBeat + heartbeatInterval
@@ -243,49 +196,6 @@
 	}
 }
 
-// uncheck refuses new work until the target has answered a health check that
-// begins from now on; it may have been replaced.
-func (c *control) uncheck() {
-	c.unchecked = true
-	c.uncheckedAt = c.agent.now()
-}
-
-// configure takes over the limits and drains of a configuration.
-func (c *control) configure(x *config.Index) {
-	id := c.agent.opts.Identity
-	c.index = x
-	if p, ok := x.Pool(id.Pool); ok {
-		c.admission.Configure(admissionConfig(p))
-	}
-	wasDrained := c.drained
-	c.drained = x.AvailabilityZoneDrained(id.AvailabilityZone) || x.InstanceDrained(id.Name)
-	if wasDrained && !c.drained {
-		c.uncheck()
-	}
-	c.updateDrain()
-	c.announce()
-}
-
-// updateDrain closes or opens the admission.
-func (c *control) updateDrain() {
-	if c.stopping || c.drained || c.unchecked {
-		c.admission.Drain()
-		return
-	}
-	c.admission.Undrain()
-}
-
-// checked ends the wait for a health check that began after the end of a drain. No
-// request would have shown that the target was replaced meanwhile.
-func (c *control) checked(began time.Duration) {
-	if !c.unchecked || began < c.uncheckedAt {
-		return
-	}
-	c.unchecked = false
-	c.updateDrain()
-	c.announce()
-}
-
 // publish makes the current load visible to traffic goroutines.
 func (c *control) publish() {
 	load := c.admission.Load(c.agent.now())
