--- a/Makefile
+++ b/Makefile
@@ -15,13 +15,13 @@
 	./scripts/lint
 
 unit:
-	./scripts/gotest ./...
+	./scripts/gotest -count=1 ./...
 
 race:
-	./scripts/gotest -race $(RACE_PACKAGES)
+	./scripts/gotest -count=1 -race $(RACE_PACKAGES)
 
 scenario: build
-	./scripts/gotest -tags scenario -timeout 20m ./test/scenario/...
+	./scripts/gotest -count=1 -tags scenario -timeout 20m ./test/scenario/...
 
 demo: build
 	./scripts/demo $(DEPLOYMENT)
