Stop dialling addresses of replaced entries

Ruled out: minutes instead of hours (regions lose each other for an hour; both sides would forget each other). Change: an address without a link for 3 h is undialled, told apart from a linked entry of the same name by its address. A stale comment in internal/group is mended. Before: no such code; with the comparison of addresses off (scratch change), TestReplacedEntriesAreNoLongerDialled fails. After: it passes. The agent's twin has no test of its own. Conclusion: dials are bounded by what was alive in 3 h.

--- a/cmd/gentiantrail-agent/main.go
+++ b/cmd/gentiantrail-agent/main.go
@@ -55,6 +55,7 @@
 		Target:   target.New(s.TargetAddress),
 		Claims:   owned,
 		Dial:     p.Dial,
+		Undial:   p.Undial,
 		Logger:   p.Logger,
 		Metrics:  p.Metrics.Scope,
 	})
--- a/cmd/gentiantrail-entry/main.go
+++ b/cmd/gentiantrail-entry/main.go
@@ -40,6 +40,7 @@
 		Identity:    p.Identity,
 		MaxRequests: s.Limits.Requests,
 		Dial:        p.Dial,
+		Undial:      p.Undial,
 		Logger:      p.Logger,
 		Metrics:     p.Metrics.Scope,
 	})
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,6 +50,8 @@
 	Claims Claimer
 	// Dial keeps a link to an entry's address alive.
 	Dial func(addr string)
+	// Undial gives an address up.
+	Undial func(addr string)
 	// HealthInterval is the period of the target's health check. Default 250 ms.
 	HealthInterval time.Duration
 	// Logger receives one line for each event.
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -27,11 +27,12 @@
 	jobs        map[jobID]*job
 	byAdmission map[uint64]*job
 	nextID      uint64
-	dialled     map[string]bool
-	settled     *settled
-	seq         uint64
-	lastBeat    time.Duration
-	lastTick    time.Duration
+	// dialled holds when each address was dialled or last seen linked.
+	dialled  map[string]time.Duration
+	settled  *settled
+	seq      uint64
+	lastBeat time.Duration
+	lastTick time.Duration
 }
 
 func newControl(a *Agent) *control {
@@ -42,7 +43,7 @@
 		jobs:        make(map[jobID]*job),
 		byAdmission: make(map[uint64]*job),
 		settled:     newSettled(),
-		dialled:     make(map[string]bool),
+		dialled:     make(map[string]time.Duration),
 	}
 }
 
@@ -193,6 +194,7 @@
 	c.settled.expire(time.Now())
 	if now-c.lastBeat >= heartbeatInterval {
 		c.announce()
+		c.forgetDials(now)
 	}
 }
 
@@ -219,16 +221,3 @@
 	}
 	_ = p.Send(hb)
 }
-
-// dialEntry links to an entry of the own availability zone that is not linked yet.
-func (c *control) dialEntry(m message.Member) {
-	id := m.Identity
-	if m.Leaving || id.Address == "" || c.dialled[id.Address] {
-		return
-	}
-	if id.AvailabilityZone != c.agent.opts.Identity.AvailabilityZone {
-		return
-	}
-	c.dialled[id.Address] = true
-	c.agent.opts.Dial(id.Address)
-}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -51,6 +51,9 @@
 	}
 }
 
+// Undial gives an address up.
+func (p *Process) Undial(addr string) { p.Node.Undial(addr) }
+
 // OpenLinks creates the link node and, if listen is not empty, accepts links there.
 func (p *Process) OpenLinks(key, listen string, h link.Handler) error {
 	node, err := link.New(link.Config{Identity: p.Identity, Key: []byte(key), Logger: p.Logger}, h)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -110,6 +110,7 @@
 	c.lastTick = now
 	if now-c.lastCheck >= reportInterval {
 		c.checkReport()
+		c.forgetDials(now)
 		c.tellJoined()
 		c.dirty = true // silence changes what is believed of the peers
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,8 @@
 	MaxRequests int
 	// Dial keeps a link to an address alive.
 	Dial func(addr string)
+	// Undial gives an address up.
+	Undial func(addr string)
 	// Logger receives one line for each event.
 	Logger *log.Logger
 	// Metrics receives counters and timers.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -53,10 +53,15 @@
 // for its availability zone.
 const dialGrace = 5 * time.Second
 
+// dialForgotten is the time without a link after which a dialled address is given
+// up, as entries are replaced under new ones. It is longer than regions lose each other.
+const dialForgotten = 3 * time.Hour
+
 // dial is an entry that was dialled because a peer named it.
 type dial struct {
 	identity message.Identity
-	at       time.Duration
+	// at is when the entry was dialled or last seen linked.
+	at time.Duration
 }
 
 // learn dials entries that are missing: all of the own availability zone, and a
@@ -71,6 +76,19 @@
 	}
 }
 
+// forgetDials stops dialling addresses that have had no link for long.
+func (c *control) forgetDials(now time.Duration) {
+	for addr, d := range c.dialled {
+		switch {
+		case c.linked(d.identity.Name) && c.peers[d.identity.Name].identity.Address == addr:
+			c.dialled[addr] = dial{identity: d.identity, at: now}
+		case now-d.at >= dialForgotten:
+			delete(c.dialled, addr)
+			c.entry.opts.Undial(addr)
+		}
+	}
+}
+
 // wanted reports whether a link to an entry is missing.
 func (c *control) wanted(id message.Identity) bool {
 	own := c.entry.opts.Identity
--- a/internal/entry/members_test.go
+++ b/internal/entry/members_test.go
@@ -36,3 +36,27 @@
 	c.learn(list)
 	assert.Equal(t, len(dials), 16+2*linksPerRemoteZone)
 }
+
+// TestReplacedEntriesAreNoLongerDialled replaces a linked entry under a new address:
+// the old address is given up after a while, the linked one never.
+func TestReplacedEntriesAreNoLongerDialled(t *testing.T) {
+	var undialled []string
+	c := benchControl(0, 0)
+	c.entry.opts.Undial = func(addr string) { undialled = append(undialled, addr) }
+	member := func(incarnation uint64, addr string) message.Identity {
+		return message.Identity{
+			Role: message.RoleEntry, Name: "peer", AvailabilityZone: testZone, Incarnation: incarnation, Address: addr,
+		}
+	}
+	before, after := member(1, "old:1"), member(2, "new:1")
+	old := linktest.NewPeer(before, ignore)
+	c.learn([]message.Member{{Identity: before}})
+	c.peerUp(old)
+	c.linkDown(old)
+	c.learn([]message.Member{{Identity: after}})
+	c.peerUp(linktest.NewPeer(after, ignore))
+	c.forgetDials(dialForgotten / 2)
+	assert.Equal(t, len(undialled), 0)
+	c.forgetDials(dialForgotten + dialForgotten/4)
+	assert.DeepEqual(t, undialled, []string{"old:1"})
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -116,8 +116,8 @@
 	coordinator *expertmap.Coordinator
 	fence       uint64
 	plan        *planning
-	// loadedMap is the map whose weights the rank was last asked to load; the next
-	// load is paced by what it adds to this one.
+	// loadedMap is the map whose weights the rank loaded last; the next load is paced
+	// by what it adds to this one.
 	loadedMap []byte
 	pacer     rebalance.Pacer
 	// preload is the planned map that the ranks are loading, nil if there is none or
