Serve the users' platform: a gateway that reaches targets directly

Cause: the product needs an agent before each target and its own object API; on the users' platform plain services have no agent and the store speaks another protocol. Ruled out: agents as the only access (plain services have no machine for one); fasthttp's server (does not read while a handler runs, so a caller's leaving is not seen). Change: internal/gateway (gnet listener, filters, dispatch, relay), with internal/http1, internal/upstream, internal/fleet and internal/placement; platform/ holds names, formats and calls; cmd/gentiantrail-gateway wires it.

--- /dev/null
+++ b/internal/fleet/index.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Index finds routes, services and organisations of one Config. It is immutable.
+type Index struct {
+	Config *Config
+	// routes holds each host's routes, longest prefix first.
+	routes        map[string][]*Route
+	services      map[string]*Service
+	organisations map[string]*Organisation
+}
+
+// NewIndex returns the lookup tables of c, which must not be changed afterwards.
+func NewIndex(c *Config) *Index {
+	x := &Index{
+		Config: c, routes: map[string][]*Route{},
+		services: map[string]*Service{}, organisations: map[string]*Organisation{},
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		x.routes[host] = append(x.routes[host], r)
+	}
+	for _, routes := range x.routes {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	for i := range c.Services {
+		x.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Organisations {
+		for _, key := range c.Organisations[i].Keys {
+			x.organisations[key] = &c.Organisations[i]
+		}
+	}
+	return x
+}
+
+// Route returns the route with the longest prefix of path on the host.
+func (x *Index) Route(host, path string) (*Route, bool) {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	for _, r := range x.routes[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns the service with the name.
+func (x *Index) Service(name string) (*Service, bool) {
+	s, ok := x.services[name]
+	return s, ok
+}
+
+// Organisation returns the organisation that holds the API key.
+func (x *Index) Organisation(key string) (*Organisation, bool) {
+	o, ok := x.organisations[key]
+	return o, ok
+}
+
+// NeedsKeys reports whether requests need an API key.
+func (x *Index) NeedsKeys() bool { return len(x.Config.Organisations) > 0 }
+
+// PickService chooses a service of the route's split; point is uniform in [0, 1).
+func (r *Route) PickService(point float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := point * float64(total)
+	for _, s := range r.Split {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/placement"
+	"github.com/gentiantrail/gentiantrail/internal/retry"
+	"github.com/gentiantrail/gentiantrail/internal/settings"
+)
+
+const (
+	// eventQueue bounds the events that wait for the control goroutine.
+	eventQueue = 1024
+	// tickInterval is the period of the control goroutine's own work.
+	tickInterval = 500 * time.Millisecond
+	// spareGateways are counted beside the known ones when limits are shared, for those
+	// that were added and are not known yet.
+	spareGateways = 3
+	// unknownGateways is assumed until the list of gateways has been read.
+	unknownGateways = 16
+)
+
+// event is something that the control goroutine takes in.
+type event interface{ apply(c *control) }
+
+// control is the state that the control goroutine owns.
+type control struct {
+	g        *Gateway
+	registry *fleet.Registry
+	// storeDown holds the topics whose last call failed.
+	storeDown map[fleet.Topic]bool
+	stopping  bool
+	// limits are those of the settings in force.
+	limits settings.GatewayLimits
+	// probed holds the targets whose group has been asked for.
+	probed map[string]bool
+	peers  *peerLink
+}
+
+// Run handles events until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	c := &control{g: g, registry: fleet.NewRegistry(), storeDown: map[fleet.Topic]bool{}, probed: map[string]bool{}, limits: g.opts.Settings.Limits}
+	c.peers = newPeerLink(g)
+	c.publish()
+	follower := fleet.Follower{
+		Source: g.opts.Source,
+		Self:   fleet.Gateway{Name: g.opts.Settings.Name, PeerAddress: g.opts.Settings.PeerAddress},
+		Post:   func(e fleet.Event) { g.post(ctx, fleetEvent(e)) },
+	}
+	follower.Run(ctx)
+	go c.peers.run(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-g.events:
+			ev.apply(c)
+		case <-ticker.C:
+			c.tick(ctx)
+		}
+	}
+}
+
+func (g *Gateway) post(ctx context.Context, ev event) {
+	select {
+	case g.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// fleetEvent is what the follower of the store learnt.
+type fleetEvent fleet.Event
+
+func (e fleetEvent) apply(c *control) {
+	now := c.g.now()
+	if e.Err != nil {
+		c.lost(e.Topic, e.Err)
+		return
+	}
+	c.regained(e.Topic)
+	var decisions []fleet.Decision
+	if e.Listed {
+		decisions = c.registry.Listed(now, e.Topic, e.Batch)
+	} else {
+		decisions = c.registry.Changed(now, e.Topic, e.Batch)
+	}
+	if e.Batch.Refused > 0 {
+		c.g.opts.Logger.Warn().Str("event", "store-objects-refused").Str("topic", e.Topic.String()).Int("count", e.Batch.Refused).Msg("")
+	}
+	c.logDecisions(e.Topic, decisions, e.Batch.Revision)
+	if len(decisions) > 0 || e.Listed {
+		c.publish()
+	}
+}
+
+// lost notes a failed call; only the first one of a series is logged.
+func (c *control) lost(topic fleet.Topic, err error) {
+	if topic == fleet.TopicTargets {
+		c.registry.Lost()
+	}
+	if !c.storeDown[topic] {
+		c.storeDown[topic] = true
+		c.g.opts.Logger.Warn().Str("event", "store-lost").Str("topic", topic.String()).Err(err).Msg("")
+	}
+}
+
+func (c *control) regained(topic fleet.Topic) {
+	if c.storeDown[topic] {
+		delete(c.storeDown, topic)
+		c.g.opts.Logger.Info().Str("event", "store-regained").Str("topic", topic.String()).Msg("")
+	}
+}
+
+func (c *control) logDecisions(topic fleet.Topic, decisions []fleet.Decision, revision int64) {
+	for _, d := range decisions {
+		line := c.g.opts.Logger.Info().Str("event", "belief").Str("topic", topic.String()).
+			Str("subject", d.Subject).Str("outcome", d.Outcome).Int64("revision", revision)
+		if topic == fleet.TopicConfig {
+			line = line.Int64("version", c.registry.View().Config.Version)
+		}
+		line.Msg("")
+	}
+}
+
+// tick drops targets that did not come back and idle connections.
+func (c *control) tick(ctx context.Context) {
+	_, decisions := c.registry.Expire(c.g.now())
+	if len(decisions) > 0 {
+		c.logDecisions(fleet.TopicTargets, decisions, 0)
+		c.publish()
+	}
+	c.g.client.Sweep(c.usedAddresses())
+	c.probe(ctx)
+}
+
+func (c *control) usedAddresses() func(string) bool {
+	used := make(map[string]bool)
+	for _, t := range c.g.view.Load().targets {
+		used[t.Address] = true
+	}
+	return func(addr string) bool { return used[addr] }
+}
+
+// publish makes the present control state visible to traffic.
+func (c *control) publish() {
+	fv := c.registry.View()
+	old := c.g.view.Load()
+	v := &view{loaded: fv.Loaded, stopping: c.stopping, targets: make(map[string]fleet.Target, len(fv.Targets))}
+	if fv.Config != nil {
+		if old.index != nil && old.index.Config == fv.Config {
+			v.index = old.index
+		} else {
+			v.index = fleet.NewIndex(fv.Config)
+		}
+	}
+	for _, t := range fv.Targets {
+		v.targets[t.ID] = t
+	}
+	v.shares = c.shares(len(fv.Gateways))
+	c.g.setTargets(v, fv)
+	c.g.view.Store(v)
+	c.peers.setPeers(fv.Gateways)
+}
+
+// shares divides the fleet's limits among the gateways.
+func (c *control) shares(known int) shares {
+	n := known + spareGateways
+	if known == 0 {
+		n = unknownGateways
+	}
+	l := c.limits
+	return shares{gateways: n, coldFactor: l.ColdFactor, coldSlack: float64(l.ColdSlack), retries: retry.WindowLimits{
+		Ratio: l.RetryRatio, Slack: float64(l.RetrySlack) / float64(n), Span: l.RetryWindow,
+	}}
+}
+
+// setTargets hands the balancer the targets of a view.
+func (g *Gateway) setTargets(v *view, fv fleet.View) {
+	targets := make([]placement.Target, 0, len(fv.Targets))
+	for _, t := range fv.Targets {
+		targets = append(targets, g.placementTarget(v, t, fv.Evacuated[t.AvailabilityZone]))
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.SetTargets(targets)
+	for _, w := range g.budgets {
+		w.SetLimits(v.shares.retries)
+	}
+}
+
+func (g *Gateway) placementTarget(v *view, t fleet.Target, evacuated bool) placement.Target {
+	p := placement.Target{
+		ID: t.ID, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
+		Slots: t.Slots, Accepting: t.State == fleet.TargetReady && !evacuated,
+	}
+	if v.index == nil {
+		return p
+	}
+	if s, ok := v.index.Service(t.Service); ok {
+		p.StartRate = v.shares.startRate(s)
+		p.Lockstep = s.Engine != nil
+		if s.MaxConnections > 0 {
+			p.MaxConns = max(1, s.MaxConnections/v.shares.gateways)
+		}
+	}
+	return p
+}
+
+// startRate is this gateway's share of what a cold target may get in a second. It
+// holds for warm targets too, since a target may turn cold at any moment.
+func (sh shares) startRate(s *fleet.Service) int {
+	if s.ColdRate <= 0 {
+		return 0
+	}
+	total := s.ColdRate*sh.coldFactor + sh.coldSlack
+	return max(1, int(math.Floor(total/float64(sh.gateways))))
+}
+
+// probeTimeout bounds one question for a target's group.
+const probeTimeout = time.Second
+
+// probe asks new engines for their lock-step group.
+func (c *control) probe(ctx context.Context) {
+	v := c.g.view.Load()
+	for id := range c.probed {
+		if _, ok := v.targets[id]; !ok {
+			delete(c.probed, id)
+		}
+	}
+	for id, t := range v.targets {
+		if c.probed[id] || v.index == nil {
+			continue
+		}
+		if s, ok := v.index.Service(t.Service); !ok || s.Engine == nil {
+			continue
+		}
+		c.probed[id] = true
+		go c.g.askGroup(ctx, id, t.Address)
+	}
+}
+
+func (g *Gateway) askGroup(ctx context.Context, id, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	group, err := g.opts.Probe(ctx, addr)
+	if err != nil {
+		g.opts.Logger.Info().Str("event", "probe-failed").Str("target", id).Err(err).Msg("")
+		g.post(ctx, probeAgain{id: id})
+		return
+	}
+	g.mu.Lock()
+	g.balancer.SetGroup(id, group)
+	g.mu.Unlock()
+	g.opts.Logger.Info().Str("event", "belief").Str("topic", "groups").Str("subject", id).Str("outcome", group).Msg("")
+}
+
+// probeAgain asks a target once more at the next tick.
+type probeAgain struct{ id string }
+
+func (p probeAgain) apply(c *control) { delete(c.probed, p.id) }
+
+// reloaded takes in changed settings.
+type reloaded struct {
+	limits settings.GatewayLimits
+	done   chan struct{}
+}
+
+func (r reloaded) apply(c *control) {
+	c.limits = r.limits
+	c.publish()
+	close(r.done)
+}
+
+// stopAsked begins the graceful stop.
+type stopAsked struct{}
+
+func (stopAsked) apply(c *control) {
+	if c.stopping {
+		return
+	}
+	c.stopping = true
+	c.publish()
+	c.g.opts.Logger.Info().Str("event", "stopping").Int64("requests", c.g.inFlight.Load()).Msg("")
+}
--- /dev/null
+++ b/internal/gateway/log.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/placement"
+)
+
+// logEnd writes the one line of an ended exchange.
+func (g *Gateway) logEnd(x *exchange, err *apierr.Error) {
+	kind := apierr.KindNone
+	if err != nil {
+		kind = err.Kind
+	}
+	took := time.Since(x.arrived)
+	g.ends.Record(kind, took)
+	line := g.opts.Logger.Info().Str("event", "request").Str("request", x.id).
+		Str("kind", kind.String()).Str("outcome", kind.Answer().Outcome.String()).Int("status", x.status).
+		Str("service", x.service).Str("target", x.target).Int("attempts", x.attempts).
+		Int64("took_ms", took.Milliseconds())
+	if x.route != nil {
+		line = line.Str("route", x.route.Name)
+	}
+	if x.view.index != nil {
+		line = line.Int64("config_version", x.view.index.Config.Version)
+	}
+	if x.organisation != nil {
+		line = line.Str("organisation", x.organisation.Name)
+	}
+	if x.hasEvent {
+		line = line.Int64("last_event", x.lastEvent)
+	}
+	if err != nil {
+		line = line.Str("detail", err.Error())
+	}
+	line.Msg("")
+}
+
+// logAttempt writes the line of a failed attempt with what decided its target.
+func (g *Gateway) logAttempt(x *exchange, c placement.Choice, err *apierr.Error) {
+	g.opts.Logger.Info().Str("event", "attempt-failed").Str("request", x.id).Str("target", c.Target.ID).
+		Int("attempt", x.attempts).Int("load", c.Load).Int("slots", c.Target.Slots).
+		Int64("report_age_ms", c.ReportAge.Milliseconds()).Str("kind", err.Kind.String()).Str("detail", err.Error()).Msg("")
+}
+
+// logResume writes the line of a stream that goes on at another target.
+func (g *Gateway) logResume(x *exchange, err *apierr.Error) {
+	g.opts.Logger.Info().Str("event", "stream-resumed").Str("request", x.id).Str("target", x.target).
+		Int64("last_event", x.lastEvent).Str("avoided_group", x.avoidGroup).Str("detail", err.Error()).Msg("")
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/gentiantrail/gentiantrail/internal/observe"
+)
+
+// counters are the gateway's own counters beside those of ended requests.
+type counters struct {
+	attempts, repeats, resumes, stalls tally.Counter
+	overBudget, peerErrors, refused    tally.Counter
+	firstEvent                         tally.Histogram
+}
+
+func newCounters(s tally.Scope) counters {
+	return counters{
+		attempts:   s.Counter("attempts"),
+		repeats:    s.Counter("repeats"),
+		resumes:    s.Counter("stream_resumes"),
+		stalls:     s.Counter("stream_stalls"),
+		overBudget: s.Counter("repeats_over_budget"),
+		peerErrors: s.Counter("peer_errors"),
+		refused:    s.Counter("attempts_refused"),
+		firstEvent: s.Histogram("first_event", observe.LatencyBuckets),
+	}
+}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+)
+
+// State is the state dump of a gateway.
+type State struct {
+	Name          string        `json:"name"`
+	ConfigVersion int64         `json:"config_version"`
+	Loaded        bool          `json:"loaded"`
+	Stopping      bool          `json:"stopping"`
+	InFlight      int64         `json:"in_flight"`
+	Gateways      int           `json:"gateways"`
+	Targets       []TargetState `json:"targets"`
+}
+
+// TargetState is one target in a state dump.
+type TargetState struct {
+	ID               string  `json:"id"`
+	Service          string  `json:"service"`
+	AvailabilityZone string  `json:"availability_zone"`
+	Leaving          bool    `json:"leaving"`
+	Group            string  `json:"group,omitempty"`
+	InFlight         int     `json:"in_flight"`
+	Load             int     `json:"load"`
+	FailureRate      float64 `json:"failure_rate"`
+	Blocked          bool    `json:"blocked"`
+}
+
+// State returns the state dump.
+func (g *Gateway) State() any {
+	v := g.view.Load()
+	s := State{
+		Name: g.opts.Settings.Name, Loaded: v.loaded, Stopping: v.stopping,
+		InFlight: g.inFlight.Load(), Gateways: v.shares.gateways,
+	}
+	if v.index != nil {
+		s.ConfigVersion = v.index.Config.Version
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, t := range v.targets {
+		ts := TargetState{
+			ID: id, Service: t.Service, AvailabilityZone: t.AvailabilityZone, Leaving: t.State != 0,
+			Group: g.balancer.Group(id),
+		}
+		ts.InFlight, ts.Load, ts.FailureRate, ts.Blocked = g.balancer.Target(g.now(), id)
+		s.Targets = append(s.Targets, ts)
+	}
+	slices.SortFunc(s.Targets, func(a, b TargetState) int { return cmp.Compare(a.ID, b.ID) })
+	return s
+}
--- /dev/null
+++ b/internal/http1/framing.go
@@ -0,0 +1,132 @@
+package http1
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+)
+
+// framing says how a message's body ends.
+type framing struct {
+	// chunked tells that the body comes in chunks.
+	chunked bool
+	// length is the body's size in bytes, or -1 if none is declared.
+	length int64
+}
+
+// declared reads Content-Length and Transfer-Encoding. Both together, or two
+// different lengths, are refused.
+func declared(h Header) (framing, error) {
+	f := framing{length: -1}
+	for _, field := range h {
+		switch {
+		case strings.EqualFold(field.Name, "Content-Length"):
+			n, err := parseLength(field.Value)
+			if err != nil {
+				return f, err
+			}
+			if f.length >= 0 {
+				return f, &SyntaxError{Reason: "more than one Content-Length"}
+			}
+			f.length = n
+		case strings.EqualFold(field.Name, "Transfer-Encoding"):
+			if f.chunked || !strings.EqualFold(field.Value, "chunked") {
+				return f, &SyntaxError{Reason: "unsupported Transfer-Encoding"}
+			}
+			f.chunked = true
+		}
+	}
+	if f.chunked && f.length >= 0 {
+		return f, &SyntaxError{Reason: "both Content-Length and Transfer-Encoding"}
+	}
+	return f, nil
+}
+
+func parseLength(text string) (int64, error) {
+	for i := range len(text) {
+		if text[i] < '0' || text[i] > '9' {
+			return 0, &SyntaxError{Reason: "Content-Length is not a number"}
+		}
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, &SyntaxError{Reason: "Content-Length is not a number"}
+	}
+	return n, nil
+}
+
+// maxChunkLine bounds a chunk's size line, extensions included, in bytes.
+const maxChunkLine = 256
+
+// decodeChunked reads a whole chunked body from the start of buf. It returns the
+// bytes that the body takes, or -1 if it is not whole yet.
+func decodeChunked(buf []byte, limit int) ([]byte, int, error) {
+	var body []byte
+	pos := 0
+	for {
+		size, used, err := chunkSize(buf[pos:])
+		if err != nil || used < 0 {
+			return nil, -1, err
+		}
+		pos += used
+		if size == 0 {
+			end, err := trailerEnd(buf[pos:])
+			if err != nil || end < 0 {
+				return nil, -1, err
+			}
+			return body, pos + end, nil
+		}
+		if size > int64(limit-len(body)) {
+			return nil, -1, &TooLargeError{Part: PartBody, Limit: limit}
+		}
+		if int64(len(buf)-pos) < size+2 {
+			return nil, -1, nil
+		}
+		body = append(body, buf[pos:pos+int(size)]...)
+		pos += int(size)
+		if buf[pos] != '\r' || buf[pos+1] != '\n' {
+			return nil, -1, &SyntaxError{Reason: "a chunk does not end with CRLF"}
+		}
+		pos += 2
+	}
+}
+
+// chunkSize reads a chunk's size line; used is -1 if the line is not whole yet.
+func chunkSize(buf []byte) (size int64, used int, err error) {
+	end := bytes.Index(buf, []byte("\r\n"))
+	if end < 0 {
+		if len(buf) > maxChunkLine {
+			return 0, -1, &SyntaxError{Reason: "a chunk's size line is too long"}
+		}
+		return 0, -1, nil
+	}
+	size, err = parseChunkSize(buf[:end])
+	return size, end + 2, err
+}
+
+func parseChunkSize(line []byte) (int64, error) {
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	if len(digits) == 0 || len(digits) > 8 {
+		return 0, &SyntaxError{Reason: "a chunk's size is not valid"}
+	}
+	size, err := strconv.ParseUint(string(digits), 16, 32)
+	if err != nil {
+		return 0, &SyntaxError{Reason: "a chunk's size is not valid"}
+	}
+	return int64(size), nil
+}
+
+// trailerEnd returns the bytes up to the end of the trailer section, or -1 if it is
+// not whole yet. Trailer fields are dropped.
+func trailerEnd(buf []byte) (int, error) {
+	if len(buf) >= 2 && buf[0] == '\r' && buf[1] == '\n' {
+		return 2, nil
+	}
+	if end := bytes.Index(buf, headEnd); end >= 0 {
+		return end + len(headEnd), nil
+	}
+	if len(buf) > maxChunkLine {
+		return -1, &SyntaxError{Reason: "the trailer is too long"}
+	}
+	return -1, nil
+}
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,257 @@
+// Package upstream sends requests to targets directly and tells exactly what is
+// known of each: never sent, refused unrun, answered, or unknown. It never repeats a
+// request.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/gentiantrail/gentiantrail/internal/http1"
+)
+
+const (
+	// dialTimeout bounds connecting: an instance behind a partition doesn't answer at
+	// all, and instances of a region answer within a few milliseconds.
+	dialTimeout = 400 * time.Millisecond
+	// userTimeout ends a connection whose peer doesn't acknowledge what was sent.
+	userTimeout = 1500 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find a silent peer.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// bufferSize is the read buffer of a connection in bytes.
+	bufferSize = 8 << 10
+	// inlineWrite is the largest request that is written before its answer is read,
+	// in bytes: it fits a socket's send buffer, so that the write doesn't block.
+	inlineWrite = 16 << 10
+	// maxIdleTime closes a connection that was idle for longer, unless the target
+	// states a shorter time.
+	maxIdleTime = 8 * time.Second
+	// idleMargin is kept between the target's stated idle time and ours.
+	idleMargin = time.Second
+	// maxExtraAnswers bounds the answers to other requests that are skipped before
+	// the connection is given up.
+	maxExtraAnswers = 3
+)
+
+// Names are the header fields that targets use.
+type Names struct {
+	// Attempt echoes the attempt id of the request.
+	Attempt string
+	// NotExecuted says that the target did not run the request.
+	NotExecuted string
+}
+
+// Client keeps connections to targets. It is safe for concurrent use.
+type Client struct {
+	names Names
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	open map[string]int
+}
+
+// New returns a client without connections.
+func New(names Names) *Client {
+	return &Client{names: names, idle: make(map[string][]*conn), open: make(map[string]int)}
+}
+
+// conn is one connection to a target.
+type conn struct {
+	net.Conn
+	addr string
+	br   *bufio.Reader
+	// idleSince and idleFor say until when the connection may be used again.
+	idleSince time.Time
+	idleFor   time.Duration
+	// served is the number of answers read from the connection.
+	served int
+}
+
+// Call is one request to one target.
+type Call struct {
+	// Addr is the target's IP address and port.
+	Addr    string
+	Request *http1.Request
+	// Attempt is the attempt id that the answer must echo.
+	Attempt string
+	// MaxConns bounds the connections to the target; zero means no bound.
+	MaxConns int
+	// MaxIdle is the longest that a kept connection may have been idle; zero asks for a new one.
+	MaxIdle time.Duration
+}
+
+// Do sends a request and reads the head of its answer. The context ends the call by
+// closing its connection, also while the body is read.
+func (c *Client) Do(ctx context.Context, call Call) (*Answer, *Failure) {
+	cn, err := c.acquire(ctx, &call)
+	if err != nil {
+		return nil, &Failure{Stage: StageConnect, Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
+	a := &Answer{client: c, conn: cn, stop: stop}
+	if err := a.send(&call); err != nil {
+		a.Abort()
+		return nil, &Failure{Stage: StageSent, Cause: err}
+	}
+	if err := a.receive(&call); err != nil {
+		a.Abort()
+		return nil, &Failure{Stage: StageSent, Reused: cn.served > 0, Cause: err}
+	}
+	return a, nil
+}
+
+// acquire returns a kept connection that still looks usable, or a new one.
+func (c *Client) acquire(ctx context.Context, call *Call) (*conn, error) {
+	for call.MaxIdle > 0 {
+		cn := c.takeIdle(call.Addr)
+		if cn == nil {
+			break
+		}
+		if idle := time.Since(cn.idleSince); idle < cn.idleFor && idle <= call.MaxIdle && cn.quiet() {
+			return cn, nil
+		}
+		c.drop(cn)
+	}
+	if !c.reserve(call.Addr, call.MaxConns) {
+		return nil, ErrConnectionLimit
+	}
+	dialer := net.Dialer{
+		Timeout:         dialTimeout,
+		Control:         setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	}
+	raw, err := dialer.DialContext(ctx, "tcp4", call.Addr)
+	if err != nil {
+		c.release(call.Addr)
+		return nil, err
+	}
+	return &conn{Conn: raw, addr: call.Addr, br: bufio.NewReaderSize(raw, bufferSize)}, nil
+}
+
+// ErrConnectionLimit means that the target would have too many connections.
+var ErrConnectionLimit = errors.New("the limit of connections to the target is reached")
+
+func (c *Client) reserve(addr string, limit int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if limit > 0 && c.open[addr] >= limit {
+		return false
+	}
+	c.open[addr]++
+	return true
+}
+
+func (c *Client) release(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[addr]--; c.open[addr] <= 0 {
+		delete(c.open, addr)
+	}
+}
+
+// drop closes a connection.
+func (c *Client) drop(cn *conn) {
+	_ = cn.Conn.Close()
+	c.release(cn.addr)
+}
+
+// takeIdle returns the connection that was used last, or nil.
+func (c *Client) takeIdle(addr string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	cn := list[len(list)-1]
+	c.idle[addr] = list[:len(list)-1]
+	return cn
+}
+
+// keep puts a connection back whose answer has ended properly.
+func (c *Client) keep(cn *conn) {
+	cn.idleSince = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[cn.addr] = append(c.idle[cn.addr], cn)
+}
+
+// Sweep closes connections that were idle for too long, and those to addresses that
+// are no longer used.
+func (c *Client) Sweep(used func(addr string) bool) {
+	var stale []*conn
+	now := time.Now()
+	c.mu.Lock()
+	for addr, list := range c.idle {
+		kept := list[:0]
+		for _, cn := range list {
+			if now.Sub(cn.idleSince) < cn.idleFor && used(addr) {
+				kept = append(kept, cn)
+			} else {
+				stale = append(stale, cn)
+			}
+		}
+		if len(kept) == 0 {
+			delete(c.idle, addr)
+		} else {
+			c.idle[addr] = kept
+		}
+	}
+	c.mu.Unlock()
+	for _, cn := range stale {
+		c.drop(cn)
+	}
+}
+
+// quiet reports whether an idle connection is open and holds no unread bytes. Bytes
+// that arrive while no request is waiting belong to none.
+func (cn *conn) quiet() bool {
+	if cn.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := cn.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var probe [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// idleLimit returns how long a target keeps an idle connection.
+func idleLimit(h http1.Header) time.Duration {
+	for param := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(param), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if d, err := time.ParseDuration(value + "s"); err == nil {
+			return min(maxIdleTime, max(0, d-idleMargin))
+		}
+	}
+	return maxIdleTime
+}
+
+// isTimeout reports whether an error is a deadline of ours.
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/internal/upstream/events.go
@@ -0,0 +1,79 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/gentiantrail/gentiantrail/internal/http1"
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 256 << 10
+
+// StreamEvent is one whole event with the blank line that ends it.
+type StreamEvent struct {
+	// ID is the event's id; HasID tells whether it has one.
+	ID    int64
+	HasID bool
+	Bytes []byte
+}
+
+// EventReader splits a stream into whole events (WHATWG HTML, section 9.2).
+type EventReader struct {
+	r *bufio.Reader
+}
+
+// NewEventReader reads events from an answer's body.
+func NewEventReader(body io.Reader) *EventReader { return &EventReader{r: newReader(body)} }
+
+// Next returns the next whole event. It returns io.EOF after the stream's proper end
+// and http1.ErrUnexpectedEnd if the stream ends inside an event.
+func (e *EventReader) Next() (StreamEvent, error) {
+	var ev StreamEvent
+	for {
+		line, err := e.r.ReadSlice('\n')
+		ev.Bytes = append(ev.Bytes, line...)
+		switch {
+		case errors.Is(err, io.EOF) && len(ev.Bytes) > 0:
+			return StreamEvent{}, http1.ErrUnexpectedEnd
+		case errors.Is(err, bufio.ErrBufferFull):
+		case err != nil:
+			return StreamEvent{}, err
+		}
+		if len(ev.Bytes) > maxEvent {
+			return StreamEvent{}, &http1.TooLargeError{Part: http1.PartBody, Limit: maxEvent}
+		}
+		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && !inLine(ev.Bytes) {
+			return ev, ev.readID()
+		}
+	}
+}
+
+// Buffered reports whether bytes of a further event have been received.
+func (e *EventReader) Buffered() bool { return e.r.Buffered() > 0 }
+
+// inLine reports whether the last line of b is not blank: a full buffer may have
+// split it just before its line end.
+func inLine(b []byte) bool {
+	b = bytes.TrimSuffix(bytes.TrimSuffix(b, []byte("\n")), []byte("\r"))
+	return len(b) > 0 && b[len(b)-1] != '\n'
+}
+
+// readID finds the event's id field.
+func (ev *StreamEvent) readID() error {
+	for line := range bytes.Lines(ev.Bytes) {
+		value, found := bytes.CutPrefix(line, []byte("id:"))
+		if !found {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if err != nil {
+			return &http1.SyntaxError{Reason: "an event's id is not a number"}
+		}
+		ev.ID, ev.HasID = id, true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/failure.go
@@ -0,0 +1,35 @@
+package upstream
+
+// Stage says how far a call came.
+type Stage uint8
+
+// The stages.
+const (
+	// StageConnect means that no byte of the request was written.
+	StageConnect Stage = iota
+	// StageSent means that the request was written, in part or whole; whether it ran
+	// is unknown.
+	StageSent
+)
+
+// Failure is a call without an answer.
+type Failure struct {
+	Stage Stage
+	// Reused tells that the connection had served another request before.
+	Reused bool
+	Cause  error
+}
+
+// Error returns the stage and the cause.
+func (f *Failure) Error() string {
+	if f.Stage == StageConnect {
+		return "connect: " + f.Cause.Error()
+	}
+	return "no answer: " + f.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// Timeout reports whether the call ended by a deadline.
+func (f *Failure) Timeout() bool { return isTimeout(f.Cause) }
