Fit the expert map of a group to the demand

Cause: with map 0 the most loaded rank carries 3.4 times the mean, passes last over 120 ms and two streams in three are late. Ruled out: orders fenced by their expected sequence (a played probe shows that map orders do not raise it); reading other ranks' reports from afar (late by some 100 ms, so that they can't prove what is armed).

--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -79,6 +79,13 @@
 type Engine struct {
 	// Slots is the number of requests that one engine runs at once.
 	Slots int
+	// Layers, Experts and Places are the size of an expert map: sets of layers, experts
+	// in each, and the most experts of a layer that one rank holds. Zero without experts.
+	Layers, Experts, Places int
+	// Spare is the most experts of a layer that a rank can copy for one change.
+	Spare int
+	// CopyTime is the time in which a rank copies one expert.
+	CopyTime time.Duration
 }
 
 // Limits bound what a client may send.
--- /dev/null
+++ b/internal/mapper/counts.go
@@ -0,0 +1,97 @@
+package mapper
+
+import (
+	"context"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// countWindowed keeps the last readings of an engine's counts.
+type countWindowed struct {
+	readings []countReading
+}
+
+type countReading struct {
+	at     time.Time
+	counts []int64
+}
+
+// add takes in a reading; one that fell shows that the engine started anew.
+func (w *countWindowed) add(now time.Time, counts []int64) {
+	if n := len(w.readings); n > 0 && fell(w.readings[n-1].counts, counts) {
+		w.readings = nil
+	}
+	w.readings = append(w.readings, countReading{at: now, counts: counts})
+	for len(w.readings) > 2 && now.Sub(w.readings[1].at) >= countWindow {
+		w.readings = w.readings[1:]
+	}
+}
+
+func fell(before, after []int64) bool {
+	if len(before) != len(after) {
+		return true
+	}
+	for i := range before {
+		if after[i] < before[i] {
+			return true
+		}
+	}
+	return false
+}
+
+// delta returns how often each expert was chosen within the window.
+func (w *countWindowed) delta() []int64 {
+	if len(w.readings) == 0 {
+		return nil
+	}
+	newest := w.readings[len(w.readings)-1].counts
+	oldest := w.readings[0].counts
+	d := make([]int64, len(newest))
+	for i := range newest {
+		d[i] = newest[i] - oldest[i]
+	}
+	return d
+}
+
+// quantise scales counts to 16 bits.
+func quantise(counts []int64) ([]uint16, float64) {
+	if len(counts) == 0 {
+		return nil, 0
+	}
+	scale := max(1, float64(slices.Max(counts))/65535)
+	q := make([]uint16, len(counts))
+	for i, c := range counts {
+		q[i] = uint16(float64(c) / scale)
+	}
+	return q, scale
+}
+
+// readCounts reads the own engine's counts.
+func (m *Mapper) readCounts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	counts, err := m.opts.Engine.Counts(ctx)
+	if err != nil {
+		m.opts.Logger.Debug().Str("event", "counts-unread").Err(err).Msg("")
+		return
+	}
+	m.counts.add(time.Now(), counts)
+}
+
+// digestOf identifies the experts of a rank, whatever their order within a layer.
+func digestOf(experts [][]uint16) uint64 {
+	d := xxhash.New()
+	var b [2]byte
+	for _, layer := range experts {
+		sorted := slices.Clone(layer)
+		slices.Sort(sorted)
+		for _, e := range append(sorted, 0xffff) {
+			binary.LittleEndian.PutUint16(b[:], e)
+			_, _ = d.Write(b[:])
+		}
+	}
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/mapper/lead.go
@@ -0,0 +1,194 @@
+package mapper
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/mapswitch"
+	"github.com/gentiantrail/gentiantrail/internal/rebalance"
+)
+
+const (
+	// memberTimeout is the age up to which a rank's hello is used for a plan.
+	memberTimeout = 1500 * time.Millisecond
+	// askAgain is the time after which an unanswered part of a round is sent again.
+	askAgain = 40 * time.Millisecond
+	// copySlack is added to the time that copying should take before a change is given up.
+	copySlack = 4 * time.Second
+)
+
+// Estimates that the planner weighs a change with; see rebalance.Config. Demand shifts
+// every few seconds, and copying slows passes a little while it lasts.
+const (
+	planStepTime     = 15 * time.Millisecond
+	planStepInterval = 80 * time.Millisecond
+	planHorizon      = 5 * time.Second
+	planMoveCost     = 6 * time.Millisecond
+	planChangeCost   = 100 * time.Millisecond
+	planMaxMoves     = 40 // experts a layer
+)
+
+func (m *Mapper) newLeading() *leading {
+	e := m.engine
+	shape := rebalance.Shape{Ranks: m.own.Size, Layers: e.Layers, Experts: e.Experts, SlotsPerRank: e.Places}
+	return &leading{
+		coordinator: mapswitch.New(m.own.Rank, m.own.Size),
+		shape:       shape,
+		members:     make(map[int]*member),
+		planner: rebalance.NewPlanner(rebalance.Config{
+			Shape: shape, ExpertSize: 1, StepTime: planStepTime, StepInterval: planStepInterval,
+			Horizon: planHorizon, MoveCost: planMoveCost, ChangeCost: planChangeCost,
+			Window: 1, Delay: 2, MaxMoves: planMaxMoves, MaxNewPerRank: e.Spare,
+		}),
+	}
+}
+
+// heard takes in a rank's hello; addr is nil for the own rank.
+func (l *leading) heard(addr *net.UDPAddr, rank int, h *helloBody) {
+	mb := &member{addr: addr, heard: time.Now(), rows: Rows{Version: h.Version, Experts: h.Experts}}
+	if len(h.Load) == l.shape.Layers*l.shape.Experts {
+		mb.load = make([]float64, len(h.Load))
+		for i, v := range h.Load {
+			mb.load[i] = float64(v) * h.Scale
+		}
+	}
+	l.members[rank] = mb
+}
+
+// complete reports whether every rank was heard lately.
+func (l *leading) complete(size int) bool {
+	for r := range size {
+		mb := l.members[r]
+		if mb == nil || time.Since(mb.heard) > memberTimeout {
+			return false
+		}
+	}
+	return true
+}
+
+// stepRounds advances the rounds of the leader and returns when it is due next.
+func (m *Mapper) stepRounds(ctx context.Context) time.Duration {
+	l := m.lead
+	if l == nil || m.own.Size == 0 {
+		return idleRound
+	}
+	now := time.Now()
+	if l.round != nil {
+		if !l.round.done() {
+			return m.pressRound(ctx, now)
+		}
+		m.endRound()
+	}
+	if wait := l.nextRound.Sub(now); wait > 0 {
+		return wait
+	}
+	if !l.complete(m.own.Size) {
+		return idleRound
+	}
+	m.beginRound(ctx, now)
+	return askAgain
+}
+
+// endRound hands the states of all ranks to the coordinator.
+func (m *Mapper) endRound() {
+	l := m.lead
+	states := l.round.states()
+	l.round = nil
+	before := l.coordinator.Phase()
+	l.commands = l.coordinator.Round(states, l.inForce(states))
+	after := l.coordinator.Phase()
+	if before != after {
+		m.logPhase(before, after)
+	}
+	if before == mapswitch.Preparing && after == mapswitch.Preparing && time.Now().After(l.deadline) {
+		l.coordinator.Abandon()
+		m.opts.Logger.Warn().Str("event", "map-abandoned").Int64("version", l.coordinator.Version()).Msg("")
+	}
+	if l.coordinator.Ready() {
+		m.plan(states)
+	}
+	l.nextRound = time.Now().Add(pauseIn(l.coordinator.Phase()))
+}
+
+func pauseIn(p mapswitch.Phase) time.Duration {
+	switch p {
+	case mapswitch.Idle:
+		return planInterval
+	case mapswitch.Preparing:
+		return calmRound
+	default:
+		return busyRound
+	}
+}
+
+func (m *Mapper) logPhase(before, after mapswitch.Phase) {
+	c := m.lead.coordinator
+	m.opts.Logger.Info().Str("event", "map-change").Str("group", m.own.Group).Str("from", before.String()).Str("to", after.String()).
+		Int64("version", c.Version()).Int64("held_pass", c.Pass()).Int64("pass", m.own.State.Pass).
+		Int64("since_begin_ms", time.Since(m.lead.begun).Milliseconds()).Msg("")
+}
+
+// inForce returns the map in force, or nil if the ranks' hellos don't agree with their
+// states yet.
+func (l *leading) inForce(states []mapswitch.State) [][][]uint16 {
+	rows := make([][][]uint16, l.shape.Layers)
+	for r := range states {
+		mb := l.members[r]
+		if mb == nil || mb.rows.Version != states[r].Version || len(mb.rows.Experts) != l.shape.Layers {
+			return nil
+		}
+		for layer, experts := range mb.rows.Experts {
+			rows[layer] = append(rows[layer], experts)
+		}
+	}
+	return rows
+}
+
+// plan begins a change if one pays.
+func (m *Mapper) plan(states []mapswitch.State) {
+	l := m.lead
+	current := l.inForce(states)
+	if current == nil || time.Since(l.planned) < planInterval {
+		return
+	}
+	demand, ok := l.demand()
+	if !ok {
+		return
+	}
+	l.planned = time.Now()
+	l.planner.Observe(demand)
+	from := mapOf(l.shape, current, demand)
+	plan := l.planner.Plan(from, int64(l.shape.Layers*l.shape.LayerSlots()))
+	if plan.Moved == 0 {
+		return
+	}
+	rows := rowsOf(plan.Map)
+	if !l.coordinator.Begin(rows, digestsOf(rows, l.shape.Ranks), 1) {
+		return
+	}
+	most := mostNew(l.shape, from, plan.Map)
+	l.begun = time.Now()
+	l.deadline = l.begun.Add(time.Duration(2*most)*m.engine.CopyTime + copySlack)
+	m.opts.Logger.Info().Str("event", "map-planned").Str("group", m.own.Group).Int64("version", l.coordinator.Version()).
+		Int("copies", plan.Moved).Int("copies_of_one_rank", most).Float64("skew", rebalance.Skew(from, demand)).
+		Float64("skew_after", rebalance.Skew(plan.Map, demand)).Float64("trust", l.planner.Trust()).Msg("")
+	l.nextRound = time.Now()
+}
+
+// demand sums up the recent demand of all ranks.
+func (l *leading) demand() (rebalance.Popularity, bool) {
+	p := rebalance.Popularity{Experts: l.shape.Experts, Load: make([]float64, l.shape.Layers*l.shape.Experts)}
+	total := 0.0
+	for r := range l.shape.Ranks {
+		mb := l.members[r]
+		if mb == nil || mb.load == nil || time.Since(mb.heard) > memberTimeout {
+			return p, false
+		}
+		for i, v := range mb.load {
+			p.Load[i] += v
+			total += v
+		}
+	}
+	return p, total > 0
+}
--- /dev/null
+++ b/internal/mapper/mapper.go
@@ -0,0 +1,267 @@
+// Package mapper fits the expert map of a lock-step group to the experts that are in
+// demand. One process runs beside each rank's engine. The process of the lowest rank
+// that is heard leads: it gathers the counts of all ranks, plans, and changes the map
+// by package mapswitch. Processes talk over UDP; what is lost is said again.
+//
+// One goroutine owns the state of a process. Which process leads is a matter of
+// progress only: mapswitch stays safe with several leaders.
+package mapper
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/mapswitch"
+	"github.com/gentiantrail/gentiantrail/internal/rebalance"
+)
+
+const (
+	// pollInterval is the period in which a process reads its own engine, which is free
+	// of charge on its own machine, and tells the leader.
+	pollInterval = 250 * time.Millisecond
+	// leaderTimeout is the silence after which a leader is no longer believed.
+	leaderTimeout = 1500 * time.Millisecond
+	// planInterval is the least time between two plans.
+	planInterval = 250 * time.Millisecond
+	// discoverInterval is the least time between two looks into the store for the
+	// processes of the group, while some are missing.
+	discoverInterval = 3 * time.Second
+	// countWindow is the time over which the demand for experts is measured: long enough
+	// to smooth single requests.
+	countWindow = 700 * time.Millisecond
+	// busyRound and calmRound are the pauses between rounds while a change is about to
+	// switch, and while experts are copied or nothing is done.
+	busyRound = 5 * time.Millisecond
+	calmRound = 120 * time.Millisecond
+	idleRound = time.Second
+	// callTimeout bounds one call to the own engine.
+	callTimeout = 300 * time.Millisecond
+)
+
+// Reading is what an engine says of its rank.
+type Reading struct {
+	// Group is empty if the engine is in no group.
+	Group string
+	Rank  int
+	Size  int
+	State mapswitch.State
+}
+
+// Rows are the experts of one rank by layer, in force or prepared.
+type Rows struct {
+	Version int64
+	Experts [][]uint16
+}
+
+// Engine is the model engine beside the process.
+type Engine interface {
+	// Read returns the rank's state; the digest of what is prepared is left out.
+	Read(ctx context.Context) (Reading, error)
+	// Counts returns how often each expert was chosen by this rank's requests since the
+	// engine's start, by layer and expert.
+	Counts(ctx context.Context) ([]int64, error)
+	// Lists returns the rank's experts in force and, if any, prepared.
+	Lists(ctx context.Context) (inForce Rows, prepared *Rows, err error)
+	// Order carries out an order; Unknown means that there was no answer.
+	Order(ctx context.Context, o mapswitch.Order) (mapswitch.Result, error)
+}
+
+// Options are the collaborators of a Mapper.
+type Options struct {
+	// Name names the process in logs.
+	Name string
+	// PeerAddress is the IP address and UDP port of this process; others use the same port.
+	PeerAddress string
+	// Service is the service of the engine.
+	Service string
+	Engine  Engine
+	Source  fleet.Source
+	Logger  *log.Logger
+	Metrics tally.Scope
+}
+
+// Mapper runs beside one rank.
+type Mapper struct {
+	opts   Options
+	start  time.Time
+	events chan event
+	socket *net.UDPConn
+	port   int
+
+	// The fields below are owned by the goroutine of Run.
+
+	own     Reading
+	lists   lists
+	counts  countWindowed
+	engine  *fleet.Engine
+	peers   map[string]*net.UDPAddr
+	leader  leader
+	lead    *leading
+	lookAt  time.Time
+	looking bool
+}
+
+// lists are the rows of the own rank.
+type lists struct {
+	inForce  Rows
+	prepared *Rows
+	digest   uint64
+}
+
+// leader is the process that is believed to lead the group.
+type leader struct {
+	rank  int
+	addr  *net.UDPAddr
+	heard time.Time
+}
+
+// leading is the state of a process that leads.
+type leading struct {
+	coordinator *mapswitch.Coordinator
+	planner     *rebalance.Planner
+	shape       rebalance.Shape
+	members     map[int]*member
+	round       *round
+	nextRound   time.Time
+	planned     time.Time
+	begun       time.Time
+	deadline    time.Time
+	commands    []mapswitch.Command
+	rows        [][][]uint16
+}
+
+// member is what the leader knows of one rank.
+type member struct {
+	addr  *net.UDPAddr
+	heard time.Time
+	load  []float64
+	rows  Rows
+}
+
+// event is something that the owner goroutine takes in.
+type event func(ctx context.Context, m *Mapper)
+
+// New returns a Mapper; Run starts it.
+func New(opts Options) *Mapper {
+	return &Mapper{opts: opts, start: time.Now(), events: make(chan event, 256), peers: map[string]*net.UDPAddr{}}
+}
+
+// Run works until ctx ends.
+func (m *Mapper) Run(ctx context.Context) error {
+	addr, err := net.ResolveUDPAddr("udp4", m.opts.PeerAddress)
+	if err != nil {
+		return err
+	}
+	m.port = addr.Port
+	if m.socket, err = net.ListenUDP("udp4", addr); err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { _ = m.socket.Close() })
+	go m.receive(ctx)
+	poll := time.NewTimer(0)
+	defer poll.Stop()
+	rounds := time.NewTimer(idleRound)
+	defer rounds.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-m.events:
+			ev(ctx, m)
+		case <-poll.C:
+			m.poll(ctx)
+			poll.Reset(pollInterval)
+		case <-rounds.C:
+		}
+		rounds.Reset(m.stepRounds(ctx))
+	}
+}
+
+func (m *Mapper) post(ctx context.Context, ev event) {
+	select {
+	case m.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// poll reads the own engine and tells the leader.
+func (m *Mapper) poll(ctx context.Context) {
+	m.discover(ctx)
+	reading, err := m.read(ctx)
+	if err != nil {
+		m.opts.Logger.Debug().Str("event", "engine-unread").Err(err).Msg("")
+		return
+	}
+	m.note(reading)
+	if reading.Group == "" || !reading.State.Open {
+		m.lead = nil
+		return
+	}
+	m.readCounts(ctx)
+	m.elect()
+	if m.lead != nil {
+		m.beacon()
+	}
+	m.hello()
+}
+
+// note logs changes of the own rank's group and map.
+func (m *Mapper) note(r Reading) {
+	old := m.own
+	m.own = r
+	if old.Group != r.Group || old.State.Epoch != r.State.Epoch || old.State.Open != r.State.Open {
+		m.opts.Logger.Info().Str("event", "belief").Str("topic", "group").Str("group", r.Group).Int("rank", r.Rank).
+			Int64("epoch", r.State.Epoch).Bool("open", r.State.Open).Int64("pass", r.State.Pass).Msg("")
+	}
+	if old.State.Version != r.State.Version {
+		m.opts.Logger.Info().Str("event", "belief").Str("topic", "map").Str("group", r.Group).
+			Int64("version", r.State.Version).Int64("pass", r.State.Pass).Msg("")
+	}
+}
+
+// read returns the own rank's state with the digest of what it has prepared.
+func (m *Mapper) read(ctx context.Context) (Reading, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reading, err := m.opts.Engine.Read(ctx)
+	if err != nil {
+		return Reading{}, err
+	}
+	s := &reading.State
+	stale := m.lists.inForce.Experts == nil || m.lists.inForce.Version != s.Version || reading.State.Epoch != m.own.State.Epoch ||
+		s.Prepared != 0 && (m.lists.prepared == nil || m.lists.prepared.Version != s.Prepared)
+	if stale {
+		inForce, prepared, err := m.opts.Engine.Lists(ctx)
+		if err != nil {
+			return Reading{}, err
+		}
+		m.lists = lists{inForce: inForce, prepared: prepared}
+		if prepared != nil {
+			m.lists.digest = digestOf(prepared.Experts)
+		}
+	}
+	if m.lists.prepared != nil && s.Prepared == m.lists.prepared.Version {
+		s.Digest = m.lists.digest
+	}
+	return reading, nil
+}
+
+// elect believes the leader that was heard, or leads itself.
+func (m *Mapper) elect() {
+	if m.leader.addr != nil && m.leader.rank < m.own.Rank && time.Since(m.leader.heard) < leaderTimeout {
+		if m.lead != nil {
+			m.opts.Logger.Info().Str("event", "leading-ends").Int("leader", m.leader.rank).Msg("")
+			m.lead = nil
+		}
+		return
+	}
+	if m.lead == nil && m.engine != nil && m.engine.Layers > 0 {
+		m.opts.Logger.Info().Str("event", "leading").Str("group", m.own.Group).Int("rank", m.own.Rank).Msg("")
+		m.lead = m.newLeading()
+	}
+}
--- /dev/null
+++ b/internal/mapper/wire.go
@@ -0,0 +1,207 @@
+package mapper
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/mapswitch"
+)
+
+// maxDatagram is the largest datagram, in bytes.
+const maxDatagram = 60 << 10
+
+// datagram is what the processes of a group send each other; one of the last four
+// fields is set.
+type datagram struct {
+	Group string `cbor:"1,keyasint"`
+	Rank  int    `cbor:"2,keyasint"`
+	// Beacon says that the sender leads.
+	Beacon bool        `cbor:"3,keyasint,omitempty"`
+	Hello  *helloBody  `cbor:"4,keyasint,omitempty"`
+	Ask    *askBody    `cbor:"5,keyasint,omitempty"`
+	Answer *answerBody `cbor:"6,keyasint,omitempty"`
+}
+
+// helloBody tells the leader of a rank's demand for experts and its map.
+type helloBody struct {
+	// Load is the recent demand by layer and expert, scaled to 16 bits.
+	Load []uint16 `cbor:"1,keyasint"`
+	// Scale is the demand that one unit of Load stands for.
+	Scale   float64    `cbor:"2,keyasint"`
+	Version int64      `cbor:"3,keyasint"`
+	Experts [][]uint16 `cbor:"4,keyasint"`
+}
+
+// askBody is the leader's part of a round for one rank.
+type askBody struct {
+	Round uint64           `cbor:"1,keyasint"`
+	Order *mapswitch.Order `cbor:"2,keyasint,omitempty"`
+}
+
+// answerBody is a rank's answer to it.
+type answerBody struct {
+	Round uint64          `cbor:"1,keyasint"`
+	State mapswitch.State `cbor:"2,keyasint"`
+}
+
+func (m *Mapper) send(to *net.UDPAddr, d datagram) {
+	d.Group, d.Rank = m.own.Group, m.own.Rank
+	b, err := cbor.Marshal(d)
+	if err != nil {
+		m.opts.Logger.Error().Str("event", "encode").Err(err).Msg("")
+		return
+	}
+	if _, err := m.socket.WriteToUDP(b, to); err != nil {
+		m.opts.Logger.Debug().Str("event", "send-failed").Str("to", to.String()).Err(err).Msg("")
+	}
+}
+
+// receive hands datagrams to the owner goroutine.
+func (m *Mapper) receive(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := m.socket.ReadFromUDP(buf)
+		if err != nil {
+			time.Sleep(time.Millisecond) // an error that stays must not spin
+			continue
+		}
+		var d datagram
+		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
+			m.opts.Logger.Warn().Str("event", "datagram-refused").Str("from", from.String()).Err(err).Msg("")
+			continue
+		}
+		m.post(ctx, func(ctx context.Context, m *Mapper) { m.received(ctx, from, &d) })
+	}
+}
+
+func (m *Mapper) received(ctx context.Context, from *net.UDPAddr, d *datagram) {
+	m.peers[from.String()] = from
+	if d.Group != m.own.Group || d.Group == "" {
+		return
+	}
+	switch {
+	case d.Beacon:
+		m.heardBeacon(from, d.Rank)
+	case d.Hello != nil && m.lead != nil:
+		m.lead.heard(from, d.Rank, d.Hello)
+	case d.Ask != nil:
+		m.answer(ctx, from, d.Ask)
+	case d.Answer != nil && m.lead != nil && m.lead.round != nil:
+		m.lead.round.answered(d.Rank, d.Answer)
+	}
+}
+
+// heardBeacon believes the lowest rank that says it leads.
+func (m *Mapper) heardBeacon(from *net.UDPAddr, rank int) {
+	stale := time.Since(m.leader.heard) > leaderTimeout
+	if m.leader.addr == nil || stale || rank <= m.leader.rank {
+		m.leader = leader{rank: rank, addr: from, heard: time.Now()}
+	}
+}
+
+// beacon tells all known processes that this one leads.
+func (m *Mapper) beacon() {
+	for _, p := range m.peers {
+		m.send(p, datagram{Beacon: true})
+	}
+}
+
+// hello tells the leader of the own rank.
+func (m *Mapper) hello() {
+	h := m.ownHello()
+	if m.lead != nil {
+		m.lead.heard(nil, m.own.Rank, h)
+		return
+	}
+	if m.leader.addr != nil && time.Since(m.leader.heard) < leaderTimeout {
+		m.send(m.leader.addr, datagram{Hello: h})
+	}
+}
+
+func (m *Mapper) ownHello() *helloBody {
+	load, scale := quantise(m.counts.delta())
+	return &helloBody{Load: load, Scale: scale, Version: m.lists.inForce.Version, Experts: m.lists.inForce.Experts}
+}
+
+// discover looks up the engine's description and the other processes of the service
+// in the store, while the group is not complete.
+func (m *Mapper) discover(ctx context.Context) {
+	complete := m.engine != nil && (m.lead == nil && m.leader.addr != nil && time.Since(m.leader.heard) < leaderTimeout ||
+		m.lead != nil && m.lead.complete(m.own.Size))
+	if complete || m.looking || time.Since(m.lookAt) < discoverInterval {
+		return
+	}
+	m.looking, m.lookAt = true, time.Now()
+	needConfig := m.engine == nil
+	go func() {
+		found := m.lookUp(ctx, needConfig)
+		m.post(ctx, found)
+	}()
+}
+
+// lookUp reads the store and returns the event that takes the result in.
+func (m *Mapper) lookUp(ctx context.Context, needConfig bool) event {
+	var engine *fleet.Engine
+	if needConfig {
+		batch, err := m.opts.Source.List(ctx, fleet.TopicConfig)
+		if err != nil {
+			return lookUpFailed(err)
+		}
+		engine = engineOf(batch, m.opts.Service)
+	}
+	batch, err := m.opts.Source.List(ctx, fleet.TopicTargets)
+	if err != nil {
+		return lookUpFailed(err)
+	}
+	return func(_ context.Context, m *Mapper) {
+		m.looking = false
+		if engine != nil {
+			m.engine = engine
+		}
+		m.addPeers(batch)
+	}
+}
+
+func lookUpFailed(err error) event {
+	return func(_ context.Context, m *Mapper) {
+		m.looking = false
+		m.opts.Logger.Info().Str("event", "store-unread").Err(err).Msg("")
+	}
+}
+
+func engineOf(batch fleet.Batch, service string) *fleet.Engine {
+	for i := range batch.Changes {
+		if batch.Changes[i].Config == nil {
+			continue
+		}
+		if s, ok := fleet.NewIndex(batch.Changes[i].Config).Service(service); ok {
+			return s.Engine
+		}
+	}
+	return nil
+}
+
+// addPeers replaces the known processes by those beside the targets of the service.
+func (m *Mapper) addPeers(batch fleet.Batch) {
+	peers := make(map[string]*net.UDPAddr)
+	for i := range batch.Changes {
+		t := batch.Changes[i].Target
+		if t == nil || t.Service != m.opts.Service {
+			continue
+		}
+		host, _, err := net.SplitHostPort(t.Address)
+		if err != nil {
+			continue
+		}
+		addr := &net.UDPAddr{IP: net.ParseIP(host), Port: m.port}
+		if addr.IP == nil || addr.String() == m.opts.PeerAddress {
+			continue
+		}
+		peers[addr.String()] = addr
+	}
+	m.peers = peers
+}
--- a/internal/rebalance/planner.go
+++ b/internal/rebalance/planner.go
@@ -28,6 +28,9 @@
 	Delay int
 	// MaxMoves bounds the search: the most loads tried per layer in one decision.
 	MaxMoves int
+	// MaxNewPerRank bounds the experts of a layer that one rank loads for a change; zero
+	// means no bound.
+	MaxNewPerRank int
 }
 
 // repackSkew is the skew of a layer from which it is packed anew rather than
@@ -128,6 +131,7 @@
 func (p *Planner) proposals(current Map) []proposal {
 	var all []proposal
 	s := newSearch(p.cfg.Shape, len(p.reports))
+	s.maxNew = p.cfg.MaxNewPerRank
 	loads := make([][]float64, len(p.reports))
 	for l := range p.cfg.Shape.Layers {
 		for k, report := range p.reports {
@@ -144,11 +148,11 @@
 
 // improve returns the best change of one layer; ok is false if none pays for its loads.
 func (p *Planner) improve(s *search, current []uint16, loads [][]float64) (best proposal, ok bool) {
-	s.reset(current, loads)
+	s.begin(current, loads)
 	before, minGain := s.skew(), p.minGain()
 	if before > repackSkew && p.trust.share >= repackTrust {
 		best = p.repack(s, current, loads, before)
-		if best.net(minGain) > 0 {
+		if best.net(minGain) > 0 && s.withinBound(best.slots) {
 			return best, true
 		}
 		s.reset(current, loads)
--- a/internal/rebalance/search.go
+++ b/internal/rebalance/search.go
@@ -16,6 +16,11 @@
 type search struct {
 	shape Shape
 	slots []uint16
+	// base is the layer before the search; maxNew bounds the experts that a rank may hold
+	// beyond it, and fresh counts them.
+	base   []uint16
+	maxNew int
+	fresh  []int
 	// load holds the experts' loads by report, scaled so that the mean rank load is 1.
 	load     [][]float64
 	replicas []int
@@ -50,6 +55,8 @@
 func newSearch(s Shape, reports int) *search {
 	f := &search{shape: s, replicas: make([]int, s.Experts), holders: make([][]int, s.Experts)}
 	f.slots = make([]uint16, s.LayerSlots())
+	f.base = make([]uint16, s.LayerSlots())
+	f.fresh = make([]int, s.Ranks)
 	f.cost = make([]float64, s.Ranks)
 	f.marked = make([]bool, s.Ranks)
 	for range reports {
@@ -60,7 +67,13 @@
 	return f
 }
 
-// reset starts on a layer.
+// begin starts on a layer whose present slots are the base.
+func (f *search) begin(slots []uint16, loads [][]float64) {
+	copy(f.base, slots)
+	f.reset(slots, loads)
+}
+
+// reset starts the search from slots.
 func (f *search) reset(slots []uint16, loads [][]float64) {
 	copy(f.slots, slots)
 	for k, load := range loads {
@@ -94,6 +107,9 @@
 			f.rank[k][i/f.shape.SlotsPerRank] += f.load[k][e] / float64(f.replicas[e])
 		}
 	}
+	for r := range f.fresh {
+		f.fresh[r] = f.countFresh(f.slots, r)
+	}
 	for r := range f.cost {
 		f.cost[r] = 0
 		for k := range f.rank {
@@ -226,7 +242,7 @@
 	n := f.shape.SlotsPerRank
 	r := c.slot / n
 	out, in := f.slots[c.slot], c.expert
-	if out == in || contains(f.slots[r*n:(r+1)*n], in) {
+	if out == in || contains(f.slots[r*n:(r+1)*n], in) || !f.mayLoad(r, out, in) {
 		return 0
 	}
 	if c.swap == noSwap {
@@ -240,7 +256,7 @@
 		return change
 	}
 	q := c.swap / n
-	if q == r || contains(f.slots[q*n:(q+1)*n], out) {
+	if q == r || contains(f.slots[q*n:(q+1)*n], out) || !f.mayLoad(q, in, out) {
 		return 0
 	}
 	total := 0.0
@@ -290,3 +306,42 @@
 		f.touched = append(f.touched, r)
 	}
 }
+
+// countFresh returns the experts that rank r holds in slots and not in the base.
+func (f *search) countFresh(slots []uint16, r int) int {
+	n := f.shape.SlotsPerRank
+	fresh := 0
+	for i := r * n; i < (r+1)*n; i++ {
+		if f.isFresh(r, slots[i]) {
+			fresh++
+		}
+	}
+	return fresh
+}
+
+func (f *search) isFresh(r int, expert uint16) bool {
+	n := f.shape.SlotsPerRank
+	return !contains(f.base[r*n:(r+1)*n], expert)
+}
+
+// mayLoad reports whether rank r may hold in instead of out within the bound.
+func (f *search) mayLoad(r int, out, in uint16) bool {
+	if f.maxNew == 0 || !f.isFresh(r, in) {
+		return true
+	}
+	fresh := f.fresh[r] + 1
+	if f.isFresh(r, out) {
+		fresh--
+	}
+	return fresh <= f.maxNew
+}
+
+// withinBound reports whether no rank loads more than the bound for the slots.
+func (f *search) withinBound(slots []uint16) bool {
+	for r := range f.shape.Ranks {
+		if f.maxNew > 0 && f.countFresh(slots, r) > f.maxNew {
+			return false
+		}
+	}
+	return true
+}
