Keep the retry budget for every repeat that is sent; judge groups as one

Cause: after a loss of power, entries of replaced targets drew requests that were answered 421 and repeated without the budget (401 repeats where 367 were allowed); requests taken 6 s after SIGTERM were cut off; SIGHUP ended the mapper. Groups: silence relative to their own pace, a pause after refusals, slow groups are used last. Store: one list of gateways in place of a watch, changes gathered for 250 ms.

--- a/cmd/gentiantrail-gateway/main.go
+++ b/cmd/gentiantrail-gateway/main.go
@@ -5,10 +5,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
-	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/daemon"
 	"github.com/gentiantrail/gentiantrail/internal/gateway"
@@ -17,13 +14,9 @@
 	"github.com/gentiantrail/gentiantrail/platform"
 )
 
-const (
-	// memoryShare is the part of the process's memory that the collector aims to stay
-	// below; sockets and the runtime need the rest.
-	memoryShare = 0.6
-	// settingsPoll is the period of checks whether the settings file has changed.
-	settingsPoll = 2 * time.Second
-)
+// memoryShare is the part of the process's memory that the collector aims to stay
+// below; sockets and the runtime need the rest.
+const memoryShare = 0.6
 
 func main() {
 	args := daemon.ParseArgs()
@@ -59,9 +52,13 @@
 	}
 	go g.Run(ctx)
 	go func() { failed <- g.Serve(ctx) }()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	go watchSettings(ctx, path, hup, g, logger)
+	go daemon.WatchSettings(ctx, path, logger.Logger, func() error {
+		changed, err := settings.LoadGateway(path)
+		if err == nil {
+			g.Reload(ctx, changed)
+		}
+		return err
+	})
 	select {
 	case err := <-failed:
 		return err
@@ -71,39 +68,3 @@
 	logger.Info().Str("event", "stopped").Msg("")
 	return logger.Close()
 }
-
-// watchSettings reloads the settings at a SIGHUP and when the file has changed. A file
-// that can't be used is logged, and the settings in force stay.
-func watchSettings(ctx context.Context, path string, hup <-chan os.Signal, g *gateway.Gateway, logger *observe.BoundedLogger) {
-	ticker := time.NewTicker(settingsPoll)
-	defer ticker.Stop()
-	last := modified(path)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		case <-ticker.C:
-			if modified(path).Equal(last) {
-				continue
-			}
-		}
-		last = modified(path)
-		s, err := settings.LoadGateway(path)
-		if err != nil {
-			logger.Warn().Str("event", "settings-refused").Err(err).Msg("")
-			continue
-		}
-		g.Reload(ctx, s)
-		logger.Info().Str("event", "reloaded").Msg("")
-	}
-}
-
-// modified returns the file's time of change, or the zero time if it can't be read.
-func modified(path string) time.Time {
-	info, err := os.Stat(path)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
--- a/cmd/gentiantrail-mapper/main.go
+++ b/cmd/gentiantrail-mapper/main.go
@@ -24,11 +24,11 @@
 		daemon.Fail(daemon.ExitUsage, err)
 	}
 	if !args.Check {
-		daemon.Exit(run(s))
+		daemon.Exit(run(args.Settings, s))
 	}
 }
 
-func run(s *settings.Mapper) error {
+func run(path string, s *settings.Mapper) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
 	logger := observe.NewBoundedLogger(os.Stdout, "info", "gentiantrail-mapper", s.Name)
 	metrics := observe.NewMetrics(map[string]string{"instance": s.Name, "availability_zone": s.AvailabilityZone}, logger.Logger)
@@ -45,6 +45,10 @@
 	defer cancel()
 	failed := make(chan error, 1)
 	go func() { failed <- m.Run(ctx) }()
+	go daemon.WatchSettings(ctx, path, logger.Logger, func() error {
+		_, err := settings.LoadMapper(path) // addresses hold for the process's life
+		return err
+	})
 	select {
 	case err := <-failed:
 		return err
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -12,7 +12,10 @@
 	watchWait = 25 * time.Second
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 200 * time.Millisecond
-	maxRetry = 800 * time.Millisecond
+	maxRetry = 1200 * time.Millisecond
+	// watchPause is kept between two watches of a topic, so that changes that come close
+	// together cost one call. It is far below the bounds for acting on a change.
+	watchPause = 250 * time.Millisecond
 )
 
 // Event is what a Follower learnt.
@@ -42,10 +45,17 @@
 	go f.announce(ctx)
 }
 
-// announce registers this gateway and then follows the others.
+// announce registers this gateway and reads once who else is there. Those that come
+// later find this one in the store and make themselves known.
 func (f *Follower) announce(ctx context.Context) {
 	f.retry(ctx, TopicGateways, func() error { return f.Source.Register(ctx, f.Self) })
-	f.follow(ctx, TopicGateways)
+	f.retry(ctx, TopicGateways, func() error {
+		batch, err := f.Source.List(ctx, TopicGateways)
+		if err == nil {
+			f.Post(Event{Topic: TopicGateways, Listed: true, Batch: batch})
+		}
+		return err
+	})
 }
 
 func (f *Follower) follow(ctx context.Context, topic Topic) {
@@ -82,6 +92,7 @@
 			f.Post(Event{Topic: topic, Batch: batch})
 			return nil
 		})
+		sleep(ctx, watchPause)
 	}
 }
 
@@ -94,10 +105,14 @@
 			return
 		}
 		f.Post(Event{Topic: topic, Err: err})
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
-		}
+		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, maxRetry)
 	}
 }
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -161,17 +161,17 @@
 	for _, t := range fv.Targets {
 		v.targets[t.ID] = t
 	}
-	v.shares = c.shares(len(fv.Gateways))
+	c.peers.addPeers(fv.Gateways)
+	v.shares = c.shares()
 	c.g.setTargets(v, fv)
 	c.g.view.Store(v)
-	c.peers.setPeers(fv.Gateways)
 }
 
 // shares divides the fleet's limits among the gateways.
-func (c *control) shares(known int) shares {
-	n := known + spareGateways
-	if known == 0 {
-		n = unknownGateways
+func (c *control) shares() shares {
+	n := unknownGateways
+	if known := c.peers.known(); known > 0 {
+		n = 1 + known + spareGateways
 	}
 	l := c.limits
 	return shares{gateways: n, coldFactor: l.ColdFactor, coldSlack: float64(l.ColdSlack), retries: retry.WindowLimits{
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// maxUnsent bounds the targets that are tried without a byte being sent.
-	maxUnsent = 4
+	// maxTries bounds the targets that are tried, those included that could not be
+	// reached or turned out to be another one.
+	maxTries = 4
 	// maxKeptIdle is the idle time up to which a kept connection is used for a request
 	// that may run again.
 	maxKeptIdle = 5 * time.Second
@@ -33,7 +34,7 @@
 // dispatch sends the request to targets until one answers or no other attempt is
 // allowed, and relays the answer.
 func (g *Gateway) dispatch(x *exchange) *apierr.Error {
-	unsent := 0
+	tries := 0
 	for {
 		if x.gone() {
 			return apierr.New(apierr.KindCancelled, "")
@@ -54,10 +55,10 @@
 		if !again {
 			return err
 		}
+		if tries++; tries >= maxTries {
+			return x.unreachable(err)
+		}
 		if a.unsent {
-			if unsent++; unsent >= maxUnsent {
-				return x.unreachable(err)
-			}
 			continue
 		}
 		if x.attempts >= x.route.Attempts {
@@ -76,6 +77,7 @@
 	defer g.mu.Unlock()
 	return g.balancer.Choose(g.now(), placement.Request{
 		Service: x.service, Tried: x.tried, AvoidGroup: x.avoidGroup, Urgent: x.attempts > 0,
+		EventGap: x.route.EventGap,
 	})
 }
 
@@ -324,10 +326,9 @@
 	err := apierr.New(apierr.KindOverloaded, a.target.ID+" refused with status "+strconv.Itoa(answer.Status))
 	a.discard(answer)
 	if answer.Status == 421 {
-		// Another target has the address now; the request counts as not sent.
+		// Another target has the address now, which does not count as an attempt.
 		x.attempts--
-		a.unsent = true
-		a.end(placement.Unreached)
+		a.end(placement.Replaced)
 		return err, true
 	}
 	a.end(placement.Refused)
--- a/internal/gateway/filter_admit.go
+++ b/internal/gateway/filter_admit.go
@@ -5,9 +5,12 @@
 // maxInFlight bounds the requests in flight: each may hold a body and buffers.
 const maxInFlight = 1024
 
-// admit counts the request for its service's retry budget and refuses it if the
-// process holds too many.
+// admit counts the request for its service's retry budget. It refuses the request if
+// the process holds too many, or if it came so late in a stop that it might be cut off.
 func admit(g *Gateway, x *exchange) *apierr.Error {
+	if g.stoppedFor() > stopIdle {
+		return apierr.New(apierr.KindDraining, g.opts.Settings.Name)
+	}
 	if g.inFlight.Load() > maxInFlight {
 		return apierr.New(apierr.KindOverloaded, "too many requests in flight")
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,29 +31,49 @@
 type peerLink struct {
 	g *Gateway
 
-	mu    sync.Mutex
-	peers []*net.UDPAddr
+	mu sync.Mutex
+	// peers holds the addresses of the other gateways by name.
+	peers map[string]*net.UDPAddr
 }
 
-func newPeerLink(g *Gateway) *peerLink { return &peerLink{g: g} }
+func newPeerLink(g *Gateway) *peerLink { return &peerLink{g: g, peers: make(map[string]*net.UDPAddr)} }
 
-// setPeers replaces the gateways that are told.
-func (l *peerLink) setPeers(gateways []fleet.Gateway) {
-	var peers []*net.UDPAddr
+// addPeers takes in the gateways that the store lists.
+func (l *peerLink) addPeers(gateways []fleet.Gateway) {
 	for _, gw := range gateways {
-		if gw.Name == l.g.opts.Settings.Name {
-			continue
-		}
 		addr, err := net.ResolveUDPAddr("udp4", gw.PeerAddress)
 		if err != nil {
 			l.g.opts.Logger.Warn().Str("event", "peer-address-refused").Str("gateway", gw.Name).Err(err).Msg("")
 			continue
 		}
-		peers = append(peers, addr)
+		l.add(gw.Name, addr)
+	}
+}
+
+// add notes the address of a gateway and reports whether it was unknown.
+func (l *peerLink) add(name string, addr *net.UDPAddr) bool {
+	if name == l.g.opts.Settings.Name {
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peers = peers
+	old := l.peers[name]
+	l.peers[name] = addr
+	return old == nil
+}
+
+// known returns the number of other gateways.
+func (l *peerLink) known() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.peers)
+}
+
+// addresses returns the addresses of the other gateways.
+func (l *peerLink) addresses() []*net.UDPAddr {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Values(l.peers))
 }
 
 // run sends and receives until ctx ends.
@@ -82,9 +104,7 @@
 
 // tell sends the present work to every other gateway.
 func (l *peerLink) tell(socket *net.UDPConn) {
-	l.mu.Lock()
-	peers := l.peers
-	l.mu.Unlock()
+	peers := l.addresses()
 	if len(peers) == 0 {
 		return
 	}
@@ -106,7 +126,7 @@
 func (l *peerLink) receive(ctx context.Context, socket *net.UDPConn) {
 	buf := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, _, err := socket.ReadFromUDP(buf)
+		n, from, err := socket.ReadFromUDP(buf)
 		if err != nil {
 			l.g.count.peerErrors.Inc(1)
 			time.Sleep(time.Millisecond) // an error that stays must not spin
@@ -117,8 +137,19 @@
 			l.g.count.peerErrors.Inc(1)
 			continue
 		}
+		if l.add(m.Sender, from) {
+			l.g.post(ctx, peerFound{name: m.Sender})
+		}
 		l.g.mu.Lock()
 		l.g.balancer.PeerReported(l.g.now(), m.Sender, m.Work)
 		l.g.mu.Unlock()
 	}
 }
+
+// peerFound is a gateway that made itself known.
+type peerFound struct{ name string }
+
+func (p peerFound) apply(c *control) {
+	c.g.opts.Logger.Info().Str("event", "belief").Str("topic", "gateways").Str("subject", p.name).Str("outcome", "gateway-known").Msg("")
+	c.publish()
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,10 +17,9 @@
 // errDeadline ends a call at the request's deadline.
 var errDeadline = context.DeadlineExceeded
 
-// silenceLimit is the longest silence inside a stream that may be resumed before it
-// goes on at another target. Callers abandon a stream after two seconds of silence,
-// and the other target has to read the prompt first.
-const silenceLimit = 700 * time.Millisecond
+// firstSilence is the longest wait for a stream's second event before the pace of its
+// group is known.
+const firstSilence = time.Second
 
 // cause returns why the attempt was ended, or nil.
 func (a *attempt) cause() error { return context.Cause(a.ctx) }
@@ -38,6 +37,7 @@
 	defer silence.Stop()
 	events := upstream.NewEventReader(answer.Body)
 	producing := false
+	var last time.Time
 	defer func() {
 		if producing {
 			a.producing(-1)
@@ -46,13 +46,14 @@
 	for {
 		ev, err := events.Next()
 		if err == nil {
-			silence.Reset(silenceLimit)
 			if !producing {
 				producing = true
 				a.producing(1)
+				silence.Reset(firstSilence)
 			} else {
-				a.event()
+				silence.Reset(a.event(time.Since(last)))
 			}
+			last = time.Now()
 			err = a.checkOrder(ev)
 		}
 		if err != nil {
@@ -62,10 +63,10 @@
 	}
 }
 
-// watchSilence cancels the attempt when no event came for silenceLimit; streams that
-// can't be resumed are left alone.
+// watchSilence cancels the attempt when no event came for too long; streams that can't
+// be resumed are left alone.
 func (a *attempt) watchSilence() *time.Timer {
-	return time.AfterFunc(silenceLimit, func() {
+	return time.AfterFunc(firstSilence, func() {
 		if a.x.route.Run == fleet.Resumable && a.x.attempts < a.x.route.Attempts {
 			a.cancel(errStalled)
 		}
@@ -78,10 +79,11 @@
 	a.g.balancer.Producing(a.g.now(), a.target.ID, n)
 }
 
-func (a *attempt) event() {
+// event notes an event and returns how long the next one may take.
+func (a *attempt) event(gap time.Duration) time.Duration {
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
-	a.g.balancer.Event(a.g.now(), a.target.ID)
+	return a.g.balancer.Event(a.g.now(), a.target.ID, gap)
 }
 
 // errOrder means that a target's event ids have a gap or a repeat.
@@ -155,14 +157,14 @@
 	}
 	a.g.count.resumes.Inc(1)
 	a.g.logResume(x, failed)
-	for range maxUnsent {
+	for range maxTries {
 		choice, refusal := a.g.choose(x)
 		if refusal != placement.NotRefused {
 			return failed, false
 		}
 		next := a.g.newAttempt(x, choice)
-		err, _ := next.run()
-		if !next.unsent {
+		err, again := next.run()
+		if err == nil || !again || !next.unsent && !a.g.mayRepeat(x.service) {
 			return err, false
 		}
 	}
--- a/internal/placement/group.go
+++ b/internal/placement/group.go
@@ -2,19 +2,95 @@
 
 import "time"
 
-// stallAfter is how long all streams of a lock-step group must be silent before the
-// group counts as stalled. Passes take a few tens of milliseconds.
-const stallAfter = 500 * time.Millisecond
+const (
+	// minSilence and maxSilence bound the silence after which a lock-step group counts
+	// as stalled. Passes take a few tens of milliseconds when all is well; callers
+	// abandon a stream after two seconds, and another target has to read the prompt first.
+	minSilence = 500 * time.Millisecond
+	maxSilence = 1300 * time.Millisecond
+	// silentPasses is the silence in the group's own recent gaps between events.
+	silentPasses = 5
+	// stallHold is how long a group that stalled gets no new work unless it moves again:
+	// work cut off by a rank's loss ends after half of it, and then the group forms anew.
+	stallHold = 3 * time.Second
+	// firstDown and maxDown bound the time for which a group that refuses work gets none.
+	firstDown = 300 * time.Millisecond
+	maxDown   = 1500 * time.Millisecond
+	// gapWeight is the weight of the newest gap in the mean.
+	gapWeight = 0.1
+	// gapTrust is the age up to which the mean gap counts.
+	gapTrust = 2 * time.Second
+	// slowFrom and slowTo are the parts of the objective between which a group's gap
+	// adds up to slowWeight to the cost of its targets.
+	slowFrom   = 0.8
+	slowTo     = 1.2
+	slowWeight = 1.0
+)
 
-// stallHold is how long a group that stalled gets no new work unless it moves again.
-const stallHold = 3 * time.Second
-
-// group is what is known of a lock-step group.
+// group is what is known of a lock-step group. Its ranks run every pass together, so
+// that one rank's trouble is the trouble of all.
 type group struct {
+	// producing counts the streams of this process that have had an event.
 	producing int
 	lastEvent time.Duration
+	// gap is the mean time between two events of a stream.
+	gap time.Duration
 	// stalledAt is when a stall was last noticed; zero if none.
 	stalledAt time.Duration
+	// downUntil and downFor say until when the group gets nothing since it refuses work.
+	downUntil, downFor time.Duration
+}
+
+// silence is the time without an event after which the group counts as stalled.
+func (g *group) silence() time.Duration {
+	return min(max(silentPasses*g.gap, minSilence), maxSilence)
+}
+
+// stalled reports whether the group shows no progress.
+func (g *group) stalled(now time.Duration) bool {
+	if g.producing > 0 && now-g.lastEvent >= g.silence() {
+		return true
+	}
+	return g.stalledAt > 0 && now-g.stalledAt < stallHold
+}
+
+// event notes progress; gap is the time since the stream's event before, or zero.
+func (g *group) event(now, gap time.Duration) {
+	switch {
+	case gap <= 0:
+	case g.gap == 0 || now-g.lastEvent > gapTrust:
+		g.gap = gap
+	default:
+		g.gap += time.Duration(gapWeight * float64(gap-g.gap))
+	}
+	g.lastEvent, g.stalledAt = now, 0
+	g.downUntil, g.downFor = 0, 0
+}
+
+// refused notes that a rank refuses work although it has room.
+func (g *group) refused(now time.Duration) {
+	if now < g.downUntil {
+		return
+	}
+	g.downFor = min(max(firstDown, 2*g.downFor), maxDown)
+	g.downUntil = now + g.downFor
+}
+
+// slowness is what the group's gap adds to the cost of its targets.
+func (g *group) slowness(now, objective time.Duration) float64 {
+	if objective <= 0 || now-g.lastEvent > gapTrust {
+		return 0
+	}
+	share := (float64(g.gap)/float64(objective) - slowFrom) / (slowTo - slowFrom)
+	return slowWeight * min(max(share, 0), 1)
+}
+
+// groupOf returns the group of a target, or nil if it is in none that is known.
+func (b *Balancer) groupOf(s *state) *group {
+	if s == nil || s.group == "" {
+		return nil
+	}
+	return b.groups[s.group]
 }
 
 // SetGroup names the lock-step group of a target.
@@ -23,7 +99,7 @@
 	if s == nil || s.group == name {
 		return
 	}
-	if g := b.groups[s.group]; g != nil {
+	if g := b.groupOf(s); g != nil {
 		g.producing -= s.producing
 	}
 	s.group = name
@@ -36,7 +112,6 @@
 		b.groups[name] = g
 	}
 	g.producing += s.producing
-	g.lastEvent = max(g.lastEvent, s.lastEvent)
 }
 
 // Group returns the lock-step group of a target, or the empty string.
@@ -54,49 +129,34 @@
 		return
 	}
 	s.producing = max(0, s.producing+n)
-	if g := b.groups[s.group]; g != nil {
+	if g := b.groupOf(s); g != nil {
 		g.producing = max(0, g.producing+n)
-	}
-	if n > 0 {
-		b.Event(now, id)
+		if n > 0 {
+			g.event(now, 0)
+		}
 	}
 }
 
-// Event notes an event of a stream at a target.
-func (b *Balancer) Event(now time.Duration, id string) {
-	s := b.targets[id]
-	if s == nil {
-		return
-	}
-	s.lastEvent = now
-	if g := b.groups[s.group]; g != nil {
-		g.lastEvent, g.stalledAt = now, 0
+// Event notes an event of a stream at a target, gap after the stream's event before,
+// and returns the silence after which the stream should go on elsewhere.
+func (b *Balancer) Event(now time.Duration, id string, gap time.Duration) time.Duration {
+	g := b.groupOf(b.targets[id])
+	if g == nil {
+		return maxSilence
 	}
+	g.event(now, gap)
+	return g.silence()
 }
 
 // Stalled notes that a stream at the target was silent for too long.
 func (b *Balancer) Stalled(now time.Duration, id string) {
-	if s := b.targets[id]; s != nil {
-		if g := b.groups[s.group]; g != nil && now-g.lastEvent >= stallAfter {
-			g.stalledAt = now
-		}
+	if g := b.groupOf(b.targets[id]); g != nil && now-g.lastEvent >= minSilence {
+		g.stalledAt = now
 	}
 }
 
-// stalled reports whether the target's group shows no progress.
-func (b *Balancer) stalled(now time.Duration, s *state) bool {
-	g := b.groups[s.group]
-	if g == nil {
-		return false
-	}
-	if g.producing > 0 && now-g.lastEvent >= stallAfter {
-		return true
-	}
-	return g.stalledAt > 0 && now-g.stalledAt < stallHold
-}
-
 // IsStalled reports whether the target's lock-step group shows no progress.
 func (b *Balancer) IsStalled(now time.Duration, id string) bool {
-	s := b.targets[id]
-	return s != nil && b.stalled(now, s)
+	g := b.groupOf(b.targets[id])
+	return g != nil && g.stalled(now)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,6 +35,8 @@
 	Tried []string
 	// Group, if set, is avoided: the request has just left a stalled member of it.
 	AvoidGroup string
+	// EventGap is the pause between events that the request's objective allows.
+	EventGap time.Duration
 	// Urgent requests may use the places kept back from others.
 	Urgent bool
 }
@@ -81,6 +83,8 @@
 	Failed
 	// Unreached means that no connection to the target could be made.
 	Unreached
+	// Replaced means that another target answers at the address.
+	Replaced
 	// Abandoned means that the attempt says nothing about the target.
 	Abandoned
 )
@@ -132,7 +136,7 @@
 			refusal = max(refusal, why)
 			continue
 		}
-		cost := b.cost(now, s)
+		cost := b.cost(now, s, &r)
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -155,7 +159,10 @@
 			return Unreachable
 		}
 	}
-	if now < s.blockedUntil || r.AvoidGroup != "" && r.AvoidGroup == s.group || b.stalled(now, s) {
+	if now < s.blockedUntil || r.AvoidGroup != "" && r.AvoidGroup == s.group {
+		return Unreachable
+	}
+	if g := b.groupOf(s); g != nil && (g.stalled(now) || now < g.downUntil) {
 		return Unreachable
 	}
 	if s.StartRate > 0 && s.startsWithin(now, time.Second) >= s.StartRate {
@@ -178,20 +185,33 @@
 
 // cost is the relative load at which a target would run the request, plus what its
 // failures and its distance add.
-func (b *Balancer) cost(now time.Duration, s *state) float64 {
+func (b *Balancer) cost(now time.Duration, s *state, r *Request) float64 {
 	slots := float64(max(1, s.Slots))
 	cost := float64(s.load(now, b))/slots + failureWeight*s.failureRate(now) + jitter*b.rng.Float64()
 	if s.AvailabilityZone != b.zone {
 		cost += remoteWeight
 	}
+	if g := b.groupOf(s); g != nil {
+		cost += g.slowness(now, r.EventGap)
+	}
 	return cost
 }
 
 // Ended takes in the end of an attempt.
 func (b *Balancer) Ended(now time.Duration, id string, result Result) {
-	if s := b.targets[id]; s != nil {
-		s.end(now, result)
+	s := b.targets[id]
+	if s == nil {
+		return
+	}
+	if result == Refused && s.Lockstep && s.load(now, b) <= s.Slots {
+		// A rank with room refuses only while its group can't run.
+		if g := b.groupOf(s); g != nil {
+			g.refused(now)
+		} else {
+			s.blockedUntil = now + firstDown
+		}
 	}
+	s.end(now, result)
 }
 
 // Reported takes in a target's own report of the work that it has.
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -17,6 +17,9 @@
 	// firstBlock and maxBlock bound the time for which an unreachable target gets nothing.
 	firstBlock = 500 * time.Millisecond
 	maxBlock   = 2 * time.Second
+	// replacedBlock is the time for which a target whose address another one has gets
+	// nothing: its entry is removed within a few seconds.
+	replacedBlock = 5 * time.Second
 	// reportTrust is the age up to which a target's report of others' work counts.
 	reportTrust = 1500 * time.Millisecond
 	// startRing bounds the starts that are remembered for one target.
@@ -43,9 +46,8 @@
 	blockFor      time.Duration
 	// group is the name of the lock-step group, once known.
 	group string
-	// producing counts the streams that have had an event; lastEvent is the newest one.
+	// producing counts the streams of this process that have had an event.
 	producing int
-	lastEvent time.Duration
 }
 
 func newState() *state { return &state{} }
@@ -113,6 +115,8 @@
 		s.failed++
 		s.blockFor = min(max(firstBlock, 2*s.blockFor), maxBlock)
 		s.blockedUntil = now + s.blockFor
+	case Replaced:
+		s.blockedUntil = now + replacedBlock
 	case Failed:
 		s.failed++
 	default:
