--- /dev/null
+++ b/internal/fleet/registry_test.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func target(id string, state TargetState) Change {
+	return Change{Name: id, Target: &Target{ID: id, Service: "s", Address: "10.0.0.1:1", AvailabilityZone: "z", Slots: 4, State: state}}
+}
+
+func batch(changes ...Change) Batch { return Batch{Changes: changes} }
+
+func ids(v View) map[string]TargetState {
+	m := map[string]TargetState{}
+	for _, t := range v.Targets {
+		m[t.ID] = t.State
+	}
+	return m
+}
+
+func TestRemovedTargetIsGoneAtOnceWhileTheStoreIsWell(t *testing.T) {
+	r := NewRegistry()
+	r.Listed(0, TopicTargets, batch(target("a", TargetReady), target("b", TargetReady)))
+	r.Changed(time.Minute, TopicTargets, batch(Change{Name: "a", Removed: true}))
+	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"b": TargetReady})
+}
+
+// A target whose entry lapsed in an outage registers again; one that does not is gone
+// after the grace time and no earlier.
+func TestLapsedTargetsGetTimeAfterTheStoresReturn(t *testing.T) {
+	r := NewRegistry()
+	r.Listed(0, TopicTargets, batch(target("a", TargetReady), target("b", TargetReady)))
+	r.Lost()
+	back := time.Minute
+	r.Listed(back, TopicTargets, batch())
+	assert.Equal(t, len(r.View().Targets), 2)
+	r.Changed(back+time.Second, TopicTargets, batch(target("a", TargetReady)))
+	due, _ := r.Expire(back + LapseGrace - time.Millisecond)
+	assert.Equal(t, due, back+LapseGrace)
+	assert.Equal(t, len(r.View().Targets), 2)
+	_, gone := r.Expire(back + LapseGrace)
+	assert.Equal(t, len(gone), 1)
+	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"a": TargetReady})
+}
+
+// What is known to be leaving stays so while the store is away, and is dropped without
+// a grace time.
+func TestLeavingTargetGetsNoGrace(t *testing.T) {
+	r := NewRegistry()
+	r.Listed(0, TopicTargets, batch(target("a", TargetLeaving)))
+	r.Lost()
+	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"a": TargetLeaving})
+	r.Listed(time.Minute, TopicTargets, batch())
+	assert.Equal(t, len(r.View().Targets), 0)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	r := NewRegistry()
+	r.Changed(0, TopicConfig, batch(Change{Name: "main", Config: &Config{Version: 7}}))
+	r.Changed(1, TopicConfig, batch(Change{Name: "main", Config: &Config{Version: 4}}))
+	r.Listed(2, TopicConfig, batch())
+	assert.Equal(t, r.View().Config.Version, int64(7))
+}
+
+func TestEvacuationEndsWhenItsEntryIsGone(t *testing.T) {
+	r := NewRegistry()
+	r.Changed(0, TopicEvacuations, batch(Change{Name: "z"}))
+	assert.Assert(t, r.View().Evacuated["z"])
+	r.Listed(1, TopicEvacuations, batch())
+	assert.Assert(t, !r.View().Evacuated["z"])
+}
+
+func TestNotLoadedUntilEveryTopicIsRead(t *testing.T) {
+	r := NewRegistry()
+	r.Listed(0, TopicConfig, batch(Change{Name: "main", Config: &Config{Version: 1}}))
+	r.Listed(0, TopicTargets, batch())
+	assert.Assert(t, !r.View().Loaded)
+	r.Listed(0, TopicEvacuations, batch())
+	assert.Assert(t, r.View().Loaded)
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	x := NewIndex(&Config{Routes: []Route{
+		{Name: "short", Host: "H.example", PathPrefix: "/a/"},
+		{Name: "long", Host: "h.example", PathPrefix: "/a/b/"},
+		{Name: "other", Host: "o.example", PathPrefix: "/a/b/c/"},
+	}})
+	for path, want := range map[string]string{"/a/x": "short", "/a/b/c/d": "long", "/a/bc": "short"} {
+		route, ok := x.Route("h.example:80", path)
+		assert.Assert(t, ok)
+		assert.Equal(t, route.Name, want)
+	}
+	_, ok := x.Route("h.example", "/b/")
+	assert.Assert(t, !ok)
+}
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	r := Route{Split: []WeightedService{{"a", 90}, {"b", 10}, {"c", 0}}}
+	count := map[string]int{}
+	for i := range 1000 {
+		count[r.PickService(float64(i)/1000)]++
+	}
+	assert.DeepEqual(t, count, map[string]int{"a": 900, "b": 100})
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -37,7 +39,8 @@
 	g      *Gateway
 	engine gnet.Engine
 	booted chan struct{}
-	// conns is owned by the event loop.
+	// mu guards conns: ticks do not run on the event loop.
+	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
 
@@ -70,34 +73,45 @@
 	return gnet.None
 }
 
-// callerConn is one connection of a caller; its fields are owned by the event loop.
+// callerConn is one connection of a caller; its fields are owned by the event loop,
+// but for waits.
 type callerConn struct {
 	s    *server
 	conn gnet.Conn
 	// busy tells that a request is being handled; further bytes wait.
 	busy bool
-	// active is when the connection was last used; partial is when the first byte of
-	// an unfinished request came.
-	active  time.Time
-	partial time.Time
+	// waits is what the connection waits for; nil while a request is being handled.
+	waits atomic.Pointer[wait]
 	// continued tells that the caller was asked to send the body.
 	continued bool
 	closing   bool
 	cancel    context.CancelFunc
 }
 
+// wait is the time for which a connection has waited for its caller.
+type wait struct {
+	since time.Time
+	// partial tells that a request has begun and is not whole yet.
+	partial bool
+}
+
 // OnOpen implements gnet.EventHandler.
 func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	cc := &callerConn{s: s, conn: c, active: time.Now()}
+	cc := &callerConn{s: s, conn: c}
+	cc.waits.Store(&wait{since: time.Now()})
 	c.SetContext(cc)
+	s.mu.Lock()
 	s.conns[cc] = struct{}{}
+	s.mu.Unlock()
 	return nil, gnet.None
 }
 
 // OnClose implements gnet.EventHandler. Work for the caller ends at once.
 func (s *server) OnClose(c gnet.Conn, _ error) gnet.Action {
 	if cc, ok := c.Context().(*callerConn); ok {
+		s.mu.Lock()
 		delete(s.conns, cc)
+		s.mu.Unlock()
 		cc.closing = true
 		if cc.cancel != nil {
 			cc.cancel()
@@ -115,30 +129,49 @@
 	return cc.read()
 }
 
-// OnTick implements gnet.EventHandler: it closes the connections of slow and idle callers.
+// OnTick implements gnet.EventHandler: it has the event loop close the connections of
+// slow and idle callers.
 func (s *server) OnTick() (time.Duration, gnet.Action) {
 	now := time.Now()
-	v := s.g.view.Load()
-	header, idle := defaultHeaderTimeout, defaultIdleTimeout
-	if v.index != nil {
-		header, idle = v.index.Config.Limits.HeaderTimeout, v.index.Config.Limits.IdleTimeout
-	}
-	stopped := s.g.stoppedFor()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for cc := range s.conns {
-		switch {
-		case cc.busy || cc.closing:
-		case !cc.partial.IsZero():
-			if now.Sub(cc.partial) > header {
-				cc.reject(apierr.New(apierr.KindSlowRequest, ""))
-			}
-		case now.Sub(cc.active) > idle, stopped > stopIdle:
-			cc.closing = true
-			_ = cc.conn.Close()
+		if w := cc.waits.Load(); w != nil && s.overdue(w, now) {
+			_ = cc.conn.Wake(func(gnet.Conn, error) error { // fails only if the connection is closed
+				cc.expire()
+				return nil
+			})
 		}
 	}
 	return sweepInterval, gnet.None
 }
 
+// overdue reports whether a connection has waited for too long.
+func (s *server) overdue(w *wait, now time.Time) bool {
+	header, idle := defaultHeaderTimeout, defaultIdleTimeout
+	if v := s.g.view.Load(); v.index != nil {
+		header, idle = v.index.Config.Limits.HeaderTimeout, v.index.Config.Limits.IdleTimeout
+	}
+	if w.partial {
+		return now.Sub(w.since) > header
+	}
+	return now.Sub(w.since) > idle || s.g.stoppedFor() > stopIdle
+}
+
+// expire closes the connection if it still waits for its caller.
+func (cc *callerConn) expire() {
+	w := cc.waits.Load()
+	if cc.closing || w == nil || !cc.s.overdue(w, time.Now()) {
+		return
+	}
+	if w.partial {
+		cc.reject(apierr.New(apierr.KindSlowRequest, ""))
+		return
+	}
+	cc.closing = true
+	_ = cc.conn.Close()
+}
+
 // read starts the next request if it is whole.
 func (cc *callerConn) read() gnet.Action {
 	if cc.busy || cc.closing {
@@ -168,8 +201,8 @@
 
 // awaitMore notes that a request has begun and is not whole yet.
 func (cc *callerConn) awaitMore(buf []byte) {
-	if cc.partial.IsZero() {
-		cc.partial = time.Now()
+	if w := cc.waits.Load(); w == nil || !w.partial {
+		cc.waits.Store(&wait{since: time.Now(), partial: true})
 	}
 	if !cc.continued && http1.AwaitsContinue(buf) {
 		cc.continued = true
@@ -179,7 +212,8 @@
 
 func (cc *callerConn) begin(req *http1.Request, v *view) {
 	ctx, cancel := context.WithCancel(context.Background())
-	cc.busy, cc.cancel, cc.partial, cc.continued = true, cancel, time.Time{}, false
+	cc.busy, cc.cancel, cc.continued = true, cancel, false
+	cc.waits.Store(nil)
 	x := &exchange{ctx: ctx, out: &connWriter{cc: cc, cancel: cancel}, req: req, view: v, arrived: time.Now()}
 	go cc.s.g.handle(x)
 }
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -64,7 +64,8 @@
 	err := w.cc.conn.AsyncWrite(nil, func(c gnet.Conn, err error) error {
 		w.cancel()
 		cc := w.cc
-		cc.busy, cc.cancel, cc.active = false, nil, time.Now()
+		cc.busy, cc.cancel = false, nil
+		cc.waits.Store(&wait{since: time.Now()})
 		if !keep || err != nil {
 			cc.closing = true
 			return c.Close()
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,135 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var limits = Limits{Header: 1024, Body: 64}
+
+func parse(t *testing.T, text string) (*Request, int, error) {
+	t.Helper()
+	return ParseRequest([]byte(text), limits)
+}
+
+func TestRequestWithLength(t *testing.T) {
+	r, n, err := parse(t, "POST /a?b=1 HTTP/1.1\r\nHost: h\r\nX-One: 1\r\nContent-Length: 3\r\n\r\nabcGET")
+	assert.NilError(t, err)
+	assert.Equal(t, n, len("POST /a?b=1 HTTP/1.1\r\nHost: h\r\nX-One: 1\r\nContent-Length: 3\r\n\r\nabc"))
+	assert.Equal(t, string(r.Body), "abc")
+	assert.Equal(t, r.Path(), "/a")
+	assert.Equal(t, r.Header.Get("x-one"), "1")
+	assert.Assert(t, r.KeepAlive)
+}
+
+func TestRequestInChunks(t *testing.T) {
+	text := "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"
+	r, n, err := parse(t, text)
+	assert.NilError(t, err)
+	assert.Equal(t, n, len(text))
+	assert.Equal(t, string(r.Body), "abcde")
+	for cut := range len(text) {
+		_, n, err := parse(t, text[:cut])
+		assert.NilError(t, err)
+		assert.Equal(t, n, 0, "cut at %d", cut)
+	}
+}
+
+func TestAmbiguousOrBrokenRequestsAreRefused(t *testing.T) {
+	for name, text := range map[string]string{
+		"two lengths":           "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+		"length and chunks":     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"other coding":          "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"signed length":         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc",
+		"bare line feed":        "GET / HTTP/1.1\r\nHost: h\nX: y\r\n\r\n",
+		"space before colon":    "GET / HTTP/1.1\r\nHost : h\r\n\r\n",
+		"folded line":           "GET / HTTP/1.1\r\nHost: h\r\n more\r\n\r\n",
+		"no host":               "GET / HTTP/1.1\r\nX: y\r\n\r\n",
+		"two hosts":             "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+		"absolute target":       "GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n",
+		"control in target":     "GET /\x01 HTTP/1.1\r\nHost: h\r\n\r\n",
+		"old protocol":          "GET / HTTP/1.0\r\nHost: h\r\n\r\n",
+		"chunk without its end": "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n",
+		"chunk size not hex":    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n\r\n",
+	} {
+		_, _, err := parse(t, text)
+		var syntax *SyntaxError
+		assert.Assert(t, errors.As(err, &syntax), "%s: %v", name, err)
+	}
+}
+
+func TestLimits(t *testing.T) {
+	_, _, err := parse(t, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 2000))
+	assert.ErrorContains(t, err, "header is too large")
+	_, _, err = parse(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n")
+	assert.ErrorContains(t, err, "body is too large")
+	_, _, err = parse(t, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n")
+	assert.ErrorContains(t, err, "body is too large")
+}
+
+func response(t *testing.T, text string) (*Response, string, error) {
+	t.Helper()
+	r, err := ReadResponse(bufio.NewReader(strings.NewReader(text)), "POST")
+	assert.NilError(t, err)
+	body, err := io.ReadAll(r.Body)
+	return r, string(body), err
+}
+
+func TestResponseEndsProperlyOrFails(t *testing.T) {
+	for _, c := range []struct {
+		name, text, body string
+		whole, keep      bool
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "abc", true, true},
+		{"length cut short", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", "ab", false, true},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "abc", true, true},
+		{"chunks without end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "abc", false, true},
+		{"chunk cut short", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na", "a", false, true},
+		{"connection's end", "HTTP/1.1 200 OK\r\n\r\nabc", "abc", true, false},
+		{"interim first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\nConnection: close\r\n\r\na", "a", true, false},
+	} {
+		r, body, err := response(t, c.text)
+		assert.Equal(t, body, c.body, c.name)
+		assert.Equal(t, err == nil, c.whole, "%s: %v", c.name, err)
+		assert.Equal(t, r.KeepAlive, c.keep, c.name)
+	}
+}
+
+func TestResponseThatIsNone(t *testing.T) {
+	for _, text := range []string{"garbage\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"} {
+		_, err := ReadResponse(bufio.NewReader(strings.NewReader(text)), "GET")
+		var syntax *SyntaxError
+		assert.Assert(t, errors.As(err, &syntax), text)
+	}
+	_, err := ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nX")), "GET")
+	assert.ErrorIs(t, err, ErrUnexpectedEnd)
+}
+
+func TestAwaitsContinue(t *testing.T) {
+	assert.Assert(t, AwaitsContinue([]byte("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")))
+	assert.Assert(t, !AwaitsContinue([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n")))
+}
+
+func FuzzParseRequest(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
+	f.Add([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r, n, err := ParseRequest(raw, limits)
+		if err != nil || n == 0 {
+			return
+		}
+		assert.Assert(t, n <= len(raw))
+		again, m, err := ParseRequest(AppendRequest(nil, &Request{
+			Method: r.Method, Target: r.Target, Body: r.Body, HasBody: r.HasBody,
+			Header: r.Header.Without(HopByHop),
+		}), Limits{Header: 1 << 20, Body: 1 << 20})
+		assert.NilError(t, err)
+		assert.Assert(t, m > 0)
+		assert.Equal(t, string(again.Body), string(r.Body))
+	})
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,235 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const second = time.Second
+
+func engines(n, slots int) []Target {
+	targets := make([]Target, n)
+	for i := range targets {
+		targets[i] = Target{
+			ID: fmt.Sprintf("t%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i+1), AvailabilityZone: "a",
+			Slots: slots, Accepting: true, Lockstep: true,
+		}
+	}
+	return targets
+}
+
+func newBalancer(targets []Target) *Balancer {
+	b := New("a", rand.New(rand.NewPCG(1, 2)))
+	b.SetTargets(targets)
+	return b
+}
+
+// grouped puts the first half of the targets into group x and the others into y.
+func grouped(n, slots int) *Balancer {
+	b := newBalancer(engines(n, slots))
+	for i := range n {
+		b.SetGroup(fmt.Sprintf("t%d", i), map[bool]string{true: "x", false: "y"}[i < n/2])
+	}
+	return b
+}
+
+// A crush of one kind of request: every target is filled alike, and what is beyond the
+// slots and a short queue is refused.
+func TestCrushFillsTargetsAlikeAndRefusesTheRest(t *testing.T) {
+	b := newBalancer(engines(4, 12))
+	count := map[string]int{}
+	refused := 0
+	for range 100 {
+		c, refusal := b.Choose(second, Request{Service: "s"})
+		if refusal == Full {
+			refused++
+			continue
+		}
+		count[c.Target.ID]++
+	}
+	assert.Equal(t, refused, 100-4*15)
+	for id, n := range count {
+		assert.Equal(t, n, 15, id)
+	}
+}
+
+// Another gateway's work counts, as long as its word is fresh.
+func TestWorkOfOtherGatewaysCounts(t *testing.T) {
+	b := newBalancer(engines(2, 12))
+	b.PeerReported(second, "g2", map[string]int{"t0": 9})
+	for range 8 {
+		c, _ := b.Choose(second, Request{Service: "s"})
+		assert.Equal(t, c.Target.ID, "t1")
+	}
+	c, _ := b.Choose(3*second, Request{Service: "s"})
+	assert.Equal(t, c.Target.ID, "t0")
+}
+
+// A cold target that many gateways find empty: each stays within its share of starts.
+func TestStartsWithinAnySecondAreBounded(t *testing.T) {
+	targets := engines(1, 100)
+	targets[0].StartRate = 5
+	b := newBalancer(targets)
+	var starts []time.Duration
+	for now := time.Duration(0); now < 10*second; now += 37 * time.Millisecond {
+		c, refusal := b.Choose(now, Request{Service: "s"})
+		if refusal != NotRefused {
+			continue
+		}
+		starts = append(starts, now)
+		b.Ended(now, c.Target.ID, Answered)
+		n := 0
+		for _, s := range starts {
+			if now-s < second {
+				n++
+			}
+		}
+		assert.Assert(t, n <= 5, "%d starts in the second before %v", n, now)
+	}
+	assert.Assert(t, len(starts) >= 45)
+}
+
+// A rank's loss stalls its whole group: new work and work that moves goes elsewhere
+// at the first sign, and comes back with the first event.
+func TestStalledGroupGetsNothingUntilItMoves(t *testing.T) {
+	b := grouped(4, 12)
+	for i := range 4 {
+		b.Producing(0, fmt.Sprintf("t%d", i), 1)
+	}
+	now := time.Duration(0)
+	for range 10 {
+		now += 80 * time.Millisecond
+		b.Event(now, "t2", 80*time.Millisecond)
+		b.Event(now, "t3", 80*time.Millisecond)
+	}
+	assert.Assert(t, b.IsStalled(now, "t0"))
+	for range 10 {
+		c, refusal := b.Choose(now, Request{Service: "s"})
+		assert.Equal(t, refusal, NotRefused)
+		assert.Equal(t, b.Group(c.Target.ID), "y")
+	}
+	b.Event(now, "t1", 0)
+	assert.Assert(t, !b.IsStalled(now, "t0"))
+	assert.Assert(t, b.HasOther(now, "s", []string{"t2", "t3"}))
+}
+
+// A slow group is used when the other one is full, not before.
+func TestSlowGroupIsUsedLast(t *testing.T) {
+	b := grouped(4, 12)
+	now := second
+	for range 60 {
+		now += 20 * time.Millisecond
+		b.Event(now, "t0", 200*time.Millisecond)
+		b.Event(now, "t2", 60*time.Millisecond)
+	}
+	r := Request{Service: "s", EventGap: 120 * time.Millisecond}
+	for range 24 {
+		c, _ := b.Choose(now, r)
+		assert.Equal(t, b.Group(c.Target.ID), "y")
+	}
+	groups := map[string]int{}
+	for range 12 {
+		c, refusal := b.Choose(now, r)
+		assert.Equal(t, refusal, NotRefused)
+		groups[b.Group(c.Target.ID)]++
+	}
+	assert.Assert(t, groups["x"] >= 5, "%v", groups)
+}
+
+// A slow pace is not a stall: the wait grows with the group's own gaps.
+func TestSlowPaceIsNoStall(t *testing.T) {
+	b := grouped(2, 12)
+	b.Producing(0, "t0", 1)
+	now := time.Duration(0)
+	for range 20 {
+		now += 240 * time.Millisecond
+		assert.Assert(t, b.Event(now, "t0", 240*time.Millisecond) >= 500*time.Millisecond)
+	}
+	assert.Assert(t, !b.IsStalled(now+700*time.Millisecond, "t0"))
+	assert.Assert(t, b.IsStalled(now+maxSilence, "t0"))
+}
+
+// A group that refuses work although it has room is left alone for a while, longer
+// each time, and at once used again after an event.
+func TestRefusingGroupIsLeftAlone(t *testing.T) {
+	b := grouped(2, 12)
+	c, _ := b.Choose(0, Request{Service: "s", Tried: []string{"t1"}})
+	assert.Equal(t, c.Target.ID, "t0")
+	b.Ended(0, "t0", Refused)
+	_, refusal := b.Choose(firstDown/2, Request{Service: "s", Tried: []string{"t1"}})
+	assert.Equal(t, refusal, Unreachable)
+	_, refusal = b.Choose(firstDown, Request{Service: "s", Tried: []string{"t1"}})
+	assert.Equal(t, refusal, NotRefused)
+	b.Ended(firstDown, "t0", Refused)
+	_, refusal = b.Choose(2*firstDown, Request{Service: "s", Tried: []string{"t1"}})
+	assert.Equal(t, refusal, Unreachable)
+	b.Event(2*firstDown, "t0", 0)
+	_, refusal = b.Choose(2*firstDown, Request{Service: "s", Tried: []string{"t1"}})
+	assert.Equal(t, refusal, NotRefused)
+}
+
+// A target that fails part of its requests gets less, but isn't given up: false alarms
+// under load must not empty a service.
+func TestFailuresCostButNeverEmptyAService(t *testing.T) {
+	targets := engines(3, 6)
+	for i := range targets {
+		targets[i].Lockstep = false
+	}
+	b := newBalancer(targets)
+	now := time.Duration(0)
+	count := map[string]int{}
+	for range 300 {
+		now += 50 * time.Millisecond
+		c, refusal := b.Choose(now, Request{Service: "s"})
+		assert.Equal(t, refusal, NotRefused)
+		count[c.Target.ID]++
+		result := Answered
+		if c.Target.ID == "t0" {
+			result = Failed
+		}
+		b.Ended(now, c.Target.ID, result)
+	}
+	assert.Assert(t, count["t0"] < 40, "%v", count)
+	for range 300 {
+		c, _ := b.Choose(now, Request{Service: "s"})
+		b.Ended(now, c.Target.ID, Failed)
+	}
+	_, refusal := b.Choose(now, Request{Service: "s"})
+	assert.Equal(t, refusal, NotRefused)
+}
+
+func TestUnreachableTargetComesBackOnProbation(t *testing.T) {
+	b := newBalancer(engines(1, 4))
+	_, _ = b.Choose(0, Request{Service: "s"})
+	b.Ended(0, "t0", Unreached)
+	_, refusal := b.Choose(firstBlock-1, Request{Service: "s"})
+	assert.Equal(t, refusal, Unreachable)
+	_, refusal = b.Choose(firstBlock, Request{Service: "s"})
+	assert.Equal(t, refusal, NotRefused)
+	b.Ended(firstBlock, "t0", Unreached)
+	_, refusal = b.Choose(firstBlock+2*firstBlock-1, Request{Service: "s"})
+	assert.Equal(t, refusal, Unreachable)
+}
+
+// An address that another target has now gets nothing until its entry is replaced.
+func TestReplacedTargetIsBlocked(t *testing.T) {
+	b := newBalancer(engines(1, 4))
+	_, _ = b.Choose(0, Request{Service: "s"})
+	b.Ended(0, "t0", Replaced)
+	_, refusal := b.Choose(replacedBlock-1, Request{Service: "s"})
+	assert.Equal(t, refusal, Unreachable)
+}
+
+func TestLeavingAndUnknownTargetsGetNothing(t *testing.T) {
+	targets := engines(1, 4)
+	targets[0].Accepting = false
+	b := newBalancer(targets)
+	_, refusal := b.Choose(0, Request{Service: "s"})
+	assert.Equal(t, refusal, NoTarget)
+	_, refusal = b.Choose(0, Request{Service: "other"})
+	assert.Equal(t, refusal, NoTarget)
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,235 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/http1"
+)
+
+var names = Names{Attempt: "X-Id", NotExecuted: "X-Not-Run"}
+
+// fakeTarget answers the n-th request of its n-th connection with fixed bytes.
+type fakeTarget struct {
+	ln net.Listener
+	// script holds, for each connection, the bytes sent after each request.
+	script [][]string
+	conns  chan net.Conn
+}
+
+func startTarget(t *testing.T, script ...[]string) *fakeTarget {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &fakeTarget{ln: ln, script: script, conns: make(chan net.Conn, 16)}
+	t.Cleanup(func() { _ = ln.Close() })
+	go f.serve()
+	return f
+}
+
+func (f *fakeTarget) serve() {
+	for _, answers := range f.script {
+		c, err := f.ln.Accept()
+		if err != nil {
+			return
+		}
+		f.conns <- c
+		go func() {
+			br := bufio.NewReader(c)
+			for _, a := range answers {
+				if err := skipRequest(br); err != nil {
+					break
+				}
+				if _, err := io.WriteString(c, a); err != nil {
+					break
+				}
+			}
+			if len(answers) == 0 || !strings.HasSuffix(answers[len(answers)-1], "KEEP") {
+				_ = c.Close()
+			}
+		}()
+	}
+}
+
+// skipRequest reads a request without a body.
+func skipRequest(br *bufio.Reader) error {
+	for {
+		line, err := br.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			return err
+		}
+	}
+}
+
+func call(f *fakeTarget, id string) Call {
+	return Call{
+		Addr: f.ln.Addr().String(), Attempt: id, MaxIdle: time.Minute,
+		Request: &http1.Request{Method: "GET", Target: "/", Header: http1.Header{{Name: "Host", Value: "h"}, {Name: "X-Id", Value: id}}},
+	}
+}
+
+func do(t *testing.T, c *Client, call Call) (string, *Answer, *Failure) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	a, failure := c.Do(ctx, call)
+	if failure != nil {
+		return "", nil, failure
+	}
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		a.Abort()
+		return string(body), a, &Failure{Stage: StageSent, Cause: err}
+	}
+	a.Finish()
+	return string(body), a, nil
+}
+
+func ok(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func TestConnectionIsKeptAfterACleanEnd(t *testing.T) {
+	f := startTarget(t, []string{ok("1", "a"), ok("2", "b")})
+	c := New(names)
+	for _, id := range []string{"1", "2"} {
+		_, _, failure := do(t, c, call(f, id))
+		assert.Assert(t, failure == nil, id)
+	}
+	assert.Equal(t, len(f.conns), 1)
+}
+
+// Bytes after an answer's end belong to no request: the connection is not used again.
+func TestBytesAfterTheEndPoisonTheConnection(t *testing.T) {
+	f := startTarget(t, []string{ok("1", "a") + "extra", ok("2", "x")}, []string{ok("2", "b")})
+	c := New(names)
+	_, _, failure := do(t, c, call(f, "1"))
+	assert.Assert(t, failure == nil)
+	time.Sleep(20 * time.Millisecond)
+	body, _, failure := do(t, c, call(f, "2"))
+	assert.Assert(t, failure == nil, failure)
+	assert.Equal(t, body, "b")
+}
+
+// An answer to an earlier request that arrives late is skipped, not passed on.
+func TestForeignAnswerIsSkipped(t *testing.T) {
+	f := startTarget(t, []string{ok("1", "a"), ok("1", "a") + ok("2", "b")})
+	c := New(names)
+	_, _, failure := do(t, c, call(f, "1"))
+	assert.Assert(t, failure == nil)
+	body, _, failure := do(t, c, call(f, "2"))
+	assert.Assert(t, failure == nil, failure)
+	assert.Equal(t, body, "b")
+}
+
+func TestUnmarkedAnswerOnAKeptConnectionIsNotBelieved(t *testing.T) {
+	unmarked := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nz"
+	f := startTarget(t, []string{ok("1", "a"), unmarked})
+	c := New(names)
+	_, _, failure := do(t, c, call(f, "1"))
+	assert.Assert(t, failure == nil)
+	_, _, failure = do(t, c, call(f, "2"))
+	assert.Assert(t, failure != nil)
+	assert.Equal(t, failure.Stage, StageSent)
+}
+
+func TestConnectionClosedByTheTargetIsNotUsed(t *testing.T) {
+	f := startTarget(t, []string{ok("1", "a")}, []string{ok("2", "b")})
+	c := New(names)
+	_, _, failure := do(t, c, call(f, "1"))
+	assert.Assert(t, failure == nil)
+	time.Sleep(20 * time.Millisecond)
+	body, _, failure := do(t, c, call(f, "2"))
+	assert.Assert(t, failure == nil, failure)
+	assert.Equal(t, body, "b")
+}
+
+func TestCutAnswersFail(t *testing.T) {
+	for name, answer := range map[string]string{
+		"body":   "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nabc",
+		"chunks": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"head":   "HTTP/1.1 200 OK\r\nX-Id",
+		"none":   "",
+		"rot":    "\x00\x01garbage\r\n\r\n",
+	} {
+		f := startTarget(t, []string{answer})
+		_, _, failure := do(t, New(names), call(f, "1"))
+		assert.Assert(t, failure != nil, name)
+		assert.Equal(t, failure.Stage, StageSent, name)
+	}
+}
+
+func TestNoListenerMeansNothingWasSent(t *testing.T) {
+	f := startTarget(t)
+	assert.NilError(t, f.ln.Close())
+	_, _, failure := do(t, New(names), call(f, "1"))
+	assert.Assert(t, failure != nil)
+	assert.Equal(t, failure.Stage, StageConnect)
+}
+
+func TestConnectionLimit(t *testing.T) {
+	f := startTarget(t, []string{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nKEEP"})
+	c := New(names)
+	limited := call(f, "1")
+	limited.MaxConns = 1
+	a, failure := c.Do(context.Background(), limited)
+	assert.Assert(t, failure == nil)
+	_, failure = c.Do(context.Background(), limited)
+	assert.Assert(t, errors.Is(failure, ErrConnectionLimit))
+	a.Abort()
+}
+
+func TestCancelledCallClosesItsConnection(t *testing.T) {
+	f := startTarget(t, []string{"KEEP"})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-time.After(20 * time.Millisecond)
+		cancel()
+	}()
+	_, failure := New(names).Do(ctx, call(f, "1"))
+	assert.Assert(t, failure != nil)
+	conn := <-f.conns
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err := io.ReadAll(conn)
+	assert.NilError(t, err) // the end of the connection was seen, not the deadline
+}
+
+func TestEventsAreWholeOrNone(t *testing.T) {
+	r := NewEventReader(strings.NewReader("id: 1\ndata: a\n\nweights: 3\nid: 2\ndata: b\n\nid: 3\ndata: c"))
+	for want := int64(1); want <= 2; want++ {
+		ev, err := r.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, ev.ID, want)
+	}
+	_, err := r.Next()
+	assert.ErrorIs(t, err, http1.ErrUnexpectedEnd)
+	_, err = NewEventReader(strings.NewReader("")).Next()
+	assert.ErrorIs(t, err, io.EOF)
+	_, err = NewEventReader(strings.NewReader("id: x\n\n")).Next()
+	assert.ErrorContains(t, err, "not a number")
+}
+
+func TestEventLongerThanTheBuffer(t *testing.T) {
+	text := "id: 7\ndata: " + strings.Repeat("x", 9000) + "\n\n"
+	ev, err := NewEventReader(strings.NewReader(text)).Next()
+	assert.NilError(t, err)
+	assert.Equal(t, string(ev.Bytes), text)
+}
+
+func TestParseLoad(t *testing.T) {
+	l, ok := ParseLoad("3, 0,8")
+	assert.Assert(t, ok)
+	assert.Equal(t, l, Load{Running: 3, Slots: 8})
+	for _, text := range []string{"", "1,2", "1,2,x", "-1,0,8", "1,2,3,4"} {
+		_, ok := ParseLoad(text)
+		assert.Assert(t, !ok, text)
+	}
+}
