Tell gateways what engines say of their groups; pace the maps of large groups

Entries of ended lifetimes drew requests. Gateways asked 2,304 engines for their group, each a priced question. Change: maps go out five at a time and are repeated after 300 ms; demand is sent as one byte an expert; mappers tell subscribed gateways of group, epoch and load; an entry with the address of a newer one is of an ended lifetime; gateways' own work is shared by short keys, less often in large fleets; the demand for experts is kept in the store for a group that forms anew; a change that has begun is finished although another process leads.

--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -127,6 +127,9 @@
 	State            TargetState
 	// Slots is the number of requests that the target runs at once.
 	Slots int
+	// Created orders the lifetimes that had one address: the store's revision at which the
+	// entry was made.
+	Created int64
 	// ColdFor is how long the target stays cold, as of its last report.
 	ColdFor time.Duration
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"net"
 	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
@@ -35,14 +37,14 @@
 	stopping  bool
 	// limits are those of the settings in force.
 	limits settings.GatewayLimits
-	// probed holds the targets whose group has been asked for.
-	probed map[string]bool
+	// probed holds since when the engines are known, or asked.
+	probed map[string]time.Duration
 	peers  *peerLink
 }
 
 // Run handles events until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	c := &control{g: g, registry: fleet.NewRegistry(), storeDown: map[fleet.Topic]bool{}, probed: map[string]bool{}, limits: g.opts.Settings.Limits}
+	c := &control{g: g, registry: fleet.NewRegistry(), storeDown: map[fleet.Topic]bool{}, probed: map[string]time.Duration{}, limits: g.opts.Settings.Limits}
 	c.peers = newPeerLink(g)
 	c.publish()
 	follower := fleet.Follower{
@@ -162,11 +164,33 @@
 		v.targets[t.ID] = t
 	}
 	c.peers.addPeers(fv.Gateways)
+	v.engines = enginesOf(v)
+	if !maps.Equal(v.engines, old.engines) {
+		select {
+		case c.peers.hurry <- struct{}{}:
+		default: // asked for already
+		}
+	}
 	v.shares = c.shares()
 	c.g.setTargets(v, fv)
 	c.g.view.Store(v)
 }
 
+// enginesOf returns the ids of the model engines by their instance's IP number.
+func enginesOf(v *view) map[string]string {
+	engines := make(map[string]string)
+	if v.index == nil {
+		return engines
+	}
+	for id, t := range v.targets {
+		host, _, err := net.SplitHostPort(t.Address)
+		if s, ok := v.index.Service(t.Service); err == nil && ok && s.Engine != nil {
+			engines[host] = id
+		}
+	}
+	return engines
+}
+
 // shares divides the fleet's limits among the gateways.
 func (c *control) shares() shares {
 	n := unknownGateways
@@ -221,10 +245,15 @@
 	return max(1, int(math.Floor(total/float64(sh.gateways))))
 }
 
-// probeTimeout bounds one question for a target's group.
-const probeTimeout = time.Second
+const (
+	// probeTimeout bounds one question for a target's group.
+	probeTimeout = time.Second
+	// mapperPatience is how long a new engine's mapper may take for its first report
+	// before the engine itself is asked, which costs it.
+	mapperPatience = 4 * time.Second
+)
 
-// probe asks new engines for their lock-step group.
+// probe asks engines for their lock-step group if no mapper beside them reports it.
 func (c *control) probe(ctx context.Context) {
 	v := c.g.view.Load()
 	for id := range c.probed {
@@ -232,18 +261,31 @@
 			delete(c.probed, id)
 		}
 	}
-	for id, t := range v.targets {
-		if c.probed[id] || v.index == nil {
+	now := c.g.now()
+	for _, id := range v.engines {
+		since, known := c.probed[id]
+		if !known {
+			c.probed[id] = now
 			continue
 		}
-		if s, ok := v.index.Service(t.Service); !ok || s.Engine == nil {
-			continue
+		if since >= 0 && now-since >= mapperPatience {
+			c.probed[id] = asked
+			if c.g.groupUnknown(id) {
+				go c.g.askGroup(ctx, id, v.targets[id].Address)
+			}
 		}
-		c.probed[id] = true
-		go c.g.askGroup(ctx, id, t.Address)
 	}
 }
 
+// asked marks a target whose group need not be asked for again.
+const asked = -1
+
+func (g *Gateway) groupUnknown(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Group(id) == ""
+}
+
 func (g *Gateway) askGroup(ctx context.Context, id, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -259,10 +301,10 @@
 	g.opts.Logger.Info().Str("event", "belief").Str("topic", "groups").Str("subject", id).Str("outcome", group).Msg("")
 }
 
-// probeAgain asks a target once more at the next tick.
+// probeAgain asks a target once more after a while.
 type probeAgain struct{ id string }
 
-func (p probeAgain) apply(c *control) { delete(c.probed, p.id) }
+func (p probeAgain) apply(c *control) { c.probed[p.id] = c.g.now() }
 
 // reloaded takes in changed settings.
 type reloaded struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,8 @@
 type view struct {
 	index   *fleet.Index
 	targets map[string]fleet.Target
+	// engines holds the ids of model engines by their instance's IP number.
+	engines map[string]string
 	// loaded tells that the store has been read, so that requests can be judged.
 	loaded   bool
 	stopping bool
--- a/internal/mapper/counts.go
+++ b/internal/mapper/counts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -56,17 +57,28 @@
 	return d
 }
 
-// quantise scales counts to 16 bits.
-func quantise(counts []int64) ([]uint16, float64) {
+// quantise writes counts as one byte each: the root of their share of the largest,
+// which keeps small ones apart too. It returns the largest as well.
+func quantise(counts []int64) ([]byte, float64) {
 	if len(counts) == 0 {
 		return nil, 0
 	}
-	scale := max(1, float64(slices.Max(counts))/65535)
-	q := make([]uint16, len(counts))
+	most := float64(max(1, slices.Max(counts)))
+	q := make([]byte, len(counts))
 	for i, c := range counts {
-		q[i] = uint16(float64(c) / scale)
+		q[i] = byte(math.Round(255 * math.Sqrt(float64(c)/most)))
 	}
-	return q, scale
+	return q, most
+}
+
+// restore reverses quantise.
+func restore(q []byte, most float64) []float64 {
+	load := make([]float64, len(q))
+	for i, b := range q {
+		share := float64(b) / 255
+		load[i] = share * share * most
+	}
+	return load
 }
 
 // readCounts reads the own engine's counts.
--- a/internal/mapper/lead.go
+++ b/internal/mapper/lead.go
@@ -14,6 +14,12 @@
 	memberTimeout = 1500 * time.Millisecond
 	// askAgain is the time after which an unanswered part of a round is sent again.
 	askAgain = 40 * time.Millisecond
+	// askMapsAgain is the same while maps are sent: they are some kilobytes each.
+	askMapsAgain = 300 * time.Millisecond
+	// mapsAtOnce maps are sent before a pause of mapsPause: an engine's instance may have
+	// a link of a few megabits a second only.
+	mapsAtOnce = 5
+	mapsPause  = 30 * time.Millisecond
 	// copySlack is added to the time that copying should take before a change is given up.
 	copySlack = 4 * time.Second
 )
@@ -33,7 +39,7 @@
 	e := m.engine
 	shape := rebalance.Shape{Ranks: m.own.Size, Layers: e.Layers, Experts: e.Experts, SlotsPerRank: e.Places}
 	return &leading{
-		coordinator: mapswitch.New(m.own.Rank, m.own.Size),
+		coordinator: mapswitch.New(m.own.Rank, m.own.Size, m.firstEpoch),
 		shape:       shape,
 		members:     make(map[int]*member),
 		planner: rebalance.NewPlanner(rebalance.Config{
@@ -48,10 +54,7 @@
 func (l *leading) heard(addr *net.UDPAddr, rank int, h *helloBody) {
 	mb := &member{addr: addr, heard: time.Now(), rows: Rows{Version: h.Version, Experts: h.Experts}}
 	if len(h.Load) == l.shape.Layers*l.shape.Experts {
-		mb.load = make([]float64, len(h.Load))
-		for i, v := range h.Load {
-			mb.load[i] = float64(v) * h.Scale
-		}
+		mb.load = restore(h.Load, h.Most)
 	}
 	l.members[rank] = mb
 }
@@ -70,7 +73,7 @@
 // stepRounds advances the rounds of the leader and returns when it is due next.
 func (m *Mapper) stepRounds(ctx context.Context) time.Duration {
 	l := m.lead
-	if l == nil || m.own.Size == 0 {
+	if l == nil || !m.leading && !l.unfinished() && m.own.State.Held == mapswitch.NoPass {
 		return idleRound
 	}
 	now := time.Now()
@@ -78,7 +81,7 @@
 		if !l.round.done() {
 			return m.pressRound(ctx, now)
 		}
-		m.endRound()
+		m.endRound(ctx)
 	}
 	if wait := l.nextRound.Sub(now); wait > 0 {
 		return wait
@@ -86,12 +89,11 @@
 	if !l.complete(m.own.Size) {
 		return idleRound
 	}
-	m.beginRound(ctx, now)
-	return askAgain
+	return m.beginRound(ctx, now)
 }
 
 // endRound hands the states of all ranks to the coordinator.
-func (m *Mapper) endRound() {
+func (m *Mapper) endRound(ctx context.Context) {
 	l := m.lead
 	states := l.round.states()
 	l.round = nil
@@ -105,12 +107,18 @@
 		l.coordinator.Abandon()
 		m.opts.Logger.Warn().Str("event", "map-abandoned").Int64("version", l.coordinator.Version()).Msg("")
 	}
-	if l.coordinator.Ready() {
-		m.plan(states)
+	if m.leading && l.coordinator.Ready() {
+		m.plan(ctx, states)
 	}
 	l.nextRound = time.Now().Add(pauseIn(l.coordinator.Phase()))
 }
 
+// unfinished reports whether a change has begun that must not be left.
+func (l *leading) unfinished() bool {
+	p := l.coordinator.Phase()
+	return p != mapswitch.Idle && p != mapswitch.Preparing
+}
+
 func pauseIn(p mapswitch.Phase) time.Duration {
 	switch p {
 	case mapswitch.Idle:
@@ -146,18 +154,25 @@
 }
 
 // plan begins a change if one pays.
-func (m *Mapper) plan(states []mapswitch.State) {
+func (m *Mapper) plan(ctx context.Context, states []mapswitch.State) {
 	l := m.lead
 	current := l.inForce(states)
 	if current == nil || time.Since(l.planned) < planInterval {
 		return
 	}
 	demand, ok := l.demand()
-	if !ok {
+	switch {
+	case ok:
+		m.remember(ctx, demand)
+		l.planner.Observe(demand)
+	case states[m.own.Rank].Version == 0 && len(m.remembered) == len(demand.Load):
+		// The group has formed anew and nothing was chosen yet.
+		demand.Load = m.remembered
+		l.planner.Observe(demand)
+	default:
 		return
 	}
 	l.planned = time.Now()
-	l.planner.Observe(demand)
 	from := mapOf(l.shape, current, demand)
 	plan := l.planner.Plan(from, int64(l.shape.Layers*l.shape.LayerSlots()))
 	if plan.Moved == 0 {
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -39,6 +39,9 @@
 	busyRound = 5 * time.Millisecond
 	calmRound = 120 * time.Millisecond
 	idleRound = time.Second
+	// smallGroup is the number of ranks up to which each tells the leader of its demand
+	// at every look; in larger groups at every other.
+	smallGroup = 16
 	// callTimeout bounds one call to the own engine.
 	callTimeout = 300 * time.Millisecond
 )
@@ -50,6 +53,8 @@
 	Rank  int
 	Size  int
 	State mapswitch.State
+	// Running and Waiting are the requests at the engine.
+	Running, Waiting int
 }
 
 // Rows are the experts of one rank by layer, in force or prepared.
@@ -81,10 +86,18 @@
 	Service string
 	Engine  Engine
 	Source  fleet.Source
+	Memory  Memory
 	Logger  *log.Logger
 	Metrics tally.Scope
 }
 
+// Memory keeps a group's demand for experts where it outlasts all processes. It is a
+// hint only: a group that forms anew starts from it instead of from nothing.
+type Memory interface {
+	Recall(ctx context.Context, group string) ([]byte, error)
+	Remember(ctx context.Context, group string, demand []byte) error
+}
+
 // Mapper runs beside one rank.
 type Mapper struct {
 	opts   Options
@@ -95,15 +108,26 @@
 
 	// The fields below are owned by the goroutine of Run.
 
-	own     Reading
-	lists   lists
-	counts  countWindowed
-	engine  *fleet.Engine
-	peers   map[string]*net.UDPAddr
-	leader  leader
+	own    Reading
+	lists  lists
+	counts countWindowed
+	engine *fleet.Engine
+	peers  map[string]*net.UDPAddr
+	leader leader
+	// lead is the state of leading the group; it is kept while another process leads,
+	// so that a change that has begun is finished.
 	lead    *leading
-	lookAt  time.Time
-	looking bool
+	leading bool
+	// firstEpoch is the group's epoch when it was first seen.
+	firstEpoch int64
+	polls      int
+	// remembered is the demand for experts that was last planned for.
+	remembered []float64
+	savedAt    time.Time
+	lookAt     time.Time
+	looking    bool
+	// subscribers are the gateways that get hints, and since when.
+	subscribers map[string]subscriber
 }
 
 // lists are the rows of the own rank.
@@ -148,7 +172,7 @@
 
 // New returns a Mapper; Run starts it.
 func New(opts Options) *Mapper {
-	return &Mapper{opts: opts, start: time.Now(), events: make(chan event, 256), peers: map[string]*net.UDPAddr{}}
+	return &Mapper{opts: opts, start: time.Now(), events: make(chan event, 256), peers: map[string]*net.UDPAddr{}, subscribers: map[string]subscriber{}}
 }
 
 // Run works until ctx ends.
@@ -198,22 +222,28 @@
 		return
 	}
 	m.note(reading)
+	m.hintAll()
 	if reading.Group == "" || !reading.State.Open {
-		m.lead = nil
 		return
 	}
 	m.readCounts(ctx)
-	m.elect()
-	if m.lead != nil {
+	m.elect(ctx)
+	if m.leading {
 		m.beacon()
 	}
-	m.hello()
+	m.polls++
+	if m.own.Size <= smallGroup || m.polls%2 == 0 {
+		m.hello()
+	}
 }
 
 // note logs changes of the own rank's group and map.
 func (m *Mapper) note(r Reading) {
 	old := m.own
 	m.own = r
+	if old.Group != r.Group || old.Rank != r.Rank || old.Size != r.Size {
+		m.firstEpoch, m.lead, m.leading = r.State.Epoch, nil, false
+	}
 	if old.Group != r.Group || old.State.Epoch != r.State.Epoch || old.State.Open != r.State.Open {
 		m.opts.Logger.Info().Str("event", "belief").Str("topic", "group").Str("group", r.Group).Int("rank", r.Rank).
 			Int64("epoch", r.State.Epoch).Bool("open", r.State.Open).Int64("pass", r.State.Pass).Msg("")
@@ -252,16 +282,21 @@
 }
 
 // elect believes the leader that was heard, or leads itself.
-func (m *Mapper) elect() {
+func (m *Mapper) elect(ctx context.Context) {
 	if m.leader.addr != nil && m.leader.rank < m.own.Rank && time.Since(m.leader.heard) < leaderTimeout {
-		if m.lead != nil {
+		if m.leading {
 			m.opts.Logger.Info().Str("event", "leading-ends").Int("leader", m.leader.rank).Msg("")
-			m.lead = nil
+			m.leading = false
 		}
 		return
 	}
-	if m.lead == nil && m.engine != nil && m.engine.Layers > 0 {
-		m.opts.Logger.Info().Str("event", "leading").Str("group", m.own.Group).Int("rank", m.own.Rank).Msg("")
+	if m.leading || m.engine == nil || m.engine.Layers == 0 {
+		return
+	}
+	m.opts.Logger.Info().Str("event", "leading").Str("group", m.own.Group).Int("rank", m.own.Rank).Msg("")
+	m.leading = true
+	if m.lead == nil {
 		m.lead = m.newLeading()
+		m.recall(ctx)
 	}
 }
--- a/internal/mapper/round.go
+++ b/internal/mapper/round.go
@@ -16,54 +16,86 @@
 	// answers holds the state of each rank that has answered.
 	answers map[int]mapswitch.State
 	size    int
-	asked   time.Time
+	// next is the rank to be asked next, when due has come.
+	next int
+	due  time.Time
 }
 
 // beginRound asks every rank.
-func (m *Mapper) beginRound(ctx context.Context, now time.Time) {
+func (m *Mapper) beginRound(ctx context.Context, now time.Time) time.Duration {
 	l := m.lead
 	r := &round{id: rand.Uint64(), orders: map[int]mapswitch.Order{}, answers: map[int]mapswitch.State{}, size: m.own.Size}
 	for _, c := range l.commands {
-		r.orders[c.Rank] = c.Order
 		if c.Order.Op == mapswitch.Prepare && c.Order.Map == nil {
-			delete(r.orders, c.Rank) // the map in force is not known yet; the next round asks again
+			continue // the map in force is not known yet; the next round asks again
 		}
+		r.orders[c.Rank] = c.Order
 	}
 	l.round = r
-	m.ask(ctx, now)
+	return m.ask(ctx, now)
 }
 
-// ask sends the round to the ranks that have not answered.
-func (m *Mapper) ask(ctx context.Context, now time.Time) {
-	l := m.lead
-	l.round.asked = now
-	for rank := range l.round.size {
-		if _, ok := l.round.answers[rank]; ok {
+// ask sends the round to the ranks that have not answered, from the next one in turn
+// on. It returns after which time it is to be called again.
+func (m *Mapper) ask(ctx context.Context, now time.Time) time.Duration {
+	r := m.lead.round
+	maps := 0
+	for ; r.next < r.size; r.next++ {
+		rank := r.next
+		if _, ok := r.answers[rank]; ok {
 			continue
 		}
-		ask := &askBody{Round: l.round.id}
-		if o, ok := l.round.orders[rank]; ok {
+		ask := &askBody{Round: r.id}
+		if o, ok := r.orders[rank]; ok {
 			ask.Order = &o
-		}
-		if rank == m.own.Rank {
-			if state, ok := m.carryOut(ctx, ask); ok {
-				l.round.answers[rank] = state
+			if o.Map != nil {
+				maps++
 			}
-			continue
 		}
-		if mb := l.members[rank]; mb != nil && mb.addr != nil {
-			m.send(mb.addr, datagram{Ask: ask})
+		m.askRank(ctx, rank, ask)
+		if maps >= mapsAtOnce {
+			r.next++
+			r.due = now.Add(mapsPause)
+			return mapsPause
+		}
+	}
+	r.next = 0
+	pause := askAgain
+	if r.sendsMaps() {
+		pause = askMapsAgain
+	}
+	r.due = now.Add(pause)
+	return pause
+}
+
+func (m *Mapper) askRank(ctx context.Context, rank int, ask *askBody) {
+	if rank == m.own.Rank {
+		if state, ok := m.carryOut(ctx, ask); ok {
+			m.lead.round.answers[rank] = state
+		}
+		return
+	}
+	if mb := m.lead.members[rank]; mb != nil && mb.addr != nil {
+		m.send(mb.addr, datagram{Ask: ask})
+	}
+}
+
+// sendsMaps reports whether a rank that has not answered is to get a map.
+func (r *round) sendsMaps() bool {
+	for rank, o := range r.orders {
+		if _, answered := r.answers[rank]; !answered && o.Map != nil {
+			return true
 		}
 	}
+	return false
 }
 
-// pressRound repeats the question to the ranks that don't answer.
+// pressRound goes on with the questions of the round when they are due.
 func (m *Mapper) pressRound(ctx context.Context, now time.Time) time.Duration {
-	if wait := m.lead.round.asked.Add(askAgain).Sub(now); wait > 0 {
+	if wait := m.lead.round.due.Sub(now); wait > 0 {
 		return wait
 	}
-	m.ask(ctx, now)
-	return askAgain
+	return m.ask(ctx, now)
 }
 
 func (r *round) answered(rank int, a *answerBody) {
--- a/internal/mapper/wire.go
+++ b/internal/mapper/wire.go
@@ -24,14 +24,16 @@
 	Hello  *helloBody  `cbor:"4,keyasint,omitempty"`
 	Ask    *askBody    `cbor:"5,keyasint,omitempty"`
 	Answer *answerBody `cbor:"6,keyasint,omitempty"`
+	// Subscribe is set in a gateway's datagram.
+	Subscribe bool `cbor:"20,keyasint,omitempty"`
 }
 
 // helloBody tells the leader of a rank's demand for experts and its map.
 type helloBody struct {
-	// Load is the recent demand by layer and expert, scaled to 16 bits.
-	Load []uint16 `cbor:"1,keyasint"`
-	// Scale is the demand that one unit of Load stands for.
-	Scale   float64    `cbor:"2,keyasint"`
+	// Load is the recent demand by layer and expert, as quantise writes it.
+	Load []byte `cbor:"1,keyasint"`
+	// Most is the demand for the expert that is wanted most.
+	Most    float64    `cbor:"2,keyasint"`
 	Version int64      `cbor:"3,keyasint"`
 	Experts [][]uint16 `cbor:"4,keyasint"`
 }
@@ -55,6 +57,10 @@
 		m.opts.Logger.Error().Str("event", "encode").Err(err).Msg("")
 		return
 	}
+	m.sendRaw(to, b)
+}
+
+func (m *Mapper) sendRaw(to *net.UDPAddr, b []byte) {
 	if _, err := m.socket.WriteToUDP(b, to); err != nil {
 		m.opts.Logger.Debug().Str("event", "send-failed").Str("to", to.String()).Err(err).Msg("")
 	}
@@ -79,6 +85,10 @@
 }
 
 func (m *Mapper) received(ctx context.Context, from *net.UDPAddr, d *datagram) {
+	if d.Subscribe {
+		m.subscribe(ctx, from)
+		return
+	}
 	m.peers[from.String()] = from
 	if d.Group != m.own.Group || d.Group == "" {
 		return
@@ -86,7 +96,7 @@
 	switch {
 	case d.Beacon:
 		m.heardBeacon(from, d.Rank)
-	case d.Hello != nil && m.lead != nil:
+	case d.Hello != nil && m.leading:
 		m.lead.heard(from, d.Rank, d.Hello)
 	case d.Ask != nil:
 		m.answer(ctx, from, d.Ask)
@@ -113,7 +123,7 @@
 // hello tells the leader of the own rank.
 func (m *Mapper) hello() {
 	h := m.ownHello()
-	if m.lead != nil {
+	if m.leading {
 		m.lead.heard(nil, m.own.Rank, h)
 		return
 	}
@@ -123,15 +133,15 @@
 }
 
 func (m *Mapper) ownHello() *helloBody {
-	load, scale := quantise(m.counts.delta())
-	return &helloBody{Load: load, Scale: scale, Version: m.lists.inForce.Version, Experts: m.lists.inForce.Experts}
+	load, most := quantise(m.counts.delta())
+	return &helloBody{Load: load, Most: most, Version: m.lists.inForce.Version, Experts: m.lists.inForce.Experts}
 }
 
 // discover looks up the engine's description and the other processes of the service
 // in the store, while the group is not complete.
 func (m *Mapper) discover(ctx context.Context) {
-	complete := m.engine != nil && (m.lead == nil && m.leader.addr != nil && time.Since(m.leader.heard) < leaderTimeout ||
-		m.lead != nil && m.lead.complete(m.own.Size))
+	complete := m.engine != nil && (!m.leading && m.leader.addr != nil && time.Since(m.leader.heard) < leaderTimeout ||
+		m.leading && m.lead.complete(m.own.Size))
 	if complete || m.looking || time.Since(m.lookAt) < discoverInterval {
 		return
 	}
--- a/internal/mapswitch/explore_test.go
+++ b/internal/mapswitch/explore_test.go
@@ -57,7 +57,7 @@
 func (w *world) coordinate(rank int, out []pending, seedOfMap uint16) {
 	c := w.coordinators[rank]
 	if c == nil {
-		c = New(rank, len(w.engines))
+		c = New(rank, len(w.engines), w.epoch)
 		w.coordinators[rank] = c
 	}
 	states, ok := w.round(rank, out[rank].commands)
--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -125,8 +125,11 @@
 // Coordinator changes the map of one group. It is a pure state machine.
 type Coordinator struct {
 	rank, size int
-	phase      Phase
-	epoch      int64
+	// first is the group's epoch when the process started. What earlier processes have
+	// left under way is refused in later epochs.
+	first int64
+	phase Phase
+	epoch int64
 	// quietUntil is the pass before which no change begins: an earlier process on this
 	// rank may have held a pass up to there.
 	quietUntil int64
@@ -151,10 +154,11 @@
 	fenced []bool
 }
 
-// New returns the coordinator of a group's rank.
-func New(rank, size int) *Coordinator {
+// New returns the coordinator of a group's rank in a process that started in the
+// group's epoch first.
+func New(rank, size int, first int64) *Coordinator {
 	return &Coordinator{
-		rank: rank, size: size, lastPass: NoPass,
+		rank: rank, size: size, first: first, lastPass: NoPass,
 		issued: make([]Op, size), answered: make([]bool, size), fenced: make([]bool, size),
 	}
 }
@@ -274,7 +278,7 @@
 	}
 	if own.Epoch != c.epoch {
 		c.quietUntil = NoPass
-		if c.epoch == 0 {
+		if own.Epoch <= c.first {
 			c.quietUntil = own.Pass + 2*lead
 		}
 		c.epoch, c.phase, c.known, c.lastPass = own.Epoch, Idle, false, NoPass
--- a/internal/placement/group.go
+++ b/internal/placement/group.go
@@ -15,7 +15,9 @@
 	stallHold = 3 * time.Second
 	// firstDown and maxDown bound the time for which a group that refuses work gets none.
 	firstDown = 300 * time.Millisecond
-	maxDown   = 1500 * time.Millisecond
+	maxDown   = 600 * time.Millisecond
+	// closedTrust is the age up to which the word that a group does not run counts.
+	closedTrust = 1500 * time.Millisecond
 	// gapWeight is the weight of the newest gap in the mean.
 	gapWeight = 0.1
 	// gapTrust is the age up to which the mean gap counts.
@@ -37,6 +39,10 @@
 	gap time.Duration
 	// stalledAt is when a stall was last noticed; zero if none.
 	stalledAt time.Duration
+	// closedEpoch is the epoch in which the group was last reported not to run, at
+	// closedAt; openEpoch the newest one in which it ran.
+	closedEpoch, openEpoch int64
+	closedAt               time.Duration
 	// downUntil and downFor say until when the group gets nothing since it refuses work.
 	downUntil, downFor time.Duration
 }
@@ -48,7 +54,7 @@
 
 // stalled reports whether the group shows no progress.
 func (g *group) stalled(now time.Duration) bool {
-	if g.producing > 0 && now-g.lastEvent >= g.silence() {
+	if g.producing > 0 && now-g.lastEvent >= g.silence() || g.closed(now) {
 		return true
 	}
 	return g.stalledAt > 0 && now-g.stalledAt < stallHold
@@ -85,6 +91,38 @@
 	return slowWeight * min(max(share, 0), 1)
 }
 
+// closed reports whether the group is said not to run.
+func (g *group) closed(now time.Duration) bool {
+	return g.closedEpoch > 0 && g.closedEpoch >= g.openEpoch && now-g.closedAt < closedTrust
+}
+
+// GroupReported takes in what a target's instance says of the target's group. It
+// returns what has changed, or the empty string.
+func (b *Balancer) GroupReported(now time.Duration, id, name string, epoch int64, open bool) string {
+	b.SetGroup(id, name)
+	g := b.groupOf(b.targets[id])
+	if g == nil {
+		return ""
+	}
+	if !open {
+		if epoch < g.openEpoch {
+			return ""
+		}
+		was := g.closed(now)
+		g.closedEpoch, g.closedAt = epoch, now
+		if was {
+			return ""
+		}
+		return "closed"
+	}
+	if epoch <= g.openEpoch {
+		return ""
+	}
+	g.openEpoch = epoch
+	g.stalledAt, g.downUntil, g.downFor = 0, 0, 0
+	return "open"
+}
+
 // groupOf returns the group of a target, or nil if it is in none that is known.
 func (b *Balancer) groupOf(s *state) *group {
 	if s == nil || s.group == "" {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -116,7 +116,7 @@
 	for _, t := range targets {
 		s := b.targets[t.ID]
 		if s == nil || s.Address != t.Address {
-			s = newState()
+			s = &state{key: Key(t.ID)}
 		}
 		s.Target = t
 		next[t.ID] = s
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -60,7 +60,7 @@
 // Another gateway's work counts, as long as its word is fresh.
 func TestWorkOfOtherGatewaysCounts(t *testing.T) {
 	b := newBalancer(engines(2, 12))
-	b.PeerReported(second, "g2", map[string]int{"t0": 9})
+	b.PeerReported(second, "g2", map[uint32]int{Key("t0"): 9})
 	for range 8 {
 		c, _ := b.Choose(second, Request{Service: "s"})
 		assert.Equal(t, c.Target.ID, "t1")
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -29,6 +29,8 @@
 // state is what is known of one target.
 type state struct {
 	Target
+	// key is the Key of the target's id.
+	key uint32
 	// inFlight counts the requests that this process has at the target.
 	inFlight int
 	// others is the work of other processes by the last report, taken in at reportedAt.
@@ -50,8 +52,6 @@
 	producing int
 }
 
-func newState() *state { return &state{} }
-
 // limit is the most work that the target should have.
 func (s *state) limit(urgent bool) int {
 	share := 1 + queueShare
@@ -63,7 +63,7 @@
 
 // load is the work believed to be at the target.
 func (s *state) load(now time.Duration, b *Balancer) int {
-	if shared, ok := b.workOfPeers(now, s.ID); ok {
+	if shared, ok := b.workOfPeers(now, s.key); ok {
 		return s.inFlight + shared
 	}
 	if !s.reported || now-s.reportedAt > reportTrust {
