--- a/cmd/gentiantrail-mapper/main.go
+++ b/cmd/gentiantrail-mapper/main.go
@@ -32,7 +32,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
 	logger := observe.NewBoundedLogger(os.Stdout, "info", "gentiantrail-mapper", s.Name)
 	metrics := observe.NewMetrics(map[string]string{"instance": s.Name, "availability_zone": s.AvailabilityZone}, logger.Logger)
-	store := platform.NewClient(s.StoreAddress)
+	store := platform.NewStaleClient(s.StoreAddress)
 	m := mapper.New(mapper.Options{
 		Name: s.Name, PeerAddress: s.PeerAddress, Service: s.Service, Engine: platform.NewEngine(s.TargetAddress),
 		Source: store, Memory: store, Logger: logger.Logger, Metrics: metrics.Scope,
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -9,7 +9,7 @@
 
 const (
 	// watchWait is how long a watch waits; the store allows 30 s, and a waiting watch is one call.
-	watchWait = 25 * time.Second
+	watchWait = 29 * time.Second
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 1200 * time.Millisecond
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,7 +19,7 @@
 	// others of its work; with more of them it grows, so that traffic grows with the
 	// number of gateways and not with its square.
 	shareInterval = 100 * time.Millisecond
-	sharePeers    = 9
+	sharePeers    = 40
 	// subscribeInterval is the period in which mappers are asked for their reports.
 	subscribeInterval = 3 * time.Second
 	// maxDatagram is the largest datagram that is read, in bytes.
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -120,6 +120,9 @@
 	leading bool
 	// firstEpoch is the group's epoch when it was first seen.
 	firstEpoch int64
+	// joined is when the process first saw its rank; ranks but the first wait a while
+	// for a leader before they lead.
+	joined time.Time
 	polls      int
 	// remembered is the demand for experts that was last planned for.
 	remembered []float64
@@ -242,7 +245,7 @@
 	old := m.own
 	m.own = r
 	if old.Group != r.Group || old.Rank != r.Rank || old.Size != r.Size {
-		m.firstEpoch, m.lead, m.leading = r.State.Epoch, nil, false
+		m.firstEpoch, m.lead, m.leading, m.joined = r.State.Epoch, nil, false, time.Now()
 	}
 	if old.Group != r.Group || old.State.Epoch != r.State.Epoch || old.State.Open != r.State.Open {
 		m.opts.Logger.Info().Str("event", "belief").Str("topic", "group").Str("group", r.Group).Int("rank", r.Rank).
@@ -290,7 +293,7 @@
 		}
 		return
 	}
-	if m.leading || m.engine == nil || m.engine.Layers == 0 {
+	if m.leading || m.engine == nil || m.engine.Layers == 0 || m.own.Rank > 0 && time.Since(m.joined) < leaderTimeout {
 		return
 	}
 	m.opts.Logger.Info().Str("event", "leading").Str("group", m.own.Group).Int("rank", m.own.Rank).Msg("")
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -179,8 +179,9 @@
 	failureWeight = 2.0
 	// remoteWeight prefers targets of the own availability zone among equals.
 	remoteWeight = 0.02
-	// jitter spreads processes that see the same loads.
-	jitter = 0.02
+	// jitter spreads processes that see the same loads: two requests more or less
+	// make no difference.
+	jitter = 0.2
 )
 
 // cost is the relative load at which a target would run the request, plus what its
