Price a copy of an expert by its own time

Cause: on the grown site plans stopped at a skew of 1.9 although a fresh pack reaches 1.01: a copy was priced at 6 ms of step time whatever its size, and there it takes 36 ms of one rank out of 32. Change: a copy costs the step time that it slows, times a weight for the link.

--- a/internal/mapper/lead.go
+++ b/internal/mapper/lead.go
@@ -30,11 +30,20 @@
 	planStepTime     = 15 * time.Millisecond
 	planStepInterval = 80 * time.Millisecond
 	planHorizon      = 5 * time.Second
-	planMoveCost     = 6 * time.Millisecond
 	planChangeCost   = 100 * time.Millisecond
-	planMaxMoves     = 40 // experts a layer
+	planMaxMoves     = 64 // experts a layer
+	// copySlowdown is the part by which passes take longer while a rank copies experts.
+	copySlowdown = 0.15
+	// moveWeight is the price of a copy in the step time that it costs: copies load the
+	// link of the weights beside slowing passes.
+	moveWeight = 5
 )
 
+// moveCost is the step time that copying one expert costs: all ranks copy at once.
+func moveCost(copyTime time.Duration, ranks int) time.Duration {
+	return time.Duration(moveWeight * copySlowdown * float64(copyTime) / float64(ranks))
+}
+
 func (m *Mapper) newLeading() *leading {
 	e := m.engine
 	shape := rebalance.Shape{Ranks: m.own.Size, Layers: e.Layers, Experts: e.Experts, SlotsPerRank: e.Places}
@@ -44,7 +53,7 @@
 		members:     make(map[int]*member),
 		planner: rebalance.NewPlanner(rebalance.Config{
 			Shape: shape, ExpertSize: 1, StepTime: planStepTime, StepInterval: planStepInterval,
-			Horizon: planHorizon, MoveCost: planMoveCost, ChangeCost: planChangeCost,
+			Horizon: planHorizon, MoveCost: moveCost(e.CopyTime, m.own.Size), ChangeCost: planChangeCost,
 			Window: 1, Delay: 2, MaxMoves: planMaxMoves, MaxNewPerRank: e.Spare,
 		}),
 	}
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -123,7 +123,7 @@
 	// joined is when the process first saw its rank; ranks but the first wait a while
 	// for a leader before they lead.
 	joined time.Time
-	polls      int
+	polls  int
 	// remembered is the demand for experts that was last planned for.
 	remembered []float64
 	savedAt    time.Time
