--- a/internal/hint/hint.go
+++ b/internal/hint/hint.go
@@ -27,3 +27,10 @@
 
 // Encode returns the datagram.
 func (m *Message) Encode() ([]byte, error) { return cbor.Marshal(m) }
+
+// Decode reads a datagram.
+func Decode(b []byte) (Message, error) {
+	var m Message
+	err := cbor.Unmarshal(b, &m)
+	return m, err
+}
--- /dev/null
+++ b/internal/mapper/mapper_test.go
@@ -0,0 +1,288 @@
+package mapper
+
+import (
+	"context"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/hint"
+	"github.com/gentiantrail/gentiantrail/internal/mapswitch"
+	"github.com/gentiantrail/gentiantrail/internal/rebalance"
+)
+
+func TestDemandSurvivesQuantising(t *testing.T) {
+	counts := []int64{0, 10, 1000, 118538}
+	q, most := quantise(counts)
+	for i, v := range restore(q, most) {
+		// Half a step of the root r = sqrt(c/most) changes c by at most this much.
+		c := float64(counts[i])
+		bound := math.Sqrt(c*most)/255 + most/(4*255*255)
+		assert.Assert(t, math.Abs(v-c) <= bound*1.0001, "%d: %v", i, v)
+	}
+}
+
+func TestCountsOverTheWindow(t *testing.T) {
+	var w countWindowed
+	begin := time.Now()
+	for i := range int64(10) {
+		w.add(begin.Add(time.Duration(i)*countWindow/4), []int64{10 * i})
+	}
+	d := w.delta()[0]
+	assert.Assert(t, d >= 40 && d <= 50, d)
+	w.add(begin.Add(time.Hour), []int64{3}) // the engine started anew
+	assert.Equal(t, w.delta()[0], int64(0))
+}
+
+func TestMapWithFreePlacesThereAndBack(t *testing.T) {
+	shape := rebalance.Shape{Ranks: 2, Layers: 1, Experts: 4, SlotsPerRank: 3}
+	rows := [][][]uint16{{{0, 2}, {1, 3}}}
+	m := mapOf(shape, rows, rebalance.Popularity{Experts: 4, Load: []float64{9, 1, 3, 2}})
+	assert.DeepEqual(t, m.Slots, []uint16{0, 2, 2, 1, 3, 1})
+	assert.NilError(t, m.Validate())
+	assert.DeepEqual(t, rowsOf(m), rows)
+}
+
+// fakeGroup is a lock-step group of engines whose orders may stay unanswered.
+type fakeGroup struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	pass     int64
+	lossy    float64
+	ranks    []fakeRank
+	rows     [][][]uint16
+	mixed    bool
+	switched int
+}
+
+type fakeRank struct {
+	version, highest, prepared, armed, armedPass, held int64
+	rows, preparedRows                                 [][]uint16
+	counts                                             []int64
+}
+
+func newFakeGroup(ranks, layers, experts int) *fakeGroup {
+	g := &fakeGroup{rng: rand.New(rand.NewPCG(3, 4))}
+	for r := range ranks {
+		rank := fakeRank{held: mapswitch.NoPass, counts: make([]int64, layers*experts)}
+		for range layers {
+			var row []uint16
+			for e := r; e < experts; e += ranks {
+				row = append(row, uint16(e))
+			}
+			rank.rows = append(rank.rows, row)
+		}
+		g.ranks = append(g.ranks, rank)
+	}
+	return g
+}
+
+// tick begins a pass unless it is held; every request wants the first experts most.
+func (g *fakeGroup) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range g.ranks {
+		if g.ranks[i].held == g.pass+1 {
+			return
+		}
+	}
+	g.pass++
+	for i := range g.ranks {
+		r := &g.ranks[i]
+		if r.armed != 0 && r.armedPass == g.pass {
+			r.version, r.rows, r.armed, r.prepared = r.armed, r.preparedRows, 0, 0
+			g.switched++
+		}
+		for e := range r.counts {
+			r.counts[e] += int64(1000 / (1 + e%len(r.counts)))
+		}
+	}
+	for i := range g.ranks {
+		g.mixed = g.mixed || g.ranks[i].version != g.ranks[0].version
+	}
+}
+
+// fakeEngine is one rank of a fakeGroup.
+type fakeEngine struct {
+	g    *fakeGroup
+	rank int
+}
+
+func (e fakeEngine) Read(context.Context) (Reading, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	r := &e.g.ranks[e.rank]
+	return Reading{Group: "g", Rank: e.rank, Size: len(e.g.ranks), Running: 2, State: mapswitch.State{
+		Open: true, Epoch: 1, Pass: e.g.pass, Version: r.version, Prepared: r.prepared,
+		ArmedVersion: r.armed, ArmedPass: r.armedPass, Held: r.held,
+	}}, nil
+}
+
+func (e fakeEngine) Counts(context.Context) ([]int64, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	return append([]int64(nil), e.g.ranks[e.rank].counts...), nil
+}
+
+func (e fakeEngine) Lists(context.Context) (Rows, *Rows, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	r := &e.g.ranks[e.rank]
+	inForce := Rows{Version: r.version, Experts: r.rows}
+	if r.prepared == 0 {
+		return inForce, nil, nil
+	}
+	return inForce, &Rows{Version: r.prepared, Experts: r.preparedRows}, nil
+}
+
+func (e fakeEngine) Order(_ context.Context, o mapswitch.Order) (mapswitch.Result, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	if e.g.rng.Float64() < e.g.lossy {
+		return mapswitch.Unknown, io.ErrUnexpectedEOF
+	}
+	r := &e.g.ranks[e.rank]
+	switch o.Op {
+	case mapswitch.Prepare:
+		if o.Version <= r.highest || r.armed != 0 {
+			return mapswitch.Rejected, nil
+		}
+		r.highest, r.prepared, r.preparedRows = o.Version, o.Version, nil
+		for layer := range o.Map {
+			r.preparedRows = append(r.preparedRows, o.Map[layer][e.rank])
+		}
+	case mapswitch.Hold:
+		if o.Pass <= e.g.pass {
+			return mapswitch.Rejected, nil
+		}
+		r.held = o.Pass
+	case mapswitch.Arm:
+		if r.prepared != o.Version || o.Pass <= e.g.pass {
+			return mapswitch.Rejected, nil
+		}
+		r.armed, r.armedPass = o.Version, o.Pass
+	case mapswitch.Disarm:
+		r.armed = 0
+	case mapswitch.Go:
+		if r.held == o.Pass {
+			r.held = mapswitch.NoPass
+		}
+	}
+	return mapswitch.Accepted, nil
+}
+
+// fakeSource lists the engines of a group.
+type fakeSource struct {
+	fleet.Source
+	batches map[fleet.Topic]fleet.Batch
+}
+
+func (s fakeSource) List(_ context.Context, topic fleet.Topic) (fleet.Batch, error) {
+	return s.batches[topic], nil
+}
+
+type noMemory struct{}
+
+func (noMemory) Recall(context.Context, string) ([]byte, error) { return nil, nil }
+func (noMemory) Remember(context.Context, string, []byte) error { return nil }
+
+// startMappers runs a mapper beside each rank of a group, each on an IP number of its
+// own, and returns their addresses.
+func startMappers(t *testing.T, g *fakeGroup) []string {
+	t.Helper()
+	probe, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	port := probe.LocalAddr().(*net.UDPAddr).Port
+	assert.NilError(t, probe.Close())
+	source := fakeSource{batches: map[fleet.Topic]fleet.Batch{
+		fleet.TopicConfig: {Changes: []fleet.Change{{Name: "main", Config: &fleet.Config{Version: 1, Services: []fleet.Service{{
+			Name: "s", Engine: &fleet.Engine{Layers: 2, Experts: 8, Places: 4, Spare: 2, CopyTime: time.Millisecond},
+		}}}}}},
+	}}
+	var addrs []string
+	var targets []fleet.Change
+	for r := range g.ranks {
+		host := "127.0.0." + strconv.Itoa(10+r)
+		addrs = append(addrs, net.JoinHostPort(host, strconv.Itoa(port)))
+		targets = append(targets, fleet.Change{Name: host, Target: &fleet.Target{ID: host, Service: "s", Address: host + ":80"}})
+	}
+	source.batches[fleet.TopicTargets] = fleet.Batch{Changes: targets}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for r, addr := range addrs {
+		m := New(Options{
+			Name: strconv.Itoa(r), PeerAddress: addr, Service: "s", Engine: fakeEngine{g, r},
+			Source: source, Memory: noMemory{}, Logger: &log.Logger{Level: log.PanicLevel},
+		})
+		go func() {
+			if err := m.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+			g.tick()
+		}
+	}()
+	return addrs
+}
+
+// A group whose demand is uneven gets another map on all ranks at one pass, also when
+// a part of the orders stays unanswered.
+func TestGroupGetsAMapThatFitsItsDemand(t *testing.T) {
+	for _, lossy := range []float64{0, 0.3} {
+		g := newFakeGroup(4, 2, 8)
+		g.lossy = lossy
+		startMappers(t, g)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if g.mixed {
+				return poll.Error(io.ErrUnexpectedEOF)
+			}
+			if g.switched < 4 {
+				return poll.Continue("%d ranks switched, pass %d", g.switched, g.pass)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(30*time.Second), poll.WithDelay(20*time.Millisecond))
+	}
+}
+
+// A gateway that asks gets reports of the engine without asking the engine.
+func TestSubscriberGetsReports(t *testing.T) {
+	g := newFakeGroup(2, 2, 8)
+	addrs := startMappers(t, g)
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = socket.Close() }()
+	to, err := net.ResolveUDPAddr("udp4", addrs[0])
+	assert.NilError(t, err)
+	b, err := (&hint.Message{Subscribe: true}).Encode()
+	assert.NilError(t, err)
+	buf := make([]byte, 1024)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, err := socket.WriteTo(b, to)
+		assert.NilError(t, err)
+		assert.NilError(t, socket.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		n, _, err := socket.ReadFrom(buf)
+		if err != nil {
+			return poll.Continue("no report yet: %v", err)
+		}
+		m, err := hint.Decode(buf[:n])
+		assert.NilError(t, err)
+		assert.DeepEqual(t, *m.Report, hint.Report{Group: "g", Epoch: 1, Open: true, Running: 2})
+		return poll.Success()
+	})
+}
