Compare a sample of targets; less work for groups whose passes near the objective

Cause: gateways placed requests on the target that looked emptiest to all of them: 19 requests on 10 slots while the mean was 7, p99 to the first event 1.7 s. It hid behind another fault: since the list of gateways was read with leave to be old, no gateway knew another one. Change: five usable targets are drawn and compared; gateways read the list a second after they registered; until then limits are shared by 64. A group whose longest recent pass nears the pause that callers aim at gets less work. Maps are packed, sent faster, and switched two passes ahead.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -13,6 +13,9 @@
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 1200 * time.Millisecond
+	// registerPause is kept between a gateway's registration and its look at the others:
+	// the instances of a deployment start within a few hundred milliseconds.
+	registerPause = time.Second
 	// watchPause is kept between two watches of a topic, so that changes that come close
 	// together cost one call. It is far below the bounds for acting on a change.
 	watchPause = 250 * time.Millisecond
@@ -49,6 +52,7 @@
 // later find this one in the store and make themselves known.
 func (f *Follower) announce(ctx context.Context) {
 	f.retry(ctx, TopicGateways, func() error { return f.Source.Register(ctx, f.Self) })
+	sleep(ctx, registerPause) // those that start together find each other
 	f.retry(ctx, TopicGateways, func() error {
 		batch, err := f.Source.List(ctx, TopicGateways)
 		if err == nil {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -22,7 +22,7 @@
 	// that were added and are not known yet.
 	spareGateways = 3
 	// unknownGateways is assumed until the list of gateways has been read.
-	unknownGateways = 16
+	unknownGateways = 64
 )
 
 // event is something that the control goroutine takes in.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,6 +44,10 @@
 	// lastEvent is the id of the last whole event that went to the caller.
 	lastEvent int64
 	hasEvent  bool
+	// firstEvent is the time to the first event, and longestGap the longest pause between
+	// two events, as they went to the caller.
+	firstEvent, longestGap time.Duration
+	lastEventAt            time.Time
 	// status is what the caller was told.
 	status int
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -29,7 +29,8 @@
 		line = line.Str("organisation", x.organisation.Name)
 	}
 	if x.hasEvent {
-		line = line.Int64("last_event", x.lastEvent)
+		line = line.Int64("last_event", x.lastEvent).Int64("first_event_ms", x.firstEvent.Milliseconds()).
+			Int64("longest_gap_ms", x.longestGap.Milliseconds())
 	}
 	if err != nil {
 		line = line.Str("detail", err.Error())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,7 +83,7 @@
 func (a *attempt) event(gap time.Duration) time.Duration {
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
-	return a.g.balancer.Event(a.g.now(), a.target.ID, gap)
+	return a.g.balancer.Event(a.g.now(), a.target.ID, gap, a.x.route.EventGap)
 }
 
 // errOrder means that a target's event ids have a gap or a repeat.
@@ -104,14 +104,25 @@
 	if !x.headSent {
 		x.headSent, x.status = true, answer.Status
 		b = append(a.g.answerHead(x, answer), "Transfer-Encoding: chunked\r\n\r\n"...)
-		a.g.count.firstEvent.RecordDuration(time.Since(x.arrived))
+		x.firstEvent = time.Since(x.arrived)
+		a.g.count.firstEvent.RecordDuration(x.firstEvent)
 	}
 	x.out.write(http1.AppendChunk(b, ev.Bytes))
+	x.notePause()
 	if ev.HasID {
 		x.lastEvent, x.hasEvent = ev.ID, true
 	}
 }
 
+// notePause keeps the longest pause between two events.
+func (x *exchange) notePause() {
+	now := time.Now()
+	if !x.lastEventAt.IsZero() {
+		x.longestGap = max(x.longestGap, now.Sub(x.lastEventAt))
+	}
+	x.lastEventAt = now
+}
+
 // streamEnded judges the end of a stream at one target.
 func (a *attempt) streamEnded(answer *upstream.Answer, err error) (*apierr.Error, bool) {
 	x := a.x
--- a/internal/mapper/lead.go
+++ b/internal/mapper/lead.go
@@ -18,8 +18,8 @@
 	askMapsAgain = 300 * time.Millisecond
 	// mapsAtOnce maps are sent before a pause of mapsPause: an engine's instance may have
 	// a link of a few megabits a second only.
-	mapsAtOnce = 5
-	mapsPause  = 30 * time.Millisecond
+	mapsAtOnce = 8
+	mapsPause  = 25 * time.Millisecond
 	// copySlack is added to the time that copying should take before a change is given up.
 	copySlack = 4 * time.Second
 )
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -37,11 +37,11 @@
 	// busyRound and calmRound are the pauses between rounds while a change is about to
 	// switch, and while experts are copied or nothing is done.
 	busyRound = 5 * time.Millisecond
-	calmRound = 120 * time.Millisecond
+	calmRound = 60 * time.Millisecond
 	idleRound = time.Second
 	// smallGroup is the number of ranks up to which each tells the leader of its demand
 	// at every look; in larger groups at every other.
-	smallGroup = 16
+	smallGroup = 40
 	// callTimeout bounds one call to the own engine.
 	callTimeout = 300 * time.Millisecond
 )
--- a/internal/mapper/round.go
+++ b/internal/mapper/round.go
@@ -16,6 +16,8 @@
 	// answers holds the state of each rank that has answered.
 	answers map[int]mapswitch.State
 	size    int
+	// packed is the map of the round's orders, if they have one.
+	packed []byte
 	// next is the rank to be asked next, when due has come.
 	next int
 	due  time.Time
@@ -47,10 +49,15 @@
 		}
 		ask := &askBody{Round: r.id}
 		if o, ok := r.orders[rank]; ok {
-			ask.Order = &o
 			if o.Map != nil {
 				maps++
+				if r.packed == nil {
+					r.packed = packMap(o.Map) // the same for all ranks
+				}
+				ask.Map = r.packed
+				o.Map = nil
 			}
+			ask.Order = &o
 		}
 		m.askRank(ctx, rank, ask)
 		if maps >= mapsAtOnce {
@@ -127,6 +134,14 @@
 func (m *Mapper) carryOut(ctx context.Context, ask *askBody) (mapswitch.State, bool) {
 	result := mapswitch.Accepted
 	if ask.Order != nil {
+		var err error
+		if len(ask.Map) > 0 {
+			ask.Order.Map, err = unpackMap(ask.Map)
+		}
+		if err != nil {
+			m.opts.Logger.Warn().Str("event", "map-refused").Err(err).Msg("")
+			return mapswitch.State{}, false
+		}
 		result = m.giveOrder(ctx, ask.Order)
 	}
 	reading, err := m.read(ctx)
--- a/internal/mapper/wire.go
+++ b/internal/mapper/wire.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"errors"
+	"math"
 	"net"
 	"time"
 
@@ -42,6 +45,66 @@
 type askBody struct {
 	Round uint64           `cbor:"1,keyasint"`
 	Order *mapswitch.Order `cbor:"2,keyasint,omitempty"`
+	// Map is the order's map as packMap writes it; it is left out of Order.
+	Map []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// packMap writes a map by layer and rank: the number of experts of a row, then the
+// experts, each as an unsigned varint.
+func packMap(rows [][][]uint16) []byte {
+	b := binary.AppendUvarint(nil, uint64(len(rows)))
+	for _, ranks := range rows {
+		b = binary.AppendUvarint(b, uint64(len(ranks)))
+		for _, experts := range ranks {
+			b = binary.AppendUvarint(b, uint64(len(experts)))
+			for _, e := range experts {
+				b = binary.AppendUvarint(b, uint64(e))
+			}
+		}
+	}
+	return b
+}
+
+// errMap means that a packed map can't be read.
+var errMap = errors.New("the map is malformed")
+
+// mapReader reads the numbers of a packed map; after the first fault it reads nothing.
+type mapReader struct {
+	left   []byte
+	failed bool
+}
+
+// number reads one number of at most limit.
+func (r *mapReader) number(limit int) int {
+	v, n := binary.Uvarint(r.left)
+	if r.failed || n <= 0 || v > uint64(limit) {
+		r.failed = true
+		return 0
+	}
+	r.left = r.left[n:]
+	return int(v)
+}
+
+// count reads the length of a list, of which each item takes a byte or more.
+func (r *mapReader) count() int { return r.number(len(r.left)) }
+
+// unpackMap reverses packMap.
+func unpackMap(b []byte) ([][][]uint16, error) {
+	r := &mapReader{left: b}
+	rows := make([][][]uint16, r.count())
+	for l := range rows {
+		rows[l] = make([][]uint16, r.count())
+		for rank := range rows[l] {
+			rows[l][rank] = make([]uint16, r.count())
+			for i := range rows[l][rank] {
+				rows[l][rank][i] = uint16(r.number(math.MaxUint16))
+			}
+		}
+	}
+	if r.failed || len(rows) == 0 || len(r.left) > 0 {
+		return nil, errMap
+	}
+	return rows, nil
 }
 
 // answerBody is a rank's answer to it.
--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -114,9 +114,9 @@
 	// lead is the number of passes between the newest one and the switch. Passes take
 	// some ten milliseconds and the orders a few round trips, so that the group seldom
 	// reaches the held pass before it is released.
-	lead = 4
+	lead = 2
 	// minLead is the least lead with which a hold is still asked for.
-	minLead = 2
+	minLead = 1
 	// skipVersions is how many of its own versions a coordinator skips when a rank has
 	// had a higher one.
 	skipVersions = 16
--- a/internal/placement/group.go
+++ b/internal/placement/group.go
@@ -37,6 +37,7 @@
 	lastEvent time.Duration
 	// gap is the mean time between two events of a stream.
 	gap time.Duration
+	pace
 	// stalledAt is when a stall was last noticed; zero if none.
 	stalledAt time.Duration
 	// closedEpoch is the epoch in which the group was last reported not to run, at
@@ -61,7 +62,7 @@
 }
 
 // event notes progress; gap is the time since the stream's event before, or zero.
-func (g *group) event(now, gap time.Duration) {
+func (g *group) event(now, gap, objective time.Duration, load func() float64) {
 	switch {
 	case gap <= 0:
 	case g.gap == 0 || now-g.lastEvent > gapTrust:
@@ -69,6 +70,9 @@
 	default:
 		g.gap += time.Duration(gapWeight * float64(gap-g.gap))
 	}
+	if gap > 0 {
+		g.observe(now, gap, g.gap, objective, load)
+	}
 	g.lastEvent, g.stalledAt = now, 0
 	g.downUntil, g.downFor = 0, 0
 }
@@ -170,22 +174,35 @@
 	if g := b.groupOf(s); g != nil {
 		g.producing = max(0, g.producing+n)
 		if n > 0 {
-			g.event(now, 0)
+			g.event(now, 0, 0, nil)
 		}
 	}
 }
 
-// Event notes an event of a stream at a target, gap after the stream's event before,
-// and returns the silence after which the stream should go on elsewhere.
-func (b *Balancer) Event(now time.Duration, id string, gap time.Duration) time.Duration {
+// Event notes an event of a stream at a target, gap after the stream's event before;
+// objective is the longest gap that the stream should have. It returns the silence
+// after which the stream should go on elsewhere.
+func (b *Balancer) Event(now time.Duration, id string, gap, objective time.Duration) time.Duration {
 	g := b.groupOf(b.targets[id])
 	if g == nil {
 		return maxSilence
 	}
-	g.event(now, gap)
+	g.event(now, gap, objective, func() float64 { return b.groupLoad(now, g) })
 	return g.silence()
 }
 
+// groupLoad returns the part of their slots that a group's ranks have work for.
+func (b *Balancer) groupLoad(now time.Duration, g *group) float64 {
+	load, slots := 0, 0
+	for _, s := range b.targets {
+		if b.groupOf(s) == g {
+			load += s.load(now, b)
+			slots += s.Slots
+		}
+	}
+	return float64(load) / float64(max(1, slots))
+}
+
 // Stalled notes that a stream at the target was silent for too long.
 func (b *Balancer) Stalled(now time.Duration, id string) {
 	if g := b.groupOf(b.targets[id]); g != nil && now-g.lastEvent >= minSilence {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -127,17 +127,11 @@
 
 // Choose picks the target for a request and counts it as sent there.
 func (b *Balancer) Choose(now time.Duration, r Request) (Choice, Refusal) {
-	refusal := NoTarget
+	sample, refusal := b.sample(now, &r)
 	var best *state
 	bestCost := 0.0
-	for _, s := range b.services[r.Service] {
-		why := b.usable(now, s, &r)
-		if why != NotRefused {
-			refusal = max(refusal, why)
-			continue
-		}
-		cost := b.cost(now, s, &r)
-		if best == nil || cost < bestCost {
+	for _, s := range sample {
+		if cost := b.cost(now, s, &r); best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
@@ -149,6 +143,33 @@
 	return c, NotRefused
 }
 
+// sampleSize is the number of usable targets that are compared for a request. Many
+// processes choose between two words on each other's work; comparing all targets
+// would send all of them to the one that looks emptiest.
+const sampleSize = 5
+
+// sample draws up to sampleSize usable targets, each with the same chance. If there is
+// none it tells why.
+func (b *Balancer) sample(now time.Duration, r *Request) ([]*state, Refusal) {
+	refusal := NoTarget
+	drawn := make([]*state, 0, sampleSize)
+	seen := 0
+	for _, s := range b.services[r.Service] {
+		why := b.usable(now, s, r)
+		if why != NotRefused {
+			refusal = max(refusal, why)
+			continue
+		}
+		seen++
+		if len(drawn) < sampleSize {
+			drawn = append(drawn, s)
+		} else if i := b.rng.IntN(seen); i < sampleSize {
+			drawn[i] = s
+		}
+	}
+	return drawn, refusal
+}
+
 // usable reports why a target can't get the request.
 func (b *Balancer) usable(now time.Duration, s *state, r *Request) Refusal {
 	if !s.Accepting {
@@ -168,7 +189,7 @@
 	if s.StartRate > 0 && s.startsWithin(now, time.Second) >= s.StartRate {
 		return Full
 	}
-	if s.load(now, b) >= s.limit(r.Urgent) {
+	if s.load(now, b) >= b.limit(s, r.Urgent) {
 		return Full
 	}
 	return NotRefused
@@ -179,9 +200,8 @@
 	failureWeight = 2.0
 	// remoteWeight prefers targets of the own availability zone among equals.
 	remoteWeight = 0.02
-	// jitter spreads processes that see the same loads: two requests more or less
-	// make no difference.
-	jitter = 0.2
+	// jitter spreads processes that see the same loads.
+	jitter = 0.05
 )
 
 // cost is the relative load at which a target would run the request, plus what its
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -9,7 +9,7 @@
 	// queueShare is the work that a target may have beyond its slots, in parts of them.
 	queueShare = 0.25
 	// urgentShare is the further part that urgent requests may use.
-	urgentShare = 0.25
+	urgentShare = 0.1
 	// failureHalfLife is the time in which a failure loses half of its weight.
 	failureHalfLife = 2 * time.Second
 	// failurePrior stands for attempts that went well, so that one failure isn't a rate of 1.
@@ -52,13 +52,17 @@
 	producing int
 }
 
-// limit is the most work that the target should have.
-func (s *state) limit(urgent bool) int {
+// limit is the most work that a target should have.
+func (b *Balancer) limit(s *state, urgent bool) int {
 	share := 1 + queueShare
+	if g := b.groupOf(s); g != nil {
+		share = g.share()
+	}
 	if urgent {
 		share += urgentShare
 	}
-	return max(1, int(math.Ceil(share*float64(s.Slots))))
+	// A fraction of a request is a chance, so that the mean is right.
+	return max(1, int(math.Floor(share*float64(s.Slots)+b.rng.Float64())))
 }
 
 // load is the work believed to be at the target.
