--- a/cmd/gentiantrail-mapper/main.go
+++ b/cmd/gentiantrail-mapper/main.go
@@ -32,18 +32,18 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * (1 << 20)))
 	logger := observe.NewBoundedLogger(os.Stdout, "info", "gentiantrail-mapper", s.Name)
 	metrics := observe.NewMetrics(map[string]string{"instance": s.Name, "availability_zone": s.AvailabilityZone}, logger.Logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	store := platform.NewStaleClient(s.StoreAddress)
 	m := mapper.New(mapper.Options{
-		Name: s.Name, PeerAddress: s.PeerAddress, Service: s.Service, Engine: platform.NewEngine(s.TargetAddress),
+		PeerAddress: s.PeerAddress, Service: s.Service, Engine: platform.NewEngine(s.TargetAddress),
 		Source: store, Memory: store, Logger: logger.Logger, Metrics: metrics.Scope,
 	})
-	admin := observe.NewAdmin(observe.AdminConfig{Metrics: metrics, Logger: logger.Logger})
+	admin := observe.NewAdmin(observe.AdminConfig{State: func() any { return m.State(ctx) }, Metrics: metrics, Logger: logger.Logger})
 	if err := admin.Listen(s.AdminAddress); err != nil {
 		return err
 	}
 	logger.Info().Str("event", "start").Str("availability_zone", s.AvailabilityZone).Int("pid", os.Getpid()).Msg("")
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	failed := make(chan error, 1)
 	go func() { failed <- m.Run(ctx) }()
 	go daemon.WatchSettings(ctx, path, logger.Logger, func() error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,8 +45,6 @@
 	LastEvent string
 	// Urgency orders requests at a target; the lowest number is first.
 	Urgency string
-	// Tokens holds the prompt's and the answer's size in tokens.
-	Tokens string
 }
 
 // EngineProbe asks a target for its lock-step group; an empty name means that it has none.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -25,7 +25,7 @@
 // testHeaders are other names than the platform's: the gateway knows none by itself.
 var testHeaders = Headers{
 	Attempt: "T-Id", Deadline: "T-Deadline", Signature: "T-Sign", Organisation: "T-Org", ExpectTarget: "T-Expect",
-	Load: "T-Load", NotExecuted: "T-Not-Run", LastEvent: "T-Last", Urgency: "T-Urgency", Tokens: "T-Tokens",
+	Load: "T-Load", NotExecuted: "T-Not-Run", LastEvent: "T-Last", Urgency: "T-Urgency",
 }
 
 // fakeStore is a Source whose content tests change.
--- a/internal/mapper/lead.go
+++ b/internal/mapper/lead.go
@@ -112,8 +112,12 @@
 	if before != after {
 		m.logPhase(before, after)
 	}
+	if before == mapswitch.Releasing && after == mapswitch.Idle {
+		m.changes.Inc(1)
+	}
 	if before == mapswitch.Preparing && after == mapswitch.Preparing && time.Now().After(l.deadline) {
 		l.coordinator.Abandon()
+		m.abandoned.Inc(1)
 		m.opts.Logger.Warn().Str("event", "map-abandoned").Int64("version", l.coordinator.Version()).Msg("")
 	}
 	if m.leading && l.coordinator.Ready() {
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -78,8 +78,6 @@
 
 // Options are the collaborators of a Mapper.
 type Options struct {
-	// Name names the process in logs.
-	Name string
 	// PeerAddress is the IP address and UDP port of this process; others use the same port.
 	PeerAddress string
 	// Service is the service of the engine.
@@ -100,11 +98,11 @@
 
 // Mapper runs beside one rank.
 type Mapper struct {
-	opts   Options
-	start  time.Time
-	events chan event
-	socket *net.UDPConn
-	port   int
+	opts               Options
+	changes, abandoned tally.Counter
+	events             chan event
+	socket             *net.UDPConn
+	port               int
 
 	// The fields below are owned by the goroutine of Run.
 
@@ -174,7 +172,7 @@
 
 // New returns a Mapper; Run starts it.
 func New(opts Options) *Mapper {
-	return &Mapper{opts: opts, start: time.Now(), events: make(chan event, 256), peers: map[string]*net.UDPAddr{}, subscribers: map[string]subscriber{}}
+	return &Mapper{opts: opts, changes: opts.Metrics.Counter("map_changes"), abandoned: opts.Metrics.Counter("map_changes_abandoned"), events: make(chan event, 256), peers: map[string]*net.UDPAddr{}, subscribers: map[string]subscriber{}}
 }
 
 // Run works until ctx ends.
--- a/internal/mapper/mapper_test.go
+++ b/internal/mapper/mapper_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -220,7 +221,7 @@
 	t.Cleanup(cancel)
 	for r, addr := range addrs {
 		m := New(Options{
-			Name: strconv.Itoa(r), PeerAddress: addr, Service: "s", Engine: fakeEngine{g, r},
+			PeerAddress: addr, Metrics: tally.NoopScope, Service: "s", Engine: fakeEngine{g, r},
 			Source: source, Memory: noMemory{}, Logger: &log.Logger{Level: log.PanicLevel},
 		})
 		go func() {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -106,8 +106,8 @@
 	w.mu.Unlock()
 	old := w.targets[i].ID()
 	w.targets[i].Restart(id)
-	w.announce(i, "ready")
-	return "replace " + old, 300 * time.Millisecond, func() { w.store.Put("servers", old, nil) }
+	w.announce(i)
+	return "replace " + old, 300 * time.Millisecond, func() { w.store.RemoveTarget(old) }
 }
 
 // evacuate takes zone b out for a while; the key is revoked with it.
@@ -122,14 +122,14 @@
 	if busy {
 		return "nothing", 0, nil
 	}
-	w.store.Put("evacuations", "b", map[string]any{})
+	w.store.Evacuate("b", true)
 	w.configure()
 	return "evacuate b and revoke key-2", 5 * time.Second, func() {
 		w.mu.Lock()
 		w.evacuated = time.Time{}
 		w.revoked = time.Time{}
 		w.mu.Unlock()
-		w.store.Put("evacuations", "b", nil)
+		w.store.Evacuate("b", false)
 		w.configure()
 	}
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -86,7 +86,7 @@
 		assert.NilError(t, err)
 		w.targets, w.proxies = append(w.targets, target), append(w.proxies, p)
 		w.service = append(w.service, map[bool]string{true: "desk", false: "drafts"}[i < plains])
-		w.announce(i, "ready")
+		w.announce(i)
 	}
 	w.configure()
 	for i := range gateways {
@@ -97,11 +97,8 @@
 }
 
 // announce writes a target's entry.
-func (w *world) announce(i int, state string) {
-	w.store.Put("servers", w.targets[i].ID(), map[string]any{
-		"service": w.service[i], "address": w.proxies[i].addr(), "zone": w.targets[i].Zone, "version": "v1",
-		"concurrencySlots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1,
-	})
+func (w *world) announce(i int) {
+	w.store.PutTarget(w.targets[i], w.service[i], w.proxies[i].addr())
 }
 
 // configure writes the next version of the configuration.
@@ -113,19 +110,7 @@
 	if !w.revoked.IsZero() {
 		keys = keys[:1]
 	}
-	route := func(name, kind, service string, attempts int) map[string]any {
-		return map[string]any{
-			"name": name, "host": "soak.example", "pathPrefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeoutMs": 4000, "targetLatencyMs": 300, "targetGapMs": 200, "maxAttempts": attempts, "resumeStreams": kind == "streaming",
-		}
-	}
-	w.store.Put("config", "main", map[string]any{
-		"version":  w.version,
-		"routes":   []any{route("once", "non_idempotent", "desk", 1), route("safe", "idempotent", "desk", 2), route("stream", "streaming", "drafts", 2)},
-		"services": []any{map[string]any{"name": "desk", "connectionLimit": 100}, map[string]any{"name": "drafts", "connectionLimit": 100}},
-		"limits":   map[string]any{"headerBytes": 16384, "bodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []any{map[string]any{"name": "org", "accessKeys": keys}},
-	})
+	w.store.PutConfig(w.version, keys)
 }
 
 func (w *world) newGateway(i int) *gatewayProcess {
