--- /dev/null
+++ b/internal/settings/gateway_test.go
@@ -0,0 +1,70 @@
+package settings
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const gatewayText = `name: gw-1
+availability_zone: sk-a
+listen: 10.0.0.1:80
+ready_address: 10.0.0.1:81
+admin_address: 10.0.0.1:82
+peer_address: 10.0.0.1:83
+store_address: 10.9.0.1:8000
+memory: 284
+limits:
+  retry_ratio: 0.2
+  retry_slack: 94
+  retry_window: 10s
+  cold_factor: 1.5
+  cold_slack: 5
+  stop_timeout: 8s
+`
+
+const mapperText = `name: m-1
+availability_zone: sk-a
+target_address: 10.0.0.1:80
+service: drafting
+peer_address: 10.0.0.1:83
+admin_address: 10.0.0.1:82
+store_address: 10.9.0.1:8000
+memory: 152
+`
+
+func TestGatewaySettings(t *testing.T) {
+	g, err := LoadGateway(write(t, gatewayText))
+	assert.NilError(t, err)
+	assert.Equal(t, g.Limits, GatewayLimits{
+		RetryRatio: 0.2, RetrySlack: 94, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5, StopTimeout: 8 * time.Second,
+	})
+	_, err = LoadMapper(write(t, mapperText))
+	assert.NilError(t, err)
+}
+
+// Each fault gets a line that names the field and says what to write instead.
+func TestBrokenSettingsAreRefused(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{"listen: 10.0.0.1:80", "listen: somewhere", "listen"},
+		{"memory: 284", "memory: 0", "memory"},
+		{"retry_ratio: 0.2", "retry_ratio: 7", "limits.retry_ratio"},
+		{"stop_timeout: 8s", "stop_timeout: 8", "stop_timeout"},
+		{"name: gw-1", "nome: gw-1", "unknown field nome"},
+		{"store_address: 10.9.0.1:8000", "store_address:", "store_address"},
+		{"limits:", "limits: [", ""},
+	} {
+		_, err := LoadGateway(write(t, strings.Replace(gatewayText, c.from, c.to, 1)))
+		assert.ErrorContains(t, err, c.want)
+		assert.Assert(t, !strings.Contains(err.Error(), "\n"), err)
+	}
+	for _, field := range []string{"target_address", "service", "peer_address"} {
+		_, err := LoadMapper(write(t, strings.Replace(mapperText, field+":", "other:", 1)))
+		assert.ErrorContains(t, err, "other")
+	}
+	_, err := LoadMapper(filepath.Join(t.TempDir(), "none.yaml"))
+	assert.ErrorContains(t, err, "cannot be read")
+}
