Read as a newcomer: drop unused methods, name what the registry keeps

Unused: upstream.Failure.Timeout, EventReader.Buffered. The comment of the registry's away and returned named a field that is gone.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -16,8 +16,8 @@
 	evacuated map[string]bool
 	gateways  map[string]Gateway
 	loaded    [topicCount]bool
-	// trouble holds the time at which the store's present or last absence ended, for
-	// the targets' topic; away tells that it has not ended.
+	// away tells that the store does not answer for the targets; returned is when its
+	// last absence ended.
 	away     bool
 	returned time.Duration
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -250,8 +249,3 @@
 	}
 	return maxIdleTime
 }
-
-// isTimeout reports whether an error is a deadline of ours.
-func isTimeout(err error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
-}
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -52,9 +52,6 @@
 	}
 }
 
-// Buffered reports whether bytes of a further event have been received.
-func (e *EventReader) Buffered() bool { return e.r.Buffered() > 0 }
-
 // inLine reports whether the last line of b is not blank: a full buffer may have
 // split it just before its line end.
 func inLine(b []byte) bool {
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -30,6 +30,3 @@
 
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Cause }
-
-// Timeout reports whether the call ended by a deadline.
-func (f *Failure) Timeout() bool { return isTimeout(f.Cause) }
