Name a busy listen address; give tests addresses that no outgoing connection takes

The address was in use because the soak took its ports from the range of outgoing connections, and another process's connection got the same port between the choice and the start. Ruled out: a descriptor closed by code of ours (no double close found; the error is that of a closed descriptor which gnet itself closed after bind failed). Change: keep-alive is set on each caller's connection as it opens; one copy of the addresses for tests, internal/testaddr, below that range and on a loopback address of the test process.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,13 +7,18 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/settings"
+	"github.com/gentiantrail/gentiantrail/internal/testaddr"
 )
 
 func TestRequestReachesItsTargetAsThePagesSay(t *testing.T) {
@@ -255,3 +260,15 @@
 	assert.Equal(t, string(body), "done")
 	<-stopped
 }
+
+// TestBusyAddressIsNamed starts a gateway on an address that another listens on.
+func TestBusyAddressIsNamed(t *testing.T) {
+	ln, err := testaddr.Listen()
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	g := New(Options{
+		Settings: &settings.Gateway{Listen: ln.Addr().String(), Limits: settings.DefaultGatewayLimits()},
+		Logger:   &log.Logger{Level: log.PanicLevel}, Metrics: tally.NoopScope,
+	})
+	assert.ErrorIs(t, g.Serve(t.Context()), syscall.EADDRINUSE)
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
 	"github.com/gentiantrail/gentiantrail/internal/settings"
+	"github.com/gentiantrail/gentiantrail/internal/testaddr"
 )
 
 // testHeaders are other names than the platform's: the gateway knows none by itself.
@@ -90,10 +91,9 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	addr, err := testaddr.Free()
 	assert.NilError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	return addr
 }
 
 func testConfig(version int64) *fleet.Config {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -21,9 +21,11 @@
 	// stopIdle is how long after the stop signal an idle connection of a caller stays
 	// open: the balancer in front needs two checks of readiness to notice.
 	stopIdle = 3 * time.Second
-	// callerKeepAlive finds callers whose connection has gone silent; gnet probes five
-	// times within it, in whole seconds.
-	callerKeepAlive = 5 * time.Second
+	// callerKeepAlive is how long a caller's connection is idle before it is probed;
+	// callerProbes probes without an answer, callerProbeInterval apart, end it.
+	callerKeepAlive     = 5 * time.Second
+	callerProbeInterval = time.Second
+	callerProbes        = 5
 	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration is known.
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
@@ -62,7 +64,7 @@
 	}()
 	return gnet.Run(g.server, "tcp4://"+g.opts.Settings.Listen,
 		gnet.WithMulticore(false), gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
-		gnet.WithTicker(true), gnet.WithTCPKeepAlive(callerKeepAlive), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithTicker(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(gnetLogger{g.opts.Logger}))
 }
 
@@ -100,6 +102,10 @@
 	cc := &callerConn{s: s, conn: c}
 	cc.waits.Store(&wait{since: time.Now()})
 	c.SetContext(cc)
+	// gnet's option for it hides a failure to listen behind one of setsockopt.
+	if err := c.SetKeepAlive(true, callerKeepAlive, callerProbeInterval, callerProbes); err != nil {
+		s.g.opts.Logger.Debug().Str("event", "keepalive").Err(err).Msg("the caller has left already")
+	}
 	s.mu.Lock()
 	s.conns[cc] = struct{}{}
 	s.mu.Unlock()
--- a/test/capacity/process_test.go
+++ b/test/capacity/process_test.go
@@ -3,20 +3,20 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/gentiantrail/gentiantrail/internal/testaddr"
 )
 
 const (
@@ -98,30 +98,12 @@
 	return 0
 }
 
-// Ports are taken below the range from which outgoing connections get theirs, on a
-// loopback address of this test process alone.
-const (
-	firstPort = 15_000
-	portCount = 15_000
-)
-
-var (
-	portsTaken atomic.Uint32
-	host       = fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()%250, 1+os.Getpid()/250%250)
-)
-
 // freeAddr returns an address that nothing listens on. It is handed out once.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	for range portCount {
-		addr := fmt.Sprintf("%s:%d", host, firstPort+portsTaken.Add(1)%portCount)
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			_ = ln.Close()
-			return addr
-		}
-	}
-	t.Fatal("no free port")
-	return ""
+	addr, err := testaddr.Free()
+	assert.NilError(t, err)
+	return addr
 }
 
 // maxMemory returns the most resident memory of an ended process in MB.
--- a/test/scenario/group_test.go
+++ b/test/scenario/group_test.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gentiantrail/gentiantrail/internal/standin/ranks"
+	"github.com/gentiantrail/gentiantrail/internal/testaddr"
 )
 
 // kindRanks is a stand-in for an expert-parallel group.
@@ -28,7 +29,7 @@
 	p := &process{kind: kindRanks, name: name, zone: zone, program: "gentiantrail-standin", args: []string{string(kindRanks)}}
 	addrs := make([]string, n)
 	for i := range addrs {
-		if addrs[i], err = freeAddr(); err != nil {
+		if addrs[i], err = testaddr.Free(); err != nil {
 			return err
 		}
 	}
@@ -52,11 +53,11 @@
 	if err != nil {
 		return err
 	}
-	linkAddr, err := freeAddr()
+	linkAddr, err := testaddr.Free()
 	if err != nil {
 		return err
 	}
-	admin, err := freeAddr()
+	admin, err := testaddr.Free()
 	if err != nil {
 		return err
 	}
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -132,37 +131,3 @@
 	lines = lines[max(0, len(lines)-most):]
 	return fmt.Sprintf("--- %s\n%s", p.name, strings.Join(lines, "\n"))
 }
-
-// Ports are taken below the range from which outgoing connections get theirs.
-const (
-	firstPort = 15_000
-	portCount = 15_000
-)
-
-var portsTaken atomic.Uint32
-
-// host is a loopback address of this test process alone, so that no other
-// process takes the ports that it chose.
-var host = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, 1+os.Getpid()/250%250)
-
-// freeAddr returns an address that nothing listens on. It is handed out once.
-func freeAddr() (string, error) {
-	ln, err := freeListener()
-	if err != nil {
-		return "", err
-	}
-	return ln.Addr().String(), ln.Close()
-}
-
-// freeListener listens on an address of its own. A listener that was closed must
-// not be opened again here: a process that is being started may hold a copy of it
-// until its program runs.
-func freeListener() (net.Listener, error) {
-	for range portCount {
-		addr := fmt.Sprintf("%s:%d", host, firstPort+portsTaken.Add(1)%portCount)
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			return ln, nil
-		}
-	}
-	return nil, errors.New("no free port")
-}
--- a/test/scenario/start_test.go
+++ b/test/scenario/start_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gentiantrail/gentiantrail/internal/standin/forwarder"
+	"github.com/gentiantrail/gentiantrail/internal/testaddr"
 )
 
 // Pools of the base configuration.
@@ -104,7 +105,7 @@
 func (c *cluster) startStandin(k kind, name, zone string, args []string) error {
 	p := &process{kind: k, name: name, zone: zone, program: "gentiantrail-standin"}
 	var err error
-	if p.serves, err = freeAddr(); err != nil {
+	if p.serves, err = testaddr.Free(); err != nil {
 		return err
 	}
 	p.args = append([]string{string(k), "--listen", p.serves}, args...)
@@ -136,7 +137,7 @@
 	if addr := c.links[zone]; addr != "" {
 		return addr, nil
 	}
-	ln, err := freeListener()
+	ln, err := testaddr.Listen()
 	if err != nil {
 		return "", err
 	}
@@ -152,12 +153,12 @@
 	}
 	addrs := make([]string, 3)
 	for i := range addrs {
-		if addrs[i], err = freeAddr(); err != nil {
+		if addrs[i], err = testaddr.Free(); err != nil {
 			return err
 		}
 	}
 	listen, linkAddr, admin := addrs[0], addrs[1], addrs[2]
-	ln, err := freeListener()
+	ln, err := testaddr.Listen()
 	if err != nil {
 		return err
 	}
@@ -197,7 +198,7 @@
 	for _, e := range c.ofKind(kindEntry, zone) {
 		entries = append(entries, e.advertise)
 	}
-	admin, err := freeAddr()
+	admin, err := testaddr.Free()
 	if err != nil {
 		return err
 	}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gentiantrail/gentiantrail/internal/testaddr"
 	"github.com/gentiantrail/gentiantrail/platform/platformtest"
 )
 
@@ -64,10 +64,9 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	addr, err := testaddr.Free()
 	assert.NilError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	return addr
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
