Restart the window of counts when the demand for experts shifts

Cause: demand is steady for 3 to 4 s and then turns to other experts within one pass (played probe: half of the choices go elsewhere from one 100 ms reading to the next, against 0.05 to 0.18 between readings of a steady demand). Ruled out: recurring demands (distance between any two of nine segments 0.4 to 0.8), so that remembered maps would not fit. Change: engines are read every 100 ms; a rank whose last reading differs from those before drops them and tells the leader at once; the leader plans 120 ms after the first word, also out of turn, and gives up copies that are for the old demand.

--- a/internal/mapper/counts.go
+++ b/internal/mapper/counts.go
@@ -10,7 +10,17 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// countWindowed keeps the last readings of an engine's counts.
+const (
+	// shiftDistance is the part of the choices that go to other experts than before from
+	// which the demand counts as shifted. Between looks at steady demand it stays under 0.2.
+	shiftDistance = 0.3
+	// shiftSample is the number of choices for each expert of the engine below which two
+	// samples of the same demand may differ as much by chance.
+	shiftSample = 8
+)
+
+// countWindowed keeps the last readings of an engine's counts, from the last shift of
+// the demand on.
 type countWindowed struct {
 	readings []countReading
 }
@@ -20,8 +30,9 @@
 	counts []int64
 }
 
-// add takes in a reading; one that fell shows that the engine started anew.
-func (w *countWindowed) add(now time.Time, counts []int64) {
+// add takes in a reading and reports whether it shows that the demand has shifted. A
+// reading that fell shows that the engine started anew.
+func (w *countWindowed) add(now time.Time, counts []int64) (shifted bool) {
 	if n := len(w.readings); n > 0 && fell(w.readings[n-1].counts, counts) {
 		w.readings = nil
 	}
@@ -29,6 +40,34 @@
 	for len(w.readings) > 2 && now.Sub(w.readings[1].at) >= countWindow {
 		w.readings = w.readings[1:]
 	}
+	n := len(w.readings)
+	if n < 3 || !differ(w.between(n-2, n-1), w.between(0, n-2)) {
+		return false
+	}
+	w.readings = w.readings[n-2:]
+	return true
+}
+
+// differ reports whether two samples of choices come from different demands.
+func differ(a, b []int64) bool {
+	sumA, sumB := sum(a), sum(b)
+	least := float64(shiftSample * len(a))
+	if sumA < least || sumB < least {
+		return false
+	}
+	distance := 0.0
+	for i := range a {
+		distance += math.Abs(float64(a[i])/sumA - float64(b[i])/sumB)
+	}
+	return distance/2 >= shiftDistance
+}
+
+func sum(counts []int64) float64 {
+	total := int64(0)
+	for _, c := range counts {
+		total += c
+	}
+	return float64(total)
 }
 
 func fell(before, after []int64) bool {
@@ -48,8 +87,12 @@
 	if len(w.readings) == 0 {
 		return nil
 	}
-	newest := w.readings[len(w.readings)-1].counts
-	oldest := w.readings[0].counts
+	return w.between(0, len(w.readings)-1)
+}
+
+// between returns how often each expert was chosen between two readings.
+func (w *countWindowed) between(from, to int) []int64 {
+	oldest, newest := w.readings[from].counts, w.readings[to].counts
 	d := make([]int64, len(newest))
 	for i := range newest {
 		d[i] = newest[i] - oldest[i]
@@ -81,16 +124,16 @@
 	return load
 }
 
-// readCounts reads the own engine's counts.
-func (m *Mapper) readCounts(ctx context.Context) {
+// readCounts reads the own engine's counts and reports whether they show a shift.
+func (m *Mapper) readCounts(ctx context.Context) (shifted bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	counts, err := m.opts.Engine.Counts(ctx)
 	if err != nil {
 		m.opts.Logger.Debug().Str("event", "counts-unread").Err(err).Msg("")
-		return
+		return false
 	}
-	m.counts.add(time.Now(), counts)
+	return m.counts.add(time.Now(), counts)
 }
 
 // digestOf identifies the experts of a rank, whatever their order within a layer.
--- a/internal/mapper/lead.go
+++ b/internal/mapper/lead.go
@@ -66,8 +66,26 @@
 		mb.load = restore(h.Load, h.Most)
 	}
 	l.members[rank] = mb
+	if now := time.Now(); h.Shifted && now.Sub(l.shiftedAt) > 2*shiftTold {
+		l.shiftedAt = now
+		l.nextRound = earlier(l.nextRound, now.Add(shiftSettle))
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
+// settling reports whether the demand has just shifted, so that not all ranks have told
+// of the new one.
+func (l *leading) settling() bool { return time.Since(l.shiftedAt) < shiftSettle }
+
+// outdated reports whether the demand has shifted since the change under way was planned.
+func (l *leading) outdated() bool { return l.shiftedAt.After(l.planned) && !l.settling() }
+
 // complete reports whether every rank was heard lately.
 func (l *leading) complete(size int) bool {
 	for r := range size {
@@ -115,15 +133,36 @@
 	if before == mapswitch.Releasing && after == mapswitch.Idle {
 		m.changes.Inc(1)
 	}
-	if before == mapswitch.Preparing && after == mapswitch.Preparing && time.Now().After(l.deadline) {
-		l.coordinator.Abandon()
-		m.abandoned.Inc(1)
-		m.opts.Logger.Warn().Str("event", "map-abandoned").Int64("version", l.coordinator.Version()).Msg("")
+	if before == mapswitch.Preparing && after == mapswitch.Preparing {
+		m.reconsider()
 	}
 	if m.leading && l.coordinator.Ready() {
 		m.plan(ctx, states)
 	}
-	l.nextRound = time.Now().Add(pauseIn(l.coordinator.Phase()))
+	l.nextRound = time.Now().Add(l.pause())
+}
+
+// pause is the time until the next round.
+func (l *leading) pause() time.Duration {
+	pause := pauseIn(l.coordinator.Phase())
+	if l.shiftedAt.After(l.planned) {
+		return min(pause, max(shiftSettle-time.Since(l.shiftedAt), calmRound))
+	}
+	return pause
+}
+
+// reconsider gives up a change whose copies take too long, or which is for a demand that
+// is no more.
+func (m *Mapper) reconsider() {
+	l := m.lead
+	outdated := l.outdated()
+	if !outdated && time.Now().Before(l.deadline) {
+		return
+	}
+	l.coordinator.Abandon()
+	m.abandoned.Inc(1)
+	m.opts.Logger.Info().Str("event", "map-abandoned").Int64("version", l.coordinator.Version()).Bool("demand_shifted", outdated).
+		Int64("since_begin_ms", time.Since(l.begun).Milliseconds()).Msg("")
 }
 
 // unfinished reports whether a change has begun that must not be left.
@@ -170,7 +209,7 @@
 func (m *Mapper) plan(ctx context.Context, states []mapswitch.State) {
 	l := m.lead
 	current := l.inForce(states)
-	if current == nil || time.Since(l.planned) < planInterval {
+	if current == nil || l.settling() || !l.outdated() && time.Since(l.planned) < planInterval {
 		return
 	}
 	demand, ok := l.demand()
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -22,11 +22,21 @@
 
 const (
 	// pollInterval is the period in which a process reads its own engine, which is free
-	// of charge on its own machine, and tells the leader.
-	pollInterval = 250 * time.Millisecond
+	// of charge on its own machine.
+	pollInterval = 100 * time.Millisecond
+	// tellInterval is the period in which it tells others while nothing changes; ranks of
+	// groups larger than smallGroup tell the leader half as often.
+	tellInterval = 250 * time.Millisecond
+	smallGroup   = 40
+	// shiftTold is how long after a shift of the demand a rank tells the leader at every
+	// look: the first reading may still hold some of the demand before.
+	shiftTold = 250 * time.Millisecond
+	// shiftSettle is the time after the first word of a shift in which all other ranks
+	// see it too: a look of theirs and the way.
+	shiftSettle = 120 * time.Millisecond
 	// leaderTimeout is the silence after which a leader is no longer believed.
 	leaderTimeout = 1500 * time.Millisecond
-	// planInterval is the least time between two plans.
+	// planInterval is the least time between two plans, unless the demand shifts.
 	planInterval = 250 * time.Millisecond
 	// discoverInterval is the least time between two looks into the store for the
 	// processes of the group, while some are missing.
@@ -39,9 +49,6 @@
 	busyRound = 5 * time.Millisecond
 	calmRound = 60 * time.Millisecond
 	idleRound = time.Second
-	// smallGroup is the number of ranks up to which each tells the leader of its demand
-	// at every look; in larger groups at every other.
-	smallGroup = 40
 	// callTimeout bounds one call to the own engine.
 	callTimeout = 300 * time.Millisecond
 )
@@ -121,7 +128,11 @@
 	// joined is when the process first saw its rank; ranks but the first wait a while
 	// for a leader before they lead.
 	joined time.Time
-	polls  int
+	// toldAt is when others were last told, helloAt when the leader was, and shiftedAt when
+	// the own demand last shifted.
+	toldAt, helloAt, shiftedAt time.Time
+	// toldVersion is the map that the leader was last told of.
+	toldVersion int64
 	// remembered is the demand for experts that was last planned for.
 	remembered []float64
 	savedAt    time.Time
@@ -156,7 +167,9 @@
 	planned     time.Time
 	begun       time.Time
 	deadline    time.Time
-	commands    []mapswitch.Command
+	// shiftedAt is when a rank last told of a shift of the demand.
+	shiftedAt time.Time
+	commands  []mapswitch.Command
 }
 
 // member is what the leader knows of one rank.
@@ -221,22 +234,39 @@
 		m.opts.Logger.Debug().Str("event", "engine-unread").Err(err).Msg("")
 		return
 	}
+	changed := reading.State.Open != m.own.State.Open || reading.State.Epoch != m.own.State.Epoch
 	m.note(reading)
-	m.hintAll()
+	now := time.Now()
+	tell := changed || now.Sub(m.toldAt) >= tellInterval
+	if tell {
+		m.toldAt = now
+		m.hintAll()
+	}
 	if reading.Group == "" || !reading.State.Open {
 		return
 	}
-	m.readCounts(ctx)
+	if m.readCounts(ctx) {
+		m.shiftedAt = now
+	}
 	m.elect(ctx)
-	if m.leading {
+	if tell && m.leading {
 		m.beacon()
 	}
-	m.polls++
-	if m.own.Size <= smallGroup || m.polls%2 == 0 {
+	version := m.lists.inForce.Version
+	if now.Sub(m.helloAt) >= m.helloInterval() || now.Sub(m.shiftedAt) < shiftTold || version != m.toldVersion {
+		m.helloAt, m.toldVersion = now, version
 		m.hello()
 	}
 }
 
+// helloInterval is the period in which the leader is told while the demand is steady.
+func (m *Mapper) helloInterval() time.Duration {
+	if m.own.Size > smallGroup {
+		return 2 * tellInterval
+	}
+	return tellInterval
+}
+
 // note logs changes of the own rank's group and map.
 func (m *Mapper) note(r Reading) {
 	old := m.own
--- a/internal/mapper/mapper_test.go
+++ b/internal/mapper/mapper_test.go
@@ -45,6 +45,40 @@
 	assert.Equal(t, w.delta()[0], int64(0))
 }
 
+// TestShiftRestartsTheWindow turns demand to other experts from one look to the next.
+func TestShiftRestartsTheWindow(t *testing.T) {
+	const experts = 64
+	rng := rand.New(rand.NewPCG(1, 2))
+	total := make([]int64, experts)
+	var w countWindowed
+	at := time.Now()
+	look := func(favourite int) bool {
+		for range 2000 {
+			e := rng.IntN(experts)
+			if rng.IntN(2) == 0 {
+				e = (favourite + rng.IntN(8)) % experts
+			}
+			total[e]++
+		}
+		at = at.Add(pollInterval)
+		return w.add(at, append([]int64(nil), total...))
+	}
+	for range 50 {
+		assert.Assert(t, !look(0), "steady demand")
+	}
+	assert.Assert(t, look(30))
+	assert.Equal(t, sum(w.delta()), 2000.0)
+	assert.Assert(t, !look(30), "the new demand is steady")
+	assert.Assert(t, float64(w.delta()[31])/sum(w.delta()) > 0.05)
+	assert.Assert(t, float64(w.delta()[1])/sum(w.delta()) < 0.02, "nothing of the old demand is left")
+}
+
+// TestFewChoicesShowNoShift compares samples that differ by chance.
+func TestFewChoicesShowNoShift(t *testing.T) {
+	assert.Assert(t, !differ([]int64{3, 0, 0, 0}, []int64{0, 400, 300, 300}))
+	assert.Assert(t, differ([]int64{90, 0, 0, 0}, []int64{0, 400, 300, 300}))
+}
+
 func TestMapWithFreePlacesThereAndBack(t *testing.T) {
 	shape := rebalance.Shape{Ranks: 2, Layers: 1, Experts: 4, SlotsPerRank: 3}
 	rows := [][][]uint16{{{0, 2}, {1, 3}}}
--- a/internal/mapper/wire.go
+++ b/internal/mapper/wire.go
@@ -39,6 +39,8 @@
 	Most    float64    `cbor:"2,keyasint"`
 	Version int64      `cbor:"3,keyasint"`
 	Experts [][]uint16 `cbor:"4,keyasint"`
+	// Shifted tells that the demand has just become another one.
+	Shifted bool `cbor:"5,keyasint,omitempty"`
 }
 
 // askBody is the leader's part of a round for one rank.
@@ -197,7 +199,10 @@
 
 func (m *Mapper) ownHello() *helloBody {
 	load, most := quantise(m.counts.delta())
-	return &helloBody{Load: load, Most: most, Version: m.lists.inForce.Version, Experts: m.lists.inForce.Experts}
+	return &helloBody{
+		Load: load, Most: most, Version: m.lists.inForce.Version, Experts: m.lists.inForce.Experts,
+		Shifted: time.Since(m.shiftedAt) < shiftTold,
+	}
 }
 
 // discover looks up the engine's description and the other processes of the service
