Weigh a map against the time in which its copies arrive

Change: rebalance searches all layers together under a quota of copies a rank, raised one by one, and takes the quota with the least mean step over the horizon, the wait included. Where no time of a copy is set (our own deployments) plans stay as they were.

--- a/internal/mapper/lead.go
+++ b/internal/mapper/lead.go
@@ -55,6 +55,7 @@
 			Shape: shape, ExpertSize: 1, StepTime: planStepTime, StepInterval: planStepInterval,
 			Horizon: planHorizon, MoveCost: moveCost(e.CopyTime, m.own.Size), ChangeCost: planChangeCost,
 			Window: 1, Delay: 2, MaxMoves: planMaxMoves, MaxNewPerRank: e.Spare,
+			LoadTime: e.CopyTime, LoadSlowdown: copySlowdown,
 		}),
 	}
 }
--- a/internal/rebalance/planner.go
+++ b/internal/rebalance/planner.go
@@ -31,6 +31,10 @@
 	// MaxNewPerRank bounds the experts of a layer that one rank loads for a change; zero
 	// means no bound.
 	MaxNewPerRank int
+	// LoadTime is the time in which a rank loads one expert; steps take longer by the part
+	// LoadSlowdown while any rank does. If it is zero, loads count by their number only.
+	LoadTime     time.Duration
+	LoadSlowdown float64
 }
 
 // repackSkew is the skew of a layer from which it is packed anew rather than
@@ -102,7 +106,7 @@
 	if len(p.reports) == 0 {
 		return none
 	}
-	plan := p.choose(current, p.proposals(current), budget)
+	plan := p.best(current, budget)
 	if p.value(plan.Gain) <= time.Duration(plan.Moved)*p.cfg.MoveCost+p.cfg.ChangeCost {
 		return none
 	}
@@ -110,6 +114,13 @@
 	return plan
 }
 
+func (p *Planner) best(current Map, budget int64) Plan {
+	if p.cfg.LoadTime > 0 {
+		return p.paced(current)
+	}
+	return p.choose(current, p.proposals(current), budget)
+}
+
 // Trust returns the share of predicted gains that came true lately.
 func (p *Planner) Trust() float64 { return p.trust.share }
 
--- a/internal/rebalance/search.go
+++ b/internal/rebalance/search.go
@@ -21,6 +21,10 @@
 	base   []uint16
 	maxNew int
 	fresh  []int
+	// quota bounds the loads of each rank over several layers; nil means no bound.
+	quota *quota
+	// before is the skew of the base.
+	before float64
 	// load holds the experts' loads by report, scaled so that the mean rank load is 1.
 	load     [][]float64
 	replicas []int
@@ -71,6 +75,7 @@
 func (f *search) begin(slots []uint16, loads [][]float64) {
 	copy(f.base, slots)
 	f.reset(slots, loads)
+	f.before = f.skew()
 }
 
 // reset starts the search from slots.
@@ -108,7 +113,11 @@
 		}
 	}
 	for r := range f.fresh {
-		f.fresh[r] = f.countFresh(f.slots, r)
+		fresh := f.countFresh(f.slots, r)
+		if f.quota != nil {
+			f.quota.used[r] += fresh - f.fresh[r]
+		}
+		f.fresh[r] = fresh
 	}
 	for r := range f.cost {
 		f.cost[r] = 0
@@ -118,6 +127,15 @@
 	}
 }
 
+// totalCost is what the search lowers.
+func (f *search) totalCost() float64 {
+	total := 0.0
+	for _, c := range f.cost {
+		total += c
+	}
+	return total
+}
+
 func pow16(x float64) float64 {
 	x *= x
 	x *= x
@@ -326,14 +344,13 @@
 
 // mayLoad reports whether rank r may hold in instead of out within the bound.
 func (f *search) mayLoad(r int, out, in uint16) bool {
-	if f.maxNew == 0 || !f.isFresh(r, in) {
+	if !f.isFresh(r, in) || f.isFresh(r, out) {
 		return true
 	}
-	fresh := f.fresh[r] + 1
-	if f.isFresh(r, out) {
-		fresh--
+	if f.quota != nil && f.quota.used[r] >= f.quota.most {
+		return false
 	}
-	return fresh <= f.maxNew
+	return f.maxNew == 0 || f.fresh[r] < f.maxNew
 }
 
 // withinBound reports whether no rank loads more than the bound for the slots.
