Wait shortly for a group that forms; have callers return as late as they may

Callers return once, after at most a third of their time. Cause: refused callers were told 1.65 to 2.75 s, whatever time they had; and one who came half a second before a group opened was sent away for two more. Ruled out: holding requests for longer. Nobody knows during the outage whether it ends in time, and a refused caller may go elsewhere. Change: a refusal because of a group that is down (own kind, group-down) waits up to 600 ms, about the time in which a group forms, then says when to return: the last fifth of a third of the time left. TestRequestWaitsForAGroupThatOpensSoon fails before.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -31,8 +31,8 @@
 	if x.id != "" {
 		b = http1.AppendFields(b, http1.Header{{Name: g.opts.Headers.Attempt, Value: x.id}})
 	}
-	if after := retryAfter(err.Kind, row.RetryAfter); after > 0 {
-		b = http1.AppendFields(b, http1.Header{{Name: "Retry-After", Value: secondsText(spread(after))}})
+	if after := retryAfter(err.Kind, row.RetryAfter, x); after > 0 {
+		b = http1.AppendFields(b, http1.Header{{Name: "Retry-After", Value: secondsText(after)}})
 	}
 	b = g.appendConnection(b, x)
 	body, jsonErr := json.Marshal(errorBody{Kind: row.Name, Message: row.Text, Outcome: row.Outcome.String()})
@@ -48,26 +48,37 @@
 	returnWhenDraining = 60 * time.Millisecond
 	// returnWhenFull is about the time in which a stream's slot becomes free.
 	returnWhenFull = 1200 * time.Millisecond
-	// returnWhenDown leaves a group or an address time to come back: groups form within
-	// a second of their last rank's return, and most outages last some seconds.
+	// returnWhenDown is for callers whose deadline isn't known.
 	returnWhenDown = 2200 * time.Millisecond
+	// longestReturn is the part of the time left for which callers stay away at most.
+	longestReturn = 1.0 / 3
 )
 
-// retryAfter returns the mean time after which a refused caller should return; other
-// kinds keep their table's time.
-func retryAfter(k apierr.Kind, usual time.Duration) time.Duration {
+// retryAfter draws the time after which a refused caller should return; other kinds
+// keep their table's time.
+func retryAfter(k apierr.Kind, usual time.Duration, x *exchange) time.Duration {
 	switch k {
 	case apierr.KindDraining:
-		return returnWhenDraining
+		return spread(returnWhenDraining)
 	case apierr.KindOverloaded:
-		return returnWhenFull
+		return spread(returnWhenFull)
 	case apierr.KindTargetUnreachable, apierr.KindNoTarget, apierr.KindConfigUnavailable:
-		return returnWhenDown
+		return whenDown(x)
 	default:
-		return usual
+		return spread(usual)
 	}
 }
 
+// whenDown leaves what is down as much time as the caller has: most outages last some
+// seconds, and callers return a limited number of times.
+func whenDown(x *exchange) time.Duration {
+	if x.deadline.IsZero() {
+		return spread(returnWhenDown)
+	}
+	longest := time.Duration(longestReturn * float64(max(0, x.remaining())))
+	return longest - rand.N(longest/5+1)
+}
+
 // spread draws a time from a quarter below d to a quarter above it, so that callers
 // that were refused together do not return together.
-func spread(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2) }
+func spread(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2+1) }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -42,7 +42,7 @@
 		if x.remaining() <= 0 {
 			return x.outOfTime()
 		}
-		choice, refusal := g.choose(x)
+		choice, refusal := g.chooseInTime(x)
 		if refusal != placement.NotRefused {
 			return x.refused(refusal)
 		}
@@ -81,6 +81,38 @@
 	})
 }
 
+const (
+	// formWait bounds the time that a request waits for a lock-step group to run again,
+	// about the time in which a group forms once its last rank is back. A gateway learns
+	// of the return only when the group is open.
+	formWait = 600 * time.Millisecond
+	// formCheck is the period in which waiting requests look.
+	formCheck = 25 * time.Millisecond
+)
+
+// chooseInTime is choose, but waits a little if only a group that is down is in the way.
+func (g *Gateway) chooseInTime(x *exchange) (placement.Choice, placement.Refusal) {
+	until := time.Now().Add(min(formWait, x.remaining()-formWait))
+	for {
+		choice, refusal := g.choose(x)
+		if refusal != placement.GroupDown || !time.Now().Before(until) || !x.sleep(formCheck) {
+			return choice, refusal
+		}
+	}
+}
+
+// sleep returns false if the caller left meanwhile.
+func (x *exchange) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-x.ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 // unreachable returns the error of the first attempt that may have run, else err.
 func (x *exchange) unreachable(err *apierr.Error) *apierr.Error {
 	if x.mayHaveRun != nil {
@@ -97,8 +129,8 @@
 	switch r {
 	case placement.Full:
 		return apierr.New(apierr.KindOverloaded, x.service)
-	case placement.Unreachable:
-		return apierr.New(apierr.KindTargetUnreachable, x.service)
+	case placement.Unreachable, placement.GroupDown:
+		return apierr.New(apierr.KindTargetUnreachable, x.service+": "+r.String())
 	default:
 		return apierr.New(apierr.KindNoTarget, x.service)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -272,3 +272,32 @@
 	})
 	assert.ErrorIs(t, g.Serve(t.Context()), syscall.EADDRINUSE)
 }
+
+// reportGroup has the first target's instance say whether its lock-step group runs.
+func (b *bench) reportGroup(epoch int64, open bool) {
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	b.g.balancer.GroupReported(b.g.now(), "t0", "group", epoch, open)
+}
+
+// TestRequestWaitsForAGroupThatOpensSoon sends requests while the only lock-step group
+// forms anew: one is served as it opens, one is told in time when to return.
+func TestRequestWaitsForAGroupThatOpensSoon(t *testing.T) {
+	b := newBench(t, answer(200, "hello")).ready()
+	b.reportGroup(1, false)
+	time.AfterFunc(formWait/3, func() { b.reportGroup(2, true) })
+	status, _, body, _ := b.do(get("/safe/x")...)
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "hello")
+
+	b.reportGroup(2, false)
+	begin := time.Now()
+	status, h, _, _ := b.do(get("/safe/x", "T-Deadline: 1800")...)
+	waited := time.Since(begin)
+	assert.Equal(t, status, 503)
+	assert.Assert(t, waited >= formWait && waited < formWait+500*time.Millisecond, waited)
+	after, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after >= 0.3 && after <= 0.4, "a third of the time left at most: %v s", after)
+	assert.Equal(t, len(b.targets[0].requests()), 1)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -52,13 +52,16 @@
 	NoTarget
 	// Unreachable means that every accepting target fails at present.
 	Unreachable
+	// GroupDown means that the targets which might get the request belong to lock-step
+	// groups that don't run at present.
+	GroupDown
 	// Full means that every usable target has as much work as it should.
 	Full
 )
 
 // String returns the refusal's name for logs.
 func (r Refusal) String() string {
-	return [...]string{"none", "no-target", "unreachable", "full"}[r]
+	return [...]string{"none", "no-target", "unreachable", "group-down", "full"}[r]
 }
 
 // Choice is a chosen target and the inputs that decided.
@@ -184,7 +187,7 @@
 		return Unreachable
 	}
 	if g := b.groupOf(s); g != nil && (g.stalled(now) || now < g.downUntil) {
-		return Unreachable
+		return GroupDown
 	}
 	if s.StartRate > 0 && s.startsWithin(now, time.Second) >= s.StartRate {
 		return Full
