Space the tries of all topics while the store fails; watch twice a second

Change: topics of a process share one try in 800 ms while the store fails, and all go on at the first answer; watches pause for 500 ms instead of 250, against bounds of 2 s.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -18,7 +18,7 @@
 	registerPause = time.Second
 	// watchPause is kept between two watches of a topic, so that changes that come close
 	// together cost one call. It is far below the bounds for acting on a change.
-	watchPause = 250 * time.Millisecond
+	watchPause = 500 * time.Millisecond
 )
 
 // Event is what a Follower learnt.
@@ -38,6 +38,8 @@
 	Self Gateway
 	// Post receives each event.
 	Post func(Event)
+
+	outage outage
 }
 
 // Run starts a goroutine for each topic; they end with ctx.
@@ -106,10 +108,11 @@
 	for ctx.Err() == nil {
 		err := call()
 		if err == nil {
+			f.outage.worked(time.Now())
 			return
 		}
 		f.Post(Event{Topic: topic, Err: err})
-		sleep(ctx, pause/2+rand.N(pause))
+		f.outage.wait(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, maxRetry)
 	}
 }
--- /dev/null
+++ b/internal/fleet/outage_test.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// failingSource is a store that can be away; watches of a store that is there wait.
+type failingSource struct {
+	mu    sync.Mutex
+	away  bool
+	calls int
+	lists map[Topic]int
+}
+
+func (s *failingSource) call() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.away {
+		return errors.New("away")
+	}
+	return nil
+}
+
+func (s *failingSource) List(_ context.Context, topic Topic) (Batch, error) {
+	if err := s.call(); err != nil {
+		return Batch{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists[topic]++
+	return Batch{Revision: 1}, nil
+}
+
+func (s *failingSource) Watch(ctx context.Context, _ Topic, _ int64, wait time.Duration) (Batch, error) {
+	if err := s.call(); err != nil {
+		return Batch{}, err
+	}
+	sleep(ctx, wait)
+	return Batch{Revision: 1}, nil
+}
+
+func (s *failingSource) Register(context.Context, Gateway) error { return s.call() }
+
+// TestTopicsShareTheirTriesWhileTheStoreIsAway starts a follower while the store is away
+// for ten seconds.
+func TestTopicsShareTheirTriesWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &failingSource{away: true, lists: map[Topic]int{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &Follower{Source: source, Post: func(Event) {}}
+		f.Run(ctx)
+		const away = 10 * time.Second
+		time.Sleep(away)
+		source.mu.Lock()
+		assert.Assert(t, source.calls <= int(topicCount)+int(away/outageSpacing)+1, "%d calls", source.calls)
+		source.away = false
+		source.mu.Unlock()
+		time.Sleep(outageSpacing + 200*time.Millisecond + registerPause)
+		source.mu.Lock()
+		for topic := range topicCount {
+			assert.Equal(t, source.lists[topic], 1, topic.String())
+		}
+		source.mu.Unlock()
+		cancel()
+		synctest.Wait()
+	})
+}
