Tell shifts of demand from chance; look for copies when they should be done

And a change took 250 ms more than its copies: the leader asked every 60 ms, the first time without an order. Change: the distance of two samples is compared with what chance explains at their sizes; the leader's next question comes when the copies should be done.

--- a/internal/mapper/counts.go
+++ b/internal/mapper/counts.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// shiftDistance is the part of the choices that go to other experts than before from
-	// which the demand counts as shifted. Between looks at steady demand it stays under 0.2.
-	shiftDistance = 0.3
-	// shiftSample is the number of choices for each expert of the engine below which two
-	// samples of the same demand may differ as much by chance.
-	shiftSample = 8
+	// shiftDistance is the part of the choices that go to other experts than before, beyond
+	// what chance explains, from which the demand counts as shifted.
+	shiftDistance = 0.2
+	// shiftSample is the least sample, in choices for each expert of the engine: a smaller
+	// one stands for a few requests only.
+	shiftSample = 1
 )
 
 // countWindowed keeps the last readings of an engine's counts, from the last shift of
@@ -55,11 +55,15 @@
 	if sumA < least || sumB < least {
 		return false
 	}
-	distance := 0.0
+	distance, roots := 0.0, 0.0
 	for i := range a {
 		distance += math.Abs(float64(a[i])/sumA - float64(b[i])/sumB)
+		roots += math.Sqrt(float64(a[i]+b[i]) / (sumA + sumB))
 	}
-	return distance/2 >= shiftDistance
+	// The mean distance of two samples of sizes n and m of one distribution p, from the
+	// normal approximation: sum of sqrt(p) * sqrt((1/n + 1/m) / (2 pi)).
+	chance := roots * math.Sqrt((1/sumA+1/sumB)/(2*math.Pi))
+	return distance/2 >= shiftDistance+chance
 }
 
 func sum(counts []int64) float64 {
--- a/internal/mapper/lead.go
+++ b/internal/mapper/lead.go
@@ -124,6 +124,9 @@
 func (m *Mapper) endRound(ctx context.Context) {
 	l := m.lead
 	states := l.round.states()
+	if l.round.prepares && l.copiedAt.IsZero() {
+		l.copiedAt = time.Now().Add(l.copying)
+	}
 	l.round = nil
 	before := l.coordinator.Phase()
 	l.commands = l.coordinator.Round(states, l.inForce(states))
@@ -146,6 +149,12 @@
 // pause is the time until the next round.
 func (l *leading) pause() time.Duration {
 	pause := pauseIn(l.coordinator.Phase())
+	if l.coordinator.Phase() == mapswitch.Preparing {
+		if l.copiedAt.IsZero() {
+			return 0
+		}
+		pause = max(pause, time.Until(l.copiedAt))
+	}
 	if l.shiftedAt.After(l.planned) {
 		return min(pause, max(shiftSettle-time.Since(l.shiftedAt), calmRound))
 	}
@@ -177,7 +186,7 @@
 	case mapswitch.Idle:
 		return planInterval
 	case mapswitch.Preparing:
-		return calmRound
+		return copyRound
 	default:
 		return busyRound
 	}
@@ -237,7 +246,9 @@
 	}
 	most := mostNew(l.shape, from, plan.Map)
 	l.begun = time.Now()
-	l.deadline = l.begun.Add(time.Duration(2*most)*m.engine.CopyTime + copySlack)
+	l.copying = time.Duration(most) * m.engine.CopyTime
+	l.copiedAt = time.Time{}
+	l.deadline = l.begun.Add(2*l.copying + copySlack)
 	m.opts.Logger.Info().Str("event", "map-planned").Str("group", m.own.Group).Int64("version", l.coordinator.Version()).
 		Int("copies", plan.Moved).Int("copies_of_one_rank", most).Float64("skew", rebalance.Skew(from, demand)).
 		Float64("skew_after", rebalance.Skew(plan.Map, demand)).Float64("trust", l.planner.Trust()).Msg("")
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -30,7 +30,7 @@
 	smallGroup   = 40
 	// shiftTold is how long after a shift of the demand a rank tells the leader at every
 	// look: the first reading may still hold some of the demand before.
-	shiftTold = 250 * time.Millisecond
+	shiftTold = 150 * time.Millisecond
 	// shiftSettle is the time after the first word of a shift in which all other ranks
 	// see it too: a look of theirs and the way.
 	shiftSettle = 120 * time.Millisecond
@@ -44,9 +44,10 @@
 	// countWindow is the time over which the demand for experts is measured: long enough
 	// to smooth single requests.
 	countWindow = 700 * time.Millisecond
-	// busyRound and calmRound are the pauses between rounds while a change is about to
-	// switch, and while experts are copied or nothing is done.
+	// busyRound, copyRound and calmRound are the pauses between rounds while a change is
+	// about to switch, once experts should be copied, and while a plan waits for news.
 	busyRound = 5 * time.Millisecond
+	copyRound = 20 * time.Millisecond
 	calmRound = 60 * time.Millisecond
 	idleRound = time.Second
 	// callTimeout bounds one call to the own engine.
@@ -167,6 +168,10 @@
 	planned     time.Time
 	begun       time.Time
 	deadline    time.Time
+	// copying is the time in which the change's experts should be copied, and copiedAt
+	// when they should be; zero until all ranks have been told.
+	copying  time.Duration
+	copiedAt time.Time
 	// shiftedAt is when a rank last told of a shift of the demand.
 	shiftedAt time.Time
 	commands  []mapswitch.Command
--- a/internal/mapper/round.go
+++ b/internal/mapper/round.go
@@ -16,6 +16,8 @@
 	// answers holds the state of each rank that has answered.
 	answers map[int]mapswitch.State
 	size    int
+	// prepares tells that a map goes out with the round.
+	prepares bool
 	// packed is the map of the round's orders, if they have one.
 	packed []byte
 	// next is the rank to be asked next, when due has come.
@@ -31,6 +33,7 @@
 		if c.Order.Op == mapswitch.Prepare && c.Order.Map == nil {
 			continue // the map in force is not known yet; the next round asks again
 		}
+		r.prepares = r.prepares || c.Order.Op == mapswitch.Prepare
 		r.orders[c.Rank] = c.Order
 	}
 	l.round = r
