Leave a stalled group only for a place that can go on

Cause: a stream whose group was silent for half a second was cut even where no other group could take it, although groups pause for up to 1.5 s and go on, and callers wait two seconds. Requests that had not begun became 502 the same way, where the engine would have said 'not run' a second later. Change: an attempt leaves its stalled group once another target outside it has room. TestStreamStaysWithItsStalledGroupIfThereIsNoOther fails before (cut), passes after.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -220,17 +220,14 @@
 	slowShare = 0.6
 )
 
-// checkStall cancels the attempt if the target's group is stalled, else looks again
-// later, until the attempt has ended.
+// checkStall cancels the attempt if the target's group is stalled and another one could
+// take the request, else looks again later, until the head of the answer has come.
 func (a *attempt) checkStall() {
 	time.AfterFunc(stallCheck, func() {
 		if a.ctx.Err() != nil || a.headed.Load() {
 			return
 		}
-		a.g.mu.Lock()
-		stalled := a.g.balancer.IsStalled(a.g.now(), a.target.ID)
-		a.g.mu.Unlock()
-		if stalled {
+		if stalled, refuge := a.stall(); stalled && refuge {
 			a.cancel(errStalled)
 			return
 		}
@@ -238,6 +235,15 @@
 	})
 }
 
+// stall reports whether the target's group is stalled, and whether there is another
+// place for the request. Where there is none, the group may still go on.
+func (a *attempt) stall() (stalled, refuge bool) {
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	now := a.g.now()
+	return a.g.balancer.IsStalled(now, a.target.ID), a.g.balancer.CanLeave(now, a.target.ID)
+}
+
 // failed judges a call without an answer.
 func (a *attempt) failed(f *upstream.Failure) (*apierr.Error, bool) {
 	x := a.x
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -301,3 +301,22 @@
 	assert.Assert(t, after >= 0.3 && after <= 0.4, "a third of the time left at most: %v s", after)
 	assert.Equal(t, len(b.targets[0].requests()), 1)
 }
+
+// TestStreamStaysWithItsStalledGroupIfThereIsNoOther has the only lock-step group pause
+// for longer than its pace explains, and then go on.
+func TestStreamStaysWithItsStalledGroupIfThereIsNoOther(t *testing.T) {
+	pausing := func(w http.ResponseWriter, r *http.Request) {
+		stream(5, 0)(w, r)
+		time.Sleep(900 * time.Millisecond)
+		_, _ = io.WriteString(w, "id: 6\ndata: x\n\n")
+	}
+	b := newBench(t, pausing, pausing).ready()
+	b.g.mu.Lock()
+	for _, target := range b.targets {
+		b.g.balancer.SetGroup(target.id, "group")
+	}
+	b.g.mu.Unlock()
+	_, _, body, whole := b.do(get("/stream/")...)
+	assert.Assert(t, whole)
+	assert.Equal(t, body, eventsUpTo(6))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -63,12 +63,33 @@
 	}
 }
 
-// watchSilence cancels the attempt when no event came for too long; streams that can't
-// be resumed are left alone.
+// watchSilence cancels the attempt when no event came for too long and another target
+// could go on; streams that can't be resumed are left alone.
 func (a *attempt) watchSilence() *time.Timer {
 	return time.AfterFunc(firstSilence, func() {
-		if a.x.route.Run == fleet.Resumable && a.x.attempts < a.x.route.Attempts {
+		if a.x.route.Run != fleet.Resumable || a.x.attempts >= a.x.route.Attempts {
+			return
+		}
+		if _, refuge := a.stall(); refuge {
+			a.cancel(errStalled)
+			return
+		}
+		a.leaveWhenPossible()
+	})
+}
+
+// leaveWhenPossible cancels the attempt once another target could go on, unless the
+// group moves again before.
+func (a *attempt) leaveWhenPossible() {
+	time.AfterFunc(stallCheck, func() {
+		if a.ctx.Err() != nil {
+			return
+		}
+		switch stalled, refuge := a.stall(); {
+		case stalled && refuge:
 			a.cancel(errStalled)
+		case stalled:
+			a.leaveWhenPossible()
 		}
 	})
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -254,6 +254,22 @@
 	return s.inFlight, s.load(now, b), s.failureRate(now), now < s.blockedUntil
 }
 
+// CanLeave reports whether a target outside the lock-step group of the target with the
+// id could get its request now.
+func (b *Balancer) CanLeave(now time.Duration, id string) bool {
+	left := b.targets[id]
+	if left == nil {
+		return true
+	}
+	r := Request{Service: left.Service, Tried: []string{id}, AvoidGroup: left.group, Urgent: true}
+	for _, s := range b.services[left.Service] {
+		if b.usable(now, s, &r) == NotRefused {
+			return true
+		}
+	}
+	return false
+}
+
 // HasOther reports whether a target that was not tried could get a request now.
 func (b *Balancer) HasOther(now time.Duration, service string, tried []string) bool {
 	r := Request{Service: service, Tried: tried, Urgent: true}
