Forget orders of an abandoned map change; abandon only for another demand

A change was abandoned after its next orders had been made; these went out once more, and their answers were taken for answers to the new change, so that four ranks were never told to prepare it. The group kept a map of skew 2 to 3 for six seconds. And changes were abandoned again and again, since ranks that told of a shift a little later than others began a new one. Ruled out: lost orders (applied_late was on, but the four ranks had accepted the old order and got no new one). Change: a new change forgets what was issued before; the leader abandons only if the group's demand differs from the planned one, and waits with a plan while the demand moves. TestAnswersToAnAbandonedChangeDoNotCount fails before; TestDemandThatIsShifting- IsNotPlannedFor is new.

--- a/internal/mapper/lead.go
+++ b/internal/mapper/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
@@ -67,10 +68,34 @@
 		mb.load = restore(h.Load, h.Most)
 	}
 	l.members[rank] = mb
-	if now := time.Now(); h.Shifted && now.Sub(l.shiftedAt) > 2*shiftTold {
-		l.shiftedAt = now
-		l.nextRound = earlier(l.nextRound, now.Add(shiftSettle))
+	if now := time.Now(); h.Shifted {
+		if now.Sub(l.shiftHeard) > shiftTold {
+			l.shifts(now)
+		}
+		l.shiftHeard = now
+	}
+}
+
+// shifts has the next plan wait until all ranks have told of a new demand.
+func (l *leading) shifts(now time.Time) {
+	l.shiftedAt = now
+	l.nextRound = earlier(l.nextRound, now.Add(shiftSettle))
+}
+
+// distance returns the part of a demand that goes to other experts than in another one.
+func distance(a, b []float64) float64 {
+	if len(a) != len(b) {
+		return 1
+	}
+	sumA, sumB := 0.0, 0.0
+	for i := range a {
+		sumA, sumB = sumA+a[i], sumB+b[i]
 	}
+	d := 0.0
+	for i := range a {
+		d += math.Abs(a[i]/max(sumA, 1) - b[i]/max(sumB, 1))
+	}
+	return d / 2
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -165,11 +190,13 @@
 // is no more.
 func (m *Mapper) reconsider() {
 	l := m.lead
-	outdated := l.outdated()
+	demand, known := l.demand()
+	outdated := known && l.outdated() && distance(demand.Load, l.plannedFor) >= shiftDistance
 	if !outdated && time.Now().Before(l.deadline) {
 		return
 	}
 	l.coordinator.Abandon()
+	l.commands = nil
 	m.abandoned.Inc(1)
 	m.opts.Logger.Info().Str("event", "map-abandoned").Int64("version", l.coordinator.Version()).Bool("demand_shifted", outdated).
 		Int64("since_begin_ms", time.Since(l.begun).Milliseconds()).Msg("")
@@ -225,6 +252,9 @@
 	demand, ok := l.demand()
 	switch {
 	case ok:
+		if l.unsteady(demand) {
+			return
+		}
 		m.remember(ctx, demand)
 		l.planner.Observe(demand)
 	case states[m.own.Rank].Version == 0 && len(m.remembered) == len(demand.Load):
@@ -245,6 +275,7 @@
 		return
 	}
 	most := mostNew(l.shape, from, plan.Map)
+	l.commands, l.plannedFor = nil, demand.Load
 	l.begun = time.Now()
 	l.copying = time.Duration(most) * m.engine.CopyTime
 	l.copiedAt = time.Time{}
@@ -255,6 +286,21 @@
 	l.nextRound = time.Now()
 }
 
+// unsteadyDistance is the part of the group's demand that moves between two looks from
+// which it seems to be shifting, though no rank is sure of it yet.
+const unsteadyDistance = 0.15
+
+// unsteady reports whether the demand seems to be shifting, and notes it if so.
+func (l *leading) unsteady(demand rebalance.Popularity) bool {
+	before := l.looked
+	l.looked = demand.Load
+	if before == nil || l.outdated() || distance(before, demand.Load) < unsteadyDistance {
+		return false
+	}
+	l.shifts(time.Now())
+	return true
+}
+
 // demand sums up the recent demand of all ranks.
 func (l *leading) demand() (rebalance.Popularity, bool) {
 	p := rebalance.Popularity{Experts: l.shape.Experts, Load: make([]float64, l.shape.Layers*l.shape.Experts)}
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -172,9 +172,12 @@
 	// when they should be; zero until all ranks have been told.
 	copying  time.Duration
 	copiedAt time.Time
-	// shiftedAt is when a rank last told of a shift of the demand.
-	shiftedAt time.Time
-	commands  []mapswitch.Command
+	// shiftedAt is when the ranks began to tell of the last shift of the demand, and
+	// shiftHeard when one last did.
+	shiftedAt, shiftHeard time.Time
+	// plannedFor is the demand of the last plan, and looked the one of the last look.
+	plannedFor, looked []float64
+	commands           []mapswitch.Command
 }
 
 // member is what the leader knows of one rank.
--- a/internal/mapper/mapper_test.go
+++ b/internal/mapper/mapper_test.go
@@ -320,3 +320,20 @@
 		return poll.Success()
 	})
 }
+
+// TestDemandThatIsShiftingIsNotPlannedFor looks at a group's demand while it turns to
+// other experts.
+func TestDemandThatIsShiftingIsNotPlannedFor(t *testing.T) {
+	var l leading
+	demand := func(first, second float64) rebalance.Popularity {
+		return rebalance.Popularity{Experts: 2, Load: []float64{first, second}}
+	}
+	assert.Assert(t, !l.unsteady(demand(90, 10)))
+	assert.Assert(t, !l.unsteady(demand(85, 15)))
+	assert.Assert(t, l.unsteady(demand(60, 40)))
+	assert.Assert(t, l.settling())
+	l.shiftedAt = l.shiftedAt.Add(-shiftSettle)
+	assert.Assert(t, !l.unsteady(demand(20, 80)), "by now every rank has told")
+	l.planned = time.Now()
+	assert.Assert(t, !l.unsteady(demand(20, 80)))
+}
--- a/internal/mapswitch/explore_test.go
+++ b/internal/mapswitch/explore_test.go
@@ -159,3 +159,18 @@
 	}
 	assert.Assert(t, found, "the exploration did not find the planted fault")
 }
+
+// TestAnswersToAnAbandonedChangeDoNotCount gives up a change between its orders and
+// their answers, and begins another one.
+func TestAnswersToAnAbandonedChangeDoNotCount(t *testing.T) {
+	c := New(0, 2, 1)
+	idle := func() []State {
+		return []State{{Open: true, Epoch: 2, Pass: 9, Held: NoPass, Result: Accepted}, {Open: true, Epoch: 2, Pass: 9, Held: NoPass, Result: Accepted}}
+	}
+	c.Round(idle(), nil)
+	assert.Assert(t, c.Begin(mapOf(1), []uint64{1, 1}, 0))
+	assert.Equal(t, len(c.Round(idle(), nil)), 2) // both ranks are told to prepare
+	c.Abandon()
+	assert.Assert(t, c.Begin(mapOf(2), []uint64{2, 2}, 0))
+	assert.Equal(t, len(c.Round(idle(), nil)), 2, "accepted orders of the first change hide that the second was not given")
+}
--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -185,6 +185,7 @@
 	c.version = c.nextVersion()
 	c.rows, c.digests = rows, digests
 	clear(c.answered)
+	clear(c.issued) // answers to orders for an abandoned change say nothing of this one
 	c.phase = Preparing
 	return true
 }
