--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -82,7 +82,8 @@
 
 // between checks that a value is in its range.
 func between[V cmp.Ordered](c *checker, path string, v, low, high V) {
-	if v < low || v > high {
+	inside := low <= v && v <= high // false for what is not a number
+	if !inside {
 		c.add(path, fmt.Sprintf("is %v, outside its range", v), fmt.Sprintf("write a value from %v to %v", low, high))
 	}
 }
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -52,6 +52,7 @@
 		{"listen: 10.0.0.1:80", "listen: somewhere", "listen"},
 		{"memory: 284", "memory: 0", "memory"},
 		{"retry_ratio: 0.2", "retry_ratio: 7", "limits.retry_ratio"},
+		{"retry_ratio: 0.2", "retry_ratio: .nan", "limits.retry_ratio"},
 		{"stop_timeout: 8s", "stop_timeout: 8", "stop_timeout"},
 		{"name: gw-1", "nome: gw-1", "unknown field nome"},
 		{"store_address: 10.9.0.1:8000", "store_address:", "store_address"},
