--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -91,6 +91,7 @@
 )
 
 // chooseInTime is choose, but waits a little if only a group that is down is in the way.
+// It leaves the request formWait at least of the time that it has.
 func (g *Gateway) chooseInTime(x *exchange) (placement.Choice, placement.Refusal) {
 	until := time.Now().Add(min(formWait, x.remaining()-formWait))
 	for {
