Empty the store before the gateway starts, not after

Cause: TestWithoutConfigurationNothingIsDenied took the configuration from the store after the gateway had begun to read it. When the gateway was faster it had the configuration, and its 404 for an unknown path was right. Ruled out: a denial without a configuration: known answers 503 unless one is loaded. Change: the test's store has no configuration from the start; checks are as they were.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -57,10 +57,7 @@
 
 // A process that has read no configuration can't tell what is allowed.
 func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
-	b := newBench(t)
-	b.store.mu.Lock()
-	b.store.content[fleet.TopicConfig] = nil
-	b.store.mu.Unlock()
+	b := newBenchWith(t, nil)
 	assert.ErrorContains(t, b.g.Ready(), "config-unavailable")
 	var status int
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -117,11 +117,17 @@
 
 // newBench starts a gateway in front of one target for each handler.
 func newBench(t *testing.T, handlers ...http.HandlerFunc) *bench {
+	t.Helper()
+	return newBenchWith(t, []fleet.Change{{Name: "main", Config: testConfig(1)}}, handlers...)
+}
+
+// newBenchWith is newBench with a configuration of its own in the store, or none.
+func newBenchWith(t *testing.T, config []fleet.Change, handlers ...http.HandlerFunc) *bench {
 	t.Helper()
 	b := &bench{t: t, addr: freePort(t), store: &fakeStore{
 		revision: 1, changes: map[fleet.Topic][]fleet.Change{}, content: map[fleet.Topic][]fleet.Change{},
 	}}
-	b.store.content[fleet.TopicConfig] = []fleet.Change{{Name: "main", Config: testConfig(1)}}
+	b.store.content[fleet.TopicConfig] = config
 	for i, h := range handlers {
 		f := &fakeTarget{id: fmt.Sprintf("t%d", i)}
 		f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
