Log how long the store was lost and how long a lapsed target is kept

Change: store-regained has lost_ms, failed_calls and last_failure_ms_ago; belief lines of lapsed targets have keep_ms; counter store_failures. No logic changes.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -36,6 +36,8 @@
 	Subject string
 	// Outcome is the object's new state.
 	Outcome string
+	// Keep is how long a lapsed target is kept at most; zero for all other outcomes.
+	Keep time.Duration
 }
 
 // NewRegistry returns an empty registry.
@@ -61,7 +63,7 @@
 		for zone := range r.evacuated {
 			if !present[zone] {
 				delete(r.evacuated, zone)
-				decisions = append(decisions, Decision{zone, "evacuation-ended"})
+				decisions = append(decisions, Decision{Subject: zone, Outcome: "evacuation-ended"})
 			}
 		}
 	}
@@ -114,7 +116,7 @@
 		return Decision{}, false
 	}
 	r.config = c.Config
-	return Decision{c.Name, "in-force"}, true
+	return Decision{Subject: c.Name, Outcome: "in-force"}, true
 }
 
 func (r *Registry) applyTarget(now time.Duration, c *Change) (Decision, bool) {
@@ -136,7 +138,7 @@
 	if c.Target.State == TargetLeaving {
 		outcome = "leaving"
 	}
-	return Decision{c.Name, outcome}, true
+	return Decision{Subject: c.Name, Outcome: outcome}, true
 }
 
 // removeTarget removes a target, or keeps it for a while if its entry may only have
@@ -146,10 +148,10 @@
 	if e.target.State == TargetReady && r.recoveredAt > 0 && now < r.recoveredAt+LapseGracePeriod {
 		e.lapsedAt = now
 		r.targets[id] = e
-		return Decision{id, "lapsed"}
+		return Decision{Subject: id, Outcome: "lapsed", Keep: r.recoveredAt + LapseGracePeriod - now}
 	}
 	delete(r.targets, id)
-	return Decision{id, "gone"}
+	return Decision{Subject: id, Outcome: "gone"}
 }
 
 // Expire removes the targets that did not register again in time. It returns the time at
@@ -161,7 +163,7 @@
 		}
 		if now >= r.recoveredAt+LapseGracePeriod {
 			delete(r.targets, id)
-			decisions = append(decisions, Decision{id, "gone"})
+			decisions = append(decisions, Decision{Subject: id, Outcome: "gone"})
 			continue
 		}
 		due = r.recoveredAt + LapseGracePeriod
@@ -210,10 +212,10 @@
 	}
 	if c.Removed {
 		delete(r.evacuated, c.Name)
-		return Decision{c.Name, "evacuation-ended"}, true
+		return Decision{Subject: c.Name, Outcome: "evacuation-ended"}, true
 	}
 	r.evacuated[c.Name] = true
-	return Decision{c.Name, "evacuated"}, true
+	return Decision{Subject: c.Name, Outcome: "evacuated"}, true
 }
 
 func (r *Registry) applyGateway(c *Change) (Decision, bool) {
@@ -221,5 +223,5 @@
 		return Decision{}, false
 	}
 	r.gateways[c.Name] = *c.Gateway
-	return Decision{c.Name, "gateway-known"}, true
+	return Decision{Subject: c.Name, Outcome: "gateway-known"}, true
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -32,8 +32,8 @@
 type control struct {
 	g        *Gateway
 	registry *fleet.Registry
-	// storeDown contains the topics whose last call to the store failed.
-	storeDown map[fleet.Topic]bool
+	// storeLost contains the topics whose last call to the store failed.
+	storeLost map[fleet.Topic]*storeLoss
 	stopping  bool
 	// limits are the limits of the current settings.
 	limits settings.GatewayLimits
@@ -45,7 +45,7 @@
 
 // Run handles events until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	c := &control{g: g, registry: fleet.NewRegistry(), storeDown: map[fleet.Topic]bool{}, probeStates: map[string]time.Duration{}, limits: g.opts.Settings.Limits}
+	c := &control{g: g, registry: fleet.NewRegistry(), storeLost: map[fleet.Topic]*storeLoss{}, probeStates: map[string]time.Duration{}, limits: g.opts.Settings.Limits}
 	c.peers = newPeerLink(g)
 	c.publish()
 	follower := fleet.Follower{
@@ -101,23 +101,42 @@
 	}
 }
 
+// storeLoss describes a series of failed calls of one topic to the store.
+type storeLoss struct {
+	// firstFailure and lastFailure are the times at which the first and the last call failed.
+	firstFailure, lastFailure time.Duration
+	failedCalls               int
+}
+
 // recordStoreFailure records a failed call to the store; only the first failure of a
 // series is logged.
 func (c *control) recordStoreFailure(topic fleet.Topic, err error) {
+	now := c.g.now()
+	c.g.count.storeFailures.Inc(1)
 	if topic == fleet.TopicTargets {
 		c.registry.RecordStoreFailure()
 	}
-	if !c.storeDown[topic] {
-		c.storeDown[topic] = true
+	loss := c.storeLost[topic]
+	if loss == nil {
+		loss = &storeLoss{firstFailure: now}
+		c.storeLost[topic] = loss
 		c.g.opts.Logger.Warn().Str("event", "store-lost").Str("topic", topic.String()).Err(err).Msg("")
 	}
+	loss.lastFailure = now
+	loss.failedCalls++
 }
 
+// recordStoreRecovery logs the first answered call after a series of failures.
 func (c *control) recordStoreRecovery(topic fleet.Topic) {
-	if c.storeDown[topic] {
-		delete(c.storeDown, topic)
-		c.g.opts.Logger.Info().Str("event", "store-regained").Str("topic", topic.String()).Msg("")
+	loss := c.storeLost[topic]
+	if loss == nil {
+		return
 	}
+	delete(c.storeLost, topic)
+	now := c.g.now()
+	c.g.opts.Logger.Info().Str("event", "store-regained").Str("topic", topic.String()).
+		Int64("lost_ms", (now-loss.firstFailure).Milliseconds()).Int("failed_calls", loss.failedCalls).
+		Int64("last_failure_ms_ago", (now - loss.lastFailure).Milliseconds()).Msg("")
 }
 
 func (c *control) logDecisions(topic fleet.Topic, decisions []fleet.Decision, revision int64) {
@@ -127,6 +146,9 @@
 		if topic == fleet.TopicConfig {
 			line = line.Int64("version", c.registry.View().Config.Version)
 		}
+		if d.Keep > 0 {
+			line = line.Int64("keep_ms", d.Keep.Milliseconds())
+		}
 		line.Msg("")
 	}
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -8,17 +8,18 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/observe"
 	"github.com/gentiantrail/gentiantrail/internal/settings"
 	"github.com/gentiantrail/gentiantrail/internal/testaddr"
 )
@@ -52,13 +53,23 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.err != nil {
+		return fleet.Batch{}, s.err
+	}
 	b := fleet.Batch{Changes: s.changes[topic], Revision: s.revision}
 	s.changes[topic] = nil
-	return b, s.err
+	return b, nil
 }
 
 func (s *fakeStore) Register(context.Context, fleet.Gateway) error { return nil }
 
+// setErr sets the error of all further calls; nil ends the outage.
+func (s *fakeStore) setErr(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
 // change adds a change to the result of the next watch of the topic.
 func (s *fakeStore) change(topic fleet.Topic, c fleet.Change) {
 	s.mu.Lock()
@@ -73,6 +84,32 @@
 	store   *fakeStore
 	addr    string
 	targets []*fakeTarget
+	logs    *logBuffer
+}
+
+// logBuffer collects the lines of a gateway's log.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lines = append(b.lines, string(line))
+	return len(line), nil
+}
+
+// find returns the first line that contains all parts.
+func (b *logBuffer) find(parts ...string) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, line := range b.lines {
+		if !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) }) {
+			return line, true
+		}
+	}
+	return "", false
 }
 
 // fakeTarget is a target with a handler that the test provides.
@@ -126,7 +163,7 @@
 // means that there is none.
 func newTestGatewayWith(t *testing.T, config []fleet.Change, handlers ...http.HandlerFunc) *testGateway {
 	t.Helper()
-	gw := &testGateway{t: t, addr: freePort(t), store: &fakeStore{
+	gw := &testGateway{t: t, addr: freePort(t), logs: &logBuffer{}, store: &fakeStore{
 		revision: 1, changes: map[fleet.Topic][]fleet.Change{}, content: map[fleet.Topic][]fleet.Change{},
 	}}
 	gw.store.content[fleet.TopicConfig] = config
@@ -151,7 +188,7 @@
 		Settings: &settings.Gateway{
 			Name: "g", AvailabilityZone: "z", Listen: gw.addr, PeerAddress: freePort(t), Limits: limits,
 		},
-		Headers: testHeaders, Source: gw.store, Logger: &log.Logger{Level: log.PanicLevel}, Metrics: tally.NoopScope,
+		Headers: testHeaders, Source: gw.store, Logger: observe.NewLogger(gw.logs, "info", "test", "g"), Metrics: tally.NoopScope,
 		Probe:        func(context.Context, string) (string, error) { return "", nil },
 		OnFatalError: func(err error) { t.Error(err) },
 	})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,18 +10,20 @@
 type counters struct {
 	attempts, repeats, resumes, stalls tally.Counter
 	overBudget, peerErrors, refused    tally.Counter
+	storeFailures                      tally.Counter
 	firstEvent                         tally.Histogram
 }
 
 func newCounters(s tally.Scope) counters {
 	return counters{
-		attempts:   s.Counter("attempts"),
-		repeats:    s.Counter("repeats"),
-		resumes:    s.Counter("stream_resumes"),
-		stalls:     s.Counter("stream_stalls"),
-		overBudget: s.Counter("repeats_over_budget"),
-		peerErrors: s.Counter("peer_errors"),
-		refused:    s.Counter("attempts_refused"),
-		firstEvent: s.Histogram("first_event", observe.LatencyBuckets),
+		attempts:      s.Counter("attempts"),
+		repeats:       s.Counter("repeats"),
+		resumes:       s.Counter("stream_resumes"),
+		stalls:        s.Counter("stream_stalls"),
+		overBudget:    s.Counter("repeats_over_budget"),
+		peerErrors:    s.Counter("peer_errors"),
+		refused:       s.Counter("attempts_refused"),
+		storeFailures: s.Counter("store_failures"),
+		firstEvent:    s.Histogram("first_event", observe.LatencyBuckets),
 	}
 }
