--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -75,3 +75,100 @@
 		synctest.Wait()
 	})
 }
+
+// cutSource is a store that a gateway can't reach while cut is true: each call fails after
+// hang. Watches of a reachable store wait for their full time.
+type cutSource struct {
+	mu   sync.Mutex
+	cut  bool
+	hang time.Duration
+	// closeWatches is closed when the gateway is cut off.
+	closeWatches chan struct{}
+	// answered contains the time of the first call of each topic that reached the store
+	// since the cut ended.
+	answered map[Topic]time.Time
+}
+
+func newCutSource(hang time.Duration) *cutSource {
+	return &cutSource{hang: hang, closeWatches: make(chan struct{}), answered: map[Topic]time.Time{}}
+}
+
+func (s *cutSource) setCut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+	s.answered = map[Topic]time.Time{}
+	if cut {
+		close(s.closeWatches)
+		s.closeWatches = make(chan struct{})
+	}
+}
+
+// reach returns a channel that is closed with the next cut, or an error if the store is
+// out of reach.
+func (s *cutSource) reach(ctx context.Context, topic Topic) (<-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut {
+		s.mu.Unlock()
+		sleep(ctx, s.hang)
+		s.mu.Lock()
+		return nil, errors.New("store is out of reach")
+	}
+	if _, ok := s.answered[topic]; !ok {
+		s.answered[topic] = time.Now()
+	}
+	return s.closeWatches, nil
+}
+
+func (s *cutSource) List(ctx context.Context, topic Topic) (Batch, error) {
+	_, err := s.reach(ctx, topic)
+	return Batch{Revision: 1}, err
+}
+
+func (s *cutSource) Watch(ctx context.Context, topic Topic, _ int64, wait time.Duration) (Batch, error) {
+	closed, err := s.reach(ctx, topic)
+	if err != nil {
+		return Batch{}, err
+	}
+	select {
+	case <-ctx.Done():
+	case <-closed:
+		return Batch{}, errors.New("watch closed")
+	case <-time.After(wait):
+	}
+	return Batch{Revision: 1}, nil
+}
+
+func (s *cutSource) Register(context.Context, Gateway) error { return nil }
+
+// Guards against a gateway that learns of a leaving target or an evacuation seconds after
+// its path to the store is back, because one of its topics still waits before it tries
+// again. leaveBound is the time within which a target that leaves gets no more requests.
+func TestAllTopicsAreFollowedAgainSoonAfterAnOutage(t *testing.T) {
+	const leaveBound = 2 * time.Second
+	for _, hang := range []time.Duration{0, 600 * time.Millisecond, 1500 * time.Millisecond} {
+		for run := range 50 {
+			synctest.Test(t, func(t *testing.T) {
+				source := newCutSource(hang)
+				ctx, cancel := context.WithCancel(t.Context())
+				f := &Follower{Source: source, OnEvent: func(Event) {}}
+				f.Run(ctx)
+				time.Sleep(5 * time.Second)
+				source.setCut(true)
+				time.Sleep(8*time.Second + time.Duration(run)*30*time.Millisecond)
+				source.setCut(false)
+				healed := time.Now()
+				time.Sleep(2 * leaveBound)
+				source.mu.Lock()
+				for _, topic := range []Topic{TopicConfig, TopicTargets, TopicEvacuations} {
+					delay := source.answered[topic].Sub(healed)
+					assert.Check(t, delay >= 0 && delay <= leaveBound, "%s after %v (hang %v, run %d)", topic, delay, hang, run)
+				}
+				source.mu.Unlock()
+				cancel()
+				synctest.Wait()
+			})
+		}
+	}
+}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -46,6 +46,22 @@
 	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"a": TargetReady})
 }
 
+// Guards against a grace period that starts again with each failed call: a target whose
+// entry is missing is dropped at the time that was set when its entry was found missing.
+func TestLaterFailureDoesNotExtendTheGracePeriod(t *testing.T) {
+	r := NewRegistry()
+	r.ApplyList(0, TopicTargets, batch(target("a", TargetReady)))
+	r.RecordStoreFailure()
+	lapsed := time.Minute
+	r.ApplyChanges(lapsed, TopicTargets, batch(Change{Name: "a", Removed: true}))
+	due, _ := r.Expire(lapsed)
+	assert.Assert(t, due > lapsed)
+	r.RecordStoreFailure()
+	r.ApplyChanges(due-time.Millisecond, TopicTargets, batch())
+	r.Expire(due)
+	assert.Equal(t, len(r.View().Targets), 0)
+}
+
 // A leaving target stays in the view while the store is unavailable, and is removed
 // without a grace period once its entry is missing.
 func TestLeavingTargetGetsNoGracePeriod(t *testing.T) {
--- a/internal/gateway/control_test.go
+++ b/internal/gateway/control_test.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
-	"errors"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
@@ -29,7 +29,7 @@
 // how long a lapsed target is kept.
 func TestStoreOutageIsLogged(t *testing.T) {
 	gw := newTestGateway(t, respond(200, "x")).waitReady()
-	gw.store.setErr(errors.New("store is down"))
+	gw.store.setErr(errStoreDown)
 	gw.waitForLog("event=store-lost", "topic=targets")
 	gw.store.change(fleet.TopicTargets, fleet.Change{Name: "t0", Removed: true})
 	gw.store.setErr(nil)
@@ -38,3 +38,59 @@
 	}
 	gw.waitForLog("event=belief", "subject=t0", "outcome=lapsed", "keep_ms=")
 }
+
+const (
+	// drainBound is the time within which a target that has left gets no more requests.
+	drainBound = 2 * time.Second
+	// noticeBound is the time for a gateway to act on a change that its open watch returns.
+	noticeBound = time.Second
+)
+
+// assertDropped asserts that the first target gets no request once noticeBound has passed
+// since its removal.
+func (gw *testGateway) assertDropped() {
+	gw.t.Helper()
+	time.Sleep(noticeBound)
+	status, _, _, _ := gw.do(get("/safe/")...)
+	assert.Equal(gw.t, status, 503)
+	assert.Equal(gw.t, len(gw.targets[0].requests()), 0)
+}
+
+// Guards against a target that gets work although its entry was removed: after an outage,
+// the first change is often the removal of a target, seconds after the store has returned.
+// It must not be mistaken for an entry that lapsed during the outage.
+func TestTargetRemovedAfterAnOutageIsDroppedAtOnce(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "x")).waitReady()
+	gw.store.setErr(errStoreDown)
+	gw.waitForLog("event=store-lost", "topic=targets")
+	time.Sleep(time.Second)
+	gw.store.setErr(nil)
+	time.Sleep(4 * time.Second) // longer than any grace period of the outage
+	gw.store.change(fleet.TopicTargets, fleet.Change{Name: "t0", Removed: true})
+	gw.assertDropped()
+}
+
+// Guards against a grace period without an outage: the store may close a waiting watch at
+// any time, so a closed watch alone is no reason to keep a target whose entry was removed.
+func TestClosedWatchIsNotAnOutage(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "x")).waitReady()
+	gw.store.closeWatches()
+	time.Sleep(700 * time.Millisecond) // all topics watch again
+	gw.store.change(fleet.TopicTargets, fleet.Change{Name: "t0", Removed: true})
+	gw.assertDropped()
+}
+
+// Guards against a lapsed target that is kept for longer than a target that has left may
+// get requests: it may have been removed on purpose while the store was out of reach.
+func TestLapsedTargetIsDroppedWithinTheDrainBound(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "x")).waitReady()
+	gw.store.setErr(errStoreDown)
+	gw.waitForLog("event=store-lost", "topic=targets")
+	time.Sleep(time.Second)
+	gw.store.change(fleet.TopicTargets, fleet.Change{Name: "t0", Removed: true})
+	gw.store.setErr(nil)
+	gw.waitForLog("event=belief", "subject=t0", "outcome=lapsed")
+	lapsed := time.Now()
+	gw.waitForLog("event=belief", "subject=t0", "outcome=gone")
+	assert.Assert(t, time.Since(lapsed) < drainBound, "kept for %v", time.Since(lapsed))
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -38,27 +39,41 @@
 	content  map[fleet.Topic][]fleet.Change
 	changes  map[fleet.Topic][]fleet.Change
 	err      error
+	// closedWatches counts the calls of closeWatches.
+	closedWatches int
 }
 
+var (
+	errStoreDown   = errors.New("store is down")
+	errWatchClosed = errors.New("watch closed")
+)
+
 func (s *fakeStore) List(_ context.Context, topic fleet.Topic) (fleet.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return fleet.Batch{Changes: s.content[topic], Revision: s.revision}, s.err
 }
 
-func (s *fakeStore) Watch(ctx context.Context, topic fleet.Topic, _ int64, _ time.Duration) (fleet.Batch, error) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(10 * time.Millisecond):
-	}
+// Watch returns once there is a change, the wait has passed or the watch is closed.
+func (s *fakeStore) Watch(ctx context.Context, topic fleet.Topic, _ int64, wait time.Duration) (fleet.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.err != nil {
-		return fleet.Batch{}, s.err
+	closed := s.closedWatches
+	for end := time.Now().Add(wait); ; {
+		switch {
+		case s.err != nil:
+			return fleet.Batch{}, s.err
+		case s.closedWatches != closed:
+			return fleet.Batch{}, errWatchClosed
+		case len(s.changes[topic]) > 0 || ctx.Err() != nil || !time.Now().Before(end):
+			b := fleet.Batch{Changes: s.changes[topic], Revision: s.revision}
+			s.changes[topic] = nil
+			return b, nil
+		}
+		s.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+		s.mu.Lock()
 	}
-	b := fleet.Batch{Changes: s.changes[topic], Revision: s.revision}
-	s.changes[topic] = nil
-	return b, nil
 }
 
 func (s *fakeStore) Register(context.Context, fleet.Gateway) error { return nil }
@@ -70,6 +85,13 @@
 	s.err = err
 }
 
+// closeWatches closes the watches that wait; the store stays available.
+func (s *fakeStore) closeWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closedWatches++
+}
+
 // change adds a change to the result of the next watch of the topic.
 func (s *fakeStore) change(topic fleet.Topic, c fleet.Change) {
 	s.mu.Lock()
