Judge the store's availability only by calls that it answers at once

Cause: an outage of the store ended, for a gateway, with the first answer of a watch, and a watch is answered only when something changes. If the first change after an outage was the removal of a target, that removal ended the outage and at once counted as an entry that had lapsed during it, however long the store had been back. For the same reason a watch that the store merely closed counted as an outage until the next change. Class: the state of a dependency derived from a channel that is silent while all is well. Change: a closed watch is not a failure of the store; the call after it is a watch that returns at once, so that it shows whether the store is available and brings the changes that were missed. The grace period of missing entries runs from the beginning of the last failed call of any topic, not from the first answer: the store was still away then, and it is tried again after outageSpacing, which the period includes.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -11,6 +11,10 @@
 	// watchTimeout is how long a watch call waits. The store allows up to 30 s, and a
 	// waiting watch counts as one call.
 	watchTimeout = 29 * time.Second
+	// catchUpTimeout is how long the first watch after a closed one waits. The store
+	// answers it at once, so it shows whether the store is available and returns the
+	// changes that were missed.
+	catchUpTimeout = time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause after a failed call, without jitter.
 	minRetryPause = 200 * time.Millisecond
 	maxRetryPause = 1200 * time.Millisecond
@@ -31,6 +35,11 @@
 	Batch    Batch
 	// Err is set if the call failed; the batch is empty then.
 	Err error
+	// Took is the duration of a failed call.
+	Took time.Duration
+	// WatchClosed is true if the failed call was a waiting watch. The store may close one
+	// at any time, so this says nothing about the store's availability.
+	WatchClosed bool
 }
 
 // Follower lists the topics of a Source and watches them for changes.
@@ -84,40 +93,63 @@
 
 // watch follows the changes after revision until the store no longer has the history.
 func (f *Follower) watch(ctx context.Context, topic Topic, revision int64) {
+	for ctx.Err() == nil {
+		batch, err := f.watchOnce(ctx, topic, revision)
+		if errors.Is(err, ErrHistoryGone) || ctx.Err() != nil {
+			return
+		}
+		revision = max(revision, batch.Revision)
+		f.OnEvent(Event{Topic: topic, Batch: batch})
+		sleep(ctx, watchPause)
+	}
+}
+
+// watchOnce returns the next changes after revision. If the watch is closed, it reads the
+// changes so far, since a new watch would not show that the store is available again until
+// something changes. The error is ErrHistoryGone or that of ctx.
+func (f *Follower) watchOnce(ctx context.Context, topic Topic, revision int64) (Batch, error) {
+	batch, err := f.Source.Watch(ctx, topic, revision, watchTimeout)
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		f.backoff.recordSuccess(time.Now())
+		return batch, err
+	}
+	f.OnEvent(Event{Topic: topic, Err: err, WatchClosed: true})
+	f.backoff.wait(ctx, jittered(minRetryPause))
 	historyGone := false
-	for ctx.Err() == nil && !historyGone {
-		f.retry(ctx, topic, func() error {
-			batch, err := f.Source.Watch(ctx, topic, revision, watchTimeout)
-			if errors.Is(err, ErrHistoryGone) {
-				historyGone = true
-				return nil
-			}
-			if err != nil {
-				return err
-			}
-			revision = max(revision, batch.Revision)
-			f.OnEvent(Event{Topic: topic, Batch: batch})
+	f.retry(ctx, topic, func() error {
+		batch, err = f.Source.Watch(ctx, topic, revision, catchUpTimeout)
+		historyGone = errors.Is(err, ErrHistoryGone)
+		if historyGone {
 			return nil
-		})
-		sleep(ctx, watchPause)
+		}
+		return err
+	})
+	if historyGone {
+		return Batch{}, ErrHistoryGone
 	}
+	return batch, ctx.Err()
 }
 
-// retry repeats call until it succeeds, with growing jittered pauses.
+// retry repeats call, which the store answers at once, until it succeeds, with growing
+// jittered pauses.
 func (f *Follower) retry(ctx context.Context, topic Topic, call func() error) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := call()
 		if err == nil {
 			f.backoff.recordSuccess(time.Now())
 			return
 		}
-		f.OnEvent(Event{Topic: topic, Err: err})
-		f.backoff.wait(ctx, pause/2+rand.N(pause))
+		f.OnEvent(Event{Topic: topic, Err: err, Took: time.Since(began)})
+		f.backoff.wait(ctx, jittered(pause))
 		pause = min(2*pause, maxRetryPause)
 	}
 }
 
+// jittered returns a random duration between half of pause and one and a half times pause.
+func jittered(pause time.Duration) time.Duration { return pause/2 + rand.N(pause) }
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -4,9 +4,15 @@
 	"time"
 )
 
-// LapseGracePeriod is how long after the end of a store outage a target whose entry is
-// missing is kept: live targets register again within two seconds.
-const LapseGracePeriod = 2 * time.Second
+const (
+	// registrationTime is the time after an outage of the store within which live targets
+	// register again.
+	registrationTime = 2 * time.Second
+	// LapseGracePeriod is how long after the last failed call to the store a target whose
+	// entry is missing is kept. The store may have returned at any time between that call
+	// and the next one, which follows after about outageSpacing.
+	LapseGracePeriod = registrationTime + outageSpacing
+)
 
 // Registry is a gateway's view of the fleet. It is a state machine without I/O: the
 // caller passes in the time and must not use it concurrently.
@@ -16,10 +22,9 @@
 	evacuated map[string]bool
 	gateways  map[string]Gateway
 	loaded    [topicCount]bool
-	// storeDown is true while calls for the targets fail; recoveredAt is the time at which
-	// the last outage ended.
-	storeDown   bool
-	recoveredAt time.Duration
+	// lastFailure is the time at which the last failed call to the store began; nil if no
+	// call has failed.
+	lastFailure *time.Duration
 }
 
 // targetEntry is a target with the time at which its entry was found missing, if any.
@@ -74,9 +79,6 @@
 // ApplyChanges applies changes of a topic at time now.
 func (r *Registry) ApplyChanges(now time.Duration, topic Topic, batch Batch) []Decision {
 	var decisions []Decision
-	if topic == TopicTargets {
-		r.recordStoreAnswer(now)
-	}
 	for i := range batch.Changes {
 		if d, ok := r.apply(now, topic, &batch.Changes[i]); ok {
 			decisions = append(decisions, d)
@@ -85,15 +87,20 @@
 	return decisions
 }
 
-// RecordStoreFailure records that a call to the store for the targets failed.
-func (r *Registry) RecordStoreFailure() { r.storeDown = true }
+// RecordStoreFailure records that a call to the store failed that would have been answered
+// at once if the store had been available. The call began at time began.
+func (r *Registry) RecordStoreFailure(began time.Duration) {
+	if r.lastFailure == nil || began > *r.lastFailure {
+		r.lastFailure = &began
+	}
+}
 
-// recordStoreAnswer records that the store answered a call for the targets.
-func (r *Registry) recordStoreAnswer(now time.Duration) {
-	if r.storeDown {
-		r.storeDown = false
-		r.recoveredAt = now
+// graceEnd returns the time until which targets are kept whose entries are missing.
+func (r *Registry) graceEnd() time.Duration {
+	if r.lastFailure == nil {
+		return 0
 	}
+	return *r.lastFailure + LapseGracePeriod
 }
 
 func (r *Registry) apply(now time.Duration, topic Topic, c *Change) (Decision, bool) {
@@ -145,10 +152,10 @@
 // expired during an outage of the store.
 func (r *Registry) removeTarget(now time.Duration, id string) Decision {
 	e := r.targets[id]
-	if e.target.State == TargetReady && r.recoveredAt > 0 && now < r.recoveredAt+LapseGracePeriod {
+	if e.target.State == TargetReady && now < r.graceEnd() {
 		e.lapsedAt = now
 		r.targets[id] = e
-		return Decision{Subject: id, Outcome: "lapsed", Keep: r.recoveredAt + LapseGracePeriod - now}
+		return Decision{Subject: id, Outcome: "lapsed", Keep: r.graceEnd() - now}
 	}
 	delete(r.targets, id)
 	return Decision{Subject: id, Outcome: "gone"}
@@ -161,12 +168,12 @@
 		if e.lapsedAt == 0 {
 			continue
 		}
-		if now >= r.recoveredAt+LapseGracePeriod {
+		if now >= r.graceEnd() {
 			delete(r.targets, id)
 			decisions = append(decisions, Decision{Subject: id, Outcome: "gone"})
 			continue
 		}
-		due = r.recoveredAt + LapseGracePeriod
+		due = r.graceEnd()
 	}
 	return due, decisions
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -82,7 +82,7 @@
 func (e storeEvent) apply(c *control) {
 	now := c.g.now()
 	if e.Err != nil {
-		c.recordStoreFailure(e.Topic, e.Err)
+		c.recordFailedCall(fleet.Event(e))
 		return
 	}
 	c.recordStoreRecovery(e.Topic)
@@ -108,19 +108,21 @@
 	failedCalls               int
 }
 
-// recordStoreFailure records a failed call to the store; only the first failure of a
-// series is logged.
-func (c *control) recordStoreFailure(topic fleet.Topic, err error) {
+// recordFailedCall records a failed call to the store. Of a series of failures only the
+// first is logged.
+func (c *control) recordFailedCall(e fleet.Event) {
+	if e.WatchClosed {
+		c.g.opts.Logger.Info().Str("event", "watch-closed").Str("topic", e.Topic.String()).Err(e.Err).Msg("")
+		return
+	}
 	now := c.g.now()
 	c.g.count.storeFailures.Inc(1)
-	if topic == fleet.TopicTargets {
-		c.registry.RecordStoreFailure()
-	}
-	loss := c.storeLost[topic]
+	c.registry.RecordStoreFailure(now - e.Took)
+	loss := c.storeLost[e.Topic]
 	if loss == nil {
 		loss = &storeLoss{firstFailure: now}
-		c.storeLost[topic] = loss
-		c.g.opts.Logger.Warn().Str("event", "store-lost").Str("topic", topic.String()).Err(err).Msg("")
+		c.storeLost[e.Topic] = loss
+		c.g.opts.Logger.Warn().Str("event", "store-lost").Str("topic", e.Topic.String()).Err(e.Err).Msg("")
 	}
 	loss.lastFailure = now
 	loss.failedCalls++
