Set the end of a lapsed target's grace period once

Cause: the end of the grace period was computed from the last outage at each check, so each further failed call moved it for all targets that had lapsed before. Change: the end is stored with the target when its entry is found missing.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -27,12 +27,12 @@
 	lastFailure *time.Duration
 }
 
-// targetEntry is a target with the time at which its entry was found missing, if any.
+// targetEntry is a target whose entry the store has, or had before an outage.
 type targetEntry struct {
 	target Target
-	// lapsedAt is the time at which the entry was first found missing from the store after
-	// an outage; zero while the store has the entry.
-	lapsedAt time.Duration
+	// lapsed is true if the store does not have the entry; the target is kept until keepUntil.
+	lapsed    bool
+	keepUntil time.Duration
 }
 
 // Decision describes how the registry handled a change, for the log.
@@ -60,7 +60,7 @@
 	switch topic {
 	case TopicTargets:
 		for id, e := range r.targets {
-			if !present[id] && e.lapsedAt == 0 {
+			if !present[id] && !e.lapsed {
 				decisions = append(decisions, r.removeTarget(now, id))
 			}
 		}
@@ -128,7 +128,7 @@
 
 func (r *Registry) applyTarget(now time.Duration, c *Change) (Decision, bool) {
 	if c.Removed {
-		if e, known := r.targets[c.Name]; !known || e.lapsedAt != 0 {
+		if e, known := r.targets[c.Name]; !known || e.lapsed {
 			return Decision{}, false
 		}
 		return r.removeTarget(now, c.Name), true
@@ -138,7 +138,7 @@
 	}
 	old, known := r.targets[c.Name]
 	r.targets[c.Name] = targetEntry{target: *c.Target}
-	if known && old.lapsedAt == 0 && old.target == *c.Target {
+	if known && !old.lapsed && old.target == *c.Target {
 		return Decision{}, false
 	}
 	outcome := "ready"
@@ -153,9 +153,9 @@
 func (r *Registry) removeTarget(now time.Duration, id string) Decision {
 	e := r.targets[id]
 	if e.target.State == TargetReady && now < r.graceEnd() {
-		e.lapsedAt = now
+		e.lapsed, e.keepUntil = true, r.graceEnd()
 		r.targets[id] = e
-		return Decision{Subject: id, Outcome: "lapsed", Keep: r.graceEnd() - now}
+		return Decision{Subject: id, Outcome: "lapsed", Keep: e.keepUntil - now}
 	}
 	delete(r.targets, id)
 	return Decision{Subject: id, Outcome: "gone"}
@@ -165,15 +165,14 @@
 // which it is due next, or zero if no target is pending.
 func (r *Registry) Expire(now time.Duration) (due time.Duration, decisions []Decision) {
 	for id, e := range r.targets {
-		if e.lapsedAt == 0 {
-			continue
-		}
-		if now >= r.graceEnd() {
+		switch {
+		case !e.lapsed:
+		case now >= e.keepUntil:
 			delete(r.targets, id)
 			decisions = append(decisions, Decision{Subject: id, Outcome: "gone"})
-			continue
+		case due == 0 || e.keepUntil < due:
+			due = e.keepUntil
 		}
-		due = r.graceEnd()
 	}
 	return due, decisions
 }
