Retry the store at once after an outage that another topic has seen end

What callers saw: possible in reading only: a gateway whose path to the store is back learns of a leaving target or of an evacuation up to three seconds later. Cause: after a failed call a topic paused for up to 1.8 s, and a success of another topic ended the pause only if it came after the failure; a call that hung past the end of the outage fails after that success. All topics could pause for longer than outageSpacing. Change: a success since the beginning of the failed call ends the pause; no pause is longer than outageSpacing, which still bounds the calls of a process to a failing store. TestTopicsShareRetriesWhileTheStoreIsUnavailable holds.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -16,8 +16,10 @@
 	// changes that were missed.
 	catchUpTimeout = time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause after a failed call, without jitter.
+	// With jitter the longest is below outageSpacing, so that some topic is always ready
+	// to try when that has passed.
 	minRetryPause = 200 * time.Millisecond
-	maxRetryPause = 1200 * time.Millisecond
+	maxRetryPause = 500 * time.Millisecond
 	// registerPause is the pause between a gateway's registration and its listing of the
 	// other gateways: the instances of a deployment start within a few hundred
 	// milliseconds of each other.
@@ -114,7 +116,7 @@
 		return batch, err
 	}
 	f.OnEvent(Event{Topic: topic, Err: err, WatchClosed: true})
-	f.backoff.wait(ctx, jittered(minRetryPause))
+	f.backoff.wait(ctx, time.Now(), jittered(minRetryPause))
 	historyGone := false
 	f.retry(ctx, topic, func() error {
 		batch, err = f.Source.Watch(ctx, topic, revision, catchUpTimeout)
@@ -142,7 +144,7 @@
 			return
 		}
 		f.OnEvent(Event{Topic: topic, Err: err, Took: time.Since(began)})
-		f.backoff.wait(ctx, jittered(pause))
+		f.backoff.wait(ctx, began, jittered(pause))
 		pause = min(2*pause, maxRetryPause)
 	}
 }
--- a/internal/fleet/outage.go
+++ b/internal/fleet/outage.go
@@ -30,21 +30,22 @@
 }
 
 // wait blocks until a topic whose call has failed should try again: once pause has passed
-// and no other topic has just tried, or once a call of another topic succeeds.
-func (o *outageBackoff) wait(ctx context.Context, pause time.Duration) {
+// and no other topic has just tried, or once a call of another topic has succeeded since
+// the failed one began.
+func (o *outageBackoff) wait(ctx context.Context, began time.Time, pause time.Duration) {
 	failed := time.Now()
 	for ctx.Err() == nil {
 		sleep(ctx, outagePollInterval)
-		if now := time.Now(); o.mayTry(now, failed, now.Sub(failed) >= pause) {
+		if now := time.Now(); o.mayTry(now, began, now.Sub(failed) >= pause) {
 			return
 		}
 	}
 }
 
-func (o *outageBackoff) mayTry(now, failed time.Time, pauseOver bool) bool {
+func (o *outageBackoff) mayTry(now, began time.Time, pauseOver bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.lastSuccess.After(failed) {
+	if o.lastSuccess.After(began) {
 		return true
 	}
 	if !pauseOver || now.Sub(o.lastTry) < outageSpacing {
