Drop lapsed targets at the end of their grace period, not at the next tick

Cause: the control goroutine removed lapsed targets only with its tick of 500 ms, although the registry tells when the next one is due. Change: a timer for that time. Evidence: TestLapsedTargetIsDroppedWhenItsGracePeriodEnds failed on the code before (487 ms late) and passes now.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -41,12 +41,16 @@
 	// for a report of its group, or to probeDone.
 	probeStates map[string]time.Duration
 	peers       *peerLink
+	// expiry fires when the next lapsed target is due to be removed.
+	expiry *time.Timer
 }
 
 // Run handles events until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	c := &control{g: g, registry: fleet.NewRegistry(), storeLost: map[fleet.Topic]*storeLoss{}, probeStates: map[string]time.Duration{}, limits: g.opts.Settings.Limits}
 	c.peers = newPeerLink(g)
+	c.expiry = time.NewTimer(tickInterval)
+	defer c.expiry.Stop()
 	c.publish()
 	follower := fleet.Follower{
 		Source:  g.opts.Source,
@@ -63,6 +67,8 @@
 			return
 		case ev := <-g.events:
 			ev.apply(c)
+		case <-c.expiry.C:
+			c.expire()
 		case <-ticker.C:
 			c.tick(ctx)
 		}
@@ -98,6 +104,20 @@
 	c.logDecisions(e.Topic, decisions, e.Batch.Revision)
 	if len(decisions) > 0 || e.Complete {
 		c.publish()
+		c.expire()
+	}
+}
+
+// expire removes the lapsed targets that are due and schedules the next removal.
+func (c *control) expire() {
+	now := c.g.now()
+	due, decisions := c.registry.Expire(now)
+	if len(decisions) > 0 {
+		c.logDecisions(fleet.TopicTargets, decisions, 0)
+		c.publish()
+	}
+	if due > 0 {
+		c.expiry.Reset(due - now)
 	}
 }
 
@@ -155,14 +175,8 @@
 	}
 }
 
-// tick removes targets that did not register again and idle connections, and probes
-// engines whose group is unknown.
+// tick removes idle connections and probes engines whose group is unknown.
 func (c *control) tick(ctx context.Context) {
-	_, decisions := c.registry.Expire(c.g.now())
-	if len(decisions) > 0 {
-		c.logDecisions(fleet.TopicTargets, decisions, 0)
-		c.publish()
-	}
 	c.g.client.Sweep(c.usedAddresses())
 	c.probe(ctx)
 }
--- a/internal/gateway/control_test.go
+++ b/internal/gateway/control_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,3 +96,25 @@
 	gw.waitForLog("event=belief", "subject=t0", "outcome=gone")
 	assert.Assert(t, time.Since(lapsed) < drainBound, "kept for %v", time.Since(lapsed))
 }
+
+// Guards against a lapsed target that gets work until the next periodic check: it is
+// dropped when the time that the log announces has passed.
+func TestLapsedTargetIsDroppedWhenItsGracePeriodEnds(t *testing.T) {
+	const slack = 200 * time.Millisecond
+	for range 3 {
+		gw := newTestGateway(t, respond(200, "x")).waitReady()
+		gw.store.setErr(errStoreDown)
+		gw.waitForLog("event=store-lost")
+		gw.store.change(fleet.TopicTargets, fleet.Change{Name: "t0", Removed: true})
+		gw.store.setErr(nil)
+		line := gw.waitForLog("event=belief", "subject=t0", "outcome=lapsed")
+		lapsed := time.Now()
+		_, field, _ := strings.Cut(line, "keep_ms=")
+		var keepMs int64
+		_, err := fmt.Sscan(field, &keepMs)
+		assert.NilError(t, err)
+		gw.waitForLog("event=belief", "subject=t0", "outcome=gone")
+		late := time.Since(lapsed) - time.Duration(keepMs)*time.Millisecond
+		assert.Check(t, late < slack, "dropped %v after the end of the grace period", late)
+	}
+}
