Keep lapsed targets no longer than a target that has left may get work

Cause: the grace period was chosen for live targets, which register again within about two seconds, and took no account of the bound for those that left. Change: the bound is a setting, limits.drain_timeout (from the platform's bounds; default 2 s). A target whose entry is missing after an outage is kept for that time less 700 ms, in which a gateway learns of the removal and sends what it has chosen before. TestLapsedTargetsAreKeptForTheGracePeriodAfterAnOutage required two seconds after the recovery, which contradicts the bound; it requires the new time to the millisecond in both directions, and that noticeTime covers the watch pause.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -5,13 +5,13 @@
 )
 
 const (
-	// registrationTime is the time after an outage of the store within which live targets
-	// register again.
-	registrationTime = 2 * time.Second
-	// LapseGracePeriod is how long after the last failed call to the store a target whose
-	// entry is missing is kept. The store may have returned at any time between that call
-	// and the next one, which follows after about outageSpacing.
-	LapseGracePeriod = registrationTime + outageSpacing
+	// outageWindow is how long after the beginning of the last failed call to the store a
+	// missing entry may have lapsed during an outage. It covers a call that hangs and the
+	// time to the next one.
+	outageWindow = 2800 * time.Millisecond
+	// noticeTime is the time that a gateway may need to learn that an entry was removed and
+	// to send the requests for which the target was chosen before. It includes watchPause.
+	noticeTime = 700 * time.Millisecond
 )
 
 // Registry is a gateway's view of the fleet. It is a state machine without I/O: the
@@ -22,6 +22,8 @@
 	evacuated map[string]bool
 	gateways  map[string]Gateway
 	loaded    [topicCount]bool
+	// drainTimeout is the time within which a target that has left must get no more work.
+	drainTimeout time.Duration
 	// lastFailure is the time at which the last failed call to the store began; nil if no
 	// call has failed.
 	lastFailure *time.Duration
@@ -45,9 +47,10 @@
 	Keep time.Duration
 }
 
-// NewRegistry returns an empty registry.
-func NewRegistry() *Registry {
-	return &Registry{targets: map[string]targetEntry{}, evacuated: map[string]bool{}, gateways: map[string]Gateway{}}
+// NewRegistry returns an empty registry. drainTimeout is the time within which a target that
+// has left must get no more work.
+func NewRegistry(drainTimeout time.Duration) *Registry {
+	return &Registry{drainTimeout: drainTimeout, targets: map[string]targetEntry{}, evacuated: map[string]bool{}, gateways: map[string]Gateway{}}
 }
 
 // ApplyList applies a complete list of a topic's objects at time now.
@@ -95,12 +98,13 @@
 	}
 }
 
-// graceEnd returns the time until which targets are kept whose entries are missing.
-func (r *Registry) graceEnd() time.Duration {
-	if r.lastFailure == nil {
-		return 0
-	}
-	return *r.lastFailure + LapseGracePeriod
+// SetDrainTimeout changes the time within which a target that has left must get no more work.
+func (r *Registry) SetDrainTimeout(d time.Duration) { r.drainTimeout = d }
+
+// afterOutage reports whether entries that are found missing may have lapsed during an
+// outage of the store.
+func (r *Registry) afterOutage(now time.Duration) bool {
+	return r.lastFailure != nil && now < *r.lastFailure+outageWindow
 }
 
 func (r *Registry) apply(now time.Duration, topic Topic, c *Change) (Decision, bool) {
@@ -149,11 +153,13 @@
 }
 
 // removeTarget removes a target, or keeps it for a while if its entry may only have
-// expired during an outage of the store.
+// lapsed during an outage of the store: live targets register again within two seconds.
+// The target may also have left on purpose while the store was out of reach, so it is kept
+// no longer than drainTimeout allows.
 func (r *Registry) removeTarget(now time.Duration, id string) Decision {
 	e := r.targets[id]
-	if e.target.State == TargetReady && now < r.graceEnd() {
-		e.lapsed, e.keepUntil = true, r.graceEnd()
+	if e.target.State == TargetReady && r.afterOutage(now) {
+		e.lapsed, e.keepUntil = true, now+r.drainTimeout-noticeTime
 		r.targets[id] = e
 		return Decision{Subject: id, Outcome: "lapsed", Keep: e.keepUntil - now}
 	}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -7,6 +7,8 @@
 	"gotest.tools/v3/assert"
 )
 
+const drainTimeout = 2 * time.Second
+
 func target(id string, state TargetState) Change {
 	return Change{Name: id, Target: &Target{ID: id, Service: "s", Address: "10.0.0.1:1", AvailabilityZone: "z", Slots: 4, State: state}}
 }
@@ -22,16 +24,18 @@
 }
 
 func TestRemovedTargetIsDroppedAtOnceWhileTheStoreIsAvailable(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(drainTimeout)
 	r.ApplyList(0, TopicTargets, batch(target("a", TargetReady), target("b", TargetReady)))
 	r.ApplyChanges(time.Minute, TopicTargets, batch(Change{Name: "a", Removed: true}))
 	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"b": TargetReady})
 }
 
 // Entries of live targets may expire during an outage of the store. A target that does not
-// register again is removed after the grace period and no earlier.
+// register again is removed after the grace period and no earlier. The period ends early
+// enough for the target to get no work drainTimeout after it left, if it left on purpose
+// just before its gateway could watch again.
 func TestLapsedTargetsAreKeptForTheGracePeriodAfterAnOutage(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(drainTimeout)
 	r.ApplyList(0, TopicTargets, batch(target("a", TargetReady), target("b", TargetReady)))
 	lastFailure := time.Minute
 	recovered := lastFailure + outageSpacing
@@ -39,19 +43,20 @@
 	r.ApplyList(recovered, TopicTargets, batch())
 	assert.Equal(t, len(r.View().Targets), 2)
 	r.ApplyChanges(recovered+time.Second, TopicTargets, batch(target("a", TargetReady)))
-	graceEnd := recovered + registrationTime
+	graceEnd := recovered + drainTimeout - noticeTime
 	due, _ := r.Expire(graceEnd - time.Millisecond)
 	assert.Equal(t, due, graceEnd)
 	assert.Equal(t, len(r.View().Targets), 2)
 	_, gone := r.Expire(graceEnd)
 	assert.Equal(t, len(gone), 1)
 	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"a": TargetReady})
+	assert.Assert(t, noticeTime > watchPause)
 }
 
 // Guards against a grace period that starts again with each failed call: a target whose
 // entry is missing is dropped at the time that was set when its entry was found missing.
 func TestLaterFailureDoesNotExtendTheGracePeriod(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(drainTimeout)
 	r.ApplyList(0, TopicTargets, batch(target("a", TargetReady)))
 	lapsed := time.Minute
 	r.RecordStoreFailure(lapsed - outageSpacing)
@@ -67,7 +72,7 @@
 // A leaving target stays in the view while the store is unavailable, and is removed
 // without a grace period once its entry is missing.
 func TestLeavingTargetGetsNoGracePeriod(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(drainTimeout)
 	r.ApplyList(0, TopicTargets, batch(target("a", TargetLeaving)))
 	r.RecordStoreFailure(time.Minute - outageSpacing)
 	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"a": TargetLeaving})
@@ -76,7 +81,7 @@
 }
 
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(drainTimeout)
 	r.ApplyChanges(0, TopicConfig, batch(Change{Name: "main", Config: &Config{Version: 7}}))
 	r.ApplyChanges(1, TopicConfig, batch(Change{Name: "main", Config: &Config{Version: 4}}))
 	r.ApplyList(2, TopicConfig, batch())
@@ -84,7 +89,7 @@
 }
 
 func TestEvacuationEndsWhenItsEntryIsRemoved(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(drainTimeout)
 	r.ApplyChanges(0, TopicEvacuations, batch(Change{Name: "z"}))
 	assert.Assert(t, r.View().Evacuated["z"])
 	r.ApplyList(1, TopicEvacuations, batch())
@@ -92,7 +97,7 @@
 }
 
 func TestNotLoadedUntilEveryTopicIsRead(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(drainTimeout)
 	r.ApplyList(0, TopicConfig, batch(Change{Name: "main", Config: &Config{Version: 1}}))
 	r.ApplyList(0, TopicTargets, batch())
 	assert.Assert(t, !r.View().Loaded)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -47,7 +47,7 @@
 
 // Run handles events until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	c := &control{g: g, registry: fleet.NewRegistry(), storeLost: map[fleet.Topic]*storeLoss{}, probeStates: map[string]time.Duration{}, limits: g.opts.Settings.Limits}
+	c := &control{g: g, registry: fleet.NewRegistry(g.opts.Settings.Limits.DrainTimeout), storeLost: map[fleet.Topic]*storeLoss{}, probeStates: map[string]time.Duration{}, limits: g.opts.Settings.Limits}
 	c.peers = newPeerLink(g)
 	c.expiry = time.NewTimer(tickInterval)
 	defer c.expiry.Stop()
@@ -357,6 +357,7 @@
 
 func (r settingsReloaded) apply(c *control) {
 	c.limits = r.limits
+	c.registry.SetDrainTimeout(r.limits.DrainTimeout)
 	c.publish()
 	close(r.done)
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -44,6 +44,9 @@
 	ColdFactor float64 `yaml:"cold_factor"`
 	// ColdSlack is the constant part of that number, in requests. Default 0, range 0 to 1000.
 	ColdSlack int `yaml:"cold_slack"`
+	// DrainTimeout is the time within which a target that has left the fleet must get no
+	// more requests. Default 2s, range 1s to 10m.
+	DrainTimeout time.Duration `yaml:"drain_timeout"`
 	// StopTimeout is the longest time from a stop signal to the end of the process.
 	// Default 8s, range 1s to 1h.
 	StopTimeout time.Duration `yaml:"stop_timeout"`
@@ -53,7 +56,7 @@
 func DefaultGatewayLimits() GatewayLimits {
 	return GatewayLimits{
 		RetryRatio: 0.1, RetrySlack: 20, RetryWindow: 10 * time.Second,
-		ColdFactor: 1, StopTimeout: 8 * time.Second,
+		ColdFactor: 1, DrainTimeout: 2 * time.Second, StopTimeout: 8 * time.Second,
 	}
 }
 
@@ -81,5 +84,6 @@
 	checkRange(c, "limits.retry_window", l.RetryWindow, time.Second, 10*time.Minute)
 	checkRange(c, "limits.cold_factor", l.ColdFactor, 0.1, 10)
 	checkRange(c, "limits.cold_slack", l.ColdSlack, 0, 1000)
+	checkRange(c, "limits.drain_timeout", l.DrainTimeout, time.Second, 10*time.Minute)
 	checkRange(c, "limits.stop_timeout", l.StopTimeout, time.Second, time.Hour)
 }
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -23,6 +23,7 @@
   retry_window: 10s
   cold_factor: 1.5
   cold_slack: 5
+  drain_timeout: 3s
   stop_timeout: 8s
 `
 
@@ -40,7 +41,7 @@
 	g, err := LoadGateway(writeFile(t, gatewayText))
 	assert.NilError(t, err)
 	assert.Equal(t, g.Limits, GatewayLimits{
-		RetryRatio: 0.2, RetrySlack: 94, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5, StopTimeout: 8 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 94, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5, DrainTimeout: 3 * time.Second, StopTimeout: 8 * time.Second,
 	})
 	_, err = LoadMapper(writeFile(t, mapperText))
 	assert.NilError(t, err)
@@ -55,6 +56,7 @@
 		{"retry_ratio: 0.2", "retry_ratio: 7", "limits.retry_ratio"},
 		{"retry_ratio: 0.2", "retry_ratio: .nan", "limits.retry_ratio"},
 		{"stop_timeout: 8s", "stop_timeout: 8", "stop_timeout"},
+		{"drain_timeout: 3s", "drain_timeout: 500ms", "limits.drain_timeout"},
 		{"name: gw-1", "nome: gw-1", "unknown field nome"},
 		{"store_address: 10.9.0.1:8000", "store_address:", "store_address"},
 		{"limits:", "limits: [", ""},
