Keep the targets of a service whose entries go missing all together

What callers saw: refusals for 0.5 to 1 s after an outage of the store in which all entries lapsed: 19 live targets were dropped with one batch. Change: if a batch takes away all ready targets of a service, two or more, they are kept for as long as a target that has left may get work. ApplyList turns missing objects into removals, so that a list and a watch are handled alike. Ruled out: probing the store during a watch (each call is paid for), keeping every missing target (a single one mostly leaves on purpose). TestEntriesThatLapseTogetherDoNotEmptyAService failed before and passes now.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -59,37 +61,70 @@
 	for i := range batch.Changes {
 		present[batch.Changes[i].Name] = true
 	}
-	decisions := r.ApplyChanges(now, topic, batch)
+	for _, name := range r.names(topic) {
+		if !present[name] {
+			batch.Changes = append(slices.Clip(batch.Changes), Change{Name: name, Removed: true})
+		}
+	}
+	r.loaded[topic] = true
+	return r.ApplyChanges(now, topic, batch)
+}
+
+// names returns the names of the known objects of a topic whose removal matters.
+func (r *Registry) names(topic Topic) []string {
 	switch topic {
 	case TopicTargets:
-		for id, e := range r.targets {
-			if !present[id] && !e.lapsed {
-				decisions = append(decisions, r.removeTarget(now, id))
-			}
-		}
+		return slices.Collect(maps.Keys(r.targets))
 	case TopicEvacuations:
-		for zone := range r.evacuated {
-			if !present[zone] {
-				delete(r.evacuated, zone)
-				decisions = append(decisions, Decision{Subject: zone, Outcome: "evacuation-ended"})
-			}
-		}
+		return slices.Collect(maps.Keys(r.evacuated))
+	default:
+		return nil
 	}
-	r.loaded[topic] = true
-	return decisions
 }
 
 // ApplyChanges applies changes of a topic at time now.
 func (r *Registry) ApplyChanges(now time.Duration, topic Topic, batch Batch) []Decision {
+	var emptied map[string]bool
+	if topic == TopicTargets {
+		emptied = r.emptiedServices(batch)
+	}
 	var decisions []Decision
 	for i := range batch.Changes {
-		if d, ok := r.apply(now, topic, &batch.Changes[i]); ok {
+		if d, ok := r.apply(now, topic, &batch.Changes[i], emptied); ok {
 			decisions = append(decisions, d)
 		}
 	}
 	return decisions
 }
 
+// emptiedServices returns the services that lose several ready targets with a batch and
+// have none left.
+func (r *Registry) emptiedServices(batch Batch) map[string]bool {
+	lost, left := map[string]int{}, map[string]int{}
+	removed := make(map[string]bool, len(batch.Changes))
+	for i := range batch.Changes {
+		c := &batch.Changes[i]
+		removed[c.Name] = c.Removed
+		if c.Target != nil && !c.Removed && c.Target.State == TargetReady {
+			left[c.Target.Service]++
+		}
+	}
+	for id, e := range r.targets {
+		switch {
+		case e.lapsed || e.target.State != TargetReady:
+		case removed[id]:
+			lost[e.target.Service]++
+		default:
+			left[e.target.Service]++
+		}
+	}
+	emptied := map[string]bool{}
+	for service, n := range lost {
+		emptied[service] = n > 1 && left[service] == 0
+	}
+	return emptied
+}
+
 // RecordStoreFailure records that a call to the store failed that would have been answered
 // at once if the store had been available. The call began at time began.
 func (r *Registry) RecordStoreFailure(began time.Duration) {
@@ -107,12 +142,12 @@
 	return r.lastFailure != nil && now < *r.lastFailure+outageWindow
 }
 
-func (r *Registry) apply(now time.Duration, topic Topic, c *Change) (Decision, bool) {
+func (r *Registry) apply(now time.Duration, topic Topic, c *Change, emptied map[string]bool) (Decision, bool) {
 	switch topic {
 	case TopicConfig:
 		return r.applyConfig(c)
 	case TopicTargets:
-		return r.applyTarget(now, c)
+		return r.applyTarget(now, c, emptied)
 	case TopicEvacuations:
 		return r.applyEvacuation(c)
 	default:
@@ -130,12 +165,16 @@
 	return Decision{Subject: c.Name, Outcome: "in-force"}, true
 }
 
-func (r *Registry) applyTarget(now time.Duration, c *Change) (Decision, bool) {
+// applyTarget applies a change of a target. emptied contains the services that lose all
+// their targets at the same time.
+func (r *Registry) applyTarget(now time.Duration, c *Change, emptied map[string]bool) (Decision, bool) {
 	if c.Removed {
-		if e, known := r.targets[c.Name]; !known || e.lapsed {
+		e, known := r.targets[c.Name]
+		if !known || e.lapsed {
 			return Decision{}, false
 		}
-		return r.removeTarget(now, c.Name), true
+		mayHaveLapsed := r.afterOutage(now) || emptied[e.target.Service]
+		return r.removeTarget(now, c.Name, mayHaveLapsed), true
 	}
 	if c.Target == nil {
 		return Decision{}, false
@@ -156,9 +195,9 @@
 // lapsed during an outage of the store: live targets register again within two seconds.
 // The target may also have left on purpose while the store was out of reach, so it is kept
 // no longer than drainTimeout allows.
-func (r *Registry) removeTarget(now time.Duration, id string) Decision {
+func (r *Registry) removeTarget(now time.Duration, id string, mayHaveLapsed bool) Decision {
 	e := r.targets[id]
-	if e.target.State == TargetReady && r.afterOutage(now) {
+	if mayHaveLapsed && e.target.State == TargetReady {
 		e.lapsed, e.keepUntil = true, now+r.drainTimeout-noticeTime
 		r.targets[id] = e
 		return Decision{Subject: id, Outcome: "lapsed", Keep: e.keepUntil - now}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -69,6 +69,33 @@
 	assert.Equal(t, len(r.View().Targets), 0)
 }
 
+// Guards against a service without targets for as long as they need to register again: the
+// entries of all targets lapse during an outage, which a gateway whose watch waits all the
+// while does not notice. Targets do not leave a service all at once on purpose, but a single
+// one may.
+func TestEntriesThatLapseTogetherDoNotEmptyAService(t *testing.T) {
+	both := batch(Change{Name: "a", Removed: true}, Change{Name: "b", Removed: true})
+	for name, remove := range map[string]func(*Registry) []Decision{
+		"watch": func(r *Registry) []Decision { return r.ApplyChanges(time.Minute, TopicTargets, both) },
+		"list":  func(r *Registry) []Decision { return r.ApplyList(time.Minute, TopicTargets, batch()) },
+	} {
+		r := NewRegistry(drainTimeout)
+		r.ApplyList(0, TopicTargets, batch(target("a", TargetReady), target("b", TargetReady)))
+		decisions := remove(r)
+		assert.Equal(t, len(decisions), 2, name)
+		for _, d := range decisions {
+			assert.Equal(t, d.Outcome, "lapsed", name)
+		}
+		assert.Equal(t, len(r.View().Targets), 2, name)
+		r.Expire(time.Minute + drainTimeout - noticeTime)
+		assert.Equal(t, len(r.View().Targets), 0, name)
+	}
+	r := NewRegistry(drainTimeout)
+	r.ApplyList(0, TopicTargets, batch(target("a", TargetReady), target("b", TargetLeaving)))
+	r.ApplyChanges(time.Minute, TopicTargets, both)
+	assert.Equal(t, len(r.View().Targets), 0, "one ready and one leaving target")
+}
+
 // A leaving target stays in the view while the store is unavailable, and is removed
 // without a grace period once its entry is missing.
 func TestLeavingTargetGetsNoGracePeriod(t *testing.T) {
