--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -38,7 +38,8 @@
 }
 
 // recordRun records a run at a target and checks that it was allowed. Runs in an evacuated
-// zone or with a revoked key are violations only while no fault may have delayed the change.
+// zone, at a target that has left or with a revoked key are violations only while no fault
+// may have delayed the change.
 func (c *checker) recordRun(r platformtest.Run) {
 	c.testbed.mu.Lock()
 	now := time.Now()
@@ -47,6 +48,8 @@
 		undisturbed = undisturbed && now.After(g.faultUntil)
 	}
 	evacuated := !c.testbed.evacuatedAt.IsZero() && now.Sub(c.testbed.evacuatedAt) > propagationTime
+	leftAt, left := c.testbed.leftAt[r.Target]
+	left = left && now.Sub(leftAt) > propagationTime
 	revoked := !c.testbed.revokedAt.IsZero() && now.Sub(c.testbed.revokedAt) > propagationTime
 	c.testbed.mu.Unlock()
 	c.mu.Lock()
@@ -64,6 +67,8 @@
 		c.addViolation("TENANT: %s reached %s as organisation %q, with the caller's key: %t", r.Attempt, r.Target, r.Organisation, r.HasKey)
 	case undisturbed && evacuated && r.Zone == "b":
 		c.addViolation("EVACUATED: %s ran at %s in evacuated zone b", r.Attempt, r.Target)
+	case undisturbed && left:
+		c.addViolation("LEFT: %s ran at %s, %v after it had left", r.Attempt, r.Target, now.Sub(leftAt))
 	case undisturbed && revoked && strings.HasPrefix(r.Attempt, "key-2"):
 		c.addViolation("REVOKED: %s ran at %s with a revoked key", r.Attempt, r.Target)
 	}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -141,3 +141,27 @@
 		tb.configure()
 	}
 }
+
+// leaveTime is how long a target that has left goes on serving requests.
+const leaveTime = 4 * time.Second
+
+// leaveAfterReset closes all connections to the store, and takes the entry of a target away
+// once all faults have settled. The target serves requests for leaveTime more, as if it
+// shut down without a notice, and then starts again under a new id.
+func (tb *testbed) leaveAfterReset() {
+	tb.extendFaultWindow(&tb.storeFaultUntil, 0)
+	tb.storeProxy.reset()
+	time.Sleep(settleTime + 500*time.Millisecond)
+	i := tb.rng.IntN(len(tb.targets))
+	id := tb.targets[i].ID()
+	tb.mu.Lock()
+	tb.leftAt[id] = time.Now()
+	tb.replacements++
+	newID := fmt.Sprintf("i-%d-%d", i, tb.replacements)
+	tb.mu.Unlock()
+	tb.faults = append(tb.faults, time.Now().Format("05.000 ")+id+" leaves without a notice")
+	tb.store.RemoveTarget(id)
+	time.Sleep(leaveTime)
+	tb.targets[i].Restart(newID)
+	tb.announce(i)
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,7 +55,9 @@
 		}()
 	}
 	tb.injectFaults(*faultDuration)
-	time.Sleep(recoveryTime)
+	faultsEnded := time.Now()
+	tb.leaveAfterReset()
+	time.Sleep(time.Until(faultsEnded.Add(recoveryTime)))
 	cancel()
 	load.Wait()
 	tb.checker.mu.Lock()
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -58,7 +58,9 @@
 	// the network may delay gateways in learning of a change.
 	storeFaultUntil, networkFaultUntil time.Time
 	replacements                       int
-	faults                             []string
+	// leftAt contains the times at which targets left without a notice, by their id.
+	leftAt map[string]time.Time
+	faults []string
 
 	checker *checker
 }
@@ -71,7 +73,7 @@
 }
 
 func newTestbed(t *testing.T, seed uint64) *testbed {
-	tb := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir()}
+	tb := &testbed{t: t, leftAt: map[string]time.Time{}, rng: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir()}
 	tb.checker = newChecker(tb)
 	var err error
 	tb.store, err = platformtest.NewStore()
