--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -106,9 +106,8 @@
 	}
 }
 
-// watchOnce returns the next changes after revision. If the watch is closed, it reads the
-// changes so far, since a new watch would not show that the store is available again until
-// something changes. The error is ErrHistoryGone or that of ctx.
+// watchOnce returns the next changes after revision. The error is ErrHistoryGone or that of
+// ctx.
 func (f *Follower) watchOnce(ctx context.Context, topic Topic, revision int64) (Batch, error) {
 	batch, err := f.Source.Watch(ctx, topic, revision, watchTimeout)
 	if err == nil || errors.Is(err, ErrHistoryGone) {
@@ -117,6 +116,12 @@
 	}
 	f.OnEvent(Event{Topic: topic, Err: err, WatchClosed: true})
 	f.backoff.wait(ctx, time.Now(), jittered(minRetryPause))
+	return f.catchUp(ctx, topic, revision)
+}
+
+// catchUp returns the changes since revision, if any, without waiting for one: after a
+// closed watch, only an answer shows that the store is available again.
+func (f *Follower) catchUp(ctx context.Context, topic Topic, revision int64) (batch Batch, err error) {
 	historyGone := false
 	f.retry(ctx, topic, func() error {
 		batch, err = f.Source.Watch(ctx, topic, revision, catchUpTimeout)
