placement: bound starts at rates above 64 too

Cause: the last 64 start times of a target were kept, so a StartRate above 64 bounded nothing. Change: the start times of the last second are kept, however many there are. Evidence: TestHighStartRatesAreBounded failed before (400 starts, want 200) and passes now.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -193,7 +193,7 @@
 	if g := b.groupOf(s); g != nil && (g.stalled(now) || now < g.downUntil) {
 		return GroupDown
 	}
-	if s.StartRate > 0 && s.startsWithin(now, time.Second) >= s.StartRate {
+	if s.StartRate > 0 && s.recentStarts(now) >= s.StartRate {
 		return Full
 	}
 	if s.load(now, b) >= b.workLimit(s, r.Urgent) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -95,6 +95,24 @@
 	assert.Assert(t, len(starts) >= 45)
 }
 
+// Guards against a bound on starts that is not applied if it is higher than the number of
+// start times that are kept.
+func TestHighStartRatesAreBounded(t *testing.T) {
+	const rate = 200
+	targets := engineTargets(1, 10*rate)
+	targets[0].StartRate = rate
+	b := newBalancer(targets)
+	started := 0
+	for range 2 * rate {
+		if _, refusal := b.Choose(second, Request{Service: "s"}); refusal == NotRefused {
+			started++
+		}
+	}
+	assert.Equal(t, started, rate)
+	_, refusal := b.Choose(2*second, Request{Service: "s"})
+	assert.Equal(t, refusal, NotRefused)
+}
+
 // The loss of a rank stalls its whole group. New and moving requests go to other groups
 // once the stall is detected, and the group is used again from its next event.
 func TestStalledGroupGetsNoWorkUntilItsNextEvent(t *testing.T) {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -26,8 +27,8 @@
 	// reportMaxAge is the age up to which a target's report of other processes' work is
 	// used.
 	reportMaxAge = 1500 * time.Millisecond
-	// startRingSize is the number of start times that are kept for one target.
-	startRingSize = 64
+	// startSpan is the time to which a target's StartRate applies.
+	startSpan = time.Second
 )
 
 // targetState is the state of one target.
@@ -42,10 +43,8 @@
 	otherWork  int
 	reportedAt time.Duration
 	hasReport  bool
-	// starts is a ring buffer of the times of the last starts.
-	starts     [startRingSize]time.Duration
-	nextStart  int
-	startCount int
+	// starts contains the times of the starts within the last startSpan, oldest first.
+	starts []time.Duration
 	// failedCount and endedCount are exponentially decayed counts of failed and of all
 	// ended attempts, as of decayedAt.
 	failedCount, endedCount float64
@@ -96,21 +95,22 @@
 
 func (s *targetState) recordStart(now time.Duration) {
 	s.inFlight++
-	s.starts[s.nextStart] = now
-	s.nextStart = (s.nextStart + 1) % startRingSize
-	s.startCount = min(s.startCount+1, startRingSize)
+	s.dropOldStarts(now)
+	s.starts = append(s.starts, now)
 }
 
-// startsWithin returns the number of starts within the last span before now.
-func (s *targetState) startsWithin(now, span time.Duration) int {
-	n := 0
-	for i := 1; i <= s.startCount; i++ {
-		if now-s.starts[(s.nextStart-i+startRingSize)%startRingSize] >= span {
-			break
-		}
-		n++
+// recentStarts returns the number of starts within the last startSpan.
+func (s *targetState) recentStarts(now time.Duration) int {
+	s.dropOldStarts(now)
+	return len(s.starts)
+}
+
+func (s *targetState) dropOldStarts(now time.Duration) {
+	old := 0
+	for old < len(s.starts) && now-s.starts[old] >= startSpan {
+		old++
 	}
-	return n
+	s.starts = slices.Delete(s.starts, 0, old)
 }
 
 func (s *targetState) recordResult(now time.Duration, result Result) {
