placement: count the streams of removed targets to their end

Cause: SetTargets dropped the state of a removed target, but its streams stayed in the count of its group: the group then had an active stream that never produced an event and counted as stalled for good. If the target came back under its id, the end of an old stream was subtracted from the group although the new state did not count it. Change: a removed target's state is kept, without getting work, until its requests have ended; the counts of a target and its group change together. Evidence: TestStreamsOfARemovedTargetDoNotStallItsGroup failed before (stalled 8 s after the last stream ended) and passes now.

--- a/internal/placement/group.go
+++ b/internal/placement/group.go
@@ -180,12 +180,19 @@
 	if s == nil {
 		return
 	}
-	s.activeStreams = max(0, s.activeStreams+n)
+	b.addActiveStreams(s, n)
+	if g := b.groupOf(s); g != nil && n > 0 {
+		g.recordEvent(now, 0, 0, nil)
+	}
+}
+
+// addActiveStreams adds n to the active streams of a target and of its group. The count of
+// a target is never negative: a stream may have begun at an earlier lifetime of it.
+func (b *Balancer) addActiveStreams(s *targetState, n int) {
+	n = max(n, -s.activeStreams)
+	s.activeStreams += n
 	if g := b.groupOf(s); g != nil {
-		g.activeStreams = max(0, g.activeStreams+n)
-		if n > 0 {
-			g.recordEvent(now, 0, 0, nil)
-		}
+		g.activeStreams += n
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -116,7 +116,8 @@
 }
 
 // SetTargets replaces the set of targets. The state of targets that remain in the set
-// with the same address is kept.
+// with the same address is kept, and so is that of removed targets until their requests
+// end, since their streams still show whether their group runs.
 func (b *Balancer) SetTargets(targets []Target) {
 	next := make(map[string]*targetState, len(targets))
 	services := make(map[string][]*targetState)
@@ -125,10 +126,20 @@
 		if s == nil || s.Address != t.Address {
 			s = &targetState{key: TargetKey(t.ID)}
 		}
-		s.Target = t
+		s.Target, s.removed = t, false
 		next[t.ID] = s
 		services[t.Service] = append(services[t.Service], s)
 	}
+	for id, s := range b.targets {
+		switch current := next[id]; {
+		case current == s:
+		case current == nil && s.inFlight > 0:
+			s.removed = true
+			next[id] = s
+		default:
+			b.addActiveStreams(s, -s.activeStreams)
+		}
+	}
 	b.targets, b.services = next, services
 }
 
@@ -242,6 +253,10 @@
 		}
 	}
 	s.recordResult(now, result)
+	if s.removed && s.inFlight == 0 {
+		b.addActiveStreams(s, -s.activeStreams)
+		delete(b.targets, id)
+	}
 }
 
 // HandleLoadReport handles a target's own report of its running and waiting requests.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -113,6 +113,30 @@
 	assert.Equal(t, refusal, NotRefused)
 }
 
+// Guards against a group that counts as stalled for good: a rank leaves the set of targets
+// while it still produces streams, and the end of these streams must be counted.
+func TestStreamsOfARemovedTargetDoNotStallItsGroup(t *testing.T) {
+	all := engineTargets(2, 12)
+	for name, later := range map[string][]Target{"stays removed": all[:1], "returns": all} {
+		b := newBalancer(all)
+		for _, id := range []string{"t0", "t1"} {
+			b.SetGroup(id, "x")
+		}
+		_, refusal := b.Choose(0, Request{Service: "s", Tried: []string{"t0"}})
+		assert.Equal(t, refusal, NotRefused)
+		b.AddActiveStreams(0, "t1", 1)
+		b.SetTargets(all[:1])
+		assert.Assert(t, b.IsStalled(2*second, "t0"), "%s: t1 still has a stream", name)
+		b.SetTargets(later)
+		b.AddActiveStreams(3*second, "t1", -1)
+		b.RecordResult(3*second, "t1", Inconclusive)
+		assert.Assert(t, !b.IsStalled(10*second, "t0"), name)
+		assert.Equal(t, len(b.targets), len(later), name)
+		_, refusal = b.Choose(10*second, Request{Service: "s", Tried: []string{"t1"}})
+		assert.Equal(t, refusal, NotRefused, name)
+	}
+}
+
 // The loss of a rank stalls its whole group. New and moving requests go to other groups
 // once the stall is detected, and the group is used again from its next event.
 func TestStalledGroupGetsNoWorkUntilItsNextEvent(t *testing.T) {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -36,6 +36,9 @@
 	Target
 	// key is the TargetKey of the target's id.
 	key uint32
+	// removed is true if the target is no longer in the set of targets and is kept only
+	// until its requests end.
+	removed bool
 	// inFlight counts this process's requests at the target.
 	inFlight int
 	// otherWork is the work of other processes by the target's last report, received at
