upstream: reset the connection of an abandoned call

Cause: an abandoned call, one that its caller, a deadline or a stall ended, closed its connection with a FIN, behind which the request itself was still to be delivered. Change: it resets the connection. Connections that merely are no longer kept are closed as before. TestAbandonedCallResetsItsConnection failed before (EOF) and passes now. TestCancelledCallClosesItsConnection took the end of the connection for success; it now requires the reset, so that it still can't pass by its deadline.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -117,14 +117,15 @@
 	}
 }
 
-// Abort ends the call by closing its connection, so that the target stops its work.
+// Abort ends the call by resetting its connection, so that the target stops its work.
 func (a *Answer) Abort() {
 	if a.ended {
 		return
 	}
 	a.ended = true
 	a.stop()
-	a.client.closeConn(a.conn)
+	a.conn.reset()
+	a.client.release(a.conn.addr)
 }
 
 var _ net.Conn = (*conn)(nil)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -94,13 +94,13 @@
 }
 
 // Do sends a request and reads the head of its answer. Cancelling the context ends the
-// call by closing its connection, also while the body is read.
+// call by resetting its connection, also while the body is read.
 func (c *Client) Do(ctx context.Context, call Call) (*Answer, *Failure) {
 	cn, err := c.acquire(ctx, &call)
 	if err != nil {
 		return nil, &Failure{Stage: StageConnect, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
+	stop := context.AfterFunc(ctx, cn.reset)
 	a := &Answer{client: c, conn: cn, stop: stop}
 	if err := a.send(&call); err != nil {
 		a.Abort()
@@ -162,6 +162,15 @@
 	}
 }
 
+// reset closes the connection with a reset, so that bytes which the target has not
+// acknowledged yet, for example behind a partition, are not sent again.
+func (cn *conn) reset() {
+	if tcp, ok := cn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+	_ = cn.Conn.Close()
+}
+
 // closeConn closes a connection, which then no longer counts for its target's limit.
 func (c *Client) closeConn(cn *conn) {
 	_ = cn.Conn.Close()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -202,7 +203,30 @@
 	conn := <-f.conns
 	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
 	_, err := io.ReadAll(conn)
-	assert.NilError(t, err) // the connection was closed before the deadline
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), err) // and not the deadline
+}
+
+// Guards against requests that reach a target long after they were given up: behind a
+// partition or at a frozen instance, data that is in flight when a connection is closed in
+// the usual way is still delivered. An abandoned call resets its connection instead.
+func TestAbandonedCallResetsItsConnection(t *testing.T) {
+	for name, abandon := range map[string]func(context.CancelFunc, *Answer){
+		"cancelled while waiting for the head": func(cancel context.CancelFunc, _ *Answer) { cancel() },
+		"aborted while reading the body":       func(_ context.CancelFunc, a *Answer) { a.Abort() },
+	} {
+		f := startTarget(t, []string{"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\n\r\nKEEP"})
+		c := New(testNames)
+		ctx, cancel := context.WithCancel(t.Context())
+		answer, failure := c.Do(ctx, call(f, "a"))
+		assert.Assert(t, failure == nil, name)
+		abandon(cancel, answer)
+		target := <-f.conns
+		assert.NilError(t, target.SetReadDeadline(time.Now().Add(5*time.Second)))
+		_, err := target.Read(make([]byte, 1))
+		assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%s: %v", name, err)
+		cancel()
+		answer.Abort()
+	}
 }
 
 func TestEventReaderRejectsIncompleteEvents(t *testing.T) {
