placement: a silent target gets no work until it is heard

Cause: only a whole lock-step group could count as stalled. A played trace shows that the other ranks of the group go on (or the path to one target is cut): the group has fresh events, so neither its streams' stalls nor the wait of new requests counted against the one target. Change: a target with requests from which nothing was heard (event, answer, report of its instance) for 600 ms, 1.3 s if its instance never reported, gets no new work and its waiting requests move, to other ranks of its group too if these go on. It stays so for 2 s after its last request was taken away. If no other target can take a request, it is refused at once. A target whose instance reports is never silent, so that a queue is no false alarm. Ruled out: excluding targets whose reports alone stop, since a mapper may end by itself.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -25,8 +25,8 @@
 	maxReuseIdleOnce = 700 * time.Millisecond
 )
 
-// errStalled cancels an attempt whose target's group shows no progress.
-var errStalled = errors.New("the target's group is stalled")
+// errStalled cancels an attempt whose target, or the target's group, shows no progress.
+var errStalled = errors.New("the target or its group shows no progress")
 
 // errSlow cancels an attempt of a request that another target may still serve in time.
 var errSlow = errors.New("no answer within the time for a first attempt")
@@ -224,8 +224,8 @@
 	firstAttemptShare = 0.6
 )
 
-// watchStall checks the target's group every stallPollInterval until the head of the
-// response has arrived. It cancels the attempt if the group is stalled and another target
+// watchStall checks the target and its group every stallPollInterval until the head of the
+// response has arrived. It cancels the attempt if they show no progress and another target
 // could accept the request.
 func (a *attempt) watchStall() {
 	time.AfterFunc(stallPollInterval, func() {
@@ -240,14 +240,14 @@
 	})
 }
 
-// stallState reports whether the target's group is stalled, and whether a target outside
-// the group could accept the request. If none could, it is better to wait, since the
-// group may continue.
+// stallState reports whether the target or its group shows no progress, and whether another
+// target could accept the request. If none could, it is better to wait, since the group may
+// continue.
 func (a *attempt) stallState() (stalled, alternative bool) {
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
 	now := a.g.now()
-	return a.g.balancer.IsStalled(now, a.target.ID), a.g.balancer.HasTargetOutsideGroup(now, a.target.ID)
+	return a.g.balancer.IsStalled(now, a.target.ID), a.g.balancer.HasAlternative(now, a.target.ID)
 }
 
 // handleFailure handles a call that got no response.
@@ -297,14 +297,21 @@
 	return err, x.route.Repeat.Repeatable()
 }
 
-// recordStall records the stall of the target's group and excludes the group from further
-// attempts of the request.
+// recordStall records that the target shows no progress. Further attempts of the request
+// avoid its group, unless the group's other ranks go on.
 func (a *attempt) recordStall() {
 	a.g.count.stalls.Inc(1)
 	a.g.mu.Lock()
-	defer a.g.mu.Unlock()
-	a.g.balancer.RecordStall(a.g.now(), a.target.ID)
-	a.x.avoidGroup = a.g.balancer.Group(a.target.ID)
+	now := a.g.now()
+	avoid := a.g.balancer.RecordStall(now, a.target.ID)
+	silent, unheard := a.g.balancer.TargetSilence(now, a.target.ID)
+	a.g.mu.Unlock()
+	if avoid != "" {
+		a.x.avoidGroup = avoid
+	}
+	if silent {
+		a.g.logSilence(a.target.ID, unheard)
+	}
 }
 
 // reportResult reports the attempt's result to the balancer.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -52,3 +52,9 @@
 	g.opts.Logger.Info().Str("event", "stream-resumed").Str("request", x.id).Str("target", x.target).
 		Int64("last_event", x.lastEvent).Str("avoided_group", x.avoidGroup).Str("detail", err.Error()).Msg("")
 }
+
+// logSilence writes the log line of a target that is silent although it has requests.
+func (g *Gateway) logSilence(target string, unheard time.Duration) {
+	g.opts.Logger.Info().Str("event", "belief").Str("topic", "targets").Str("subject", target).
+		Str("outcome", "silent").Int64("unheard_ms", unheard.Milliseconds()).Msg("")
+}
--- a/internal/placement/group.go
+++ b/internal/placement/group.go
@@ -113,6 +113,10 @@
 // none.
 func (b *Balancer) HandleGroupReport(now time.Duration, id, name string, epoch int64, open bool) string {
 	b.SetGroup(id, name)
+	if s := b.targets[id]; s != nil {
+		s.hear(now)
+		s.reports = true
+	}
 	g := b.groupOf(b.targets[id])
 	if g == nil {
 		return ""
@@ -181,6 +185,9 @@
 		return
 	}
 	b.addActiveStreams(s, n)
+	if n > 0 {
+		s.hear(now)
+	}
 	if g := b.groupOf(s); g != nil && n > 0 {
 		g.recordEvent(now, 0, 0, nil)
 	}
@@ -201,7 +208,11 @@
 // RecordEvent returns the time without a further event after which the stream should move
 // to another target.
 func (b *Balancer) RecordEvent(now time.Duration, id string, gap, objective time.Duration) time.Duration {
-	g := b.groupOf(b.targets[id])
+	s := b.targets[id]
+	if s != nil {
+		s.hear(now)
+	}
+	g := b.groupOf(s)
 	if g == nil {
 		return maxStallTimeout
 	}
@@ -221,15 +232,29 @@
 	return float64(load) / float64(max(1, slots))
 }
 
-// RecordStall records that a stream at the target had no event for too long.
-func (b *Balancer) RecordStall(now time.Duration, id string) {
-	if g := b.groupOf(b.targets[id]); g != nil && now-g.lastEvent >= minStallTimeout {
+// RecordStall records that a stream at the target had no event for too long. It returns the
+// name of the lock-step group that the stream must avoid, or the empty string if the other
+// ranks of the target's group go on.
+func (b *Balancer) RecordStall(now time.Duration, id string) (avoidGroup string) {
+	s := b.targets[id]
+	if g := b.groupOf(s); g != nil && now-g.lastEvent >= minStallTimeout {
 		g.stalledAt = now
 	}
+	return b.groupToAvoid(now, s)
 }
 
-// IsStalled reports whether the target's lock-step group shows no progress.
+// groupToAvoid returns the name of the group of a target that shows no progress, or the
+// empty string if other ranks of the group have just produced events.
+func (b *Balancer) groupToAvoid(now time.Duration, s *targetState) string {
+	if g := b.groupOf(s); g != nil && now-g.lastEvent >= minStallTimeout/2 {
+		return s.group
+	}
+	return ""
+}
+
+// IsStalled reports whether the target is silent or its lock-step group shows no progress.
 func (b *Balancer) IsStalled(now time.Duration, id string) bool {
-	g := b.groupOf(b.targets[id])
-	return g != nil && g.stalled(now)
+	s := b.targets[id]
+	g := b.groupOf(s)
+	return s != nil && s.isSilent(now) || g != nil && g.stalled(now)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,8 +51,8 @@
 	NotRefused Refusal = iota
 	// NoTarget means that the service has no target that accepts work.
 	NoTarget
-	// Unreachable means that every accepting target is blocked after a failure, was tried
-	// already, or belongs to the avoided group.
+	// Unreachable means that every accepting target is blocked after a failure, is silent,
+	// was tried already, or belongs to the avoided group.
 	Unreachable
 	// GroupDown means that the targets that might get the request belong to lock-step
 	// groups that are currently not running.
@@ -198,7 +198,7 @@
 			return Unreachable
 		}
 	}
-	if now < s.blockedUntil || r.AvoidGroup != "" && r.AvoidGroup == s.group {
+	if now < s.blockedUntil || s.isSilent(now) || r.AvoidGroup != "" && r.AvoidGroup == s.group {
 		return Unreachable
 	}
 	if g := b.groupOf(s); g != nil && (g.stalled(now) || now < g.downUntil) {
@@ -262,6 +262,7 @@
 // HandleLoadReport handles a target's own report of its running and waiting requests.
 func (b *Balancer) HandleLoadReport(now time.Duration, id string, running, waiting int) {
 	if s := b.targets[id]; s != nil {
+		s.hear(now)
 		s.recordReport(now, running+waiting)
 	}
 }
@@ -275,14 +276,14 @@
 	return s.inFlight, s.load(now, b), s.failureRate(now), now < s.blockedUntil
 }
 
-// HasTargetOutsideGroup reports whether a request at the target with the id could now move
-// to a target outside that target's lock-step group.
-func (b *Balancer) HasTargetOutsideGroup(now time.Duration, id string) bool {
+// HasAlternative reports whether a request at the target with the id, which shows no
+// progress, could now move to another target.
+func (b *Balancer) HasAlternative(now time.Duration, id string) bool {
 	current := b.targets[id]
 	if current == nil {
 		return true
 	}
-	return b.canPlace(now, &Request{Service: current.Service, Tried: []string{id}, AvoidGroup: current.group, Urgent: true})
+	return b.canPlace(now, &Request{Service: current.Service, Tried: []string{id}, AvoidGroup: b.groupToAvoid(now, current), Urgent: true})
 }
 
 // HasOtherTarget reports whether a target that was not tried yet could get a request now.
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -58,6 +58,7 @@
 	group string
 	// activeStreams counts this process's open streams that have had an event.
 	activeStreams int
+	silence
 }
 
 // workLimit returns the number of requests that a target should have at most.
@@ -97,6 +98,9 @@
 }
 
 func (s *targetState) recordStart(now time.Duration) {
+	if s.inFlight == 0 {
+		s.busySince = now
+	}
 	s.inFlight++
 	s.dropOldStarts(now)
 	s.starts = append(s.starts, now)
@@ -117,7 +121,7 @@
 }
 
 func (s *targetState) recordResult(now time.Duration, result Result) {
-	s.inFlight = max(0, s.inFlight-1)
+	s.recordEnd(now, result == Answered || result == Refused || result == Replaced)
 	if result == Inconclusive {
 		return
 	}
