--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -45,11 +45,17 @@
 	expiry *time.Timer
 }
 
+func newControl(g *Gateway) *control {
+	limits := g.opts.Settings.Limits
+	return &control{
+		g: g, registry: fleet.NewRegistry(limits.DrainTimeout), storeLost: map[fleet.Topic]*storeLoss{},
+		limits: limits, probeStates: map[string]time.Duration{}, peers: newPeerLink(g), expiry: time.NewTimer(tickInterval),
+	}
+}
+
 // Run handles events until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	c := &control{g: g, registry: fleet.NewRegistry(g.opts.Settings.Limits.DrainTimeout), storeLost: map[fleet.Topic]*storeLoss{}, probeStates: map[string]time.Duration{}, limits: g.opts.Settings.Limits}
-	c.peers = newPeerLink(g)
-	c.expiry = time.NewTimer(tickInterval)
+	c := newControl(g)
 	defer c.expiry.Stop()
 	c.publish()
 	follower := fleet.Follower{
@@ -82,99 +88,6 @@
 	}
 }
 
-// storeEvent is an event of the store's follower.
-type storeEvent fleet.Event
-
-func (e storeEvent) apply(c *control) {
-	now := c.g.now()
-	if e.Err != nil {
-		c.recordFailedCall(fleet.Event(e))
-		return
-	}
-	c.recordStoreRecovery(e.Topic)
-	var decisions []fleet.Decision
-	if e.Complete {
-		decisions = c.registry.ApplyList(now, e.Topic, e.Batch)
-	} else {
-		decisions = c.registry.ApplyChanges(now, e.Topic, e.Batch)
-	}
-	if e.Batch.Undecodable > 0 {
-		c.g.opts.Logger.Warn().Str("event", "store-objects-refused").Str("topic", e.Topic.String()).Int("count", e.Batch.Undecodable).Msg("")
-	}
-	c.logDecisions(e.Topic, decisions, e.Batch.Revision)
-	if len(decisions) > 0 || e.Complete {
-		c.publish()
-		c.expire()
-	}
-}
-
-// expire removes the lapsed targets that are due and schedules the next removal.
-func (c *control) expire() {
-	now := c.g.now()
-	due, decisions := c.registry.Expire(now)
-	if len(decisions) > 0 {
-		c.logDecisions(fleet.TopicTargets, decisions, 0)
-		c.publish()
-	}
-	if due > 0 {
-		c.expiry.Reset(due - now)
-	}
-}
-
-// storeLoss describes a series of failed calls of one topic to the store.
-type storeLoss struct {
-	// firstFailure and lastFailure are the times at which the first and the last call failed.
-	firstFailure, lastFailure time.Duration
-	failedCalls               int
-}
-
-// recordFailedCall records a failed call to the store. Of a series of failures only the
-// first is logged.
-func (c *control) recordFailedCall(e fleet.Event) {
-	if e.WatchClosed {
-		c.g.opts.Logger.Info().Str("event", "watch-closed").Str("topic", e.Topic.String()).Err(e.Err).Msg("")
-		return
-	}
-	now := c.g.now()
-	c.g.count.storeFailures.Inc(1)
-	c.registry.RecordStoreFailure(now - e.Took)
-	loss := c.storeLost[e.Topic]
-	if loss == nil {
-		loss = &storeLoss{firstFailure: now}
-		c.storeLost[e.Topic] = loss
-		c.g.opts.Logger.Warn().Str("event", "store-lost").Str("topic", e.Topic.String()).Err(e.Err).Msg("")
-	}
-	loss.lastFailure = now
-	loss.failedCalls++
-}
-
-// recordStoreRecovery logs the first answered call after a series of failures.
-func (c *control) recordStoreRecovery(topic fleet.Topic) {
-	loss := c.storeLost[topic]
-	if loss == nil {
-		return
-	}
-	delete(c.storeLost, topic)
-	now := c.g.now()
-	c.g.opts.Logger.Info().Str("event", "store-regained").Str("topic", topic.String()).
-		Int64("lost_ms", (now-loss.firstFailure).Milliseconds()).Int("failed_calls", loss.failedCalls).
-		Int64("last_failure_ms_ago", (now - loss.lastFailure).Milliseconds()).Msg("")
-}
-
-func (c *control) logDecisions(topic fleet.Topic, decisions []fleet.Decision, revision int64) {
-	for _, d := range decisions {
-		line := c.g.opts.Logger.Info().Str("event", "belief").Str("topic", topic.String()).
-			Str("subject", d.Subject).Str("outcome", d.Outcome).Int64("revision", revision)
-		if topic == fleet.TopicConfig {
-			line = line.Int64("version", c.registry.View().Config.Version)
-		}
-		if d.Keep > 0 {
-			line = line.Int64("keep_ms", d.Keep.Milliseconds())
-		}
-		line.Msg("")
-	}
-}
-
 // tick removes idle connections and probes engines whose group is unknown.
 func (c *control) tick(ctx context.Context) {
 	c.g.client.Sweep(c.usedAddresses())
--- /dev/null
+++ b/internal/gateway/control_store.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/fleet"
+)
+
+// storeEvent is an event of the store's follower.
+type storeEvent fleet.Event
+
+func (e storeEvent) apply(c *control) {
+	now := c.g.now()
+	if e.Err != nil {
+		c.recordFailedCall(fleet.Event(e))
+		return
+	}
+	c.recordStoreRecovery(e.Topic)
+	var decisions []fleet.Decision
+	if e.Complete {
+		decisions = c.registry.ApplyList(now, e.Topic, e.Batch)
+	} else {
+		decisions = c.registry.ApplyChanges(now, e.Topic, e.Batch)
+	}
+	if e.Batch.Undecodable > 0 {
+		c.g.opts.Logger.Warn().Str("event", "store-objects-refused").Str("topic", e.Topic.String()).Int("count", e.Batch.Undecodable).Msg("")
+	}
+	c.logDecisions(e.Topic, decisions, e.Batch.Revision)
+	if len(decisions) > 0 || e.Complete {
+		c.publish()
+		c.expire()
+	}
+}
+
+// expire removes the lapsed targets that are due and schedules the next removal.
+func (c *control) expire() {
+	now := c.g.now()
+	due, decisions := c.registry.Expire(now)
+	if len(decisions) > 0 {
+		c.logDecisions(fleet.TopicTargets, decisions, 0)
+		c.publish()
+	}
+	if due > 0 {
+		c.expiry.Reset(due - now)
+	}
+}
+
+// storeLoss describes a series of failed calls of one topic to the store.
+type storeLoss struct {
+	// firstFailure and lastFailure are the times at which the first and the last call failed.
+	firstFailure, lastFailure time.Duration
+	failedCalls               int
+}
+
+// recordFailedCall records a failed call to the store. Of a series of failures only the
+// first is logged.
+func (c *control) recordFailedCall(e fleet.Event) {
+	if e.WatchClosed {
+		c.g.opts.Logger.Info().Str("event", "watch-closed").Str("topic", e.Topic.String()).Err(e.Err).Msg("")
+		return
+	}
+	now := c.g.now()
+	c.g.count.storeFailures.Inc(1)
+	c.registry.RecordStoreFailure(now - e.Took)
+	loss := c.storeLost[e.Topic]
+	if loss == nil {
+		loss = &storeLoss{firstFailure: now}
+		c.storeLost[e.Topic] = loss
+		c.g.opts.Logger.Warn().Str("event", "store-lost").Str("topic", e.Topic.String()).Err(e.Err).Msg("")
+	}
+	loss.lastFailure = now
+	loss.failedCalls++
+}
+
+// recordStoreRecovery logs the first answered call after a series of failures.
+func (c *control) recordStoreRecovery(topic fleet.Topic) {
+	loss := c.storeLost[topic]
+	if loss == nil {
+		return
+	}
+	delete(c.storeLost, topic)
+	now := c.g.now()
+	c.g.opts.Logger.Info().Str("event", "store-regained").Str("topic", topic.String()).
+		Int64("lost_ms", (now-loss.firstFailure).Milliseconds()).Int("failed_calls", loss.failedCalls).
+		Int64("last_failure_ms_ago", (now - loss.lastFailure).Milliseconds()).Msg("")
+}
+
+func (c *control) logDecisions(topic fleet.Topic, decisions []fleet.Decision, revision int64) {
+	for _, d := range decisions {
+		line := c.g.opts.Logger.Info().Str("event", "belief").Str("topic", topic.String()).
+			Str("subject", d.Subject).Str("outcome", d.Outcome).Int64("revision", revision)
+		if topic == fleet.TopicConfig {
+			line = line.Int64("version", c.registry.View().Config.Version)
+		}
+		if d.Keep > 0 {
+			line = line.Int64("keep_ms", d.Keep.Milliseconds())
+		}
+		line.Msg("")
+	}
+}
