gateway: a request is in flight until its answer has been sent

A second fault of the same kind: a connection that is to be closed after an answer was closed with part of it still buffered, if the caller reads slowly. Change: a request counts until the event loop has written its answer and nothing of it is buffered, for 15 s at most; only then is the connection closed or used for the next request. Evidence: TestStopWaitsUntilAnswersAreSent and TestRequestIsInFlightUntilTheEventLoopHasWrittenItsAnswer failed before and pass now.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -62,8 +62,6 @@
 
 // handle serves one request; it runs on a goroutine of its own.
 func (g *Gateway) handle(x *exchange) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
 	err := g.serve(x)
 	if err != nil {
 		g.writeError(x, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	balancer *placement.Balancer
 	budgets  map[string]*retry.Window
 
+	// inFlight counts the requests whose responses have not been sent yet.
 	inFlight atomic.Int64
 	// stoppedAt is the time at which the stop began, or nil.
 	stoppedAt atomic.Pointer[time.Time]
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -88,8 +88,10 @@
 	waiting atomic.Pointer[wait]
 	// continued is true once 100 Continue has been sent for the current request.
 	continued bool
-	closing   bool
-	cancel    context.CancelFunc
+	// closing is true once no further request is read, and closed once the connection has
+	// been closed.
+	closing, closed bool
+	cancel          context.CancelFunc
 }
 
 // wait describes a connection's wait for bytes from its caller.
@@ -121,7 +123,7 @@
 		s.mu.Lock()
 		delete(s.conns, cc)
 		s.mu.Unlock()
-		cc.closing = true
+		cc.closing, cc.closed = true, true
 		if cc.cancel != nil {
 			cc.cancel()
 		}
@@ -226,8 +228,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cc.busy, cc.cancel, cc.continued = true, cancel, false
 	cc.waiting.Store(nil)
-	x := &exchange{ctx: ctx, out: &connWriter{cc: cc, cancel: cancel}, req: req, view: v, arrived: time.Now()}
-	go cc.s.g.handle(x)
+	g := cc.s.g
+	g.inFlight.Add(1)
+	out := &connWriter{cc: cc, cancel: cancel, done: sync.OnceFunc(func() { g.inFlight.Add(-1) })}
+	x := &exchange{ctx: ctx, out: out, req: req, view: v, arrived: time.Now()}
+	go g.handle(x)
 }
 
 // reject sends an error response to bytes that are not an acceptable request, or to a
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -16,14 +16,24 @@
 	write(b []byte)
 	// abort closes the connection, so that the response can't appear complete.
 	abort()
-	// finish ends the response, and closes the connection unless keepAlive is true.
+	// finish ends the response. Once it has been sent, the connection is closed unless
+	// keepAlive is true.
 	finish(keepAlive bool)
 }
 
+const (
+	// sendTimeout is how long the end of a response may wait for a caller that does not read.
+	sendTimeout = 15 * time.Second
+	// sendPollInterval is the interval at which such a response is checked.
+	sendPollInterval = 20 * time.Millisecond
+)
+
 // connWriter passes the bytes of a response to the event loop.
 type connWriter struct {
-	cc      *callerConn
-	cancel  context.CancelFunc
+	cc     *callerConn
+	cancel context.CancelFunc
+	// done is called once the response has been sent, or can't be sent any more.
+	done    func()
 	pending atomic.Int64
 	aborted atomic.Bool
 }
@@ -59,24 +69,60 @@
 func (w *connWriter) finish(keepAlive bool) {
 	if w.aborted.Load() {
 		w.cancel()
+		w.done()
 		return
 	}
-	err := w.cc.conn.AsyncWrite(nil, func(c gnet.Conn, err error) error {
-		w.cancel()
-		cc := w.cc
-		cc.busy, cc.cancel = false, nil
-		cc.waiting.Store(&wait{since: time.Now()})
-		if !keepAlive || err != nil {
-			cc.closing = true
-			return c.Close()
-		}
-		if c.InboundBuffered() > 0 {
-			cc.read()
+	err := w.cc.conn.AsyncWrite(nil, func(_ gnet.Conn, err error) error {
+		if err != nil {
+			w.end(false)
+		} else {
+			w.endWhenSent(keepAlive, time.Now().Add(sendTimeout))
 		}
 		return nil
 	})
 	if err != nil {
 		w.cancel()
+		w.done()
+	}
+}
+
+// endWhenSent ends the exchange once no bytes of the response are left to send, or at the
+// deadline. It runs on the event loop.
+func (w *connWriter) endWhenSent(keepAlive bool, deadline time.Time) {
+	switch {
+	case w.cc.closed || time.Now().After(deadline):
+		w.end(false)
+	case w.cc.conn.OutboundBuffered() == 0:
+		w.end(keepAlive)
+	default:
+		time.AfterFunc(sendPollInterval, func() {
+			err := w.cc.conn.Wake(func(gnet.Conn, error) error {
+				w.endWhenSent(keepAlive, deadline)
+				return nil
+			})
+			if err != nil { // the event loop has ended
+				w.cancel()
+				w.done()
+			}
+		})
+	}
+}
+
+// end makes the connection ready for the next request, or closes it. It runs on the event
+// loop.
+func (w *connWriter) end(keepAlive bool) {
+	cc := w.cc
+	w.cancel()
+	cc.busy, cc.cancel = false, nil
+	cc.waiting.Store(&wait{since: time.Now()})
+	w.done()
+	if !keepAlive {
+		cc.closing = true
+		_ = cc.conn.Close() // fails only if the connection is closed already
+		return
+	}
+	if cc.conn.InboundBuffered() > 0 {
+		cc.read()
 	}
 }
 
