Accept short drain timeouts

Cause: found in the read-through: a deployment that asks for less than 1 s would have had its gateways refuse their settings. Change: limits.drain_timeout goes down to 100 ms; if it leaves no time for a grace period, missing targets are dropped at once (TestShortDrainTimeoutLeavesNoGracePeriod: before, the period would have ended in the past, and the target have been dropped a moment later). All deployments at hand have 2 to 4 s, for which nothing changes.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -197,10 +197,10 @@
 // no longer than drainTimeout allows.
 func (r *Registry) removeTarget(now time.Duration, id string, mayHaveLapsed bool) Decision {
 	e := r.targets[id]
-	if mayHaveLapsed && e.target.State == TargetReady {
-		e.lapsed, e.keepUntil = true, now+r.drainTimeout-noticeTime
+	if keep := r.drainTimeout - noticeTime; mayHaveLapsed && keep > 0 && e.target.State == TargetReady {
+		e.lapsed, e.keepUntil = true, now+keep
 		r.targets[id] = e
-		return Decision{Subject: id, Outcome: "lapsed", Keep: e.keepUntil - now}
+		return Decision{Subject: id, Outcome: "lapsed", Keep: keep}
 	}
 	delete(r.targets, id)
 	return Decision{Subject: id, Outcome: "gone"}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -69,6 +69,15 @@
 	assert.Equal(t, len(r.View().Targets), 0)
 }
 
+// A drain timeout that leaves no time for a grace period must not extend it.
+func TestShortDrainTimeoutLeavesNoGracePeriod(t *testing.T) {
+	r := NewRegistry(noticeTime)
+	r.ApplyList(0, TopicTargets, batch(target("a", TargetReady)))
+	r.RecordStoreFailure(time.Minute - outageSpacing)
+	r.ApplyList(time.Minute, TopicTargets, batch())
+	assert.Equal(t, len(r.View().Targets), 0)
+}
+
 // Guards against a service without targets for as long as they need to register again: the
 // entries of all targets lapse during an outage, which a gateway whose watch waits all the
 // while does not notice. Targets do not leave a service all at once on purpose, but a single
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,7 +45,7 @@
 	// ColdSlack is the constant part of that number, in requests. Default 0, range 0 to 1000.
 	ColdSlack int `yaml:"cold_slack"`
 	// DrainTimeout is the time within which a target that has left the fleet must get no
-	// more requests. Default 2s, range 1s to 10m.
+	// more requests. Default 2s, range 100ms to 10m.
 	DrainTimeout time.Duration `yaml:"drain_timeout"`
 	// StopTimeout is the longest time from a stop signal to the end of the process.
 	// Default 8s, range 1s to 1h.
@@ -84,6 +84,6 @@
 	checkRange(c, "limits.retry_window", l.RetryWindow, time.Second, 10*time.Minute)
 	checkRange(c, "limits.cold_factor", l.ColdFactor, 0.1, 10)
 	checkRange(c, "limits.cold_slack", l.ColdSlack, 0, 1000)
-	checkRange(c, "limits.drain_timeout", l.DrainTimeout, time.Second, 10*time.Minute)
+	checkRange(c, "limits.drain_timeout", l.DrainTimeout, 100*time.Millisecond, 10*time.Minute)
 	checkRange(c, "limits.stop_timeout", l.StopTimeout, time.Second, time.Hour)
 }
