Log which position of the store a gateway read from

Change: fleet.Position is the era and the revision of the store; the adapter reads the era from its header. store-read lines name lists and resumed watches with the position that they went on from and the one of the answer; belief lines have the position. No decision uses the era yet. Tests of fleet, gateway, platform and mapper pass.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -34,7 +34,11 @@
 	Topic Topic
 	// Complete is true if the batch is the topic's complete content.
 	Complete bool
-	Batch    Batch
+	// Resumed is true if the batch answers the first watch after a closed one.
+	Resumed bool
+	// After is the position whose later changes the batch contains, unless it is complete.
+	After Position
+	Batch Batch
 	// Err is set if the call failed; the batch is empty then.
 	Err error
 	// Took is the duration of a failed call.
@@ -79,52 +83,53 @@
 
 func (f *Follower) follow(ctx context.Context, topic Topic) {
 	for ctx.Err() == nil {
-		var revision int64
+		var position Position
 		f.retry(ctx, topic, func() error {
 			batch, err := f.Source.List(ctx, topic)
 			if err != nil {
 				return err
 			}
-			revision = batch.Revision
+			position = batch.Position
 			f.OnEvent(Event{Topic: topic, Complete: true, Batch: batch})
 			return nil
 		})
-		f.watch(ctx, topic, revision)
+		f.watch(ctx, topic, position)
 	}
 }
 
-// watch follows the changes after revision until the store no longer has the history.
-func (f *Follower) watch(ctx context.Context, topic Topic, revision int64) {
+// watch follows the changes after a position until the store no longer has the history.
+func (f *Follower) watch(ctx context.Context, topic Topic, after Position) {
 	for ctx.Err() == nil {
-		batch, err := f.watchOnce(ctx, topic, revision)
+		batch, resumed, err := f.watchOnce(ctx, topic, after)
 		if errors.Is(err, ErrHistoryGone) || ctx.Err() != nil {
 			return
 		}
-		revision = max(revision, batch.Revision)
-		f.OnEvent(Event{Topic: topic, Batch: batch})
+		f.OnEvent(Event{Topic: topic, Resumed: resumed, After: after, Batch: batch})
+		after.Revision = max(after.Revision, batch.Position.Revision)
 		sleep(ctx, watchPause)
 	}
 }
 
-// watchOnce returns the next changes after revision. The error is ErrHistoryGone or that of
-// ctx.
-func (f *Follower) watchOnce(ctx context.Context, topic Topic, revision int64) (Batch, error) {
-	batch, err := f.Source.Watch(ctx, topic, revision, watchTimeout)
+// watchOnce returns the next changes after a position, and whether the watch was closed in
+// the meantime. The error is ErrHistoryGone or that of ctx.
+func (f *Follower) watchOnce(ctx context.Context, topic Topic, after Position) (batch Batch, resumed bool, err error) {
+	batch, err = f.Source.Watch(ctx, topic, after, watchTimeout)
 	if err == nil || errors.Is(err, ErrHistoryGone) {
 		f.backoff.recordSuccess(time.Now())
-		return batch, err
+		return batch, false, err
 	}
 	f.OnEvent(Event{Topic: topic, Err: err, WatchClosed: true})
 	f.backoff.wait(ctx, time.Now(), jittered(minRetryPause))
-	return f.catchUp(ctx, topic, revision)
+	batch, err = f.catchUp(ctx, topic, after)
+	return batch, true, err
 }
 
-// catchUp returns the changes since revision, if any, without waiting for one: after a
+// catchUp returns the changes after a position, if any, without waiting for one: after a
 // closed watch, only an answer shows that the store is available again.
-func (f *Follower) catchUp(ctx context.Context, topic Topic, revision int64) (batch Batch, err error) {
+func (f *Follower) catchUp(ctx context.Context, topic Topic, after Position) (batch Batch, err error) {
 	historyGone := false
 	f.retry(ctx, topic, func() error {
-		batch, err = f.Source.Watch(ctx, topic, revision, catchUpTimeout)
+		batch, err = f.Source.Watch(ctx, topic, after, catchUpTimeout)
 		historyGone = errors.Is(err, ErrHistoryGone)
 		if historyGone {
 			return nil
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -37,15 +37,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists[topic]++
-	return Batch{Revision: 1}, nil
+	return Batch{Position: Position{Revision: 1}}, nil
 }
 
-func (s *failingSource) Watch(ctx context.Context, _ Topic, _ int64, wait time.Duration) (Batch, error) {
+func (s *failingSource) Watch(ctx context.Context, _ Topic, _ Position, wait time.Duration) (Batch, error) {
 	if err := s.call(); err != nil {
 		return Batch{}, err
 	}
 	sleep(ctx, wait)
-	return Batch{Revision: 1}, nil
+	return Batch{Position: Position{Revision: 1}}, nil
 }
 
 func (s *failingSource) Register(context.Context, Gateway) error { return s.call() }
@@ -123,10 +123,10 @@
 
 func (s *cutSource) List(ctx context.Context, topic Topic) (Batch, error) {
 	_, err := s.reach(ctx, topic)
-	return Batch{Revision: 1}, err
+	return Batch{Position: Position{Revision: 1}}, err
 }
 
-func (s *cutSource) Watch(ctx context.Context, topic Topic, _ int64, wait time.Duration) (Batch, error) {
+func (s *cutSource) Watch(ctx context.Context, topic Topic, _ Position, wait time.Duration) (Batch, error) {
 	closed, err := s.reach(ctx, topic)
 	if err != nil {
 		return Batch{}, err
@@ -137,7 +137,7 @@
 		return Batch{}, errors.New("watch closed")
 	case <-time.After(wait):
 	}
-	return Batch{Revision: 1}, nil
+	return Batch{Position: Position{Revision: 1}}, nil
 }
 
 func (s *cutSource) Register(context.Context, Gateway) error { return nil }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -240,11 +240,11 @@
 	v.Loaded = r.config != nil && r.loaded[TopicTargets] && r.loaded[TopicEvacuations]
 	newest := make(map[string]int64, len(r.targets))
 	for _, e := range r.targets {
-		newest[e.target.Address] = max(newest[e.target.Address], e.target.CreatedRevision)
+		newest[e.target.Address] = max(newest[e.target.Address], e.target.Created.Revision)
 	}
 	for _, e := range r.targets {
 		// An older entry with the address of a newer one belongs to a lifetime that has ended.
-		if e.target.CreatedRevision == newest[e.target.Address] {
+		if e.target.Created.Revision == newest[e.target.Address] {
 			v.Targets = append(v.Targets, e.target)
 		}
 	}
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -45,21 +45,21 @@
 // Batch is the answer of a List or Watch call.
 type Batch struct {
 	Changes []Change
-	// Revision is the store's revision after which to watch for further changes.
-	Revision int64
+	// Position is the store's position after which to watch for further changes.
+	Position Position
 	// Undecodable counts objects that could not be decoded and are missing from Changes.
 	Undecodable int
 }
 
-// ErrHistoryGone reports that the store no longer has the changes after a revision.
-var ErrHistoryGone = errors.New("the store no longer has the changes after this revision")
+// ErrHistoryGone reports that the store does not have the changes after a position.
+var ErrHistoryGone = errors.New("the store does not have the changes after this position")
 
 // Source gives a gateway access to the platform's store.
 type Source interface {
 	// List returns all objects of a topic.
 	List(ctx context.Context, topic Topic) (Batch, error)
-	// Watch waits for changes of a topic after a revision, for at most wait.
-	Watch(ctx context.Context, topic Topic, revision int64, wait time.Duration) (Batch, error)
+	// Watch waits for changes of a topic after a position, for at most wait.
+	Watch(ctx context.Context, topic Topic, after Position, wait time.Duration) (Batch, error)
 	// Register writes this gateway's entry for the others.
 	Register(ctx context.Context, g Gateway) error
 }
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -133,9 +133,9 @@
 	State            TargetState
 	// Slots is the number of requests that the target runs at once.
 	Slots int
-	// CreatedRevision is the store's revision at which the entry was created. It orders the
-	// lifetimes that had the same address.
-	CreatedRevision int64
+	// Created is the store's position at which the entry was created. It orders the lifetimes
+	// that had the same address.
+	Created Position
 	// ColdRemaining is how much longer the target stays cold, as of its last report.
 	ColdRemaining time.Duration
 }
--- a/internal/gateway/control_store.go
+++ b/internal/gateway/control_store.go
@@ -16,6 +16,7 @@
 		return
 	}
 	c.recordStoreRecovery(e.Topic)
+	c.logRead(fleet.Event(e))
 	var decisions []fleet.Decision
 	if e.Complete {
 		decisions = c.registry.ApplyList(now, e.Topic, e.Batch)
@@ -25,7 +26,7 @@
 	if e.Batch.Undecodable > 0 {
 		c.g.opts.Logger.Warn().Str("event", "store-objects-refused").Str("topic", e.Topic.String()).Int("count", e.Batch.Undecodable).Msg("")
 	}
-	c.logDecisions(e.Topic, decisions, e.Batch.Revision)
+	c.logDecisions(e.Topic, decisions, e.Batch.Position)
 	if len(decisions) > 0 || e.Complete {
 		c.publish()
 		c.expire()
@@ -37,7 +38,7 @@
 	now := c.g.now()
 	due, decisions := c.registry.Expire(now)
 	if len(decisions) > 0 {
-		c.logDecisions(fleet.TopicTargets, decisions, 0)
+		c.logDecisions(fleet.TopicTargets, decisions, fleet.Position{})
 		c.publish()
 	}
 	if due > 0 {
@@ -85,10 +86,23 @@
 		Int64("last_failure_ms_ago", (now - loss.lastFailure).Milliseconds()).Msg("")
 }
 
-func (c *control) logDecisions(topic fleet.Topic, decisions []fleet.Decision, revision int64) {
+// logRead logs a list, or the answer to the first watch after a closed one. Together with
+// the positions in the belief lines it shows which changes a gateway can't have seen.
+func (c *control) logRead(e fleet.Event) {
+	if !e.Complete && !e.Resumed {
+		return
+	}
+	line := c.g.opts.Logger.Info().Str("event", "store-read").Str("topic", e.Topic.String()).Bool("list", e.Complete)
+	if e.Resumed {
+		line = line.Stringer("after", e.After)
+	}
+	line.Stringer("position", e.Batch.Position).Int("objects", len(e.Batch.Changes)).Msg("")
+}
+
+func (c *control) logDecisions(topic fleet.Topic, decisions []fleet.Decision, position fleet.Position) {
 	for _, d := range decisions {
 		line := c.g.opts.Logger.Info().Str("event", "belief").Str("topic", topic.String()).
-			Str("subject", d.Subject).Str("outcome", d.Outcome).Int64("revision", revision)
+			Str("subject", d.Subject).Str("outcome", d.Outcome).Stringer("position", position)
 		if topic == fleet.TopicConfig {
 			line = line.Int64("version", c.registry.View().Config.Version)
 		}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -51,11 +51,11 @@
 func (s *fakeStore) List(_ context.Context, topic fleet.Topic) (fleet.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return fleet.Batch{Changes: s.content[topic], Revision: s.revision}, s.err
+	return fleet.Batch{Changes: s.content[topic], Position: fleet.Position{Revision: s.revision}}, s.err
 }
 
 // Watch returns once there is a change, the wait has passed or the watch is closed.
-func (s *fakeStore) Watch(ctx context.Context, topic fleet.Topic, _ int64, wait time.Duration) (fleet.Batch, error) {
+func (s *fakeStore) Watch(ctx context.Context, topic fleet.Topic, _ fleet.Position, wait time.Duration) (fleet.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	closed := s.closedWatches
@@ -66,7 +66,7 @@
 		case s.closedWatches != closed:
 			return fleet.Batch{}, errWatchClosed
 		case len(s.changes[topic]) > 0 || ctx.Err() != nil || !time.Now().Before(end):
-			b := fleet.Batch{Changes: s.changes[topic], Revision: s.revision}
+			b := fleet.Batch{Changes: s.changes[topic], Position: fleet.Position{Revision: s.revision}}
 			s.changes[topic] = nil
 			return b, nil
 		}
