--- /dev/null
+++ b/internal/fleet/restore_test.go
@@ -0,0 +1,427 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// applyBound is the time within which an acknowledged configuration is in force.
+const applyBound = 2 * time.Second
+
+var errStoreAway = errors.New("store is away")
+
+// storeContent is the content of a restorableStore at one revision.
+type storeContent struct {
+	revision int64
+	objects  map[Topic]map[string]Change
+	history  []storedChange
+}
+
+type storedChange struct {
+	revision int64
+	topic    Topic
+	change   Change
+}
+
+func (c *storeContent) clone() storeContent {
+	objects := map[Topic]map[string]Change{}
+	for topic, byName := range c.objects {
+		objects[topic] = map[string]Change{}
+		for name, o := range byName {
+			objects[topic][name] = o
+		}
+	}
+	return storeContent{revision: c.revision, objects: objects, history: slices.Clone(c.history)}
+}
+
+// restorableStore is a store that can be restored from a copy of its content.
+type restorableStore struct {
+	// keepsWatches is true if watches stay open during a restore and wait on for a revision
+	// above the one that they began with. Otherwise a restore closes them.
+	keepsWatches bool
+
+	mu       sync.Mutex
+	content  storeContent
+	era      int64
+	away     bool
+	restores int
+	changed  chan struct{}
+}
+
+func newRestorableStore() *restorableStore {
+	return &restorableStore{era: 1, content: storeContent{objects: map[Topic]map[string]Change{}}, changed: make(chan struct{})}
+}
+
+// wake ends the wait of all watches. The caller holds mu.
+func (s *restorableStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes or removes an object.
+func (s *restorableStore) put(topic Topic, c Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.content.revision++
+	if s.content.objects[topic] == nil {
+		s.content.objects[topic] = map[string]Change{}
+	}
+	if c.Target != nil {
+		t := *c.Target
+		t.Created = Position{Era: s.era, Revision: s.content.revision}
+		c.Target = &t
+	}
+	s.content.objects[topic][c.Name] = c
+	if c.Removed {
+		delete(s.content.objects[topic], c.Name)
+	}
+	s.content.history = append(s.content.history, storedChange{revision: s.content.revision, topic: topic, change: c})
+	s.wake()
+}
+
+func (s *restorableStore) putConfig(version int64) {
+	s.put(TopicConfig, Change{Name: "main", Config: &Config{Version: version}})
+}
+
+// copyContent returns a copy of the store's content.
+func (s *restorableStore) copyContent() storeContent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.content.clone()
+}
+
+// restore replaces the content by a copy.
+func (s *restorableStore) restore(content storeContent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.content = content.clone()
+	s.era++
+	s.restores++
+	s.wake()
+}
+
+func (s *restorableStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	s.wake()
+}
+
+func (s *restorableStore) position() Position {
+	return Position{Era: s.era, Revision: s.content.revision}
+}
+
+func (s *restorableStore) List(_ context.Context, topic Topic) (Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return Batch{}, errStoreAway
+	}
+	b := Batch{Position: s.position()}
+	for _, c := range s.content.objects[topic] {
+		b.Changes = append(b.Changes, inEra(c, s.era))
+	}
+	return b, nil
+}
+
+// inEra returns a change as an answer of an era contains it.
+func inEra(c Change, era int64) Change {
+	if c.Target != nil {
+		t := *c.Target
+		t.Created.Era = era
+		c.Target = &t
+	}
+	return c
+}
+
+func (s *restorableStore) Watch(ctx context.Context, topic Topic, after Position, wait time.Duration) (Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	restores, end := s.restores, time.After(wait)
+	if !s.away && after.Revision > s.content.revision {
+		return Batch{}, ErrHistoryGone
+	}
+	for expired := false; ; {
+		if !s.keepsWatches && (s.away || s.restores != restores) {
+			return Batch{}, errStoreAway
+		}
+		b := Batch{Position: s.position()}
+		for _, c := range s.content.history {
+			if c.topic == topic && c.revision > after.Revision {
+				b.Changes = append(b.Changes, inEra(c.change, s.era))
+			}
+		}
+		if !s.away && (len(b.Changes) > 0 || expired) {
+			return b, nil
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-end:
+			expired = true
+		}
+		s.mu.Lock()
+		if ctx.Err() != nil {
+			return Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (s *restorableStore) Register(_ context.Context, g Gateway) error {
+	s.mu.Lock()
+	away := s.away
+	s.mu.Unlock()
+	if away {
+		return errStoreAway
+	}
+	s.put(TopicGateways, Change{Name: g.Name, Gateway: &g})
+	return nil
+}
+
+// followedRegistry is a registry that applies the events of a follower.
+type followedRegistry struct {
+	mu       sync.Mutex
+	registry *Registry
+	start    time.Time
+}
+
+// follow starts a follower of the store that ends with ctx.
+func follow(ctx context.Context, store *restorableStore) *followedRegistry {
+	r := &followedRegistry{registry: NewRegistry(drainTimeout), start: time.Now()}
+	f := &Follower{Source: store, Self: Gateway{Name: "g", PeerAddress: "10.0.0.9:1"}, OnEvent: r.apply}
+	f.Run(ctx)
+	return r
+}
+
+func (r *followedRegistry) apply(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Since(r.start)
+	switch {
+	case e.Err != nil && !e.WatchClosed:
+		r.registry.RecordStoreFailure(now - e.Took)
+	case e.Err != nil:
+	case e.Complete:
+		r.registry.ApplyList(now, e.Topic, e.Batch)
+	default:
+		r.registry.ApplyChanges(now, e.Topic, e.Batch)
+	}
+}
+
+func (r *followedRegistry) view() View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.registry.Expire(time.Since(r.start))
+	return r.registry.View()
+}
+
+func (r *followedRegistry) configVersion() int64 {
+	if c := r.view().Config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// testRestore runs a test against a store with a follower that has read it, once for each
+// way in which a store may treat open watches.
+func testRestore(t *testing.T, test func(t *testing.T, store *restorableStore, r *followedRegistry)) {
+	t.Run("closed-watches", func(t *testing.T) { runRestore(t, false, test) })
+	t.Run("kept-watches", func(t *testing.T) { runRestore(t, true, test) })
+}
+
+func runRestore(t *testing.T, keepsWatches bool, test func(t *testing.T, store *restorableStore, r *followedRegistry)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newRestorableStore()
+		store.keepsWatches = keepsWatches
+		store.putConfig(1)
+		for i := range 4 {
+			store.put(TopicTargets, target(fmt.Sprint("t", i), TargetReady))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		r := follow(ctx, store)
+		time.Sleep(5 * time.Second)
+		test(t, store, r)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a gateway that stays at an old configuration after the store was restored
+// from a copy: revisions that the gateway has seen are given out again for other changes,
+// before it calls the store again.
+func TestChangesAreSeenAlthoughARestoreReusesTheirRevisions(t *testing.T) {
+	testRestore(t, func(t *testing.T, store *restorableStore, r *followedRegistry) {
+		backup := store.copyContent()
+		for v := int64(2); v <= 6; v++ {
+			store.putConfig(v)
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, r.configVersion(), int64(6))
+		store.setAway(true)
+		time.Sleep(time.Second)
+		store.restore(backup)
+		for v := int64(6); v <= 10; v++ {
+			store.putConfig(v)
+		}
+		store.put(TopicEvacuations, Change{Name: "z"}) // passes the last revision of the era before
+		store.setAway(false)
+		time.Sleep(applyBound)
+		assert.Equal(t, r.configVersion(), int64(10))
+	})
+}
+
+// Guards against a gateway that waits for revisions of the era before: a watch that stays
+// open while the store is restored is not answered for changes with lower revisions.
+func TestChangesAreSeenAlthoughAWatchOutlivesARestore(t *testing.T) {
+	testRestore(t, func(t *testing.T, store *restorableStore, r *followedRegistry) {
+		backup := store.copyContent()
+		for i := range 20 {
+			store.put(TopicConfig, Change{Name: "other", Removed: i%2 == 1})
+		}
+		time.Sleep(time.Second)
+		store.restore(backup)
+		store.putConfig(2)
+		time.Sleep(applyBound)
+		assert.Equal(t, r.configVersion(), int64(2))
+	})
+}
+
+// Guards against a restore that falls into an outage or another restore, with changes before,
+// between and after: each acknowledged version is in force within the bound.
+func TestConfigurationIsInForceInTimeThroughSeriesOfRestores(t *testing.T) {
+	for seed := range uint64(80) {
+		runRestore(t, seed%2 == 0, func(t *testing.T, store *restorableStore, r *followedRegistry) {
+			rng := rand.New(rand.NewPCG(seed, 0))
+			version := int64(1)
+			for range 6 {
+				backup := store.copyContent()
+				for range rng.IntN(6) {
+					version += 1 + rng.Int64N(3)
+					store.putConfig(version)
+					time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
+				}
+				if rng.IntN(3) > 0 {
+					store.setAway(true)
+					time.Sleep(time.Duration(rng.IntN(4000)) * time.Millisecond)
+				}
+				store.restore(backup)
+				if rng.IntN(4) == 0 {
+					store.restore(backup)
+				}
+				store.setAway(false)
+				for range 1 + rng.IntN(7) {
+					version++
+					store.putConfig(version)
+					time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+				}
+				time.Sleep(applyBound)
+				assert.Check(t, r.configVersion() == version, "seed %d: version %d, want %d", seed, r.configVersion(), version)
+			}
+		})
+	}
+}
+
+// Guards against a gateway that gateways which start later can't find: its entry was lost
+// with a restore of the store.
+func TestGatewayRegistersAgainAfterARestore(t *testing.T) {
+	const registerBound = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		store := newRestorableStore()
+		backup := store.copyContent()
+		ctx, cancel := context.WithCancel(t.Context())
+		follow(ctx, store)
+		time.Sleep(5 * time.Second)
+		store.restore(backup)
+		store.putConfig(1)
+		time.Sleep(registerBound)
+		_, registered := store.copyContent().objects[TopicGateways]["g"]
+		assert.Assert(t, registered)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// restoredBatch is a list that the store answers in the era after a restore.
+func restoredBatch(revision int64, changes ...Change) Batch {
+	return Batch{Position: Position{Era: 2, Revision: revision}, Changes: changes}
+}
+
+// created returns a change of a target whose entry was created at a position.
+func created(c Change, p Position) Change {
+	c.Target.Created = p
+	return c
+}
+
+// Guards against a target that is left out because the entry of its predecessor at the same
+// address has a higher revision, from the era before a restore.
+func TestRestoredStoreOrdersLifetimesByEra(t *testing.T) {
+	r := NewRegistry(drainTimeout)
+	r.ApplyList(0, TopicTargets, Batch{Position: Position{Era: 1, Revision: 90}, Changes: []Change{
+		created(target("old", TargetReady), Position{Era: 1, Revision: 80}),
+	}})
+	r.RecordStoreFailure(time.Minute - outageSpacing)
+	r.ApplyList(time.Minute, TopicTargets, restoredBatch(70, created(target("new", TargetReady), Position{Era: 2, Revision: 70})))
+	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"new": TargetReady})
+}
+
+// Guards against work for a target that has left and that a restore of the store brings back
+// as ready: the copy is older than its departure.
+func TestDepartedTargetDoesNotReturnWithARestore(t *testing.T) {
+	entry := func(state TargetState, era int64) Change {
+		return created(target("a", state), Position{Era: era, Revision: 10})
+	}
+	list := func(changes ...Change) Batch {
+		return Batch{Position: Position{Era: 1, Revision: 50}, Changes: changes}
+	}
+	t.Run("leaving", func(t *testing.T) {
+		r := NewRegistry(drainTimeout)
+		r.ApplyList(0, TopicTargets, list(entry(TargetReady, 1)))
+		r.ApplyChanges(time.Second, TopicTargets, list(entry(TargetLeaving, 1)))
+		r.ApplyList(2*time.Second, TopicTargets, restoredBatch(40, entry(TargetReady, 2)))
+		assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"a": TargetLeaving})
+	})
+	t.Run("removed", func(t *testing.T) {
+		r := NewRegistry(drainTimeout)
+		r.ApplyList(0, TopicTargets, list(entry(TargetReady, 1)))
+		r.ApplyChanges(time.Second, TopicTargets, list(Change{Name: "a", Removed: true}))
+		r.ApplyList(2*time.Second, TopicTargets, restoredBatch(40, entry(TargetReady, 2)))
+		assert.Equal(t, len(r.View().Targets), 0)
+		// A target that lives writes its entry again.
+		r.ApplyChanges(3*time.Second, TopicTargets, restoredBatch(41, created(target("a", TargetReady), Position{Era: 2, Revision: 41})))
+		assert.Equal(t, len(r.View().Targets), 1)
+	})
+}
+
+// Guards against targets that get no work after a restore from a copy older than their
+// entries, which they write again.
+func TestTargetsMissingFromTheCopyAreKept(t *testing.T) {
+	r := NewRegistry(drainTimeout)
+	r.ApplyList(0, TopicTargets, Batch{Position: Position{Era: 1, Revision: 50}, Changes: []Change{target("a", TargetReady), target("b", TargetReady)}})
+	r.ApplyList(time.Minute, TopicTargets, restoredBatch(40, target("b", TargetReady)))
+	assert.Equal(t, len(r.View().Targets), 2)
+}
+
+// Guards against work in an evacuated availability zone after a restore from a copy that is
+// older than the evacuation. The operators write it again.
+func TestEvacuationMissingFromTheCopyIsKept(t *testing.T) {
+	const rewriteBound = 2 * time.Second
+	r := NewRegistry(drainTimeout)
+	r.ApplyList(0, TopicEvacuations, Batch{Position: Position{Era: 1, Revision: 50}, Changes: []Change{{Name: "z"}, {Name: "y"}}})
+	r.ApplyList(time.Minute, TopicEvacuations, restoredBatch(40))
+	r.Expire(time.Minute + rewriteBound)
+	assert.Assert(t, r.View().Evacuated["z"])
+	r.ApplyChanges(time.Minute+rewriteBound, TopicEvacuations, restoredBatch(41, Change{Name: "z"}))
+	r.Expire(2 * time.Minute)
+	assert.DeepEqual(t, r.View().Evacuated, map[string]bool{"z": true})
+}
