Read a topic again after the store was restored from a copy

Cause: a gateway asked for the changes after the highest revision that it had seen. After a restore the store counts up from the copy's revision; once it has given out that revision again, the watch is accepted and the changes in between are never seen. Class: a position compared without the history that it belongs to. Change: a position is an era and a revision. A topic is listed again 50 ms after its watch ended at the earliest. Why it works: no revision is compared across eras any more.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -20,6 +20,9 @@
 	// to try when that has passed.
 	minRetryPause = 200 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
+	// relistPause is the pause before a topic is listed again, so that a store which refuses
+	// each watch is not called in a tight loop.
+	relistPause = 50 * time.Millisecond
 	// registerPause is the pause between a gateway's registration and its listing of the
 	// other gateways: the instances of a deployment start within a few hundred
 	// milliseconds of each other.
@@ -57,10 +60,12 @@
 	OnEvent func(Event)
 
 	backoff outageBackoff
+	eras    *eraTracker
 }
 
 // Run starts a goroutine for each topic; they end with ctx.
 func (f *Follower) Run(ctx context.Context) {
+	f.eras = newEraTracker(ctx)
 	for t := Topic(0); t < TopicGateways; t++ {
 		go f.follow(ctx, t)
 	}
@@ -75,6 +80,7 @@
 	f.retry(ctx, TopicGateways, func() error {
 		batch, err := f.Source.List(ctx, TopicGateways)
 		if err == nil {
+			f.eras.observe(batch.Position.Era)
 			f.OnEvent(Event{Topic: TopicGateways, Complete: true, Batch: batch})
 		}
 		return err
@@ -83,21 +89,35 @@
 
 func (f *Follower) follow(ctx context.Context, topic Topic) {
 	for ctx.Err() == nil {
-		var position Position
-		f.retry(ctx, topic, func() error {
-			batch, err := f.Source.List(ctx, topic)
-			if err != nil {
-				return err
-			}
-			position = batch.Position
-			f.OnEvent(Event{Topic: topic, Complete: true, Batch: batch})
-			return nil
-		})
-		f.watch(ctx, topic, position)
+		position := f.list(ctx, topic)
+		if era, scope := f.eras.current(); era == position.Era {
+			f.watch(scope, topic, position)
+		}
+		sleep(ctx, relistPause)
 	}
 }
 
-// watch follows the changes after a position until the store no longer has the history.
+// list reads the complete content of a topic and returns its position.
+func (f *Follower) list(ctx context.Context, topic Topic) Position {
+	var position Position
+	f.retry(ctx, topic, func() error {
+		batch, err := f.Source.List(ctx, topic)
+		if err != nil {
+			return err
+		}
+		f.eras.observe(batch.Position.Era)
+		if era, _ := f.eras.current(); batch.Position.Era < era {
+			return ErrOlderEra
+		}
+		position = batch.Position
+		f.OnEvent(Event{Topic: topic, Complete: true, Batch: batch})
+		return nil
+	})
+	return position
+}
+
+// watch follows the changes after a position until the store does not have the history, for
+// instance since it was restored from a copy, or until ctx ends with the position's era.
 func (f *Follower) watch(ctx context.Context, topic Topic, after Position) {
 	for ctx.Err() == nil {
 		batch, resumed, err := f.watchOnce(ctx, topic, after)
@@ -113,11 +133,14 @@
 // watchOnce returns the next changes after a position, and whether the watch was closed in
 // the meantime. The error is ErrHistoryGone or that of ctx.
 func (f *Follower) watchOnce(ctx context.Context, topic Topic, after Position) (batch Batch, resumed bool, err error) {
-	batch, err = f.Source.Watch(ctx, topic, after, watchTimeout)
+	batch, err = f.watchSource(ctx, topic, after, watchTimeout)
 	if err == nil || errors.Is(err, ErrHistoryGone) {
 		f.backoff.recordSuccess(time.Now())
 		return batch, false, err
 	}
+	if ctx.Err() != nil {
+		return Batch{}, false, ctx.Err()
+	}
 	f.OnEvent(Event{Topic: topic, Err: err, WatchClosed: true})
 	f.backoff.wait(ctx, time.Now(), jittered(minRetryPause))
 	batch, err = f.catchUp(ctx, topic, after)
@@ -129,7 +152,7 @@
 func (f *Follower) catchUp(ctx context.Context, topic Topic, after Position) (batch Batch, err error) {
 	historyGone := false
 	f.retry(ctx, topic, func() error {
-		batch, err = f.Source.Watch(ctx, topic, after, catchUpTimeout)
+		batch, err = f.watchSource(ctx, topic, after, catchUpTimeout)
 		historyGone = errors.Is(err, ErrHistoryGone)
 		if historyGone {
 			return nil
@@ -142,6 +165,20 @@
 	return batch, ctx.Err()
 }
 
+// watchSource calls Watch. The history after a position ends with its era: an answer of
+// another era does not continue it, also if the store has the position's revision again.
+func (f *Follower) watchSource(ctx context.Context, topic Topic, after Position, wait time.Duration) (Batch, error) {
+	batch, err := f.Source.Watch(ctx, topic, after, wait)
+	if err != nil {
+		return Batch{}, err
+	}
+	f.eras.observe(batch.Position.Era)
+	if batch.Position.Era != after.Era {
+		return Batch{}, ErrHistoryGone
+	}
+	return batch, nil
+}
+
 // retry repeats call, which the store answers at once, until it succeeds, with growing
 // jittered pauses.
 func (f *Follower) retry(ctx context.Context, topic Topic, call func() error) {
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -54,6 +54,9 @@
 // ErrHistoryGone reports that the store does not have the changes after a position.
 var ErrHistoryGone = errors.New("the store does not have the changes after this position")
 
+// ErrOlderEra reports an answer from before the last restore of the store.
+var ErrOlderEra = errors.New("the answer is from before the last restore of the store")
+
 // Source gives a gateway access to the platform's store.
 type Source interface {
 	// List returns all objects of a topic.
