Notice a restore of the store while all watches wait

Cause: a watch that is open while the store is restored waits for a revision above the one it began with. The store counts up from the copy's revision, so it does not answer the watch for the first changes; it may wait up to 29 s. Change: Source.Era is the highest era of any answer, refusals included.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -30,6 +30,9 @@
 	// watchPause is the pause between two watches of a topic, so that changes in quick
 	// succession need one call. It is far below the bounds for acting on a change.
 	watchPause = 500 * time.Millisecond
+	// pingInterval is the mean interval of the calls that notice a restore of the store while
+	// all watches wait. With jitter the longest is below the bound for acting on a change.
+	pingInterval = 800 * time.Millisecond
 )
 
 // Event is the result of one call of a Follower to the store.
@@ -73,18 +76,28 @@
 }
 
 // announce registers this gateway and lists the other gateways once. Gateways that start
-// later find this one in the store and contact it.
+// later find this one in the store and contact it. It then checks the store's era until ctx
+// ends.
 func (f *Follower) announce(ctx context.Context) {
 	f.retry(ctx, TopicGateways, func() error { return f.Source.Register(ctx, f.Self) })
 	sleep(ctx, registerPause) // gateways that start together find each other
 	f.retry(ctx, TopicGateways, func() error {
 		batch, err := f.Source.List(ctx, TopicGateways)
 		if err == nil {
-			f.eras.observe(batch.Position.Era)
 			f.OnEvent(Event{Topic: TopicGateways, Complete: true, Batch: batch})
 		}
 		return err
 	})
+	f.checkEra(ctx)
+}
+
+// checkEra calls the store periodically until ctx ends. A watch that waits may stay open while
+// the store is restored, and is then not answered for changes with lower revisions.
+func (f *Follower) checkEra(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, jittered(pingInterval))
+		f.retry(ctx, TopicGateways, func() error { return f.Source.Ping(ctx, f.Self) })
+	}
 }
 
 func (f *Follower) follow(ctx context.Context, topic Topic) {
@@ -105,7 +118,7 @@
 		if err != nil {
 			return err
 		}
-		f.eras.observe(batch.Position.Era)
+		f.eras.observe(f.Source.Era())
 		if era, _ := f.eras.current(); batch.Position.Era < era {
 			return ErrOlderEra
 		}
@@ -169,10 +182,10 @@
 // another era does not continue it, also if the store has the position's revision again.
 func (f *Follower) watchSource(ctx context.Context, topic Topic, after Position, wait time.Duration) (Batch, error) {
 	batch, err := f.Source.Watch(ctx, topic, after, wait)
+	f.eras.observe(f.Source.Era())
 	if err != nil {
 		return Batch{}, err
 	}
-	f.eras.observe(batch.Position.Era)
 	if batch.Position.Era != after.Era {
 		return Batch{}, ErrHistoryGone
 	}
@@ -186,6 +199,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := call()
+		f.eras.observe(f.Source.Era())
 		if err == nil {
 			f.backoff.recordSuccess(time.Now())
 			return
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -50,6 +50,10 @@
 
 func (s *failingSource) Register(context.Context, Gateway) error { return s.call() }
 
+func (s *failingSource) Ping(context.Context, Gateway) error { return s.call() }
+
+func (s *failingSource) Era() int64 { return 0 }
+
 // TestTopicsShareRetriesWhileTheStoreIsUnavailable starts a follower while the store is
 // unavailable for ten seconds: the calls of all topics together must keep outageSpacing
 // apart, and after recovery every topic must be read.
@@ -62,12 +66,12 @@
 		const outage = 10 * time.Second
 		time.Sleep(outage)
 		source.mu.Lock()
-		assert.Assert(t, source.calls <= int(topicCount)+int(outage/outageSpacing)+1, "%d calls", source.calls)
+		assert.Assert(t, source.calls <= int(TopicCount)+int(outage/outageSpacing)+1, "%d calls", source.calls)
 		source.down = false
 		source.mu.Unlock()
 		time.Sleep(outageSpacing + 200*time.Millisecond + registerPause)
 		source.mu.Lock()
-		for topic := range topicCount {
+		for topic := range TopicCount {
 			assert.Equal(t, source.lists[topic], 1, topic.String())
 		}
 		source.mu.Unlock()
@@ -142,6 +146,13 @@
 
 func (s *cutSource) Register(context.Context, Gateway) error { return nil }
 
+func (s *cutSource) Ping(ctx context.Context, _ Gateway) error {
+	_, err := s.reach(ctx, TopicGateways)
+	return err
+}
+
+func (s *cutSource) Era() int64 { return 0 }
+
 // Guards against a gateway that learns of a leaving target or an evacuation seconds after
 // its path to the store is back, because one of its topics still waits before it tries
 // again. leaveBound is the time within which a target that leaves gets no more requests.
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -23,7 +23,7 @@
 	targets   map[string]targetEntry
 	evacuated map[string]bool
 	gateways  map[string]Gateway
-	loaded    [topicCount]bool
+	loaded    [TopicCount]bool
 	// drainTimeout is the time within which a target that has left must get no more work.
 	drainTimeout time.Duration
 	// lastFailure is the time at which the last failed call to the store began; nil if no
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -49,12 +49,14 @@
 	// above the one that they began with. Otherwise a restore closes them.
 	keepsWatches bool
 
-	mu       sync.Mutex
-	content  storeContent
-	era      int64
-	away     bool
-	restores int
-	changed  chan struct{}
+	mu      sync.Mutex
+	content storeContent
+	era     int64
+	// answeredEra is the era of the last answer.
+	answeredEra int64
+	away        bool
+	restores    int
+	changed     chan struct{}
 }
 
 func newRestorableStore() *restorableStore {
@@ -116,7 +118,9 @@
 	s.wake()
 }
 
+// position returns the position of an answer. The caller holds mu.
 func (s *restorableStore) position() Position {
+	s.answeredEra = s.era
 	return Position{Era: s.era, Revision: s.content.revision}
 }
 
@@ -148,19 +152,21 @@
 	defer s.mu.Unlock()
 	restores, end := s.restores, time.After(wait)
 	if !s.away && after.Revision > s.content.revision {
+		s.answeredEra = s.era
 		return Batch{}, ErrHistoryGone
 	}
 	for expired := false; ; {
 		if !s.keepsWatches && (s.away || s.restores != restores) {
 			return Batch{}, errStoreAway
 		}
-		b := Batch{Position: s.position()}
+		var b Batch
 		for _, c := range s.content.history {
 			if c.topic == topic && c.revision > after.Revision {
 				b.Changes = append(b.Changes, inEra(c.change, s.era))
 			}
 		}
 		if !s.away && (len(b.Changes) > 0 || expired) {
+			b.Position = s.position()
 			return b, nil
 		}
 		changed := s.changed
@@ -189,6 +195,22 @@
 	return nil
 }
 
+func (s *restorableStore) Ping(context.Context, Gateway) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return errStoreAway
+	}
+	s.answeredEra = s.era
+	return nil
+}
+
+func (s *restorableStore) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answeredEra
+}
+
 // followedRegistry is a registry that applies the events of a follower.
 type followedRegistry struct {
 	mu       sync.Mutex
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -15,7 +15,8 @@
 	TopicTargets
 	TopicEvacuations
 	TopicGateways
-	topicCount
+	// TopicCount is the number of topics.
+	TopicCount
 )
 
 // String returns the topic's name for logs.
@@ -61,8 +62,13 @@
 type Source interface {
 	// List returns all objects of a topic.
 	List(ctx context.Context, topic Topic) (Batch, error)
-	// Watch waits for changes of a topic after a position, for at most wait.
+	// Watch waits for changes of a topic after a position, for at most wait or until ctx ends.
 	Watch(ctx context.Context, topic Topic, after Position, wait time.Duration) (Batch, error)
 	// Register writes this gateway's entry for the others.
 	Register(ctx context.Context, g Gateway) error
+	// Ping calls the store at the lowest price, to learn its era.
+	Ping(ctx context.Context, g Gateway) error
+	// Era returns the highest era that an answer of the store has had, including the answers
+	// of failed calls.
+	Era() int64
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -34,7 +34,9 @@
 	registry *fleet.Registry
 	// storeLost contains the topics whose last call to the store failed.
 	storeLost map[fleet.Topic]*storeLoss
-	stopping  bool
+	// storeEra is the highest era of the store that an event has had.
+	storeEra int64
+	stopping bool
 	// limits are the limits of the current settings.
 	limits settings.GatewayLimits
 	// probeStates maps the id of each known engine to the time since which the gateway waits
--- a/internal/gateway/control_store.go
+++ b/internal/gateway/control_store.go
@@ -16,6 +16,7 @@
 		return
 	}
 	c.recordStoreRecovery(e.Topic)
+	c.recordEra(fleet.Event(e))
 	c.logRead(fleet.Event(e))
 	var decisions []fleet.Decision
 	if e.Complete {
@@ -86,6 +87,15 @@
 		Int64("last_failure_ms_ago", (now - loss.lastFailure).Milliseconds()).Msg("")
 }
 
+// recordEra logs the first answer after a restore of the store.
+func (c *control) recordEra(e fleet.Event) {
+	if era := e.Batch.Position.Era; era > c.storeEra {
+		c.g.opts.Logger.Warn().Str("event", "store-restored").Str("topic", e.Topic.String()).
+			Int64("era", era).Int64("era_before", c.storeEra).Msg("")
+		c.storeEra = era
+	}
+}
+
 // logRead logs a list, or the answer to the first watch after a closed one. Together with
 // the positions in the belief lines it shows which changes a gateway can't have seen.
 func (c *control) logRead(e fleet.Event) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -78,6 +78,14 @@
 
 func (s *fakeStore) Register(context.Context, fleet.Gateway) error { return nil }
 
+func (s *fakeStore) Ping(context.Context, fleet.Gateway) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err
+}
+
+func (s *fakeStore) Era() int64 { return 0 }
+
 // setErr sets the error of all further calls; nil ends the outage.
 func (s *fakeStore) setErr(err error) {
 	s.mu.Lock()
