Register a gateway again in each era of the store

What callers would have seen: limits that are divided among fewer gateways than there are (the retry budget, starts at cold targets), since gateways that start after a restore of the store don't find the ones whose entries were lost. Cause: a gateway wrote its entry once, and trusted the store to keep it. Change: Register returns the era of the answer; once the store's era is higher, the gateway registers and lists the others again. The demand that mappers save is written again with the next plan anyway.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -75,11 +75,20 @@
 	go f.announce(ctx)
 }
 
-// announce registers this gateway and lists the other gateways once. Gateways that start
-// later find this one in the store and contact it. It then checks the store's era until ctx
-// ends.
+// announce registers this gateway and lists the other gateways, once in each era of the
+// store. Gateways that start later find this one in the store and contact it.
 func (f *Follower) announce(ctx context.Context) {
-	f.retry(ctx, TopicGateways, func() error { return f.Source.Register(ctx, f.Self) })
+	for ctx.Err() == nil {
+		f.checkEra(ctx, f.announceOnce(ctx))
+	}
+}
+
+// announceOnce returns the era in which this gateway is registered.
+func (f *Follower) announceOnce(ctx context.Context) (era int64) {
+	f.retry(ctx, TopicGateways, func() (err error) {
+		era, err = f.Source.Register(ctx, f.Self)
+		return err
+	})
 	sleep(ctx, registerPause) // gateways that start together find each other
 	f.retry(ctx, TopicGateways, func() error {
 		batch, err := f.Source.List(ctx, TopicGateways)
@@ -88,13 +97,14 @@
 		}
 		return err
 	})
-	f.checkEra(ctx)
+	return era
 }
 
-// checkEra calls the store periodically until ctx ends. A watch that waits may stay open while
-// the store is restored, and is then not answered for changes with lower revisions.
-func (f *Follower) checkEra(ctx context.Context) {
-	for ctx.Err() == nil {
+// checkEra calls the store periodically until its era has risen above the given one. A watch
+// that waits may stay open while the store is restored, and is then not answered for changes
+// with lower revisions.
+func (f *Follower) checkEra(ctx context.Context, era int64) {
+	for ctx.Err() == nil && f.Source.Era() <= era {
 		sleep(ctx, jittered(pingInterval))
 		f.retry(ctx, TopicGateways, func() error { return f.Source.Ping(ctx, f.Self) })
 	}
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -48,7 +48,7 @@
 	return Batch{Position: Position{Revision: 1}}, nil
 }
 
-func (s *failingSource) Register(context.Context, Gateway) error { return s.call() }
+func (s *failingSource) Register(context.Context, Gateway) (int64, error) { return 0, s.call() }
 
 func (s *failingSource) Ping(context.Context, Gateway) error { return s.call() }
 
@@ -144,7 +144,7 @@
 	return Batch{Position: Position{Revision: 1}}, nil
 }
 
-func (s *cutSource) Register(context.Context, Gateway) error { return nil }
+func (s *cutSource) Register(context.Context, Gateway) (int64, error) { return 0, nil }
 
 func (s *cutSource) Ping(ctx context.Context, _ Gateway) error {
 	_, err := s.reach(ctx, TopicGateways)
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -184,15 +184,16 @@
 	}
 }
 
-func (s *restorableStore) Register(_ context.Context, g Gateway) error {
+func (s *restorableStore) Register(_ context.Context, g Gateway) (int64, error) {
 	s.mu.Lock()
-	away := s.away
+	away, era := s.away, s.era
+	s.answeredEra = era
 	s.mu.Unlock()
 	if away {
-		return errStoreAway
+		return 0, errStoreAway
 	}
 	s.put(TopicGateways, Change{Name: g.Name, Gateway: &g})
-	return nil
+	return era, nil
 }
 
 func (s *restorableStore) Ping(context.Context, Gateway) error {
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -64,8 +64,9 @@
 	List(ctx context.Context, topic Topic) (Batch, error)
 	// Watch waits for changes of a topic after a position, for at most wait or until ctx ends.
 	Watch(ctx context.Context, topic Topic, after Position, wait time.Duration) (Batch, error)
-	// Register writes this gateway's entry for the others.
-	Register(ctx context.Context, g Gateway) error
+	// Register writes this gateway's entry for the others and returns the era of the store
+	// that has it.
+	Register(ctx context.Context, g Gateway) (era int64, err error)
 	// Ping calls the store at the lowest price, to learn its era.
 	Ping(ctx context.Context, g Gateway) error
 	// Era returns the highest era that an answer of the store has had, including the answers
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -76,7 +76,7 @@
 	}
 }
 
-func (s *fakeStore) Register(context.Context, fleet.Gateway) error { return nil }
+func (s *fakeStore) Register(context.Context, fleet.Gateway) (int64, error) { return 0, nil }
 
 func (s *fakeStore) Ping(context.Context, fleet.Gateway) error {
 	s.mu.Lock()
