Order the lifetimes at an address by era and revision

Cause: of two entries with the same address the one with the higher revision counted as the newer. The revisions of a new era are lower, so the entry of an ended lifetime, kept for its grace period, hid its successor. Change: the positions are compared, the era first. Evidence: TestRestoredStoreOrdersLifetimesByEra failed before and passes.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -238,13 +238,15 @@
 func (r *Registry) View() View {
 	v := View{Config: r.config, Evacuated: make(map[string]bool, len(r.evacuated))}
 	v.Loaded = r.config != nil && r.loaded[TopicTargets] && r.loaded[TopicEvacuations]
-	newest := make(map[string]int64, len(r.targets))
+	newest := make(map[string]Position, len(r.targets))
 	for _, e := range r.targets {
-		newest[e.target.Address] = max(newest[e.target.Address], e.target.Created.Revision)
+		if known, ok := newest[e.target.Address]; !ok || e.target.Created.Compare(known) > 0 {
+			newest[e.target.Address] = e.target.Created
+		}
 	}
 	for _, e := range r.targets {
 		// An older entry with the address of a newer one belongs to a lifetime that has ended.
-		if e.target.Created.Revision == newest[e.target.Address] {
+		if e.target.Created == newest[e.target.Address] {
 			v.Targets = append(v.Targets, e.target)
 		}
 	}
