Keep targets whose entries are younger than the copy of a restored store

Cause: a target that is missing from a complete list counted as removed. A store that was restored lacks the entries written since its copy; targets write them again within two seconds. Change: entries found missing by the first list of a new era, or removed shortly after, are kept for the grace period of an outage, which the bound for targets that have left limits.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -26,6 +26,11 @@
 	loaded    [TopicCount]bool
 	// drainTimeout is the time within which a target that has left must get no more work.
 	drainTimeout time.Duration
+	// eras contains the store's era of the last list of each topic.
+	eras [TopicCount]int64
+	// restoredAt is the time of the first list of targets after the last restore of the store;
+	// nil before.
+	restoredAt *time.Duration
 	// lastFailure is the time at which the last failed call to the store began; nil if no
 	// call has failed.
 	lastFailure *time.Duration
@@ -66,7 +71,10 @@
 			batch.Changes = append(slices.Clip(batch.Changes), Change{Name: name, Removed: true})
 		}
 	}
-	r.loaded[topic] = true
+	if restored := r.loaded[topic] && batch.Position.Era > r.eras[topic]; restored && topic == TopicTargets {
+		r.restoredAt = &now
+	}
+	r.loaded[topic], r.eras[topic] = true, batch.Position.Era
 	return r.ApplyChanges(now, topic, batch)
 }
 
@@ -137,9 +145,10 @@
 func (r *Registry) SetDrainTimeout(d time.Duration) { r.drainTimeout = d }
 
 // afterOutage reports whether entries that are found missing may have lapsed during an
-// outage of the store.
+// outage of the store, or may be younger than the copy that it was restored from.
 func (r *Registry) afterOutage(now time.Duration) bool {
-	return r.lastFailure != nil && now < *r.lastFailure+outageWindow
+	return r.lastFailure != nil && now < *r.lastFailure+outageWindow ||
+		r.restoredAt != nil && now < *r.restoredAt+outageWindow
 }
 
 func (r *Registry) apply(now time.Duration, topic Topic, c *Change, emptied map[string]bool) (Decision, bool) {
