Do not use the entry of a departed target that a restored store brings back

Cause: a list replaced what was known, and the copy is older than the departure. Change: an entry of the first list of a new era is outdated if it says ready, was created at the same revision as the known one, and its target is leaving or has left within 30 s. It is not used until it is written again, or, for a target that was removed, until the store has kept it for 5 s, longer than it keeps entries that are not renewed. Objects of an answer carry the position of their last change. Evidence: TestDepartedTargetDoesNotReturnWithARestore failed before and passes. TestOutdatedEntryIsUsedOnceItMustBeRenewed guards the way back.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -26,6 +26,10 @@
 	loaded    [TopicCount]bool
 	// drainTimeout is the time within which a target that has left must get no more work.
 	drainTimeout time.Duration
+	// departures contains the targets that have left in the last departureMemory, by id.
+	departures map[string]departure
+	// outdated contains the entries that are not used, by id.
+	outdated map[string]outdatedEntry
 	// eras contains the store's era of the last list of each topic.
 	eras [TopicCount]int64
 	// restoredAt is the time of the first list of targets after the last restore of the store;
@@ -57,7 +61,10 @@
 // NewRegistry returns an empty registry. drainTimeout is the time within which a target that
 // has left must get no more work.
 func NewRegistry(drainTimeout time.Duration) *Registry {
-	return &Registry{drainTimeout: drainTimeout, targets: map[string]targetEntry{}, evacuated: map[string]bool{}, gateways: map[string]Gateway{}}
+	return &Registry{
+		drainTimeout: drainTimeout, targets: map[string]targetEntry{}, evacuated: map[string]bool{}, gateways: map[string]Gateway{},
+		departures: map[string]departure{}, outdated: map[string]outdatedEntry{},
+	}
 }
 
 // ApplyList applies a complete list of a topic's objects at time now.
@@ -71,11 +78,16 @@
 			batch.Changes = append(slices.Clip(batch.Changes), Change{Name: name, Removed: true})
 		}
 	}
-	if restored := r.loaded[topic] && batch.Position.Era > r.eras[topic]; restored && topic == TopicTargets {
-		r.restoredAt = &now
-	}
+	restored := r.loaded[topic] && batch.Position.Era > r.eras[topic]
 	r.loaded[topic], r.eras[topic] = true, batch.Position.Era
-	return r.ApplyChanges(now, topic, batch)
+	var decisions []Decision
+	if topic == TopicTargets {
+		if restored {
+			r.restoredAt = &now
+		}
+		batch.Changes, decisions = r.withoutOutdated(now, batch.Changes, restored)
+	}
+	return append(decisions, r.ApplyChanges(now, topic, batch)...)
 }
 
 // names returns the names of the known objects of a topic whose removal matters.
@@ -177,6 +189,7 @@
 // applyTarget applies a change of a target. emptied contains the services that lose all
 // their targets at the same time.
 func (r *Registry) applyTarget(now time.Duration, c *Change, emptied map[string]bool) (Decision, bool) {
+	delete(r.outdated, c.Name)
 	if c.Removed {
 		e, known := r.targets[c.Name]
 		if !known || e.lapsed {
@@ -212,17 +225,21 @@
 		return Decision{Subject: id, Outcome: "lapsed", Keep: keep}
 	}
 	delete(r.targets, id)
+	r.recordDeparture(now, &e.target)
 	return Decision{Subject: id, Outcome: "gone"}
 }
 
-// Expire removes the targets that did not register again in time. It returns the time at
-// which it is due next, or zero if no target is pending.
+// Expire removes the targets that did not register again in time, and puts those into use
+// whose entries count as outdated no longer. It returns the time at which it is due next, or
+// zero if nothing is pending.
 func (r *Registry) Expire(now time.Duration) (due time.Duration, decisions []Decision) {
+	due, decisions = r.expireOutdated(now)
 	for id, e := range r.targets {
 		switch {
 		case !e.lapsed:
 		case now >= e.keepUntil:
 			delete(r.targets, id)
+			r.recordDeparture(now, &e.target)
 			decisions = append(decisions, Decision{Subject: id, Outcome: "gone"})
 		case due == 0 || e.keepUntil < due:
 			due = e.keepUntil
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -420,6 +420,9 @@
 		r.ApplyChanges(time.Second, TopicTargets, list(Change{Name: "a", Removed: true}))
 		r.ApplyList(2*time.Second, TopicTargets, restoredBatch(40, entry(TargetReady, 2)))
 		assert.Equal(t, len(r.View().Targets), 0)
+		r.Expire(2*time.Second + outdatedTime - time.Millisecond)
+		r.ApplyList(3*time.Second, TopicTargets, restoredBatch(40, entry(TargetReady, 2)))
+		assert.Equal(t, len(r.View().Targets), 0)
 		// A target that lives writes its entry again.
 		r.ApplyChanges(3*time.Second, TopicTargets, restoredBatch(41, created(target("a", TargetReady), Position{Era: 2, Revision: 41})))
 		assert.Equal(t, len(r.View().Targets), 1)
@@ -448,3 +451,18 @@
 	r.Expire(2 * time.Minute)
 	assert.DeepEqual(t, r.View().Evacuated, map[string]bool{"z": true})
 }
+
+// Guards against a target that is left out for good because it was once missing: if the
+// store still has its entry after the time for which it keeps one, the target is alive.
+func TestOutdatedEntryIsUsedOnceItMustBeRenewed(t *testing.T) {
+	r := NewRegistry(drainTimeout)
+	r.ApplyList(0, TopicTargets, Batch{Position: Position{Era: 1, Revision: 50}, Changes: []Change{
+		created(target("a", TargetReady), Position{Era: 1, Revision: 10}),
+	}})
+	r.ApplyChanges(time.Second, TopicTargets, batch(Change{Name: "a", Removed: true}))
+	r.ApplyList(2*time.Second, TopicTargets, restoredBatch(40, created(target("a", TargetReady), Position{Era: 2, Revision: 10})))
+	due, _ := r.Expire(2 * time.Second)
+	assert.Equal(t, due, 2*time.Second+outdatedTime)
+	r.Expire(due)
+	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"a": TargetReady})
+}
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -31,6 +31,8 @@
 	Name string
 	// Removed is true if the object was removed.
 	Removed bool
+	// Written is the position of the object's last change.
+	Written Position
 	Config  *Config
 	Target  *Target
 	Gateway *Gateway
