Keep an evacuation that a restored store lacks until it can be written again

Cause: an evacuation that is missing from a complete list counted as ended. A copy that is older than the evacuation lacks it until the operators write it again. Change: an evacuation that the first list of a new era lacks stays in force for 3 s, unless its removal is seen as a change. Decisions name their topic, since the registry now expires evacuations as well as targets.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -19,9 +19,10 @@
 // Registry is a gateway's view of the fleet. It is a state machine without I/O: the
 // caller passes in the time and must not use it concurrently.
 type Registry struct {
-	config    *Config
-	targets   map[string]targetEntry
-	evacuated map[string]bool
+	config  *Config
+	targets map[string]targetEntry
+	// evacuated contains the evacuated availability zones.
+	evacuated map[string]evacuation
 	gateways  map[string]Gateway
 	loaded    [TopicCount]bool
 	// drainTimeout is the time within which a target that has left must get no more work.
@@ -50,6 +51,7 @@
 
 // Decision describes how the registry handled a change, for the log.
 type Decision struct {
+	Topic Topic
 	// Subject is the name of the object.
 	Subject string
 	// Outcome is the object's new state.
@@ -62,7 +64,7 @@
 // has left must get no more work.
 func NewRegistry(drainTimeout time.Duration) *Registry {
 	return &Registry{
-		drainTimeout: drainTimeout, targets: map[string]targetEntry{}, evacuated: map[string]bool{}, gateways: map[string]Gateway{},
+		drainTimeout: drainTimeout, targets: map[string]targetEntry{}, evacuated: map[string]evacuation{}, gateways: map[string]Gateway{},
 		departures: map[string]departure{}, outdated: map[string]outdatedEntry{},
 	}
 }
@@ -81,7 +83,10 @@
 	restored := r.loaded[topic] && batch.Position.Era > r.eras[topic]
 	r.loaded[topic], r.eras[topic] = true, batch.Position.Era
 	var decisions []Decision
-	if topic == TopicTargets {
+	switch topic {
+	case TopicEvacuations:
+		batch.Changes, decisions = r.keepEvacuations(now, batch.Changes, restored)
+	case TopicTargets:
 		if restored {
 			r.restoredAt = &now
 		}
@@ -111,6 +116,7 @@
 	var decisions []Decision
 	for i := range batch.Changes {
 		if d, ok := r.apply(now, topic, &batch.Changes[i], emptied); ok {
+			d.Topic = topic
 			decisions = append(decisions, d)
 		}
 	}
@@ -233,16 +239,16 @@
 // whose entries count as outdated no longer. It returns the time at which it is due next, or
 // zero if nothing is pending.
 func (r *Registry) Expire(now time.Duration) (due time.Duration, decisions []Decision) {
-	due, decisions = r.expireOutdated(now)
+	due, decisions = r.expireRestored(now)
 	for id, e := range r.targets {
 		switch {
 		case !e.lapsed:
 		case now >= e.keepUntil:
 			delete(r.targets, id)
 			r.recordDeparture(now, &e.target)
-			decisions = append(decisions, Decision{Subject: id, Outcome: "gone"})
-		case due == 0 || e.keepUntil < due:
-			due = e.keepUntil
+			decisions = append(decisions, Decision{Topic: TopicTargets, Subject: id, Outcome: "gone"})
+		default:
+			due = earliest(due, e.keepUntil)
 		}
 	}
 	return due, decisions
@@ -286,14 +292,15 @@
 }
 
 func (r *Registry) applyEvacuation(c *Change) (Decision, bool) {
-	if c.Removed == !r.evacuated[c.Name] {
-		return Decision{}, false
-	}
+	_, known := r.evacuated[c.Name]
 	if c.Removed {
 		delete(r.evacuated, c.Name)
-		return Decision{Subject: c.Name, Outcome: "evacuation-ended"}, true
+		return Decision{Subject: c.Name, Outcome: "evacuation-ended"}, known
+	}
+	r.evacuated[c.Name] = evacuation{}
+	if known {
+		return Decision{}, false
 	}
-	r.evacuated[c.Name] = true
 	return Decision{Subject: c.Name, Outcome: "evacuated"}, true
 }
 
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -445,6 +445,7 @@
 	r := NewRegistry(drainTimeout)
 	r.ApplyList(0, TopicEvacuations, Batch{Position: Position{Era: 1, Revision: 50}, Changes: []Change{{Name: "z"}, {Name: "y"}}})
 	r.ApplyList(time.Minute, TopicEvacuations, restoredBatch(40))
+	r.ApplyList(time.Minute+time.Second, TopicEvacuations, restoredBatch(40))
 	r.Expire(time.Minute + rewriteBound)
 	assert.Assert(t, r.View().Evacuated["z"])
 	r.ApplyChanges(time.Minute+rewriteBound, TopicEvacuations, restoredBatch(41, Change{Name: "z"}))
--- a/internal/fleet/restored.go
+++ b/internal/fleet/restored.go
@@ -10,6 +10,9 @@
 	// brought it back. It is longer than the store keeps an entry that is not renewed, so a
 	// target whose entry is still there then is alive.
 	outdatedTime = 5 * time.Second
+	// evacuationKeepTime is how long an evacuation that a restored store lacks stays in force:
+	// what was written since the copy is written again within about two seconds.
+	evacuationKeepTime = 3 * time.Second
 )
 
 // departure is the end of a target's entry.
@@ -49,7 +52,7 @@
 		}
 		if o, ok := r.findOutdated(now, c); ok && restored {
 			r.outdated[c.Name] = o
-			decisions = append(decisions, Decision{Subject: c.Name, Outcome: "outdated"})
+			decisions = append(decisions, Decision{Topic: TopicTargets, Subject: c.Name, Outcome: "outdated"})
 			continue
 		}
 		current = append(current, *c)
@@ -78,18 +81,62 @@
 	return created.Era > original.Era && created.Revision == original.Revision
 }
 
-// expireOutdated puts the targets into use whose entries count as outdated no longer.
-func (r *Registry) expireOutdated(now time.Duration) (due time.Duration, decisions []Decision) {
+// evacuation is the evacuation of an availability zone.
+type evacuation struct {
+	// until is the time at which the evacuation ends since the store does not have it; zero
+	// while the store has it.
+	until time.Duration
+}
+
+// keepEvacuations returns the changes of a list of evacuations without the removals that are
+// due to a restore of the store: a copy that is older than an evacuation lacks it until the
+// operators write it again. restored is true for the first list after a restore.
+func (r *Registry) keepEvacuations(now time.Duration, changes []Change, restored bool) (current []Change, decisions []Decision) {
+	for i := range changes {
+		zone := changes[i].Name
+		switch {
+		case !changes[i].Removed || !restored && r.evacuated[zone].until == 0:
+			current = append(current, changes[i])
+		case restored:
+			r.evacuated[zone] = evacuation{until: now + evacuationKeepTime}
+			decisions = append(decisions, Decision{Topic: TopicEvacuations, Subject: zone, Outcome: "lapsed", Keep: evacuationKeepTime})
+		}
+	}
+	return current, decisions
+}
+
+// expireRestored puts the targets into use whose entries count as outdated no longer, and
+// ends the evacuations that were not written again. It returns the time at which it is due
+// next, or zero if nothing is pending.
+func (r *Registry) expireRestored(now time.Duration) (due time.Duration, decisions []Decision) {
 	for id, o := range r.outdated {
 		switch {
 		case o.until == 0:
 		case now >= o.until:
 			delete(r.outdated, id)
 			r.targets[id] = targetEntry{target: o.target}
-			decisions = append(decisions, Decision{Subject: id, Outcome: "ready"})
-		case due == 0 || o.until < due:
-			due = o.until
+			decisions = append(decisions, Decision{Topic: TopicTargets, Subject: id, Outcome: "ready"})
+		default:
+			due = earliest(due, o.until)
+		}
+	}
+	for zone, e := range r.evacuated {
+		switch {
+		case e.until == 0:
+		case now >= e.until:
+			delete(r.evacuated, zone)
+			decisions = append(decisions, Decision{Topic: TopicEvacuations, Subject: zone, Outcome: "evacuation-ended"})
+		default:
+			due = earliest(due, e.until)
 		}
 	}
 	return due, decisions
 }
+
+// earliest returns the earlier of two times, of which zero means never.
+func earliest(a, b time.Duration) time.Duration {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -43,7 +43,7 @@
 	// for a report of its group, or to probeDone.
 	probeStates map[string]time.Duration
 	peers       *peerLink
-	// expiry fires when the next lapsed target is due to be removed.
+	// expiry fires when the next entry of the registry is due.
 	expiry *time.Timer
 }
 
--- a/internal/gateway/control_store.go
+++ b/internal/gateway/control_store.go
@@ -27,19 +27,19 @@
 	if e.Batch.Undecodable > 0 {
 		c.g.opts.Logger.Warn().Str("event", "store-objects-refused").Str("topic", e.Topic.String()).Int("count", e.Batch.Undecodable).Msg("")
 	}
-	c.logDecisions(e.Topic, decisions, e.Batch.Position)
+	c.logDecisions(decisions, e.Batch.Position)
 	if len(decisions) > 0 || e.Complete {
 		c.publish()
 		c.expire()
 	}
 }
 
-// expire removes the lapsed targets that are due and schedules the next removal.
+// expire applies the changes of the registry that are due and schedules the next one.
 func (c *control) expire() {
 	now := c.g.now()
 	due, decisions := c.registry.Expire(now)
 	if len(decisions) > 0 {
-		c.logDecisions(fleet.TopicTargets, decisions, fleet.Position{})
+		c.logDecisions(decisions, fleet.Position{})
 		c.publish()
 	}
 	if due > 0 {
@@ -109,11 +109,11 @@
 	line.Stringer("position", e.Batch.Position).Int("objects", len(e.Batch.Changes)).Msg("")
 }
 
-func (c *control) logDecisions(topic fleet.Topic, decisions []fleet.Decision, position fleet.Position) {
+func (c *control) logDecisions(decisions []fleet.Decision, position fleet.Position) {
 	for _, d := range decisions {
-		line := c.g.opts.Logger.Info().Str("event", "belief").Str("topic", topic.String()).
+		line := c.g.opts.Logger.Info().Str("event", "belief").Str("topic", d.Topic.String()).
 			Str("subject", d.Subject).Str("outcome", d.Outcome).Stringer("position", position)
-		if topic == fleet.TopicConfig {
+		if d.Topic == fleet.TopicConfig {
 			line = line.Int64("version", c.registry.View().Config.Version)
 		}
 		if d.Keep > 0 {
