Soak: the store is restored from copies; check that the newest configuration is in force

The soak restores it from copies up to 4 s old among its other faults, and once after them, when all gateways watch; operators and targets write their state again. Each version of the configuration has a route of its own, which a prober asks every gateway for; an undisturbed gateway that answers 404 two seconds after the version is a CONFIG violation.

--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -74,6 +74,22 @@
 	}
 }
 
+// recordProbe checks that a version of the configuration, which the store has had since a
+// time, is in force at a gateway that no fault may have delayed: its own route is served.
+func (c *checker) recordProbe(g *gatewayProcess, version int64, since time.Time, status int) {
+	tb := c.testbed
+	tb.mu.Lock()
+	now := time.Now()
+	undisturbed := now.After(tb.storeFaultUntil) && now.After(tb.networkFaultUntil) && now.After(g.faultUntil)
+	superseded := tb.configVersion != version
+	tb.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if status == 404 && undisturbed && !superseded {
+		c.addViolation("CONFIG: %s does not know the route of version %d, %v after the store had it", g.name, version, now.Sub(since))
+	}
+}
+
 // recordSent records an attempt before it is sent.
 func (c *checker) recordSent(attempt string) {
 	c.mu.Lock()
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,7 +20,7 @@
 func (tb *testbed) injectFault() (name string, duration time.Duration, end func()) {
 	duration = time.Duration(200+tb.rng.IntN(1200)) * time.Millisecond
 	i, g := tb.rng.IntN(len(tb.targets)), tb.gateways[tb.rng.IntN(len(tb.gateways))]
-	switch tb.rng.IntN(12) {
+	switch tb.rng.IntN(13) {
 	case 0:
 		return tb.restart(g, syscall.SIGTERM, 0)
 	case 1:
@@ -57,6 +58,8 @@
 		return tb.replaceTarget(i)
 	case 10:
 		return tb.evacuate()
+	case 11:
+		return tb.restoreStore(duration)
 	default:
 		tb.configure()
 		return "new configuration version", 0, nil
@@ -114,6 +117,9 @@
 	oldID := tb.targets[i].ID()
 	tb.targets[i].Restart(newID)
 	tb.announce(i)
+	tb.mu.Lock()
+	tb.replacedIDs = append(tb.replacedIDs, oldID)
+	tb.mu.Unlock()
 	return "replace " + oldID, 300 * time.Millisecond, func() { tb.store.RemoveTarget(oldID) }
 }
 
@@ -165,3 +171,95 @@
 	tb.targets[i].Restart(newID)
 	tb.announce(i)
 }
+
+const (
+	// backupInterval is the interval of the copies that the store may be restored from, and
+	// backupAge the age of the oldest one.
+	backupInterval = 200 * time.Millisecond
+	backupAge      = 4 * time.Second
+	// rewriteTime is the time within which operators and targets write again what a restored
+	// store lacks.
+	rewriteTime = 2 * time.Second
+)
+
+// takeBackups takes copies of the store until stop is closed.
+func (tb *testbed) takeBackups(stop <-chan struct{}) {
+	ticker := time.NewTicker(backupInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			tb.mu.Lock()
+			tb.backups = append(tb.backups, tb.store.TakeCopy())
+			tb.backups = tb.backups[max(0, len(tb.backups)-int(backupAge/backupInterval)):]
+			tb.mu.Unlock()
+		}
+	}
+}
+
+// restoreStore takes the store away for a while and restores it from a copy. Half of the
+// restores close the watches. What was written since is written again in rewriteTime.
+func (tb *testbed) restoreStore(away time.Duration) (string, time.Duration, func()) {
+	tb.mu.Lock()
+	backups := tb.backups
+	tb.mu.Unlock()
+	if len(backups) == 0 {
+		return "none: no copy of the store yet", 0, nil
+	}
+	backup, closeWatches := backups[tb.rng.IntN(len(backups))], tb.rng.IntN(2) == 0
+	if closeWatches {
+		tb.store.SetFault(platformtest.Busy)
+	}
+	tb.extendFaultWindow(&tb.storeFaultUntil, away+rewriteTime)
+	return fmt.Sprintf("restore the store, watches closed: %t", closeWatches), away, func() {
+		tb.store.Restore(backup, closeWatches)
+		tb.store.SetFault(platformtest.None)
+		tb.rewriteStore()
+	}
+}
+
+// rewriteStore writes the current state to the store, one object at a time.
+func (tb *testbed) rewriteStore() {
+	tb.configure()
+	for i := range tb.targets {
+		time.Sleep(rewriteTime / time.Duration(2*len(tb.targets)))
+		tb.announce(i)
+	}
+	tb.mu.Lock()
+	evacuated, replaced := !tb.evacuatedAt.IsZero(), slices.Clone(tb.replacedIDs)
+	tb.mu.Unlock()
+	tb.store.Evacuate("b", evacuated)
+	for _, id := range replaced {
+		tb.store.RemoveTarget(id)
+	}
+}
+
+// restoreAfterFaults restores the store from a copy that lacks the last versions of the
+// configuration, and waits until the versions written afterwards can be checked. The revisions
+// that the gateways have seen are passed before they can call the store again, or not at all
+// while their watches wait.
+func (tb *testbed) restoreAfterFaults() {
+	time.Sleep(settleTime)
+	backup, closeWatches := tb.store.TakeCopy(), tb.rng.IntN(2) == 0
+	for range 3 {
+		tb.configure()
+		time.Sleep(300 * time.Millisecond)
+	}
+	time.Sleep(time.Second) // all gateways have seen the last version and watch again
+	tb.faults = append(tb.faults, fmt.Sprintf("%s restore the store, watches closed: %t", time.Now().Format("05.000"), closeWatches))
+	tb.extendFaultWindow(&tb.storeFaultUntil, 0)
+	if closeWatches {
+		tb.store.SetFault(platformtest.Busy)
+	}
+	tb.store.Restore(backup, closeWatches)
+	tb.configure()
+	if closeWatches {
+		for i := range tb.targets {
+			tb.announce(i)
+		}
+	}
+	tb.store.SetFault(platformtest.None)
+	time.Sleep(settleTime + 2*time.Second)
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gentiantrail/gentiantrail/platform"
+	"github.com/gentiantrail/gentiantrail/platform/platformtest"
 )
 
 var (
@@ -54,11 +55,23 @@
 			tb.runCaller(ctx, i)
 		}()
 	}
+	stop := make(chan struct{})
+	load.Add(2)
+	go func() {
+		defer load.Done()
+		tb.takeBackups(stop)
+	}()
+	go func() {
+		defer load.Done()
+		tb.probeConfig(stop)
+	}()
 	tb.injectFaults(*faultDuration)
+	tb.restoreAfterFaults()
 	faultsEnded := time.Now()
 	tb.leaveAfterReset()
 	time.Sleep(time.Until(faultsEnded.Add(recoveryTime)))
 	cancel()
+	close(stop)
 	load.Wait()
 	tb.checker.mu.Lock()
 	violations, answers := tb.checker.violations, tb.checker.answersByStatus
@@ -127,6 +140,43 @@
 	}
 }
 
+// probeInterval is the interval of the requests that show which configuration is in force.
+const probeInterval = 100 * time.Millisecond
+
+// probeConfig sends requests on the route that only the current version of the configuration
+// has, to each gateway in turn, until stop is closed.
+func (tb *testbed) probeConfig(stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(probeInterval):
+		}
+		g := tb.gateways[n%len(tb.gateways)]
+		tb.mu.Lock()
+		version, since := tb.configVersion, tb.configuredAt
+		tb.mu.Unlock()
+		if time.Since(since) <= propagationTime {
+			continue
+		}
+		conn, err := net.DialTimeout("tcp4", g.listenAddr, time.Second)
+		if err != nil {
+			continue
+		}
+		_ = conn.SetDeadline(time.Now().Add(answerTimeout))
+		attempt := fmt.Sprintf("key-1-probe-%d", n)
+		tb.checker.recordSent(attempt)
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\n%s: 4000\r\nAuthorization: Bearer key-1\r\n\r\n",
+			platformtest.VersionPath(version), platform.Headers.Attempt, attempt, platform.Headers.Deadline)
+		if err == nil {
+			if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				tb.checker.recordProbe(g, version, since, resp.StatusCode)
+			}
+		}
+		_ = conn.Close()
+	}
+}
+
 // runCaller sends requests until ctx is done. It reuses its connection as long as it lasts,
 // even to a gateway that is stopping.
 func (tb *testbed) runCaller(ctx context.Context, caller int) {
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -51,6 +51,8 @@
 	mu            sync.Mutex
 	gateways      []*gatewayProcess
 	configVersion int64
+	// configuredAt is when the store had the current version of the configuration.
+	configuredAt time.Time
 	// revokedAt is when key-2 was revoked, and evacuatedAt when zone b was evacuated. They
 	// are zero while the key is valid and the zone in service.
 	revokedAt, evacuatedAt time.Time
@@ -58,9 +60,13 @@
 	// the network may delay gateways in learning of a change.
 	storeFaultUntil, networkFaultUntil time.Time
 	replacements                       int
+	// replacedIDs are the ids of targets that have been replaced.
+	replacedIDs []string
 	// leftAt contains the times at which targets left without a notice, by their id.
 	leftAt map[string]time.Time
-	faults []string
+	// backups are copies of the store's content of the last backupAge, oldest first.
+	backups []platformtest.Copy
+	faults  []string
 
 	checker *checker
 }
@@ -113,6 +119,7 @@
 		keys = keys[:1]
 	}
 	tb.store.PutConfig(tb.configVersion, keys)
+	tb.configuredAt = time.Now()
 }
 
 func (tb *testbed) newGateway(i int) *gatewayProcess {
