--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -51,7 +51,7 @@
 		if err == nil || x.headSent {
 			return err
 		}
-		g.logAttempt(x, choice, err)
+		g.logAttempt(x, choice, a.answerBegun, err)
 		if !again {
 			return err
 		}
@@ -156,8 +156,10 @@
 	cancel context.CancelCauseFunc
 	// unsent is true if no byte of the request was sent to the target.
 	unsent bool
-	// headReceived is true once the head of the response has arrived.
+	// headReceived is true once the head of the response has arrived or the call has failed.
 	headReceived atomic.Bool
+	// answerBegun is true once the head of the response has arrived.
+	answerBegun bool
 }
 
 func (g *Gateway) newAttempt(x *exchange, c placement.Choice) *attempt {
@@ -177,6 +179,7 @@
 	if failure != nil {
 		return a.handleFailure(failure)
 	}
+	a.answerBegun = true
 	a.x.attempts++
 	a.recordLoad(answer)
 	return a.handleAnswer(answer)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -28,6 +28,8 @@
 	organisation *fleet.Organisation
 	route        *fleet.Route
 	service      string
+	// sharedParts are the ids of the parts of the prompt that other requests may have too.
+	sharedParts []string
 
 	// attempts is the number of targets that the request was sent to.
 	attempts int
@@ -58,7 +60,7 @@
 type filter func(g *Gateway, x *exchange) *apierr.Error
 
 // filters are the steps before the dispatch, in their order.
-var filters = []filter{findRoute, identify, setDeadline, admit}
+var filters = []filter{findRoute, identify, readPrompt, setDeadline, admit}
 
 // handle serves one request; it runs on a goroutine of its own.
 func (g *Gateway) handle(x *exchange) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	LastEvent string
 	// Urgency carries a request's position in a target's queue; the lowest number is first.
 	Urgency string
+	// Prompt lists the parts of a request's prompt.
+	Prompt string
 }
 
 // EngineProbe queries a target for its lock-step group; an empty name means that it has
@@ -58,9 +60,12 @@
 	Settings *settings.Gateway
 	Headers  Headers
 	Source   fleet.Source
-	Probe    EngineProbe
-	Logger   *log.Logger
-	Metrics  tally.Scope
+	// PromptParts decodes the value of header Prompt into the ids of its parts, in their
+	// order. The last part belongs to the request or its session alone.
+	PromptParts func(value string) ([]string, error)
+	Probe       EngineProbe
+	Logger      *log.Logger
+	Metrics     tally.Scope
 	// OnFatalError is called with errors that must end the process.
 	OnFatalError func(error)
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -29,7 +29,7 @@
 // from its options.
 var testHeaders = Headers{
 	Attempt: "T-Id", Deadline: "T-Deadline", Signature: "T-Sign", Organisation: "T-Org", ExpectTarget: "T-Expect",
-	Load: "T-Load", NotExecuted: "T-Not-Run", LastEvent: "T-Last", Urgency: "T-Urgency",
+	Load: "T-Load", NotExecuted: "T-Not-Run", LastEvent: "T-Last", Urgency: "T-Urgency", Prompt: "T-Prompt",
 }
 
 // fakeStore is a Source whose content is set by tests.
@@ -218,7 +218,7 @@
 		Settings: &settings.Gateway{
 			Name: "g", AvailabilityZone: "z", Listen: gw.addr, PeerAddress: freePort(t), Limits: limits,
 		},
-		Headers: testHeaders, Source: gw.store, Logger: observe.NewLogger(gw.logs, "info", "test", "g"), Metrics: tally.NoopScope,
+		Headers: testHeaders, PromptParts: splitParts, Source: gw.store, Logger: observe.NewLogger(gw.logs, "info", "test", "g"), Metrics: tally.NoopScope,
 		Probe:        func(context.Context, string) (string, error) { return "", nil },
 		OnFatalError: func(err error) { t.Error(err) },
 	})
@@ -233,6 +233,9 @@
 	return gw
 }
 
+// splitParts decodes the test's form of a prompt, ids separated by spaces.
+func splitParts(value string) ([]string, error) { return strings.Fields(value), nil }
+
 // waitReady waits until the gateway accepts requests.
 func (gw *testGateway) waitReady() *testGateway {
 	gw.t.Helper()
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
@@ -40,11 +41,12 @@
 }
 
 // logAttempt writes the log line of a failed attempt with the inputs that decided its
-// target.
-func (g *Gateway) logAttempt(x *exchange, c placement.Choice, err *apierr.Error) {
+// target, and the parts of its prompt that other requests may have too.
+func (g *Gateway) logAttempt(x *exchange, c placement.Choice, answerBegun bool, err *apierr.Error) {
 	g.opts.Logger.Info().Str("event", "attempt-failed").Str("request", x.id).Str("target", c.Target.ID).
 		Int("attempt", x.attempts).Int("load", c.Load).Int("slots", c.Target.Slots).
-		Int64("report_age_ms", c.ReportAge.Milliseconds()).Str("kind", err.Kind.String()).Str("detail", err.Error()).Msg("")
+		Int64("report_age_ms", c.ReportAge.Milliseconds()).Str("kind", err.Kind.String()).
+		Bool("answer_begun", answerBegun).Str("parts", strings.Join(x.sharedParts, ",")).Str("detail", err.Error()).Msg("")
 }
 
 // logResume writes the log line of a stream that is about to resume at another target.
