--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// crashingPart is the part of a prompt on which the targets of these tests crash.
+const crashingPart = "crash"
+
+// newCrashingGateway starts a gateway with n targets that crash as soon as they begin the
+// answer to a request with crashingPart: the connection ends after the head and no other one
+// is accepted. They answer other requests after delay.
+func newCrashingGateway(t *testing.T, n int, delay time.Duration) *testGateway {
+	t.Helper()
+	var gw *testGateway
+	handlers := make([]http.HandlerFunc, n)
+	for i := range handlers {
+		answer := streamEvents(3, 0)
+		handlers[i] = func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(delay)
+			if !strings.Contains(r.Header.Get("T-Prompt"), crashingPart) {
+				answer(w, r)
+				return
+			}
+			w.Header().Set("T-Sign", "signed")
+			w.(http.Flusher).Flush()
+			_ = gw.targets[i].server.Listener.Close()
+			closeConnection(w, r)
+		}
+	}
+	gw = newTestGateway(t, handlers...).waitReady()
+	return gw
+}
+
+// crashed returns the number of targets that have crashed: those that got a request with
+// crashingPart.
+func (gw *testGateway) crashed() int {
+	n := 0
+	for _, target := range gw.targets {
+		for _, r := range target.requests() {
+			if strings.Contains(r.Header.Get("T-Prompt"), crashingPart) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// getPrompt returns the lines of a request for a stream with the given parts of a prompt.
+func getPrompt(id string, parts ...string) []string {
+	lines := get("/stream/", "T-Prompt: "+strings.Join(append(parts, "own-"+id), " "))
+	lines[2] = "T-Id: " + id
+	return lines
+}
+
+// Guards against requests with one part in their prompts that crash one target after the
+// other. No two of them are alike; requests without the part share their other parts.
+func TestRequestsWithACrashingPartEndFewTargets(t *testing.T) {
+	const maxCrashed = 5
+	gw := newCrashingGateway(t, 12, 0)
+	for i := range 4 {
+		status, _, _, _ := gw.do(getPrompt(fmt.Sprint("s", i), "route", fmt.Sprint("doc", i))...)
+		assert.Equal(t, status, 200)
+	}
+	for i := range 12 {
+		gw.do(getPrompt(fmt.Sprint("c", i), "route", fmt.Sprint("doc", i%4), crashingPart)...)
+		status, _, _, _ := gw.do(getPrompt(fmt.Sprint("t", i), "route", fmt.Sprint("doc", i%4))...)
+		assert.Check(t, status == 200, "sound request %d got status %d", i, status)
+	}
+	assert.Assert(t, gw.crashed() <= maxCrashed, "%d targets crashed", gw.crashed())
+}
+
+// Guards against requests that reach targets all at once: many callers send requests with
+// the part at the same time, before any of them has failed.
+func TestSimultaneousRequestsWithACrashingPartEndFewTargets(t *testing.T) {
+	const maxCrashed = 5
+	gw := newCrashingGateway(t, 12, 30*time.Millisecond)
+	done := make(chan struct{})
+	for i := range 24 {
+		go func() {
+			c := gw.send(getPrompt(fmt.Sprint("c", i), "route", crashingPart)...)
+			_, _ = c.Read(make([]byte, 1)) // any answer, or the end of the connection
+			done <- struct{}{}
+		}()
+		time.Sleep(10 * time.Millisecond)
+	}
+	for range 24 {
+		<-done
+	}
+	assert.Assert(t, gw.crashed() <= maxCrashed, "%d targets crashed", gw.crashed())
+}
