Quarantine parts of prompts that crash targets

Cause: nothing connected the end of a target with what it was working on. Each gateway blamed the target and sent the request, and every other one with the part, to the next. Class: a fault of the input taken for a fault of the place that handles it, and retried elsewhere. Change: package quarantine keeps the targets that ended under each part before the first event of an answer. Two ends quarantine a part without a remembered answer (three if the answer's head had not arrived), four one that was answered before; crashes that a worse part explains count against no other, parts with the same evidence are refused only together, and an answer ends a suspicion. After a first end, one request at a time is let through. A quarantine is tried again with one request after ten minutes, more or less by a fifth.

--- /dev/null
+++ b/internal/gateway/crash.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/placement"
+	"github.com/gentiantrail/gentiantrail/internal/quarantine"
+	"github.com/gentiantrail/gentiantrail/internal/upstream"
+)
+
+// crashCheckTimeout bounds the check whether a target has ended. One that has refuses a
+// connection at once.
+const crashCheckTimeout = 150 * time.Millisecond
+
+// errQuarantined cancels an attempt whose request has a part that targets crash on.
+var errQuarantined = errors.New("targets crash on a part of the prompt")
+
+// screenPrompt refuses a request with a part that targets crash on, and one with a part that
+// another request is being tried with.
+func screenPrompt(g *Gateway, x *exchange) *apierr.Error {
+	if len(x.sharedParts) == 0 {
+		return nil
+	}
+	g.mu.Lock()
+	verdict, wait := g.quarantine.Admit(g.now(), x.sharedParts)
+	g.mu.Unlock()
+	if verdict == quarantine.Allowed || verdict == quarantine.Trial {
+		return nil
+	}
+	g.count.quarantined.Inc(1)
+	err := apierr.New(apierr.KindQuarantined, verdict.String())
+	err.RetryAfter = wait
+	return err
+}
+
+// maySend reports whether a request may be sent to a target, or to another one after a target
+// ended under it.
+func (g *Gateway) maySend(x *exchange) bool {
+	if len(x.sharedParts) == 0 {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.MayRetry(g.now(), x.sharedParts)
+}
+
+// recordAnswer records the first event of the answer, or the whole answer if it is no stream.
+func (a *attempt) recordAnswer() {
+	if len(a.x.sharedParts) == 0 {
+		return
+	}
+	a.g.mu.Lock()
+	delete(a.g.unanswered, a)
+	a.g.quarantine.RecordAnswer(a.g.now(), a.x.sharedParts)
+	decisions := a.g.quarantine.TakeDecisions()
+	a.g.mu.Unlock()
+	a.g.logPartDecisions(decisions)
+}
+
+// trackUnanswered lets the attempt be cancelled until stop is called or its answer has begun, if
+// a part of the request's prompt is quarantined.
+func (a *attempt) trackUnanswered() (stop func()) {
+	if len(a.x.sharedParts) == 0 {
+		return func() {}
+	}
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	a.g.unanswered[a] = struct{}{}
+	return func() {
+		a.g.mu.Lock()
+		defer a.g.mu.Unlock()
+		delete(a.g.unanswered, a)
+	}
+}
+
+// recordEnd handles a connection that ended before the first event of the answer: if the target
+// has ended too, the parts of the request's prompt come under suspicion.
+func (a *attempt) recordEnd() {
+	if len(a.x.sharedParts) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(a.x.ctx, crashCheckTimeout)
+	defer cancel()
+	if !upstream.Refuses(ctx, a.target.Address) {
+		return
+	}
+	a.g.logCrash(a)
+	a.g.mu.Lock()
+	a.g.quarantine.RecordCrash(a.g.now(), placement.TargetKey(a.target.ID), a.x.sharedParts, a.answerBegun)
+	decisions := a.g.applyEvidence()
+	a.g.mu.Unlock()
+	a.g.logPartDecisions(decisions)
+}
+
+// mergeEvidence adds the evidence of another gateway.
+func (g *Gateway) mergeEvidence(evidence []quarantine.Evidence) {
+	if len(evidence) == 0 {
+		return
+	}
+	g.mu.Lock()
+	g.quarantine.Merge(g.now(), evidence)
+	decisions := g.applyEvidence()
+	g.mu.Unlock()
+	g.logPartDecisions(decisions)
+}
+
+// applyEvidence cancels the attempts that are quarantined by now, has new evidence sent to the
+// other gateways at once, and returns the decisions for the log. g.mu must be held.
+func (g *Gateway) applyEvidence() []quarantine.Decision {
+	if g.quarantine.TakeChanged() {
+		select {
+		case g.evidenceChanged <- struct{}{}:
+		default: // a message is pending already
+		}
+	}
+	for a := range g.unanswered {
+		if !g.quarantine.MayRetry(g.now(), a.x.sharedParts) {
+			a.cancel(errQuarantined)
+		}
+	}
+	return g.quarantine.TakeDecisions()
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -46,12 +46,18 @@
 		if refusal != placement.NotRefused {
 			return x.refusalError(refusal)
 		}
+		if !g.maySend(x) {
+			return x.finalError(apierr.New(apierr.KindQuarantined, "found while waiting"))
+		}
 		a := g.newAttempt(x, choice)
 		err, again := a.run()
 		if err == nil || x.headSent {
 			return err
 		}
 		g.logAttempt(x, choice, a.answerBegun, err)
+		if a.connectionEnded {
+			a.recordEnd()
+		}
 		if !again {
 			return err
 		}
@@ -160,6 +166,9 @@
 	headReceived atomic.Bool
 	// answerBegun is true once the head of the response has arrived.
 	answerBegun bool
+	// connectionEnded is true if the target ended the connection before the first event of its
+	// answer.
+	connectionEnded bool
 }
 
 func (g *Gateway) newAttempt(x *exchange, c placement.Choice) *attempt {
@@ -172,6 +181,7 @@
 // target may be tried.
 func (a *attempt) run() (err *apierr.Error, again bool) {
 	defer a.cancel(nil)
+	defer a.trackUnanswered()()
 	a.g.count.attempts.Inc(1)
 	stop := a.watch()
 	answer, failure := a.g.client.Do(a.ctx, a.call())
@@ -252,9 +262,15 @@
 	case errors.Is(cause, errSlow):
 		a.reportResult(placement.Failed)
 		return x.recordIndeterminate(apierr.Wrap(apierr.KindTargetFailed, a.target.ID, cause))
+	case errors.Is(cause, errQuarantined):
+		a.reportResult(placement.Inconclusive)
+		err, _ := x.recordIndeterminate(apierr.Wrap(apierr.KindTargetFailed, a.target.ID, cause))
+		return err, false
 	case f.Reused:
+		a.connectionEnded = true
 		a.reportResult(placement.Inconclusive)
 	default:
+		a.connectionEnded = true
 		a.reportResult(placement.Failed)
 	}
 	return x.recordIndeterminate(apierr.Wrap(apierr.KindTargetFailed, a.target.ID, f))
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,7 +60,7 @@
 type filter func(g *Gateway, x *exchange) *apierr.Error
 
 // filters are the steps before the dispatch, in their order.
-var filters = []filter{findRoute, identify, readPrompt, setDeadline, admit}
+var filters = []filter{findRoute, identify, readPrompt, setDeadline, screenPrompt, admit}
 
 // handle serves one request; it runs on a goroutine of its own.
 func (g *Gateway) handle(x *exchange) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
 	"github.com/gentiantrail/gentiantrail/internal/observe"
 	"github.com/gentiantrail/gentiantrail/internal/placement"
+	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 	"github.com/gentiantrail/gentiantrail/internal/retry"
 	"github.com/gentiantrail/gentiantrail/internal/settings"
 	"github.com/gentiantrail/gentiantrail/internal/upstream"
@@ -80,9 +81,16 @@
 	requestMetrics *observe.RequestMetrics
 	count          counters
 
-	mu       sync.Mutex
-	balancer *placement.Balancer
-	budgets  map[string]*retry.Window
+	mu         sync.Mutex
+	balancer   *placement.Balancer
+	budgets    map[string]*retry.Window
+	quarantine *quarantine.Tracker
+	// unanswered contains the attempts at requests with shared parts whose answers have not
+	// begun.
+	unanswered map[*attempt]struct{}
+
+	// evidenceChanged triggers a message to the other gateways at once.
+	evidenceChanged chan struct{}
 
 	// inFlight counts the requests whose responses have not been sent yet.
 	inFlight atomic.Int64
@@ -123,6 +131,10 @@
 		count:          newCounters(opts.Metrics),
 		balancer:       placement.New(opts.Settings.AvailabilityZone, rng),
 		budgets:        make(map[string]*retry.Window),
+		quarantine:     quarantine.New(rng),
+		unanswered:     make(map[*attempt]struct{}),
+
+		evidenceChanged: make(chan struct{}, 1),
 	}
 	g.view.Store(&view{})
 	g.server = newServer(g)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/placement"
+	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 )
 
 // logRequest writes the log line of a finished exchange, the only one if no attempt
@@ -49,6 +50,22 @@
 		Bool("answer_begun", answerBegun).Str("parts", strings.Join(x.sharedParts, ",")).Str("detail", err.Error()).Msg("")
 }
 
+// logCrash writes the log line of a target that ended before the answer to a request had got as
+// far as its first event.
+func (g *Gateway) logCrash(a *attempt) {
+	g.count.crashes.Inc(1)
+	g.opts.Logger.Warn().Str("event", "target-crashed").Str("request", a.x.id).Str("target", a.target.ID).
+		Bool("answer_begun", a.answerBegun).Str("parts", strings.Join(a.x.sharedParts, ",")).Msg("")
+}
+
+// logPartDecisions writes a log line for each change of what is believed of a part of prompts.
+func (g *Gateway) logPartDecisions(decisions []quarantine.Decision) {
+	for _, d := range decisions {
+		g.opts.Logger.Warn().Str("event", "belief").Str("topic", "parts").Str("subject", d.Part).
+			Str("outcome", d.Outcome).Int("crashes", d.Crashes).Msg("")
+	}
+}
+
 // logResume writes the log line of a stream that is about to resume at another target.
 func (g *Gateway) logResume(x *exchange, err *apierr.Error) {
 	g.opts.Logger.Info().Str("event", "stream-resumed").Str("request", x.id).Str("target", x.target).
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 	attempts, repeats, resumes, stalls tally.Counter
 	overBudget, peerErrors, refused    tally.Counter
 	storeFailures                      tally.Counter
+	quarantined, crashes               tally.Counter
 	firstEvent                         tally.Histogram
 }
 
@@ -24,6 +25,8 @@
 		peerErrors:    s.Counter("peer_errors"),
 		refused:       s.Counter("attempts_refused"),
 		storeFailures: s.Counter("store_failures"),
+		quarantined:   s.Counter("requests_quarantined"),
+		crashes:       s.Counter("target_crashes"),
 		firstEvent:    s.Histogram("first_event", observe.LatencyBuckets),
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
 	"github.com/gentiantrail/gentiantrail/internal/hint"
+	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 )
 
 const (
@@ -28,11 +29,13 @@
 )
 
 // workMessage reports to another gateway the number of requests that the sender has at
-// each target. A lost message is not sent again, since the next one replaces it.
+// each target, and its evidence against parts of prompts. A lost message is not sent again, since the next one replaces it.
 type workMessage struct {
 	Sender string `cbor:"1,keyasint,omitempty"`
 	// Work maps the placement.TargetKey of a target's id to the number of requests.
 	Work map[uint32]int `cbor:"2,keyasint,omitempty"`
+	// Evidence is what the sender knows of parts of prompts that targets crash on.
+	Evidence []quarantine.Evidence `cbor:"22,keyasint,omitempty"`
 	// Report is set instead of the other fields in a mapper's datagram.
 	Report *hint.Report `cbor:"21,keyasint,omitempty"`
 }
@@ -116,6 +119,8 @@
 		case <-workTimer.C:
 			l.sendWork(socket)
 			workTimer.Reset(workInterval * time.Duration(max(1, l.peerCount()/fullRatePeers)))
+		case <-l.g.evidenceChanged:
+			l.sendWork(socket)
 		case <-subscribeTicker.C:
 			l.subscribe(socket)
 		case <-l.subscribeNow:
@@ -165,8 +170,9 @@
 	}
 	l.g.mu.Lock()
 	work := l.g.balancer.WorkByTarget()
+	evidence := l.g.quarantine.Evidence(l.g.now())
 	l.g.mu.Unlock()
-	b, err := cbor.Marshal(workMessage{Sender: l.g.opts.Settings.Name, Work: work})
+	b, err := cbor.Marshal(workMessage{Sender: l.g.opts.Settings.Name, Work: work, Evidence: evidence})
 	if err != nil {
 		l.g.opts.Logger.Error().Str("event", "peer-encode").Err(err).Msg("")
 		return
@@ -202,6 +208,7 @@
 		l.g.mu.Lock()
 		l.g.balancer.HandlePeerReport(l.g.now(), m.Sender, m.Work)
 		l.g.mu.Unlock()
+		l.g.mergeEvidence(m.Evidence)
 	}
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -44,9 +44,11 @@
 		if errors.Is(a.cause(), errDeadline) {
 			return x.timeoutError(), false
 		}
+		a.connectionEnded = true
 		return x.recordIndeterminate(apierr.Wrap(apierr.KindTruncated, a.target.ID, err))
 	}
 	answer.Finish()
+	a.recordAnswer()
 	if answer.Status >= 500 {
 		a.reportResult(placement.Failed)
 		x.tried = append(x.tried, a.target.ID)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 )
 
 // State is the state dump of a gateway.
@@ -14,6 +16,8 @@
 	InFlight      int64         `json:"in_flight"`
 	Gateways      int           `json:"gateways"`
 	Targets       []TargetState `json:"targets"`
+	// Parts are the parts of prompts that targets are suspected to crash on.
+	Parts []quarantine.Status `json:"parts,omitempty"`
 }
 
 // TargetState is the state of one target in the state dump.
@@ -49,6 +53,7 @@
 		ts.InFlight, ts.Load, ts.FailureRate, ts.Blocked = g.balancer.TargetStatus(g.now(), id)
 		s.Targets = append(s.Targets, ts)
 	}
+	s.Parts = g.quarantine.Status(g.now())
 	slices.SortFunc(s.Targets, func(a, b TargetState) int { return cmp.Compare(a.ID, b.ID) })
 	return s
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,6 +49,7 @@
 		if err == nil {
 			if !active {
 				active = true
+				a.recordAnswer()
 				a.addActiveStreams(1)
 				stallTimer.Reset(initialStallTimeout)
 			} else {
@@ -171,7 +172,12 @@
 		a.recordStall()
 		a.reportResult(placement.Inconclusive)
 		err = errStalled
+	case errors.Is(cause, errQuarantined):
+		a.reportResult(placement.Inconclusive)
+		failed, _ := x.recordIndeterminate(apierr.Wrap(apierr.KindTargetFailed, a.target.ID, cause))
+		return failed, false
 	default:
+		a.connectionEnded = !x.hasEvent
 		a.reportResult(placement.Failed)
 	}
 	failed := apierr.Wrap(apierr.KindTruncated, a.target.ID+" after event "+strconv.FormatInt(x.lastEvent, 10), err)
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,334 @@
+// Package quarantine finds the parts of prompts on which targets crash, and decides which
+// requests must not reach a target because of them.
+//
+// The evidence against a part is the set of targets that ended while they had a request with
+// the part whose answer had not got as far as its first event. Evidence for a part is the first
+// event of an answer to a request that has it. A part is quarantined once the evidence against
+// it, less what other quarantined parts explain, reaches a limit. Gateways exchange their
+// evidence.
+//
+// A Tracker is a state machine without I/O: callers pass in the time since their start and must
+// not use it concurrently.
+package quarantine
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// A crash under a request whose answer had begun weighs more than one under a request that
+	// may still have waited, and a crash under a part weighs more if no answer to the part is
+	// remembered: two, three, four or six targets end before a part is quarantined.
+	weightBegun, weightWaiting           = 6, 4
+	weightBegunKnown, weightWaitingKnown = 3, 2
+	quarantineWeight                     = 12
+
+	// evidenceTime is how long a crash counts. After that time without another one, a request
+	// with a quarantined part is let through to find out whether targets still crash on it.
+	evidenceTime = 10 * time.Minute
+	// evidenceJitter is the part of evidenceTime by which it differs between gateways, so that
+	// one of them finds out first and tells the others.
+	evidenceJitter = 0.2
+	// suspectPause is the time after a crash in which no other request with a suspected part is
+	// let through: the crashed request is tried again in that time.
+	suspectPause = 1500 * time.Millisecond
+	// trialTime is the time between two requests with a suspected part.
+	trialTime = 2 * time.Second
+	// maxParts bounds the parts whose answers are remembered, and maxSuspects the parts with
+	// evidence against them.
+	maxParts    = 16384
+	maxSuspects = 256
+)
+
+// Verdict is the decision on a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Allowed means that no part of the request is under suspicion.
+	Allowed Verdict = iota
+	// Trial means that the request has a suspected part and is the one that is let through.
+	Trial
+	// Held means that another request with a suspected part is being tried.
+	Held
+	// Quarantined means that targets crash on the request.
+	Quarantined
+)
+
+// String returns the verdict's name for logs.
+func (v Verdict) String() string { return [...]string{"allowed", "trial", "held", "quarantined"}[v] }
+
+// crash is the end of a target under a request with a part.
+type crash struct {
+	at    time.Duration
+	begun bool
+}
+
+// suspect is a part with evidence against it.
+type suspect struct {
+	crashes map[uint32]crash
+	// last is the time of the last crash.
+	last time.Duration
+	// known is true if an answer to the part was remembered at its first crash.
+	known bool
+	// nextTrial is the earliest time of the next request that is let through.
+	nextTrial time.Duration
+	// mates are the parts, including this one, that the same crashes speak against; nil unless
+	// the part is quarantined. Only requests with all of them are refused.
+	mates []string
+	// quarantined is true once the part has been quarantined.
+	quarantined bool
+}
+
+// Tracker keeps the evidence of one gateway and of those that it hears from.
+type Tracker struct {
+	suspects map[string]*suspect
+	answered answered
+	// cleared contains the parts whose suspicion an answer has ended, for other gateways.
+	cleared map[string]time.Duration
+	// evidenceTime is this gateway's own time for which a crash counts.
+	evidenceTime time.Duration
+	// changed is true if crashes were added that other gateways do not know of.
+	changed bool
+	// unjudged is true if evidence has changed since the last judgement.
+	unjudged  bool
+	decisions []Decision
+}
+
+// Decision is a change of what is believed of a part, for the log.
+type Decision struct {
+	Part string
+	// Outcome is suspected, quarantined or sound.
+	Outcome string
+	Crashes int
+}
+
+// New returns a Tracker without evidence.
+func New(rng *rand.Rand) *Tracker {
+	spread := 1 + evidenceJitter*(2*rng.Float64()-1)
+	return &Tracker{
+		suspects: map[string]*suspect{}, cleared: map[string]time.Duration{},
+		evidenceTime: time.Duration(spread * float64(evidenceTime)),
+	}
+}
+
+// Admit decides on a request with the parts that is about to be sent to a target. For a request
+// that must not be sent, wait is the time after which it may be decided on again.
+func (t *Tracker) Admit(now time.Duration, parts []string) (v Verdict, wait time.Duration) {
+	if len(t.suspects) == 0 {
+		return Allowed, 0
+	}
+	var trials []*suspect
+	for _, p := range parts {
+		s := t.suspects[p]
+		switch {
+		case s == nil || s.mates == nil && s.known:
+			continue
+		case s.refuses(parts) && now < s.last+t.evidenceTime:
+			return Quarantined, s.last + t.evidenceTime - now
+		case now < s.nextTrial:
+			v, wait = Held, max(wait, s.nextTrial-now)
+		}
+		trials = append(trials, s)
+	}
+	if v == Held || len(trials) == 0 {
+		return v, wait
+	}
+	for _, s := range trials {
+		s.nextTrial = now + trialTime
+	}
+	return Trial, 0
+}
+
+// MayRetry reports whether a request with the parts that a target crashed under may be sent to
+// another target.
+func (t *Tracker) MayRetry(now time.Duration, parts []string) bool {
+	for _, p := range parts {
+		if s := t.suspects[p]; s != nil && s.refuses(parts) && now < s.last+t.evidenceTime {
+			return false
+		}
+	}
+	return true
+}
+
+// refuses reports whether the part is quarantined and the request has all of its mates.
+func (s *suspect) refuses(parts []string) bool {
+	return s.mates != nil && !slices.ContainsFunc(s.mates, func(p string) bool { return !slices.Contains(parts, p) })
+}
+
+// Unanswered reports whether no answer to one of the parts is remembered.
+func (t *Tracker) Unanswered(parts []string) bool {
+	return slices.ContainsFunc(parts, func(p string) bool { _, ok := t.answered.time(p); return !ok })
+}
+
+// RecordAnswer records the first event of an answer to a request with the parts.
+func (t *Tracker) RecordAnswer(now time.Duration, parts []string) {
+	for _, p := range parts {
+		t.clear(now, p)
+	}
+}
+
+// clear records an answer to a part at a time, which ends a suspicion from before.
+func (t *Tracker) clear(at time.Duration, p string) {
+	t.answered.record(at, p)
+	s := t.suspects[p]
+	if s == nil {
+		return
+	}
+	for target, c := range s.crashes {
+		if c.at <= at {
+			delete(s.crashes, target)
+			t.unjudged = true
+		}
+	}
+	if len(s.crashes) == 0 {
+		delete(t.suspects, p)
+		t.cleared[p] = at
+		t.decide(p, "sound", 0)
+	}
+	t.judge()
+}
+
+func (t *Tracker) decide(p, outcome string, crashes int) {
+	t.decisions = append(t.decisions, Decision{Part: p, Outcome: outcome, Crashes: crashes})
+}
+
+// TakeDecisions returns the decisions since the last call.
+func (t *Tracker) TakeDecisions() []Decision {
+	d := t.decisions
+	t.decisions = nil
+	return d
+}
+
+// RecordCrash records that a target ended under a request with the parts. begun is true if the
+// head of its answer had arrived.
+func (t *Tracker) RecordCrash(now time.Duration, target uint32, parts []string, begun bool) {
+	for _, p := range parts {
+		t.addCrash(now, p, target, crash{at: now, begun: begun})
+	}
+	t.judge()
+}
+
+func (t *Tracker) addCrash(now time.Duration, p string, target uint32, c crash) {
+	s := t.suspects[p]
+	if s == nil {
+		t.makeRoom()
+		_, known := t.answered.time(p)
+		s = &suspect{crashes: map[uint32]crash{}, known: known}
+		t.suspects[p] = s
+		delete(t.cleared, p)
+		t.decide(p, "suspected", 1)
+	}
+	old, ok := s.crashes[target]
+	if ok && (old.begun || !c.begun) {
+		return
+	}
+	if ok {
+		c.at = min(c.at, old.at)
+	}
+	s.crashes[target] = c
+	s.last = max(s.last, c.at)
+	s.nextTrial = max(s.nextTrial, now+suspectPause)
+	t.changed, t.unjudged = true, true
+}
+
+// makeRoom drops the suspect whose last crash is longest ago if there are too many.
+func (t *Tracker) makeRoom() {
+	if len(t.suspects) < maxSuspects {
+		return
+	}
+	oldest, at := "", time.Duration(-1)
+	for p, s := range t.suspects {
+		if at < 0 || s.last < at {
+			oldest, at = p, s.last
+		}
+	}
+	delete(t.suspects, oldest)
+}
+
+// judge decides which parts are quarantined. The part with the most evidence explains the
+// crashes under it; other parts are judged by the crashes that are left.
+func (t *Tracker) judge() {
+	if !t.unjudged {
+		return
+	}
+	t.unjudged = false
+	explained := map[uint32]bool{}
+	open := make([]string, 0, len(t.suspects))
+	for p, s := range t.suspects {
+		open = append(open, p)
+		s.mates = nil
+	}
+	slices.Sort(open) // the same order at each gateway
+	for len(open) > 0 {
+		worst := slices.MaxFunc(open, func(a, b string) int {
+			return cmp.Compare(t.suspects[a].weight(explained), t.suspects[b].weight(explained))
+		})
+		if t.suspects[worst].weight(explained) < quarantineWeight {
+			return
+		}
+		mates, rest := t.splitMates(open, worst, explained)
+		for _, p := range mates {
+			s := t.suspects[p]
+			s.mates = mates
+			if !s.quarantined {
+				s.quarantined = true
+				t.decide(p, "quarantined", len(s.crashes))
+			}
+		}
+		for target := range t.suspects[worst].crashes {
+			explained[target] = true
+		}
+		open = rest
+	}
+}
+
+// splitMates splits parts into those that the same unexplained crashes speak against as
+// against worst, with as much weight, and the others.
+func (t *Tracker) splitMates(parts []string, worst string, explained map[uint32]bool) (mates, rest []string) {
+	s := t.suspects[worst]
+	for _, p := range parts {
+		if o := t.suspects[p]; o.weight(explained) == s.weight(explained) && sameTargets(o.crashes, s.crashes, explained) {
+			mates = append(mates, p)
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	return mates, rest
+}
+
+func sameTargets(a, b map[uint32]crash, explained map[uint32]bool) bool {
+	for target := range a {
+		if _, ok := b[target]; !ok && !explained[target] {
+			return false
+		}
+	}
+	for target := range b {
+		if _, ok := a[target]; !ok && !explained[target] {
+			return false
+		}
+	}
+	return true
+}
+
+// weight returns the weight of the crashes that are not explained by another part.
+func (s *suspect) weight(explained map[uint32]bool) int {
+	begun, waiting := weightBegun, weightWaiting
+	if s.known {
+		begun, waiting = weightBegunKnown, weightWaitingKnown
+	}
+	sum := 0
+	for target, c := range s.crashes {
+		switch {
+		case explained[target]:
+		case c.begun:
+			sum += begun
+		default:
+			sum += waiting
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,145 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func newTracker() *Tracker { return New(rand.New(rand.NewPCG(1, 0))) }
+
+// verdict returns the verdict on a request with the parts.
+func verdict(t *Tracker, now time.Duration, parts ...string) Verdict {
+	v, _ := t.Admit(now, parts)
+	return v
+}
+
+func TestPartIsQuarantinedAfterItsSecondCrash(t *testing.T) {
+	tr := newTracker()
+	tr.RecordAnswer(0, []string{"route", "doc"})
+	parts := []string{"route", "doc", "x"}
+	assert.Equal(t, verdict(tr, 0, parts...), Allowed)
+	tr.RecordCrash(time.Second, 1, parts, true)
+	assert.Equal(t, verdict(tr, time.Second, parts...), Held)
+	assert.Equal(t, verdict(tr, time.Second, "route", "doc"), Allowed)
+	assert.Assert(t, tr.MayRetry(time.Second, parts))
+	tr.RecordCrash(2*time.Second, 2, parts, true)
+	assert.Equal(t, verdict(tr, 2*time.Second, "route", "other", "x"), Quarantined)
+	assert.Equal(t, verdict(tr, 2*time.Second, "route", "doc"), Allowed)
+	assert.Assert(t, !tr.MayRetry(2*time.Second, parts))
+}
+
+// A target that ends under a request counts once, however many requests it had.
+func TestCrashesOfOneTargetCountOnce(t *testing.T) {
+	tr := newTracker()
+	for i := range 5 {
+		tr.RecordCrash(time.Duration(i), 1, []string{"x"}, true)
+	}
+	assert.Equal(t, verdict(tr, 5*time.Second, "x"), Trial)
+}
+
+// Guards against parts that are blamed for the crashes under another part: requests that
+// waited at the same targets have parts that no answer is remembered of.
+func TestCrashesAreExplainedByTheWorstPart(t *testing.T) {
+	tr := newTracker()
+	for target := range uint32(4) {
+		tr.RecordCrash(time.Second, target, []string{"x"}, true)
+		tr.RecordCrash(time.Second, target, []string{"bystander"}, false)
+	}
+	now := 5 * time.Second
+	assert.Equal(t, verdict(tr, now, "x"), Quarantined)
+	assert.Equal(t, verdict(tr, now, "bystander"), Trial)
+	assert.Equal(t, verdict(tr, now, "bystander"), Held)
+	tr.RecordAnswer(now, []string{"bystander"})
+	assert.Equal(t, verdict(tr, now, "bystander"), Allowed)
+}
+
+// Guards against an accusation that can't be refuted: parts with the same evidence are refused
+// only together, so that requests with some of them show which one is sound.
+func TestPartsWithTheSameEvidenceAreRefusedTogether(t *testing.T) {
+	tr := newTracker()
+	for target := range uint32(2) {
+		tr.RecordCrash(0, target, []string{"x", "y"}, true)
+	}
+	now := 5 * time.Second
+	assert.Equal(t, verdict(tr, now, "x", "y"), Quarantined)
+	assert.Equal(t, verdict(tr, now, "y"), Trial)
+	tr.RecordAnswer(now, []string{"y"})
+	assert.Equal(t, verdict(tr, now, "y"), Allowed)
+	assert.Equal(t, verdict(tr, now, "x"), Quarantined)
+}
+
+// A part that was answered before needs more evidence, but is found within five crashes.
+func TestPartThatWasAnsweredBeforeIsQuarantinedLater(t *testing.T) {
+	tr := newTracker()
+	tr.RecordAnswer(0, []string{"x"})
+	for target := range uint32(3) {
+		tr.RecordCrash(time.Second, target, []string{"x"}, true)
+		assert.Equal(t, verdict(tr, 2*time.Second, "x"), Allowed)
+	}
+	tr.RecordCrash(time.Second, 3, []string{"x"}, true)
+	assert.Equal(t, verdict(tr, 2*time.Second, "x"), Quarantined)
+}
+
+// Guards against a quarantine for good, and against one that ends five targets each time it is
+// lifted: one request is let through, and its crash renews the quarantine.
+func TestQuarantineIsTriedAgainWithOneRequest(t *testing.T) {
+	tr := newTracker()
+	for target := range uint32(2) {
+		tr.RecordCrash(0, target, []string{"x"}, true)
+	}
+	now := time.Duration((1 + evidenceJitter) * float64(evidenceTime))
+	tr.Evidence(now)
+	assert.Equal(t, verdict(tr, now, "x"), Trial)
+	assert.Equal(t, verdict(tr, now, "x"), Held)
+	tr.RecordCrash(now, 3, []string{"x"}, true)
+	assert.Equal(t, verdict(tr, now+time.Minute, "x"), Quarantined)
+	now *= 3
+	assert.Equal(t, verdict(tr, now, "x"), Trial)
+	tr.RecordAnswer(now, []string{"x"})
+	assert.Equal(t, verdict(tr, now, "x"), Allowed)
+}
+
+func TestMemoryIsBoundedUnderNewParts(t *testing.T) {
+	tr := newTracker()
+	for i := range 3 * maxParts {
+		tr.RecordAnswer(time.Duration(i), []string{fmt.Sprint(i)})
+	}
+	for i := range 3 * maxSuspects {
+		tr.RecordCrash(time.Duration(i), 1, []string{fmt.Sprint("s", i)}, false)
+	}
+	assert.Assert(t, len(tr.answered.newer)+len(tr.answered.older) <= maxParts)
+	assert.Assert(t, len(tr.suspects) <= maxSuspects)
+	assert.Assert(t, len(tr.Evidence(0)) <= maxEvidence)
+}
+
+// Evidence of several gateways adds up, and an answer at one of them ends a suspicion at all.
+func TestEvidenceIsShared(t *testing.T) {
+	a, b := newTracker(), newTracker()
+	a.RecordCrash(10*time.Second, 1, []string{"x"}, true)
+	b.RecordCrash(20*time.Second, 2, []string{"x"}, true)
+	a.Merge(10*time.Second, b.Evidence(20*time.Second))
+	b.Merge(20*time.Second, a.Evidence(10*time.Second))
+	assert.Equal(t, verdict(a, 11*time.Second, "x"), Quarantined)
+	assert.Equal(t, verdict(b, 21*time.Second, "x"), Quarantined)
+	a.RecordAnswer(12*time.Second, []string{"x"})
+	b.Merge(22*time.Second, a.Evidence(12*time.Second))
+	assert.Equal(t, verdict(b, 22*time.Second, "x"), Allowed)
+	a.Merge(12*time.Second, b.Evidence(22*time.Second))
+	assert.Equal(t, verdict(a, 12*time.Second, "x"), Allowed)
+}
+
+// Guards against a gateway that has just started and holds back requests with parts that
+// others know to be sound.
+func TestOtherGatewaysVouchForAPart(t *testing.T) {
+	old, started := newTracker(), newTracker()
+	old.RecordAnswer(time.Second, []string{"route"})
+	started.RecordCrash(time.Second, 1, []string{"route"}, false)
+	assert.Equal(t, verdict(started, time.Second, "route"), Held)
+	old.Merge(2*time.Second, started.Evidence(time.Second))
+	started.Merge(time.Second, old.Evidence(2*time.Second))
+	assert.Equal(t, verdict(started, time.Second, "route"), Allowed)
+}
