Soak: targets crash on a part of the prompt

Change: callers send prompts whose parts are shared; a platformtest target ends when it begins the answer to a request with a crashing part, refuses connections for a second and comes back under a new id. Such requests come among the other faults, and for 5 s after them, when more than five ends are a violation.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -3,8 +3,12 @@
 package soak
 
 import (
+	"bufio"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -20,7 +24,7 @@
 func (tb *testbed) injectFault() (name string, duration time.Duration, end func()) {
 	duration = time.Duration(200+tb.rng.IntN(1200)) * time.Millisecond
 	i, g := tb.rng.IntN(len(tb.targets)), tb.gateways[tb.rng.IntN(len(tb.gateways))]
-	switch tb.rng.IntN(13) {
+	switch tb.rng.IntN(14) {
 	case 0:
 		return tb.restart(g, syscall.SIGTERM, 0)
 	case 1:
@@ -60,6 +64,11 @@
 		return tb.evacuate()
 	case 11:
 		return tb.restoreStore(duration)
+	case 12:
+		tb.extendFaultWindow(&tb.networkFaultUntil, duration+crashDowntime)
+		part := tb.newCrashingPart()
+		go tb.sendCrashingRequests(part, duration, tb.rng.Uint64())
+		return "requests with crashing part " + part, duration + crashDowntime, func() {}
 	default:
 		tb.configure()
 		return "new configuration version", 0, nil
@@ -263,3 +272,76 @@
 	tb.store.SetFault(platformtest.None)
 	time.Sleep(settleTime + 2*time.Second)
 }
+
+const (
+	// crashDowntime is how long a target that has crashed is away.
+	crashDowntime = time.Second
+	// crashingInterval is the interval of the requests with a crashing part.
+	crashingInterval = 120 * time.Millisecond
+	// maxCrashes is the number of targets that may end on one part.
+	maxCrashes = 5
+)
+
+// crashTarget ends a target that has begun to answer a request with a crashing part. It starts
+// again under a new id after crashDowntime.
+func (tb *testbed) crashTarget(i int, part string) {
+	tb.mu.Lock()
+	tb.crashes[part]++
+	tb.replacements++
+	newID, oldID := fmt.Sprintf("i-%d-%d", i, tb.replacements), tb.targets[i].ID()
+	tb.replacedIDs = append(tb.replacedIDs, oldID)
+	tb.mu.Unlock()
+	tb.proxies[i].refuse()
+	time.AfterFunc(crashDowntime, func() {
+		tb.targets[i].Restart(newID)
+		if err := tb.proxies[i].listen(); err != nil {
+			return // the target has crashed again in the meantime, or the test has ended
+		}
+		tb.announce(i)
+		tb.store.RemoveTarget(oldID)
+	})
+}
+
+func (tb *testbed) newCrashingPart() string {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.crashingParts++
+	return fmt.Sprint(platformtest.CrashingPart, tb.crashingParts)
+}
+
+// sendCrashingRequests sends requests with a crashing part to random gateways for a time.
+func (tb *testbed) sendCrashingRequests(part string, duration time.Duration, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	var sent sync.WaitGroup
+	for n, start := 0, time.Now(); time.Since(start) < duration; n++ {
+		g := tb.gateways[rng.IntN(len(tb.gateways))]
+		sent.Add(1)
+		go func() {
+			defer sent.Done()
+			conn, err := net.DialTimeout("tcp4", g.listenAddr, time.Second)
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			tb.sendRequest(conn, bufio.NewReader(conn), fmt.Sprintf("key-1-%s-%d", part, n), "/stream/x", "key-1", "route", part)
+		}()
+		time.Sleep(crashingInterval)
+	}
+	sent.Wait()
+}
+
+// crashAfterFaults sends requests with a crashing part once all faults have settled, and checks
+// how many targets end.
+func (tb *testbed) crashAfterFaults() {
+	part := tb.newCrashingPart()
+	tb.faults = append(tb.faults, time.Now().Format("05.000 ")+"requests with crashing part "+part)
+	tb.sendCrashingRequests(part, 5*time.Second, tb.rng.Uint64())
+	tb.mu.Lock()
+	crashes := tb.crashes[part]
+	tb.mu.Unlock()
+	tb.checker.mu.Lock()
+	defer tb.checker.mu.Unlock()
+	if crashes > maxCrashes {
+		tb.checker.addViolation("CRASH: %d targets ended on part %s", crashes, part)
+	}
+}
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -26,11 +26,12 @@
 
 // proxy is a TCP proxy on loopback in front of the address upstream.
 type proxy struct {
-	ln       net.Listener
+	address  string
 	upstream string
 	mode     atomic.Int32
 
 	mu    sync.Mutex
+	ln    net.Listener
 	conns map[*net.TCPConn]bool
 }
 
@@ -39,12 +40,33 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{ln: ln, upstream: upstream, conns: map[*net.TCPConn]bool{}}
-	go p.serve()
+	p := &proxy{address: ln.Addr().String(), ln: ln, upstream: upstream, conns: map[*net.TCPConn]bool{}}
+	go p.serve(ln)
 	return p, nil
 }
 
-func (p *proxy) addr() string { return p.ln.Addr().String() }
+func (p *proxy) addr() string { return p.address }
+
+// refuse closes the listener, so that new connections are refused, and all open connections.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	_ = p.ln.Close()
+	p.mu.Unlock()
+	p.reset()
+}
+
+// listen accepts connections again after refuse.
+func (p *proxy) listen() error {
+	ln, err := net.Listen("tcp4", p.address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.ln = ln
+	p.mu.Unlock()
+	go p.serve(ln)
+	return nil
+}
 
 func (p *proxy) setMode(m mode) { p.mode.Store(int32(m)) }
 
@@ -59,14 +81,13 @@
 }
 
 func (p *proxy) close() {
-	_ = p.ln.Close()
+	p.refuse()
 	p.setMode(passThrough)
-	p.reset()
 }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(ln net.Listener) {
 	for {
-		in, err := p.ln.Accept()
+		in, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -67,6 +67,7 @@
 	}()
 	tb.injectFaults(*faultDuration)
 	tb.restoreAfterFaults()
+	tb.crashAfterFaults()
 	faultsEnded := time.Now()
 	tb.leaveAfterReset()
 	time.Sleep(time.Until(faultsEnded.Add(recoveryTime)))
@@ -194,7 +195,7 @@
 			conn, br = c, bufio.NewReader(c)
 		}
 		key := fmt.Sprintf("key-%d", 1+caller%2)
-		status, reusable := tb.sendRequest(conn, br, fmt.Sprintf("%s-%d-%d", key, caller, n), paths[(caller+n)%len(paths)], key)
+		status, reusable := tb.sendRequest(conn, br, fmt.Sprintf("%s-%d-%d", key, caller, n), paths[(caller+n)%len(paths)], key, "route", fmt.Sprint("doc-", n%5))
 		if !reusable {
 			_ = conn.Close()
 			conn = nil
@@ -208,14 +209,14 @@
 	}
 }
 
-// sendRequest sends one request and passes its answer to the checker. reusable is true if
-// the connection can carry another request.
-func (tb *testbed) sendRequest(conn net.Conn, br *bufio.Reader, attempt, path, key string) (status int, reusable bool) {
+// sendRequest sends one request, whose prompt has the given parts and one of its own, and
+// passes its answer to the checker. reusable is true if the connection can carry another request.
+func (tb *testbed) sendRequest(conn net.Conn, br *bufio.Reader, attempt, path, key string, parts ...string) (status int, reusable bool) {
 	names := &platform.Headers
 	_ = conn.SetDeadline(time.Now().Add(answerTimeout))
 	tb.checker.recordSent(attempt)
-	_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\n%s: 4000\r\nAuthorization: Bearer %s\r\n\r\n",
-		path, names.Attempt, attempt, names.Deadline, key)
+	_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\n%s: 4000\r\n%s: %s:10\r\nAuthorization: Bearer %s\r\n\r\n",
+		path, names.Attempt, attempt, names.Deadline, names.Prompt, strings.Join(append(parts, attempt), ":40,"), key)
 	if err != nil {
 		return 0, false
 	}
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -67,6 +67,9 @@
 	// backups are copies of the store's content of the last backupAge, oldest first.
 	backups []platformtest.Copy
 	faults  []string
+	// crashes contains the number of targets that ended on each crashing part.
+	crashes       map[string]int
+	crashingParts int
 
 	checker *checker
 }
@@ -79,7 +82,7 @@
 }
 
 func newTestbed(t *testing.T, seed uint64) *testbed {
-	tb := &testbed{t: t, leftAt: map[string]time.Time{}, rng: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir()}
+	tb := &testbed{t: t, leftAt: map[string]time.Time{}, crashes: map[string]int{}, rng: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir()}
 	tb.checker = newChecker(tb)
 	var err error
 	tb.store, err = platformtest.NewStore()
@@ -92,6 +95,7 @@
 		assert.NilError(t, err)
 		p, err := newProxy(target.Addr())
 		assert.NilError(t, err)
+		target.OnCrash = func(part string) { tb.crashTarget(i, part) }
 		tb.targets, tb.proxies = append(tb.targets, target), append(tb.proxies, p)
 		tb.services = append(tb.services, map[bool]string{true: "desk", false: "drafts"}[i < plainTargets])
 		tb.announce(i)
