An error of a target does not end the suspicion against a part

Change: only a successful answer is evidence for the parts of its request. Evidence: TestErrorAnswerDoesNotEndASuspicion failed before and passes.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -96,3 +96,16 @@
 	}
 	assert.Assert(t, gw.crashed() <= maxCrashed, "%d targets crashed", gw.crashed())
 }
+
+// Guards against an error of a target that counts as an answer and ends a suspicion: a target
+// that fails a request has not begun to answer its prompt.
+func TestErrorAnswerDoesNotEndASuspicion(t *testing.T) {
+	gw := newTestGateway(t, respond(500, "failed")).waitReady()
+	gw.g.mu.Lock()
+	gw.g.quarantine.RecordCrash(gw.g.now(), 1, []string{crashingPart}, true)
+	gw.g.mu.Unlock()
+	time.Sleep(1600 * time.Millisecond) // until a request is let through
+	gw.do(getPrompt("a", crashingPart)...)
+	assert.Equal(t, len(gw.targets[0].requests()), 1)
+	assert.Equal(t, len(gw.g.State().(State).Parts), 1)
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -48,7 +48,9 @@
 		return x.recordIndeterminate(apierr.Wrap(apierr.KindTruncated, a.target.ID, err))
 	}
 	answer.Finish()
-	a.recordAnswer()
+	if answer.Status < 300 {
+		a.recordAnswer()
+	}
 	if answer.Status >= 500 {
 		a.reportResult(placement.Failed)
 		x.tried = append(x.tried, a.target.ID)
