--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,7 +29,8 @@
 )
 
 // workMessage reports to another gateway the number of requests that the sender has at
-// each target, and its evidence against parts of prompts. A lost message is not sent again, since the next one replaces it.
+// each target, and its evidence against parts of prompts. A lost message is not sent again,
+// since the next one replaces it.
 type workMessage struct {
 	Sender string `cbor:"1,keyasint,omitempty"`
 	// Work maps the placement.TargetKey of a target's id to the number of requests.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -15,6 +16,8 @@
 	// mergeSlack is the time by which the crash of another gateway may appear later than it
 	// was, since its message has been on the way.
 	mergeSlack = 500 * time.Millisecond
+	// maxAgeMs bounds the ages of other gateways, in milliseconds: one day.
+	maxAgeMs = 24 * 60 * 60 * 1000
 )
 
 // Evidence is what a gateway knows of one part. Times are ages in milliseconds.
@@ -41,7 +44,7 @@
 	for p := range t.suspects {
 		parts = append(parts, p)
 	}
-	slices.SortFunc(parts, func(a, b string) int { return int(t.suspects[b].last - t.suspects[a].last) })
+	slices.SortFunc(parts, func(a, b string) int { return cmp.Compare(t.suspects[b].last, t.suspects[a].last) })
 	var out []Evidence
 	for p := range t.cleared {
 		if len(out) < maxEvidence/2 {
@@ -85,8 +88,9 @@
 func (t *Tracker) mergePart(now time.Duration, e *Evidence) {
 	answered, known := t.answered.time(e.Part)
 	for _, c := range e.Crashes {
-		at := now - max(0, time.Duration(c.AgeMs)*time.Millisecond)
-		if now-at > t.evidenceTime || known && at <= answered+mergeSlack {
+		age := time.Duration(min(max(0, c.AgeMs), maxAgeMs)) * time.Millisecond
+		at := now - age
+		if age > t.evidenceTime || known && at <= answered+mergeSlack {
 			continue
 		}
 		t.addCrash(now, e.Part, c.Target, crash{at: at, begun: c.Begun})
@@ -97,7 +101,7 @@
 	}
 	t.unjudged = t.unjudged || !s.known
 	s.known = true
-	t.clear(now-max(0, time.Duration(e.AnsweredMs)*time.Millisecond), e.Part)
+	t.clear(now-time.Duration(min(max(0, e.AnsweredMs), maxAgeMs))*time.Millisecond, e.Part)
 }
 
 // expire forgets suspects without enough evidence whose crashes no longer count, and parts that
@@ -125,18 +129,18 @@
 
 // Status is the state of one suspected part.
 type Status struct {
-	Part        string        `json:"part"`
-	Crashes     int           `json:"crashes"`
-	LastCrash   time.Duration `json:"last_crash_ago"`
-	Quarantined bool          `json:"quarantined"`
+	Part           string `json:"part"`
+	Crashes        int    `json:"crashes"`
+	LastCrashMsAgo int64  `json:"last_crash_ms_ago"`
+	Quarantined    bool   `json:"quarantined"`
 }
 
 // Status returns the state of each suspected part.
 func (t *Tracker) Status(now time.Duration) []Status {
 	var out []Status
 	for p, s := range t.suspects {
-		out = append(out, Status{Part: p, Crashes: len(s.crashes), LastCrash: now - s.last, Quarantined: s.mates != nil})
+		out = append(out, Status{Part: p, Crashes: len(s.crashes), LastCrashMsAgo: (now - s.last).Milliseconds(), Quarantined: s.mates != nil})
 	}
-	slices.SortFunc(out, func(a, b Status) int { return int(a.LastCrash - b.LastCrash) })
+	slices.SortFunc(out, func(a, b Status) int { return cmp.Compare(a.LastCrashMsAgo, b.LastCrashMsAgo) })
 	return out
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -41,6 +41,8 @@
 	// evidence against them.
 	maxParts    = 16384
 	maxSuspects = 256
+	// maxKeptCrashes bounds the crashes that are kept against a part.
+	maxKeptCrashes = 32
 )
 
 // Verdict is the decision on a request.
@@ -224,6 +226,8 @@
 	}
 	if ok {
 		c.at = min(c.at, old.at)
+	} else if len(s.crashes) >= maxKeptCrashes {
+		s.dropOldest()
 	}
 	s.crashes[target] = c
 	s.last = max(s.last, c.at)
@@ -231,6 +235,17 @@
 	t.changed, t.unjudged = true, true
 }
 
+// dropOldest drops the crash that is longest ago.
+func (s *suspect) dropOldest() {
+	oldest, at := uint32(0), time.Duration(-1)
+	for target, c := range s.crashes {
+		if at < 0 || c.at < at {
+			oldest, at = target, c.at
+		}
+	}
+	delete(s.crashes, oldest)
+}
+
 // makeRoom drops the suspect whose last crash is longest ago if there are too many.
 func (t *Tracker) makeRoom() {
 	if len(t.suspects) < maxSuspects {
