quarantine: drop the oldest evidence by one rule

No wrong eviction was seen. Change: the minimum by time, in both places. Measured: tests of quarantine.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -215,7 +216,7 @@
 	if s == nil {
 		t.makeRoom()
 		_, known := t.answered.time(p)
-		s = &suspect{crashes: map[uint32]crash{}, known: known}
+		s = &suspect{crashes: map[uint32]crash{}, known: known, last: c.at}
 		t.suspects[p] = s
 		delete(t.cleared, p)
 		t.decide(p, "suspected", 1)
@@ -237,13 +238,9 @@
 
 // dropOldest drops the crash that is longest ago.
 func (s *suspect) dropOldest() {
-	oldest, at := uint32(0), time.Duration(-1)
-	for target, c := range s.crashes {
-		if at < 0 || c.at < at {
-			oldest, at = target, c.at
-		}
-	}
-	delete(s.crashes, oldest)
+	delete(s.crashes, slices.MinFunc(slices.Collect(maps.Keys(s.crashes)), func(a, b uint32) int {
+		return cmp.Compare(s.crashes[a].at, s.crashes[b].at)
+	}))
 }
 
 // makeRoom drops the suspect whose last crash is longest ago if there are too many.
@@ -251,13 +248,9 @@
 	if len(t.suspects) < maxSuspects {
 		return
 	}
-	oldest, at := "", time.Duration(-1)
-	for p, s := range t.suspects {
-		if at < 0 || s.last < at {
-			oldest, at = p, s.last
-		}
-	}
-	delete(t.suspects, oldest)
+	delete(t.suspects, slices.MinFunc(slices.Collect(maps.Keys(t.suspects)), func(a, b string) int {
+		return cmp.Compare(t.suspects[a].last, t.suspects[b].last)
+	}))
 }
 
 // judge decides which parts are quarantined. The part with the most evidence explains the
