--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -31,7 +31,7 @@
 	departures map[string]departure
 	// outdated contains the entries that are not used, by id.
 	outdated map[string]outdatedEntry
-	// eras contains the store's era of the last list of each topic.
+	// eras contains the store's era in the last list of each topic.
 	eras [TopicCount]int64
 	// restoredAt is the time of the first list of targets after the last restore of the store;
 	// nil before.
@@ -56,7 +56,8 @@
 	Subject string
 	// Outcome is the object's new state.
 	Outcome string
-	// Keep is how long a lapsed target is kept at most; zero for all other outcomes.
+	// Keep is how long a lapsed target or evacuation is kept at most; zero for all other
+	// outcomes.
 	Keep time.Duration
 }
 
