Test targets drop withdrawn requests, and only crashed ones count

The log of one: two targets crash, the part is quarantined, and the attempts at four others are withdrawn before their answers begin; the stand-in crashed on withdrawn requests too, and the test counted each target that had got one. Change: the stand-in drops a request whose connection closes, as servers do, and counts a target as crashed when it crashes. The bound of five stays.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -13,9 +13,9 @@
 // crashingPart is the part of a prompt on which the targets of these tests crash.
 const crashingPart = "crash"
 
-// newCrashingGateway starts a gateway with n targets that crash as soon as they begin the
-// answer to a request with crashingPart: the connection ends after the head and no other one
-// is accepted. They answer other requests after delay.
+// newCrashingGateway starts a gateway with n targets that answer requests after delay, and
+// crash as they begin the answer to a request with crashingPart: the connection ends after the
+// head and no other one is accepted. They drop requests that are withdrawn before.
 func newCrashingGateway(t *testing.T, n int, delay time.Duration) *testGateway {
 	t.Helper()
 	var gw *testGateway
@@ -23,13 +23,18 @@
 	for i := range handlers {
 		answer := streamEvents(3, 0)
 		handlers[i] = func(w http.ResponseWriter, r *http.Request) {
-			time.Sleep(delay)
+			select {
+			case <-time.After(delay):
+			case <-r.Context().Done():
+				return
+			}
 			if !strings.Contains(r.Header.Get("T-Prompt"), crashingPart) {
 				answer(w, r)
 				return
 			}
 			w.Header().Set("T-Sign", "signed")
 			w.(http.Flusher).Flush()
+			gw.targets[i].crashed.Store(true)
 			_ = gw.targets[i].server.Listener.Close()
 			closeConnection(w, r)
 		}
@@ -38,16 +43,12 @@
 	return gw
 }
 
-// crashed returns the number of targets that have crashed: those that got a request with
-// crashingPart.
+// crashed returns the number of targets that have crashed.
 func (gw *testGateway) crashed() int {
 	n := 0
 	for _, target := range gw.targets {
-		for _, r := range target.requests() {
-			if strings.Contains(r.Header.Get("T-Prompt"), crashingPart) {
-				n++
-				break
-			}
+		if target.crashed.Load() {
+			n++
 		}
 	}
 	return n
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -148,6 +149,8 @@
 	server *httptest.Server
 	mu     sync.Mutex
 	seen   []*http.Request
+	// crashed is true once the target accepts no more connections.
+	crashed atomic.Bool
 }
 
 // requests returns the requests that the target has received.
