quarantine: names and comments that a newcomer would stumble over

Comments said that only the gateway's own answers count and that only its own crashes are told on; both were wrong.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -56,7 +56,7 @@
 	return err
 }
 
-// recordAnswer records the first event of the answer, or the whole answer if it is no stream.
+// recordAnswer records the first event of a stream, or a successful answer that is no stream.
 func (a *attempt) recordAnswer() {
 	if len(a.x.sharedParts) == 0 {
 		return
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -99,8 +99,8 @@
 	if !e.Answered || s == nil {
 		return
 	}
-	t.unjudged = t.unjudged || !s.known
-	s.known = true
+	t.unjudged = t.unjudged || !s.answeredBefore
+	s.answeredBefore = true
 	t.clear(now-time.Duration(min(max(0, e.AnsweredMs), maxAgeMs))*time.Millisecond, e.Part)
 }
 
@@ -108,7 +108,7 @@
 // were cleared long enough ago. Quarantined parts stay until an answer to them arrives.
 func (t *Tracker) expire(now time.Duration) {
 	for p, s := range t.suspects {
-		if s.mates == nil && now-s.last > t.evidenceTime {
+		if s.tied == nil && now-s.last > t.evidenceTime {
 			delete(t.suspects, p)
 		}
 	}
@@ -139,7 +139,7 @@
 func (t *Tracker) Status(now time.Duration) []Status {
 	var out []Status
 	for p, s := range t.suspects {
-		out = append(out, Status{Part: p, Crashes: len(s.crashes), LastCrashMsAgo: (now - s.last).Milliseconds(), Quarantined: s.mates != nil})
+		out = append(out, Status{Part: p, Crashes: len(s.crashes), LastCrashMsAgo: (now - s.last).Milliseconds(), Quarantined: s.tied != nil})
 	}
 	slices.SortFunc(out, func(a, b Status) int { return cmp.Compare(a.LastCrashMsAgo, b.LastCrashMsAgo) })
 	return out
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -2,8 +2,8 @@
 // requests must not reach a target because of them.
 //
 // The evidence against a part is the set of targets that ended while they had a request with
-// the part whose answer had not got as far as its first event. Evidence for a part is the first
-// event of an answer to a request that has it. A part is quarantined once the evidence against
+// the part whose answer had not got as far as its first event. Evidence for a part is a
+// successful answer to a request that has it, for a stream its first event. A part is quarantined once the evidence against
 // it, less what other quarantined parts explain, reaches a limit. Gateways exchange their
 // evidence.
 //
@@ -75,13 +75,14 @@
 	crashes map[uint32]crash
 	// last is the time of the last crash.
 	last time.Duration
-	// known is true if an answer to the part was remembered at its first crash.
-	known bool
+	// answeredBefore is true if this gateway or another one remembers an answer to the part
+	// from before its first crash.
+	answeredBefore bool
 	// nextTrial is the earliest time of the next request that is let through.
 	nextTrial time.Duration
-	// mates are the parts, including this one, that the same crashes speak against; nil unless
+	// tied are the parts, including this one, that the same crashes speak against; nil unless
 	// the part is quarantined. Only requests with all of them are refused.
-	mates []string
+	tied []string
 	// quarantined is true once the part has been quarantined.
 	quarantined bool
 }
@@ -94,7 +95,8 @@
 	cleared map[string]time.Duration
 	// evidenceTime is this gateway's own time for which a crash counts.
 	evidenceTime time.Duration
-	// changed is true if crashes were added that other gateways do not know of.
+	// changed is true if crashes were added, also those that other gateways reported, since
+	// TakeChanged was called.
 	changed bool
 	// unjudged is true if evidence has changed since the last judgement.
 	unjudged  bool
@@ -131,8 +133,8 @@
 	for _, p := range parts {
 		s := t.suspects[p]
 		switch {
-		case s == nil || s.mates == nil && s.known:
-			continue
+		case s == nil || s.tied == nil && s.answeredBefore:
+			continue // requests with a widely shared part go on until it is quarantined
 		case now < s.nextTrial:
 			v, wait = Held, max(wait, s.nextTrial-now)
 		}
@@ -158,9 +160,9 @@
 	return 0, false
 }
 
-// refuses reports whether the part is quarantined and the request has all of its mates.
+// refuses reports whether the part is quarantined and the request has all of its tied.
 func (s *suspect) refuses(parts []string) bool {
-	return s.mates != nil && !slices.ContainsFunc(s.mates, func(p string) bool { return !slices.Contains(parts, p) })
+	return s.tied != nil && !slices.ContainsFunc(s.tied, func(p string) bool { return !slices.Contains(parts, p) })
 }
 
 // RecordAnswer records the first event of an answer to a request with the parts.
@@ -216,7 +218,7 @@
 	if s == nil {
 		t.makeRoom()
 		_, known := t.answered.time(p)
-		s = &suspect{crashes: map[uint32]crash{}, known: known, last: c.at}
+		s = &suspect{crashes: map[uint32]crash{}, answeredBefore: known, last: c.at}
 		t.suspects[p] = s
 		delete(t.cleared, p)
 		t.decide(p, "suspected", 1)
@@ -264,7 +266,7 @@
 	open := make([]string, 0, len(t.suspects))
 	for p, s := range t.suspects {
 		open = append(open, p)
-		s.mates = nil
+		s.tied = nil
 	}
 	slices.Sort(open) // the same order at each gateway
 	for len(open) > 0 {
@@ -274,10 +276,10 @@
 		if t.suspects[worst].weight(explained) < quarantineWeight {
 			return
 		}
-		mates, rest := t.splitMates(open, worst, explained)
-		for _, p := range mates {
+		tied, rest := t.splitTied(open, worst, explained)
+		for _, p := range tied {
 			s := t.suspects[p]
-			s.mates = mates
+			s.tied = tied
 			if !s.quarantined {
 				s.quarantined = true
 				t.decide(p, "quarantined", len(s.crashes))
@@ -290,18 +292,18 @@
 	}
 }
 
-// splitMates splits parts into those that the same unexplained crashes speak against as
+// splitTied splits parts into those that the same unexplained crashes speak against as
 // against worst, with as much weight, and the others.
-func (t *Tracker) splitMates(parts []string, worst string, explained map[uint32]bool) (mates, rest []string) {
+func (t *Tracker) splitTied(parts []string, worst string, explained map[uint32]bool) (tied, rest []string) {
 	s := t.suspects[worst]
 	for _, p := range parts {
 		if o := t.suspects[p]; o.weight(explained) == s.weight(explained) && sameTargets(o.crashes, s.crashes, explained) {
-			mates = append(mates, p)
+			tied = append(tied, p)
 		} else {
 			rest = append(rest, p)
 		}
 	}
-	return mates, rest
+	return tied, rest
 }
 
 func sameTargets(a, b map[uint32]crash, explained map[uint32]bool) bool {
@@ -321,7 +323,7 @@
 // weight returns the weight of the crashes that are not explained by another part.
 func (s *suspect) weight(explained map[uint32]bool) int {
 	begun, waiting := weightBegun, weightWaiting
-	if s.known {
+	if s.answeredBefore {
 		begun, waiting = weightBegunKnown, weightWaitingKnown
 	}
 	sum := 0
