testaddr: no process is forked while a free address is tried

Cause: Free tries an address with a listener and closes it. A process that is being forked at that moment holds a copy until its program runs, and the copy accepts connections. Class: a descriptor shared with a process being started; Listen already warned of it, Free did not guard against it.

Change: Free holds syscall.ForkLock for reading, as the syscall package provides for descriptors that must not reach a new process.

Looked for elsewhere: the other users of Free either wait for an answer of the program (gateway's main_test, soak) or start no processes (gateway's harness).

--- a/internal/testaddr/testaddr.go
+++ b/internal/testaddr/testaddr.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 )
 
 // The ports are below the range of ephemeral ports, so that outgoing connections do not
@@ -24,6 +25,10 @@
 
 // Free returns an address that nothing listens on. It returns each address only once.
 func Free() (string, error) {
+	// A process forked before Close would hold a copy of the listener, which accepts
+	// connections until the process runs its program.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	ln, err := Listen()
 	if err != nil {
 		return "", err
