daemon: take SIGHUP at the program's first step

What users saw: a gateway ended when a reload was requested while it started.

Cause: SIGHUP was subscribed in WatchSettings, after the settings were loaded and the listeners opened; until then the signal's default action ends the process. Class: a subscription later than the first moment at which its event can come.

Change: Main subscribes before anything else, WatchSettings reads from that channel, so a signal during the start causes a reload after it.

What remains are the kernel's exec, the runtime's start and the initialisation of packages.

Looked for elsewhere: SIGTERM during the start ends the process by its default action before anything is accepted, which is what is asked for.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,7 @@
 // Main loads the settings file that the command line names, and runs the program with
 // it unless --check is given.
 func Main[S any](load func(path string) (S, error), run func(path string, s S) error) {
+	signal.Notify(reloadSignals, syscall.SIGHUP)
 	args := ParseArgs()
 	s, err := load(args.Settings)
 	if err != nil {
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -13,13 +11,14 @@
 // settingsPollInterval is the interval at which the settings file is checked for changes.
 const settingsPollInterval = 2 * time.Second
 
+// reloadSignals receives SIGHUP. Main subscribes it, so that a signal during the start
+// causes a reload instead of ending the process.
+var reloadSignals = make(chan os.Signal, 1)
+
 // WatchSettings calls reload on SIGHUP and when the settings file has changed, until
 // ctx ends. If reload returns an error, which is logged, the current settings must stay in
 // effect.
 func WatchSettings(ctx context.Context, path string, logger *log.Logger, reload func() error) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastModified := modTime(path)
@@ -27,7 +26,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-reloadSignals:
 		case <-ticker.C:
 			if modTime(path).Equal(lastModified) {
 				continue
