quarantine: only the gateway that saw a crash tells it at once

Change: TakeChanged counts crashes of this gateway only; the others pass them on with their regular messages. TestReportedCrashIsNotToldAgainAtOnce fails before and passes.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -119,8 +119,9 @@
 	}
 }
 
-// TakeChanged reports whether evidence was added since the last call that other gateways should
-// hear of at once.
+// TakeChanged reports whether this gateway has seen a crash since the last call, which others
+// should hear of at once. Those pass it on with their regular messages only, so that the
+// messages after a crash grow with the number of gateways and not with its square.
 func (t *Tracker) TakeChanged() bool {
 	changed := t.changed
 	t.changed = false
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -28,8 +28,10 @@
 
 const (
 	fleetStep = 10 * time.Millisecond
-	// fleetInterval is the interval of the messages of each gateway.
-	fleetInterval = 100 * time.Millisecond
+	// fleetInterval is the interval of the messages of each gateway in a fleet of up to
+	// fullRateGateways; it grows with the gateways beyond them.
+	fleetInterval    = 100 * time.Millisecond
+	fullRateGateways = 40
 	// fleetArrivals is the mean time between requests with the part.
 	fleetArrivals = 250 * time.Millisecond
 	// fleetPrefill is the longest time from the arrival of a request to its first event.
@@ -39,6 +41,7 @@
 
 // crashes returns how many targets end within fleetTime.
 func crashes(seed uint64, gateways int, loss float64) int {
+	interval := fleetInterval * time.Duration(max(1, gateways/fullRateGateways))
 	f := &fleetRun{rng: rand.New(rand.NewPCG(seed, 0)), loss: loss, running: map[time.Duration][]fleetRequest{}}
 	for range gateways {
 		g := New(f.rng)
@@ -53,7 +56,7 @@
 			f.arrive(now, fleetRequest{gateway: f.rng.IntN(gateways), parts: []string{"route", "doc", "x"}})
 		}
 		for i, g := range f.gateways {
-			if g.TakeChanged() || now%fleetInterval == time.Duration(i)*fleetStep%fleetInterval {
+			if g.TakeChanged() || now%interval == time.Duration(i)*fleetStep%interval {
 				f.send(now, i)
 			}
 		}
@@ -102,7 +105,7 @@
 // in all, also if messages between the gateways are lost.
 func TestFleetEndsFewTargets(t *testing.T) {
 	const maxCrashed = 5
-	for gateways, seeds := range map[int]uint64{9: 40, 30: 10, 100: 3} {
+	for gateways, seeds := range map[int]uint64{9: 40, 30: 10, 100: 3, 350: 1} {
 		for _, loss := range []float64{0, 0.1, 0.3} {
 			t.Run(fmt.Sprintf("%d-gateways-loss-%.0f", gateways, 100*loss), func(t *testing.T) {
 				most, sum := 0, 0
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -95,8 +95,7 @@
 	cleared map[string]time.Duration
 	// evidenceTime is this gateway's own time for which a crash counts.
 	evidenceTime time.Duration
-	// changed is true if crashes were added, also those that other gateways reported, since
-	// TakeChanged was called.
+	// changed is true if this gateway has seen crashes since TakeChanged was called.
 	changed bool
 	// unjudged is true if evidence has changed since the last judgement.
 	unjudged  bool
@@ -208,12 +207,15 @@
 // head of its answer had arrived.
 func (t *Tracker) RecordCrash(now time.Duration, target uint32, parts []string, begun bool) {
 	for _, p := range parts {
-		t.addCrash(now, p, target, crash{at: now, begun: begun})
+		if t.addCrash(now, p, target, crash{at: now, begun: begun}) {
+			t.changed = true
+		}
 	}
 	t.judge()
 }
 
-func (t *Tracker) addCrash(now time.Duration, p string, target uint32, c crash) {
+// addCrash reports whether the crash adds to the evidence.
+func (t *Tracker) addCrash(now time.Duration, p string, target uint32, c crash) bool {
 	s := t.suspects[p]
 	if s == nil {
 		t.makeRoom()
@@ -225,7 +227,7 @@
 	}
 	old, ok := s.crashes[target]
 	if ok && (old.begun || !c.begun) {
-		return
+		return false
 	}
 	if ok {
 		c.at = min(c.at, old.at)
@@ -235,7 +237,8 @@
 	s.crashes[target] = c
 	s.last = max(s.last, c.at)
 	s.nextTrial = max(s.nextTrial, now+suspectPause)
-	t.changed, t.unjudged = true, true
+	t.unjudged = true
+	return true
 }
 
 // dropOldest drops the crash that is longest ago.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -138,6 +138,16 @@
 	assert.Equal(t, verdict(a, 12*time.Second, "x"), Allowed)
 }
 
+// Guards against messages whose number grows with the square of the gateways: a crash is told
+// at once only by the gateway that saw it.
+func TestReportedCrashIsNotToldAgainAtOnce(t *testing.T) {
+	a, b := newTracker(), newTracker()
+	a.RecordCrash(0, 1, []string{"x"}, true)
+	assert.Assert(t, a.TakeChanged())
+	b.Merge(0, a.Evidence(0))
+	assert.Assert(t, !b.TakeChanged())
+}
+
 // Guards against a gateway that has just started and holds back requests with parts that
 // others know to be sound.
 func TestOtherGatewaysVouchForAPart(t *testing.T) {
