gateway: crashes after the first event of a stream (red tests)

A stream that breaks is resumed at another target although a part of its prompt is quarantined by then.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -15,8 +15,9 @@
 
 // newCrashingGateway starts a gateway with n targets that answer requests after delay, and
 // crash as they begin the answer to a request with crashingPart: the connection ends after the
-// head and no other one is accepted. They drop requests that are withdrawn before.
-func newCrashingGateway(t *testing.T, n int, delay time.Duration) *testGateway {
+// head and some events, and no other one is accepted. They drop requests that are withdrawn
+// before.
+func newCrashingGateway(t *testing.T, n int, delay time.Duration, eventsBeforeCrash int) *testGateway {
 	t.Helper()
 	var gw *testGateway
 	handlers := make([]http.HandlerFunc, n)
@@ -32,10 +33,11 @@
 				answer(w, r)
 				return
 			}
-			w.Header().Set("T-Sign", "signed")
+			last := 0
+			_, _ = fmt.Sscan(r.Header.Get("T-Last"), &last)
+			streamEvents(last+eventsBeforeCrash, 0)(w, r)
 			w.(http.Flusher).Flush()
-			gw.targets[i].crashed.Store(true)
-			_ = gw.targets[i].server.Listener.Close()
+			gw.targets[i].crash()
 			closeConnection(w, r)
 		}
 	}
@@ -65,7 +67,7 @@
 // other. No two of them are alike; requests without the part share their other parts.
 func TestRequestsWithACrashingPartEndFewTargets(t *testing.T) {
 	const maxCrashed = 5
-	gw := newCrashingGateway(t, 12, 0)
+	gw := newCrashingGateway(t, 12, 0, 0)
 	for i := range 4 {
 		status, _, _, _ := gw.do(getPrompt(fmt.Sprint("s", i), "route", fmt.Sprint("doc", i))...)
 		assert.Equal(t, status, 200)
@@ -78,11 +80,41 @@
 	assert.Assert(t, gw.crashed() <= maxCrashed, "%d targets crashed", gw.crashed())
 }
 
+// Guards against a first event that counts as an answer although the target crashes right after
+// it: streams with the part went on at one target after the other.
+func TestStreamsThatCrashAfterTheirFirstEventEndFewTargets(t *testing.T) {
+	const maxCrashed = 5
+	gw := newCrashingGateway(t, 12, 0, 1)
+	for i := range 12 {
+		gw.do(getPrompt(fmt.Sprint("c", i), "route", crashingPart)...)
+	}
+	assert.Assert(t, gw.crashed() <= maxCrashed, "%d targets crashed", gw.crashed())
+}
+
+// Guards against a stream that goes on at another target after a part of its prompt has been
+// quarantined.
+func TestStreamWithAQuarantinedPartIsNotResumed(t *testing.T) {
+	var gw *testGateway
+	breakStream := func(w http.ResponseWriter, r *http.Request) {
+		streamEvents(1, 0)(w, r)
+		gw.g.mu.Lock()
+		for target := range uint32(4) {
+			gw.g.quarantine.RecordCrash(gw.g.now(), target, []string{crashingPart}, true)
+		}
+		gw.g.mu.Unlock()
+		closeConnection(w, r)
+	}
+	gw = newTestGateway(t, breakStream, breakStream).waitReady()
+	_, _, _, whole := gw.do(getPrompt("a", crashingPart)...)
+	assert.Assert(t, !whole)
+	assert.Equal(t, len(gw.targets[0].requests())+len(gw.targets[1].requests()), 1)
+}
+
 // Guards against requests that reach targets all at once: many callers send requests with
 // the part at the same time, before any of them has failed.
 func TestSimultaneousRequestsWithACrashingPartEndFewTargets(t *testing.T) {
 	const maxCrashed = 5
-	gw := newCrashingGateway(t, 12, 30*time.Millisecond)
+	gw := newCrashingGateway(t, 12, 30*time.Millisecond, 0)
 	done := make(chan struct{})
 	for i := range 24 {
 		go func() {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -153,6 +153,12 @@
 	crashed atomic.Bool
 }
 
+// crash makes the target accept no more connections.
+func (f *fakeTarget) crash() {
+	f.crashed.Store(true)
+	_ = f.server.Listener.Close()
+}
+
 // requests returns the requests that the target has received.
 func (f *fakeTarget) requests() []*http.Request {
 	f.mu.Lock()
