gateway: a stream with a quarantined part is not resumed

What callers saw: nothing of their own; a stream that broke went on at another target although its prompt had a part that targets crash on, and could end that target too.

Cause: dispatch checks the quarantine before each attempt, resume chose targets without it. Change: resume checks before each attempt as well; the stream ends as it broke.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -193,6 +193,9 @@
 	if x.route.Repeat != fleet.Resumable || !x.hasEvent || x.attempts >= x.route.MaxAttempts {
 		return failed, false
 	}
+	if a.g.checkQuarantine(x) != nil {
+		return failed, false
+	}
 	if !a.g.takeRepeat(x.service) {
 		a.g.count.overBudget.Inc(1)
 		return failed, false
@@ -206,7 +209,7 @@
 		}
 		next := a.g.newAttempt(x, choice)
 		err, again := next.run()
-		if err == nil || !again || !next.unsent && !a.g.takeRepeat(x.service) {
+		if err == nil || !again || a.g.checkQuarantine(x) != nil || !next.unsent && !a.g.takeRepeat(x.service) {
 			return err, false
 		}
 	}
