gateway: a stream counts as answered only once it goes on

Cause: the first event of a stream counted as an answer. It ended the suspicion against the parts of the prompt, remembered them as answered, and the crash after it was no evidence. Class: success is concluded from the begin of an answer.

Change: a stream counts as answered when it is complete or has gone on for half a second after its first event; until then the end of its target is evidence, also before a resume. The answer speaks only against crashes from before it began. An attempt is withdrawn for a quarantine only until its first event, as before, since the caller has the head by then.

Measured: TestStreamsThatCrashAfterTheirFirstEventEndFewTargets fails before (12 targets) and passes five of five with -race; sound requests with the same first part, added to it, all succeed once the part has been answered. Internal tests of gateway and quarantine pass.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -56,39 +56,45 @@
 	return err
 }
 
-// recordAnswer records the first event of a stream, or a successful answer that is no stream.
+// recordAnswer records a successful answer, or a stream that has gone on for answeredAfter.
 func (a *attempt) recordAnswer() {
-	if len(a.x.sharedParts) == 0 {
+	if a.answered || a.began == 0 || len(a.x.sharedParts) == 0 {
 		return
 	}
+	a.answered = true
 	a.g.mu.Lock()
-	delete(a.g.unanswered, a)
-	a.g.quarantine.RecordAnswer(a.g.now(), a.x.sharedParts)
+	a.g.quarantine.RecordAnswer(a.began, a.x.sharedParts)
 	decisions := a.g.quarantine.TakeDecisions()
 	a.g.mu.Unlock()
 	a.g.logPartDecisions(decisions)
 }
 
-// trackUnanswered lets the attempt be cancelled until stop is called or its answer has begun, if
-// a part of the request's prompt is quarantined.
-func (a *attempt) trackUnanswered() (stop func()) {
+// trackUnanswered lets the attempt be cancelled if a part of the request's prompt is
+// quarantined, until untrackUnanswered is called.
+func (a *attempt) trackUnanswered() {
 	if len(a.x.sharedParts) == 0 {
-		return func() {}
+		return
 	}
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
 	a.g.unanswered[a] = struct{}{}
-	return func() {
-		a.g.mu.Lock()
-		defer a.g.mu.Unlock()
-		delete(a.g.unanswered, a)
+}
+
+// untrackUnanswered is called with the first event of a stream, which the caller gets, and at
+// the end of the attempt.
+func (a *attempt) untrackUnanswered() {
+	if len(a.x.sharedParts) == 0 {
+		return
 	}
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	delete(a.g.unanswered, a)
 }
 
-// recordEnd handles a connection that ended before the first event of the answer: if the target
-// has ended too, the parts of the request's prompt come under suspicion.
+// recordEnd handles a connection that the target ended: if the request does not count as
+// answered and the target has ended too, the parts of its prompt come under suspicion.
 func (a *attempt) recordEnd() {
-	if len(a.x.sharedParts) == 0 {
+	if a.answered || len(a.x.sharedParts) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(a.x.ctx, crashCheckTimeout)
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -87,8 +87,11 @@
 func TestStreamsThatCrashAfterTheirFirstEventEndFewTargets(t *testing.T) {
 	const maxCrashed = 5
 	gw := newCrashingGateway(t, 12, 0, 1)
+	gw.do(getPrompt("first", "route")...)
 	for i := range 12 {
 		gw.do(getPrompt(fmt.Sprint("c", i), "route", crashingPart)...)
+		status, _, _, whole := gw.do(getPrompt(fmt.Sprint("s", i), "route")...)
+		assert.Check(t, status == 200 && whole, "sound request %d got status %d", i, status)
 	}
 	assert.Assert(t, gw.crashed() <= maxCrashed, "%d targets crashed", gw.crashed())
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -55,9 +55,6 @@
 			return err
 		}
 		g.logAttempt(x, choice, a.answerBegun, err)
-		if a.connectionEnded {
-			a.recordEnd()
-		}
 		if !again {
 			return err
 		}
@@ -166,9 +163,11 @@
 	headReceived atomic.Bool
 	// answerBegun is true once the head of the response has arrived.
 	answerBegun bool
-	// connectionEnded is true if the target ended the connection before the first event of its
-	// answer.
-	connectionEnded bool
+	// began is when the answer began: the first event of a stream or the end of another answer,
+	// as the time since the gateway's start. It is zero before that.
+	began time.Duration
+	// answered is true once the request counts as answered in the evidence on its prompt.
+	answered bool
 }
 
 func (g *Gateway) newAttempt(x *exchange, c placement.Choice) *attempt {
@@ -181,7 +180,8 @@
 // target may be tried.
 func (a *attempt) run() (err *apierr.Error, again bool) {
 	defer a.cancel(nil)
-	defer a.trackUnanswered()()
+	a.trackUnanswered()
+	defer a.untrackUnanswered()
 	a.g.count.attempts.Inc(1)
 	stop := a.watch()
 	answer, failure := a.g.client.Do(a.ctx, a.call())
@@ -267,11 +267,11 @@
 		err, _ := x.recordIndeterminate(apierr.Wrap(apierr.KindTargetFailed, a.target.ID, cause))
 		return err, false
 	case f.Reused:
-		a.connectionEnded = true
 		a.reportResult(placement.Inconclusive)
+		a.recordEnd()
 	default:
-		a.connectionEnded = true
 		a.reportResult(placement.Failed)
+		a.recordEnd()
 	}
 	return x.recordIndeterminate(apierr.Wrap(apierr.KindTargetFailed, a.target.ID, f))
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -44,11 +44,12 @@
 		if errors.Is(a.cause(), errDeadline) {
 			return x.timeoutError(), false
 		}
-		a.connectionEnded = true
+		a.recordEnd()
 		return x.recordIndeterminate(apierr.Wrap(apierr.KindTruncated, a.target.ID, err))
 	}
 	answer.Finish()
 	if answer.Status < 300 {
+		a.began = a.g.now()
 		a.recordAnswer()
 	}
 	if answer.Status >= 500 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,6 +21,10 @@
 // waits depend on the gaps between the group's events.
 const initialStallTimeout = time.Second
 
+// answeredAfter is the time after its first event from which a stream that goes on counts as
+// answered. A target that crashes on a part of the prompt ends before.
+const answeredAfter = 500 * time.Millisecond
+
 // cause returns the reason why the attempt was cancelled, or nil.
 func (a *attempt) cause() error { return context.Cause(a.ctx) }
 
@@ -48,14 +52,17 @@
 		ev, err := events.Next()
 		if err == nil {
 			if !active {
-				active = true
-				a.recordAnswer()
+				active, a.began = true, a.g.now()
+				a.untrackUnanswered()
 				a.addActiveStreams(1)
 				stallTimer.Reset(initialStallTimeout)
 			} else {
 				stallTimer.Reset(a.recordEvent(time.Since(last)))
 			}
 			last = time.Now()
+			if a.g.now()-a.began >= answeredAfter {
+				a.recordAnswer()
+			}
 			err = a.checkOrder(ev)
 		}
 		if err != nil {
@@ -154,6 +161,7 @@
 	x := a.x
 	if errors.Is(err, io.EOF) && x.headSent {
 		answer.Finish()
+		a.recordAnswer()
 		a.reportResult(placement.Answered)
 		x.out.write([]byte(http1.LastChunk))
 		return nil, false
@@ -177,8 +185,8 @@
 		failed, _ := x.recordIndeterminate(apierr.Wrap(apierr.KindTargetFailed, a.target.ID, cause))
 		return failed, false
 	default:
-		a.connectionEnded = !x.hasEvent
 		a.reportResult(placement.Failed)
+		a.recordEnd()
 	}
 	failed := apierr.Wrap(apierr.KindTruncated, a.target.ID+" after event "+strconv.FormatInt(x.lastEvent, 10), err)
 	if !x.headSent {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -2,10 +2,10 @@
 // requests must not reach a target because of them.
 //
 // The evidence against a part is the set of targets that ended while they had a request with
-// the part whose answer had not got as far as its first event. Evidence for a part is a
-// successful answer to a request that has it, for a stream its first event. A part is quarantined once the evidence against
-// it, less what other quarantined parts explain, reaches a limit. Gateways exchange their
-// evidence.
+// the part that did not count as answered. A successful answer to a request with the part speaks
+// for it, and so does a stream that went on for some time after its first event. A part is
+// quarantined once the evidence against it, less what other quarantined parts explain, reaches a
+// limit. Gateways exchange their evidence.
 //
 // A Tracker is a state machine without I/O: callers pass in the time since their start and must
 // not use it concurrently.
@@ -164,10 +164,11 @@
 	return s.tied != nil && !slices.ContainsFunc(s.tied, func(p string) bool { return !slices.Contains(parts, p) })
 }
 
-// RecordAnswer records the first event of an answer to a request with the parts.
-func (t *Tracker) RecordAnswer(now time.Duration, parts []string) {
+// RecordAnswer records that a request with the parts was answered by an answer that began at a
+// time. It speaks against crashes up to that time only.
+func (t *Tracker) RecordAnswer(began time.Duration, parts []string) {
 	for _, p := range parts {
-		t.clear(now, p)
+		t.clear(began, p)
 	}
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -78,6 +78,16 @@
 	assert.Equal(t, verdict(tr, now, "x"), Quarantined)
 }
 
+// Guards against a stream that began before a part crashed targets and ends the suspicion.
+func TestAnswerThatBeganBeforeACrashDoesNotRefuteIt(t *testing.T) {
+	tr := newTracker()
+	tr.RecordCrash(2*time.Second, 1, []string{"x"}, true)
+	tr.RecordAnswer(time.Second, []string{"x"})
+	assert.Equal(t, verdict(tr, 2*time.Second, "x"), Held)
+	tr.RecordAnswer(3*time.Second, []string{"x"})
+	assert.Equal(t, verdict(tr, 3*time.Second, "x"), Allowed)
+}
+
 // A part that was answered before needs more evidence, but is found within five crashes.
 func TestPartThatWasAnsweredBeforeIsQuarantinedLater(t *testing.T) {
 	tr := newTracker()
