soak: SIGHUP is sent to programs that run

Change: the fault waits for the first line that the process writes, at most a second, and is left out if there is none. That line comes before the listeners open, so the signal still falls into the start. TestReloadSignalDuringStartReloads guards what comes before the line.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -34,6 +34,9 @@
 		tb.signal(g, syscall.SIGSTOP)
 		return "SIGSTOP " + g.name, duration, func() { tb.signal(g, syscall.SIGCONT) }
 	case 3:
+		if !tb.awaitProgram(g) {
+			return "no SIGHUP " + g.name + ", it is not running", 0, nil
+		}
 		tb.signal(g, syscall.SIGHUP)
 		return "SIGHUP " + g.name, 0, nil
 	case 4:
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -31,6 +31,8 @@
 	name, listenAddr, readyAddr, settings, logPath string
 	cmd                                            *exec.Cmd
 	exited                                         chan struct{}
+	// logOffset is the size in bytes of the log file when the process was started.
+	logOffset int64
 	// restarting is true while a fault waits for the exit of the process to start it again.
 	restarting bool
 	// faultUntil is the time until which callers may see faults of this process.
@@ -146,6 +148,9 @@
 	log, err := os.OpenFile(g.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(tb.t, err)
 	defer func() { _ = log.Close() }()
+	info, err := log.Stat()
+	assert.NilError(tb.t, err)
+	g.logOffset = info.Size()
 	g.cmd = exec.Command("../../bin/gentiantrail-gateway", "--settings", g.settings)
 	g.cmd.Stdout, g.cmd.Stderr = log, log
 	assert.NilError(tb.t, g.cmd.Start())
@@ -163,6 +168,21 @@
 	_ = g.cmd.Process.Signal(s)
 }
 
+// awaitProgram waits until the process has written to its log, and reports whether it has.
+// No program can handle a signal that comes before its own code runs.
+func (tb *testbed) awaitProgram(g *gatewayProcess) bool {
+	const timeout = time.Second // of a process that a fault ended or stopped
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		tb.mu.Lock()
+		offset := g.logOffset
+		tb.mu.Unlock()
+		if info, err := os.Stat(g.logPath); err == nil && info.Size() > offset {
+			return true
+		}
+	}
+	return false
+}
+
 // close stops all processes and stand-ins of the seed. If the test failed, it logs the
 // faults and keeps the logs of the gateways.
 func (tb *testbed) close() {
