gateway: an undecodable entry does not hide the other parts of a prompt

What users could see: requests with a quarantined part reach targets if one entry of the list can't be decoded, or if the list is spread over two fields; the target reads the rest.

Cause: the list counted as undecodable as a whole, and only the first field was read. Class: two readers of one field that differ on what they accept.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -143,6 +143,26 @@
 	assert.Assert(t, gw.crashed() <= maxCrashed, "%d targets crashed", gw.crashed())
 }
 
+// Guards against requests that hide a quarantined part in a list that can't be decoded whole,
+// or that is spread over several fields. The target decodes what it can.
+func TestQuarantinedPartCanNotBeHidden(t *testing.T) {
+	gw := newTestGateway(t, streamEvents(3, 0)).waitReady()
+	gw.g.mu.Lock()
+	for target := range uint32(2) {
+		gw.g.quarantine.RecordCrash(gw.g.now(), target, []string{crashingPart}, true)
+	}
+	gw.g.mu.Unlock()
+	for name, lines := range map[string][]string{
+		"undecodable entry before": getPrompt("a", "?", crashingPart),
+		"undecodable last entry":   append(get("/stream/"), "T-Prompt: route "+crashingPart+" ?"),
+		"second field":             append(get("/stream/"), "T-Prompt: route", "T-Prompt: "+crashingPart+" own"),
+	} {
+		status, _, _, _ := gw.do(lines...)
+		assert.Check(t, status == http.StatusServiceUnavailable, "%s: status %d", name, status)
+	}
+	assert.Equal(t, len(gw.targets[0].requests()), 0)
+}
+
 // Guards against an error of a target that counts as an answer and ends a suspicion: a target
 // that fails a request has not begun to answer its prompt.
 func TestErrorAnswerDoesNotEndASuspicion(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,8 @@
 	Headers  Headers
 	Source   fleet.Source
 	// PromptParts decodes the value of header Prompt into the ids of its parts, in their
-	// order. The last part belongs to the request or its session alone.
+	// order. The last part belongs to the request or its session alone. Parts that can't be
+	// decoded have empty ids and cause an error, which does not concern the others.
 	PromptParts func(value string) ([]string, error)
 	Probe       EngineProbe
 	Logger      *log.Logger
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -242,8 +242,18 @@
 	return gw
 }
 
-// splitParts decodes the test's form of a prompt, ids separated by spaces.
-func splitParts(value string) ([]string, error) { return strings.Fields(value), nil }
+// splitParts decodes the test's form of a prompt, ids separated by spaces or commas; a question
+// mark is an entry that can't be decoded.
+func splitParts(value string) ([]string, error) {
+	parts := strings.Fields(strings.ReplaceAll(value, ",", " "))
+	var err error
+	for i, p := range parts {
+		if p == "?" {
+			parts[i], err = "", errors.New("undecodable part")
+		}
+	}
+	return parts, err
+}
 
 // waitReady waits until the gateway accepts requests.
 func (gw *testGateway) waitReady() *testGateway {
