quarantine: a part that was answered before is tried again soon

What callers would see: a service without answers for ten minutes, after many targets with requests of one popular part ended together.

Cause: such a part gathers the evidence of all targets at once, and the quarantine left no request that could refute it. Class: an alarm whose effect hides that it was false.

Change: a quarantined part that was answered before is tried again 1.5 s after the last end, by the gateways in turns half a second apart on average, and after another end seven times the time over which targets have ended later. The first answer clears it at all gateways. Parts without a remembered answer stay refused for ten minutes. Retry-After names the first gateway's turn.

Not done: leaving attempts under way alone (a part that really crashes targets would end one more for each).

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -171,6 +171,7 @@
 	}
 	l.g.mu.Lock()
 	work := l.g.balancer.WorkByTarget()
+	l.g.quarantine.SetGateways(len(peers) + 1)
 	evidence := l.g.quarantine.Evidence(l.g.now())
 	l.g.mu.Unlock()
 	b, err := cbor.Marshal(workMessage{Sender: l.g.opts.Settings.Name, Work: work, Evidence: evidence})
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -50,6 +50,7 @@
 	f := &fleetRun{rng: rand.New(rand.NewPCG(seed, 0)), loss: loss, arrivals: fleetArrivals, running: map[time.Duration][]fleetRequest{}}
 	for range gateways {
 		g := New(f.rng)
+		g.SetGateways(gateways)
 		g.RecordAnswer(0, known)
 		f.gateways = append(f.gateways, g)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -27,8 +27,9 @@
 	weightBegunKnown, weightWaitingKnown = 3, 2
 	quarantineWeight                     = 12
 
-	// evidenceTime is how long a crash counts. After that time without another one, a request
-	// with a quarantined part is let through to find out whether targets still crash on it.
+	// evidenceTime is how long a crash counts. After that time without another one at the
+	// latest, a request with a quarantined part is let through to find out whether targets still
+	// crash on it.
 	evidenceTime = 10 * time.Minute
 	// evidenceJitter is the part of evidenceTime by which it differs between gateways, so that
 	// one of them finds out first and tells the others.
@@ -38,6 +39,14 @@
 	suspectPause = 1500 * time.Millisecond
 	// trialTime is the time between two requests with a suspected part.
 	trialTime = 2 * time.Second
+
+	// A quarantined part that was answered before may be sound and widely shared: many targets
+	// that end together speak against it. It is tried again after retryGrowth times the time
+	// over which targets have ended under it, so that each retry comes retryGrowth+1 times as
+	// late as the one before. retrySpacing is the mean time between the first retries of two
+	// gateways.
+	retryGrowth  = 7
+	retrySpacing = 500 * time.Millisecond
 	// maxParts bounds the parts whose answers are remembered, and maxSuspects the parts with
 	// evidence against them.
 	maxParts    = 16384
@@ -95,6 +104,10 @@
 	cleared map[string]time.Duration
 	// evidenceTime is this gateway's own time for which a crash counts.
 	evidenceTime time.Duration
+	// gateways is the number of gateways, and turn this one's place among their retries, from
+	// 0 to 1.
+	gateways int
+	turn     float64
 	// changed is true if this gateway has seen crashes since TakeChanged was called.
 	changed bool
 	// unjudged is true if evidence has changed since the last judgement.
@@ -115,10 +128,13 @@
 	spread := 1 + evidenceJitter*(2*rng.Float64()-1)
 	return &Tracker{
 		suspects: map[string]*suspect{}, cleared: map[string]time.Duration{},
-		evidenceTime: time.Duration(spread * float64(evidenceTime)),
+		evidenceTime: time.Duration(spread * float64(evidenceTime)), gateways: 1, turn: rng.Float64(),
 	}
 }
 
+// SetGateways sets the number of gateways, which take turns in trying a part again.
+func (t *Tracker) SetGateways(n int) { t.gateways = max(1, n) }
+
 // Admit decides on a request with the parts that is about to be sent to a target. For a request
 // that must not be sent, wait is the time after which it may be decided on again.
 func (t *Tracker) Admit(now time.Duration, parts []string) (v Verdict, wait time.Duration) {
@@ -148,17 +164,42 @@
 	return Trial, 0
 }
 
-// Refuses reports whether a part of a request with the parts is quarantined, and for how long.
-// It applies to requests that were admitted before.
+// Refuses reports whether a part of a request with the parts is quarantined, and after which
+// time a gateway tries it again. It applies to requests that were admitted before.
 func (t *Tracker) Refuses(now time.Duration, parts []string) (wait time.Duration, refused bool) {
 	for _, p := range parts {
-		if s := t.suspects[p]; s != nil && s.refuses(parts) && now < s.last+t.evidenceTime {
-			return s.last + t.evidenceTime - now, true
+		s := t.suspects[p]
+		if s == nil || !s.refuses(parts) {
+			continue
+		}
+		first, own := t.retryPauses(s)
+		if left := s.last + own - now; left > 0 {
+			return max(s.last+first-now, min(left, trialTime)), true
 		}
 	}
 	return 0, false
 }
 
+// retryPauses returns the times from the last crash under a quarantined part until the first
+// gateway and this one try it again.
+func (t *Tracker) retryPauses(s *suspect) (first, own time.Duration) {
+	if !s.answeredBefore {
+		return t.evidenceTime, t.evidenceTime
+	}
+	first = max(suspectPause, retryGrowth*(s.last-s.firstCrash()))
+	own = first + time.Duration(t.turn*float64(t.gateways)*float64(retrySpacing))
+	return min(first, t.evidenceTime), min(own, t.evidenceTime)
+}
+
+// firstCrash returns the time of the first of the crashes that are kept.
+func (s *suspect) firstCrash() time.Duration {
+	at := s.last
+	for _, c := range s.crashes {
+		at = min(at, c.at)
+	}
+	return at
+}
+
 // refuses reports whether the part is quarantined and the request has all of its tied.
 func (s *suspect) refuses(parts []string) bool {
 	return s.tied != nil && !slices.ContainsFunc(s.tied, func(p string) bool { return !slices.Contains(parts, p) })
