--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -47,6 +47,7 @@
 	// gateways.
 	retryGrowth  = 7
 	retrySpacing = 500 * time.Millisecond
+
 	// maxParts bounds the parts whose answers are remembered, and maxSuspects the parts with
 	// evidence against them.
 	maxParts    = 16384
