gateway: a trial that reaches no target holds a part back (red tests)

Found by playing the end of many targets against a gateway: the one request that is let through to find out about a suspected part may meet only targets that are gone; nothing was learned, but the part stays held back for two seconds, and again.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 )
 
 // crashingPart is the part of a prompt on which the targets of these tests crash.
@@ -96,6 +98,69 @@
 	assert.Assert(t, gw.crashed() <= maxCrashed, "%d targets crashed", gw.crashed())
 }
 
+// Guards against a popular part that stays refused because many targets with such requests ended
+// together: its requests are served again once stabilityWindow has passed.
+func TestServiceGoesOnAfterManyTargetsEndTogether(t *testing.T) {
+	const stabilityWindow = 3 * time.Second
+	held := make(chan struct{})
+	answer := streamEvents(3, 0)
+	handlers := make([]http.HandlerFunc, 12)
+	for i := range handlers {
+		handlers[i] = func(w http.ResponseWriter, r *http.Request) {
+			if strings.Contains(r.Header.Get("T-Prompt"), "held") {
+				<-held
+				closeConnection(w, r)
+				return
+			}
+			answer(w, r)
+		}
+	}
+	gw := newTestGateway(t, handlers...).waitReady()
+	gw.do(getPrompt("first", "route")...)
+	callers := make(chan struct{})
+	for i := range 24 {
+		c := gw.send(getPrompt(fmt.Sprint("held", i), "route", fmt.Sprint("held", i))...)
+		go func() {
+			_, _ = c.Read(make([]byte, 1))
+			callers <- struct{}{}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond) // until the requests are at targets
+	for _, target := range gw.targets[:8] {
+		target.crash()
+	}
+	close(held)
+	for range 24 {
+		<-callers
+	}
+	_, quarantined := gw.logs.find("outcome=quarantined", "subject=route")
+	assert.Assert(t, quarantined, "the ends do not speak against the part")
+	time.Sleep(stabilityWindow)
+	served := 0
+	for i := range 10 {
+		if status, _, _, _ := gw.do(getPrompt(fmt.Sprint("after", i), "route")...); status == http.StatusOK {
+			served++
+		}
+	}
+	assert.Assert(t, served >= 5, "%d of 10 requests are served", served)
+}
+
+// Guards against a part that stays held back because the request that was let through reached
+// no target.
+func TestTrialThatReachedNoTargetIsRepeated(t *testing.T) {
+	gw := newTestGateway(t, streamEvents(3, 0)).waitReady()
+	gw.g.mu.Lock()
+	gw.g.quarantine.RecordCrash(gw.g.now(), 1, []string{crashingPart}, true)
+	gw.g.mu.Unlock()
+	time.Sleep(1600 * time.Millisecond) // until a request is let through
+	gw.targets[0].crash()
+	gw.do(getPrompt("a", crashingPart)...)
+	gw.g.mu.Lock()
+	defer gw.g.mu.Unlock()
+	verdict, _ := gw.g.quarantine.Admit(gw.g.now(), []string{crashingPart})
+	assert.Equal(t, verdict, quarantine.Trial)
+}
+
 // Guards against a stream that goes on at another target after a part of its prompt has been
 // quarantined.
 func TestStreamWithAQuarantinedPartIsNotResumed(t *testing.T) {
