quarantine: a trial that reaches no target is taken back

What callers would see: after many targets ended together, a popular part refused for two seconds more each time that the request let through meets only targets that are gone.

Cause: Admit gives out the turn before a target is chosen, and nothing gave it back. Change: a request that ends without an attempt sent returns its turn, and the next one is let through. One that a target refused keeps it: it has reached a target.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -28,11 +28,19 @@
 	verdict, wait := g.quarantine.Admit(g.now(), x.sharedParts)
 	g.mu.Unlock()
 	if verdict == quarantine.Allowed || verdict == quarantine.Trial {
+		x.trial = verdict == quarantine.Trial
 		return nil
 	}
 	return g.quarantineError(verdict, wait)
 }
 
+// returnTrial lets another request be tried in place of one that reached no target.
+func (g *Gateway) returnTrial(x *exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.ReturnTrial(x.sharedParts)
+}
+
 // checkQuarantine refuses a request that was admitted before a part of its prompt was
 // quarantined.
 func (g *Gateway) checkQuarantine(x *exchange) *apierr.Error {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -30,6 +30,8 @@
 	service      string
 	// sharedParts are the ids of the parts of the prompt that other requests may have too.
 	sharedParts []string
+	// trial is true if the request was let through to find out whether targets crash on a part.
+	trial bool
 
 	// attempts is the number of targets that the request was sent to.
 	attempts int
@@ -65,6 +67,9 @@
 // handle serves one request; it runs on a goroutine of its own.
 func (g *Gateway) handle(x *exchange) {
 	err := g.serve(x)
+	if x.trial && x.attempts == 0 {
+		g.returnTrial(x)
+	}
 	if err != nil {
 		g.writeError(x, err)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -165,6 +165,16 @@
 	return Trial, 0
 }
 
+// ReturnTrial takes back the verdict Trial on a request with the parts that reached no
+// target, so that another request is let through in its place.
+func (t *Tracker) ReturnTrial(parts []string) {
+	for _, p := range parts {
+		if s := t.suspects[p]; s != nil {
+			s.nextTrial = s.last + suspectPause
+		}
+	}
+}
+
 // Refuses reports whether a part of a request with the parts is quarantined, and after which
 // time a gateway tries it again. It applies to requests that were admitted before.
 func (t *Tracker) Refuses(now time.Duration, parts []string) (wait time.Duration, refused bool) {
