--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -98,6 +98,34 @@
 	assert.Assert(t, gw.crashed() <= maxCrashed, "%d targets crashed", gw.crashed())
 }
 
+// Guards against an answer without a length that seems to be complete although its target
+// crashed: its end is that of the connection.
+func TestCrashesAfterAnswersWithoutALengthEndFewTargets(t *testing.T) {
+	const maxCrashed = 5
+	for path, body := range map[string]string{"/stream/": eventsUpTo(1), "/safe/": "bod"} {
+		var gw *testGateway
+		handlers := make([]http.HandlerFunc, 12)
+		for i := range handlers {
+			handlers[i] = func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nT-Sign: signed\r\n\r\n"+body)
+				gw.targets[i].crash()
+				_ = c.Close()
+			}
+		}
+		gw = newTestGateway(t, handlers...).waitReady()
+		for i := range 12 {
+			lines := getPrompt(fmt.Sprint("c", i), "route", crashingPart)
+			lines[0] = "GET " + path + " HTTP/1.1"
+			gw.do(lines...)
+		}
+		assert.Check(t, gw.crashed() <= maxCrashed, "%s: %d targets crashed", path, gw.crashed())
+	}
+}
+
 // Guards against a popular part that stays refused because many targets with such requests ended
 // together: its requests are served again once stabilityWindow has passed.
 func TestServiceGoesOnAfterManyTargetsEndTogether(t *testing.T) {
