gateway: an answer without a length may be the end of its target

What users would see: requests with the part end one target after the other if the targets answer with neither a length nor chunks (11 or 12 of 12 targets in the test).

Cause: the end of the connection, which is also that of the target, was taken for the end of the answer, which cleared the part. Class: the one of the first event that counted as an answer.

Change: after such an answer has been passed on, the gateway checks whether the target refuses connections, as for broken answers; if it does, the end is evidence and the part is not cleared. The check costs a connection for each such answer to a request with shared parts.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -99,16 +99,26 @@
 	delete(a.g.unanswered, a)
 }
 
+// recordComplete records an answer that was read to its end. One without a length seems to be
+// complete also if its target ended while it wrote it.
+func (a *attempt) recordComplete(answer *upstream.Answer) {
+	if answer.EndsWithConnection && a.recordEnd() {
+		return
+	}
+	a.recordAnswer()
+}
+
 // recordEnd handles a connection that the target ended: if the request does not count as
-// answered and the target has ended too, the parts of its prompt come under suspicion.
-func (a *attempt) recordEnd() {
+// answered and the target has ended too, which it reports, the parts of its prompt come under
+// suspicion.
+func (a *attempt) recordEnd() (targetEnded bool) {
 	if a.answered || len(a.x.sharedParts) == 0 {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(a.x.ctx, crashCheckTimeout)
 	defer cancel()
 	if !upstream.Refuses(ctx, a.target.Address) {
-		return
+		return false
 	}
 	a.g.logCrash(a)
 	a.g.mu.Lock()
@@ -116,6 +126,7 @@
 	decisions := a.g.applyEvidence()
 	a.g.mu.Unlock()
 	a.g.logPartDecisions(decisions)
+	return true
 }
 
 // mergeEvidence adds the evidence of another gateway.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -48,10 +48,6 @@
 		return x.recordIndeterminate(apierr.Wrap(apierr.KindTruncated, a.target.ID, err))
 	}
 	answer.Finish()
-	if answer.Status < 300 {
-		a.began = a.g.now()
-		a.recordAnswer()
-	}
 	if answer.Status >= 500 {
 		a.reportResult(placement.Failed)
 		x.tried = append(x.tried, a.target.ID)
@@ -64,6 +60,10 @@
 	x.headSent, x.status = true, answer.Status
 	head := a.g.answerHead(x, answer)
 	x.out.write(http1.AppendLengthAndBody(head, body))
+	if answer.Status < 300 {
+		a.began = a.g.now()
+		a.recordComplete(answer)
+	}
 	return nil, false
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -161,9 +161,9 @@
 	x := a.x
 	if errors.Is(err, io.EOF) && x.headSent {
 		answer.Finish()
-		a.recordAnswer()
 		a.reportResult(placement.Answered)
 		x.out.write([]byte(http1.LastChunk))
+		a.recordComplete(answer)
 		return nil, false
 	}
 	answer.Abort()
