quarantine: many bystanders hide the part that targets crash on (red tests)

Found by asking what a loaded target takes with it: all parts of the requests that wait at it come under suspicion. The bounded lists prefer the latest suspects, so that 1. a message to other gateways may leave out the part that the target crashed on (a tie of more than 24), and 2. a quarantined part is dropped when others fill the list of 256.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -148,6 +149,31 @@
 	assert.Equal(t, verdict(a, 12*time.Second, "x"), Allowed)
 }
 
+// Guards against evidence that never leaves a gateway: a target that ends has many requests, whose
+// parts are more than one message can name.
+func TestEvidenceNamesTheStrongestSuspects(t *testing.T) {
+	tr := newTracker()
+	tr.RecordCrash(time.Second, 1, []string{"x"}, true)
+	for i := range 100 {
+		tr.RecordCrash(time.Second+time.Millisecond, 1, []string{fmt.Sprint("bystander", i)}, false)
+	}
+	evidence := tr.Evidence(time.Second + 2*time.Millisecond)
+	assert.Assert(t, slices.ContainsFunc(evidence, func(e Evidence) bool { return e.Part == "x" }))
+}
+
+// Guards against a quarantine that ends because many requests waited at targets that end: their
+// parts pushed it out of the bounded list.
+func TestQuarantineOutlastsManySuspects(t *testing.T) {
+	tr := newTracker()
+	for target := range uint32(2) {
+		tr.RecordCrash(time.Second, target, []string{"x"}, true)
+	}
+	for i := range 3 * maxSuspects {
+		tr.RecordCrash(2*time.Second, 3, []string{fmt.Sprint("bystander", i)}, false)
+	}
+	assert.Equal(t, verdict(tr, 3*time.Second, "x"), Quarantined)
+}
+
 // Guards against messages whose number grows with the square of the gateways: a crash is told
 // at once only by the gateway that saw it.
 func TestReportedCrashIsNotToldAgainAtOnce(t *testing.T) {
