quarantine: rank suspects by the evidence against them

What users would see: a part that crashes targets is found by one gateway and goes on ending targets at the others, if the targets that end had many requests waiting.

Cause: the bounded lists, of suspects and of what a message names, kept the latest suspects; a target that ends adds the parts of all its requests at the same moment. Class: a bounded list ordered by time instead of importance.

Change: both prefer the suspects with the heaviest evidence, then the latest.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -36,25 +37,19 @@
 	Begun  bool   `cbor:"3,keyasint,omitempty"`
 }
 
-// Evidence returns what other gateways should know: the suspects with the latest crashes, and
-// the parts that were cleared a short time ago.
+// Evidence returns what other gateways should know: the suspects with the most evidence against
+// them, and the parts that were cleared a short time ago.
 func (t *Tracker) Evidence(now time.Duration) []Evidence {
 	t.expire(now)
-	parts := make([]string, 0, len(t.suspects))
-	for p := range t.suspects {
-		parts = append(parts, p)
-	}
-	slices.SortFunc(parts, func(a, b string) int { return cmp.Compare(t.suspects[b].last, t.suspects[a].last) })
 	var out []Evidence
 	for p := range t.cleared {
 		if len(out) < maxEvidence/2 {
 			out = append(out, t.evidenceOf(now, p))
 		}
 	}
-	for _, p := range parts {
-		if len(out) < maxEvidence {
-			out = append(out, t.evidenceOf(now, p))
-		}
+	ranked := slices.SortedFunc(maps.Keys(t.suspects), func(a, b string) int { return t.compareEvidence(b, a) })
+	for _, p := range ranked[:min(len(ranked), maxEvidence-len(out))] {
+		out = append(out, t.evidenceOf(now, p))
 	}
 	return out
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -301,14 +301,18 @@
 	}))
 }
 
-// makeRoom drops the suspect whose last crash is longest ago if there are too many.
+// makeRoom drops the suspect with the least evidence against it if there are too many.
 func (t *Tracker) makeRoom() {
-	if len(t.suspects) < maxSuspects {
-		return
+	if len(t.suspects) >= maxSuspects {
+		delete(t.suspects, slices.MinFunc(slices.Collect(maps.Keys(t.suspects)), t.compareEvidence))
 	}
-	delete(t.suspects, slices.MinFunc(slices.Collect(maps.Keys(t.suspects)), func(a, b string) int {
-		return cmp.Compare(t.suspects[a].last, t.suspects[b].last)
-	}))
+}
+
+// compareEvidence orders two suspects by the weight of the crashes under them, and then by the
+// time of the last one.
+func (t *Tracker) compareEvidence(a, b string) int {
+	x, y := t.suspects[a], t.suspects[b]
+	return cmp.Or(cmp.Compare(x.weight(nil), y.weight(nil)), cmp.Compare(x.last, y.last))
 }
 
 // judge decides which parts are quarantined. The part with the most evidence explains the
