gateway: evidence does not depend on the caller's staying

What users would see: a target that ended is not held against the part if the caller has left by then, as callers do that close after an answer without a length; the part would even be cleared.

Cause: the look at the target used the context of the caller's request. Change: it has the request's values but not its cancellation, and its own timeout as before.

Measured: TestTargetEndIsRecordedAfterTheCallerHasLeft fails three of three before and passes; tests of the package pass.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -115,7 +115,7 @@
 	if a.answered || len(a.x.sharedParts) == 0 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(a.x.ctx, crashCheckTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.x.ctx), crashCheckTimeout)
 	defer cancel()
 	if !upstream.Refuses(ctx, a.target.Address) {
 		return false
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 )
 
@@ -126,6 +128,21 @@
 	}
 }
 
+// Guards against evidence that is lost because the caller has left by the time at which the
+// gateway looks at the target.
+func TestTargetEndIsRecordedAfterTheCallerHasLeft(t *testing.T) {
+	gw := newTestGateway(t, streamEvents(3, 0)).waitReady()
+	gw.targets[0].crash()
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	a := &attempt{
+		g: gw.g, x: &exchange{ctx: ctx, sharedParts: []string{crashingPart}},
+		target: placement.Target{ID: "t0", Address: gw.targets[0].server.Listener.Addr().String()},
+	}
+	assert.Assert(t, a.recordEnd())
+	assert.Equal(t, len(gw.g.State().(State).Parts), 1)
+}
+
 // Guards against a popular part that stays refused because many targets with such requests ended
 // together: its requests are served again once stabilityWindow has passed.
 func TestServiceGoesOnAfterManyTargetsEndTogether(t *testing.T) {
