gateway, quarantine: comments of the read-through; a test waits for its requests

TestServiceGoesOnAfterManyTargetsEndTogether waited 100 ms for its requests to be at targets; it now waits until they are.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -88,8 +88,8 @@
 	a.g.unanswered[a] = struct{}{}
 }
 
-// untrackUnanswered is called with the first event of a stream, which the caller gets, and at
-// the end of the attempt.
+// untrackUnanswered ends that. It is called when the first event of a stream is passed on to
+// the caller, and at the end of the attempt.
 func (a *attempt) untrackUnanswered() {
 	if len(a.x.sharedParts) == 0 {
 		return
@@ -99,8 +99,8 @@
 	delete(a.g.unanswered, a)
 }
 
-// recordComplete records an answer that was read to its end. One without a length seems to be
-// complete also if its target ended while it wrote it.
+// recordComplete records an answer that was read to its end. An answer without a length also
+// looks complete if its target ended while writing it.
 func (a *attempt) recordComplete(answer *upstream.Answer) {
 	if answer.EndsWithConnection && a.recordEnd() {
 		return
@@ -108,9 +108,9 @@
 	a.recordAnswer()
 }
 
-// recordEnd handles a connection that the target ended: if the request does not count as
-// answered and the target has ended too, which it reports, the parts of its prompt come under
-// suspicion.
+// recordEnd handles a connection that the target ended, and reports whether the target has
+// ended too. If so, and if the request does not count as answered, the parts of its prompt come
+// under suspicion.
 func (a *attempt) recordEnd() (targetEnded bool) {
 	if a.answered || len(a.x.sharedParts) == 0 {
 		return false
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
@@ -170,7 +171,16 @@
 			callers <- struct{}{}
 		}()
 	}
-	time.Sleep(100 * time.Millisecond) // until the requests are at targets
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		n := 0
+		for _, target := range gw.targets {
+			n += len(target.requests())
+		}
+		if n < 1+24 {
+			return poll.Continue("%d requests at targets", n)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 	for _, target := range gw.targets[:8] {
 		target.crash()
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,7 +22,7 @@
 const initialStallTimeout = time.Second
 
 // answeredAfter is the time after its first event from which a stream that goes on counts as
-// answered. A target that crashes on a part of the prompt ends before.
+// answered. A target that crashes on a part of the prompt is expected to end within it.
 const answeredAfter = 500 * time.Millisecond
 
 // cause returns the reason why the attempt was cancelled, or nil.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -40,11 +40,11 @@
 	// trialTime is the time between two requests with a suspected part.
 	trialTime = 2 * time.Second
 
-	// A quarantined part that was answered before may be sound and widely shared: many targets
-	// that end together speak against it. It is tried again after retryGrowth times the time
-	// over which targets have ended under it, so that each retry comes retryGrowth+1 times as
-	// late as the one before. retrySpacing is the mean time between the first retries of two
-	// gateways.
+	// A quarantined part that was answered before may be sound: if most requests have it, all
+	// targets that end together speak against it. It is tried again after retryGrowth times the
+	// time over which targets have ended under it, so that the time from the first end to a
+	// retry grows by the factor retryGrowth+1. retrySpacing is the mean time between the first
+	// retries of two gateways.
 	retryGrowth  = 7
 	retrySpacing = 500 * time.Millisecond
 
