testaddr: the os package's own fork is over before an address is tried

Cause: when a program first uses a process handle, the os package checks clone(2) by a fork that does not take ForkLock.

Change: the package causes the check in its init, before any address is tried.

--- a/internal/testaddr/testaddr.go
+++ b/internal/testaddr/testaddr.go
@@ -23,6 +23,14 @@
 // takes the ports that this one chose.
 var host = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, 1+os.Getpid()/250%250)
 
+// init makes the os package check early whether processes have handles. It does so once, by a
+// fork without syscall.ForkLock, which Free relies on.
+func init() {
+	if p, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = p.Release()
+	}
+}
+
 // Free returns an address that nothing listens on. It returns each address only once.
 func Free() (string, error) {
 	// A process forked before Close would hold a copy of the listener, which accepts
