--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -112,7 +112,7 @@
 // ended too. If so, and if the request does not count as answered, the parts of its prompt come
 // under suspicion.
 func (a *attempt) recordEnd() (targetEnded bool) {
-	if a.answered || len(a.x.sharedParts) == 0 {
+	if a.answered {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.x.ctx), crashCheckTimeout)
@@ -121,6 +121,9 @@
 		return false
 	}
 	a.g.logCrash(a)
+	if len(a.x.sharedParts) == 0 {
+		return true
+	}
 	a.g.mu.Lock()
 	a.g.quarantine.RecordCrash(a.g.now(), placement.TargetKey(a.target.ID), a.x.sharedParts, a.answerBegun)
 	decisions := a.g.applyEvidence()
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/gentiantrail/gentiantrail/internal/http1"
 	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 )
@@ -137,7 +138,7 @@
 	ctx, leave := context.WithCancel(context.Background())
 	leave()
 	a := &attempt{
-		g: gw.g, x: &exchange{ctx: ctx, sharedParts: []string{crashingPart}},
+		g: gw.g, x: &exchange{ctx: ctx, req: &http1.Request{}, sharedParts: []string{crashingPart}},
 		target: placement.Target{ID: "t0", Address: gw.targets[0].server.Listener.Addr().String()},
 	}
 	assert.Assert(t, a.recordEnd())
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -30,6 +30,7 @@
 	service      string
 	// sharedParts are the ids of the parts of the prompt that other requests may have too.
 	sharedParts []string
+	print       fingerprint
 	// trial is true if the request was let through to find out whether targets crash on a part.
 	trial bool
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -42,20 +42,26 @@
 }
 
 // logAttempt writes the log line of a failed attempt with the inputs that decided its
-// target, and the parts of its prompt that other requests may have too.
+// target and the parts of its prompt that other requests may have too, and the request's
+// fingerprint unless it has certainly not run.
 func (g *Gateway) logAttempt(x *exchange, c placement.Choice, answerBegun bool, err *apierr.Error) {
-	g.opts.Logger.Info().Str("event", "attempt-failed").Str("request", x.id).Str("target", c.Target.ID).
+	line := g.opts.Logger.Info().Str("event", "attempt-failed").Str("request", x.id).Str("target", c.Target.ID).
 		Int("attempt", x.attempts).Int("load", c.Load).Int("slots", c.Target.Slots).
 		Int64("report_age_ms", c.ReportAge.Milliseconds()).Str("kind", err.Kind.String()).
-		Bool("answer_begun", answerBegun).Str("parts", strings.Join(x.sharedParts, ",")).Str("detail", err.Error()).Msg("")
+		Bool("answer_begun", answerBegun).Str("parts", strings.Join(x.sharedParts, ","))
+	if err.Answer().Outcome != apierr.OutcomeNotRun {
+		line = line.Str("fingerprint", x.fingerprint())
+	}
+	line.Str("detail", err.Error()).Msg("")
 }
 
-// logCrash writes the log line of a target that ended before the answer to a request had got as
-// far as its first event.
+// logCrash writes the log line of a target that ended under a request that does not count as
+// answered.
 func (g *Gateway) logCrash(a *attempt) {
 	g.count.crashes.Inc(1)
 	g.opts.Logger.Warn().Str("event", "target-crashed").Str("request", a.x.id).Str("target", a.target.ID).
-		Bool("answer_begun", a.answerBegun).Str("parts", strings.Join(a.x.sharedParts, ",")).Msg("")
+		Bool("answer_begun", a.answerBegun).Str("fingerprint", a.x.fingerprint()).
+		Str("parts", strings.Join(a.x.sharedParts, ",")).Msg("")
 }
 
 // logPartDecisions writes a log line for each change of what is believed of a part of prompts.
