--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -200,7 +200,7 @@
 			route("stream", fleet.Resumable, true, 2),
 		},
 		Services:      []fleet.Service{{Name: "s"}},
-		Organisations: []fleet.Organisation{{Name: "org", Keys: []string{"key"}}},
+		Organisations: []fleet.Organisation{{Name: "org", Keys: []string{"key"}}, {Name: "other", Keys: []string{"other"}}},
 		Limits:        fleet.Limits{HeaderBytes: 4096, BodyBytes: 1 << 16, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second},
 	}
 }
@@ -293,14 +293,20 @@
 	}, poll.WithDelay(time.Millisecond))
 }
 
-// send writes a request on a new connection and returns the connection.
+// send writes a request without a body on a new connection and returns the connection.
 func (gw *testGateway) send(lines ...string) net.Conn {
+	gw.t.Helper()
+	return gw.write(strings.Join(lines, "\r\n") + "\r\n\r\n")
+}
+
+// write writes the bytes of a request on a new connection and returns the connection.
+func (gw *testGateway) write(request string) net.Conn {
 	gw.t.Helper()
 	c, err := net.Dial("tcp4", gw.addr)
 	assert.NilError(gw.t, err)
 	gw.t.Cleanup(func() { _ = c.Close() })
 	assert.NilError(gw.t, c.SetDeadline(time.Now().Add(10*time.Second)))
-	_, err = io.WriteString(c, strings.Join(lines, "\r\n")+"\r\n\r\n")
+	_, err = io.WriteString(c, request)
 	assert.NilError(gw.t, err)
 	return c
 }
