--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -80,7 +80,7 @@
 	KindBadFrame
 	// KindInternal marks an internal error of gentiantrail.
 	KindInternal
-	// KindQuarantined marks a request with a part of its prompt that targets crash on, or that
+	// KindQuarantined marks a request that targets crash on, or on a part of its prompt, or that
 	// is suspected of it while another request is being tried.
 	KindQuarantined
 	// kindCount is the number of kinds.
@@ -162,7 +162,7 @@
 	KindStaleFence:          {"stale-fence", 409, OutcomeNotRun, false, 0, "the order comes from an earlier lease holder"},
 	KindBadFrame:            {"bad-frame", 400, OutcomeNotRun, false, 0, "the frame cannot be decoded"},
 	KindInternal:            {"internal", 500, OutcomeUnknown, false, 0, "internal error"},
-	KindQuarantined:         {"quarantined", 503, OutcomeNotRun, false, time.Second, "targets have crashed on a part of the prompt"},
+	KindQuarantined:         {"quarantined", 503, OutcomeNotRun, false, time.Second, "targets have crashed on the request or a part of its prompt"},
 }
 
 // Answer returns the table row of k, or that of KindInternal if k is not a known kind.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -39,6 +39,8 @@
 	// storeEra is the highest era of the store that an event has had.
 	storeEra int64
 	stopping bool
+	// recordsRead is true once the records of the quarantine have been read.
+	recordsRead bool
 	// limits are the limits of the current settings.
 	limits settings.GatewayLimits
 	// probeStates maps the id of each known engine to the time since which the gateway waits
@@ -68,6 +70,7 @@
 		OnEvent: func(e fleet.Event) { g.post(ctx, storeEvent(e)) },
 	}
 	follower.Run(ctx)
+	go g.records.run(ctx)
 	c.peers.store = &follower
 	go c.peers.run(ctx)
 	ticker := time.NewTicker(tickInterval)
@@ -113,7 +116,7 @@
 func (c *control) publish() {
 	fv := c.registry.View()
 	old := c.g.view.Load()
-	v := &view{loaded: fv.Loaded, stopping: c.stopping, targets: make(map[string]fleet.Target, len(fv.Targets))}
+	v := &view{loaded: fv.Loaded && c.recordsRead, stopping: c.stopping, targets: make(map[string]fleet.Target, len(fv.Targets))}
 	if fv.Config != nil {
 		if old.index != nil && old.index.Config == fv.Config {
 			v.index = old.index
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
@@ -15,40 +16,47 @@
 // connection at once.
 const crashCheckTimeout = 150 * time.Millisecond
 
-// errQuarantined cancels an attempt whose request has a part that targets crash on.
-var errQuarantined = errors.New("targets crash on a part of the prompt")
+// errQuarantined cancels an attempt whose request targets crash on.
+var errQuarantined = errors.New("targets crash on the request or a part of its prompt")
 
-// screenPrompt refuses a request with a part that targets crash on, and one with a part that
-// another request is being tried with.
-func screenPrompt(g *Gateway, x *exchange) *apierr.Error {
-	if len(x.sharedParts) == 0 {
+// screen refuses a request that targets crash on, or on a part of its prompt, and one for which
+// another request is being tried.
+func screen(g *Gateway, x *exchange) *apierr.Error {
+	if !g.suspecting.Load() {
 		return nil
 	}
+	subjects := x.subjects()
 	g.mu.Lock()
-	verdict, wait := g.quarantine.Admit(g.now(), x.sharedParts)
+	verdict, wait := g.quarantine.Admit(g.now(), subjects)
 	g.mu.Unlock()
-	if verdict == quarantine.Allowed || verdict == quarantine.Trial {
-		x.trial = verdict == quarantine.Trial
+	switch verdict {
+	case quarantine.Allowed:
 		return nil
+	case quarantine.Trial:
+		x.trial = true
+		g.opts.Logger.Info().Str("event", "trial").Str("request", x.id).Str("fingerprint", x.fingerprint()).Msg("")
+		return nil
+	default:
+		return g.quarantineError(verdict, wait)
 	}
-	return g.quarantineError(verdict, wait)
 }
 
 // returnTrial lets another request be tried in place of one that reached no target.
 func (g *Gateway) returnTrial(x *exchange) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quarantine.ReturnTrial(x.sharedParts)
+	g.quarantine.ReturnTrial(x.subjects())
 }
 
-// checkQuarantine refuses a request that was admitted before a part of its prompt was
+// checkQuarantine refuses a request that was admitted before it, or a part of its prompt, was
 // quarantined.
 func (g *Gateway) checkQuarantine(x *exchange) *apierr.Error {
-	if len(x.sharedParts) == 0 {
+	if !g.suspecting.Load() {
 		return nil
 	}
+	subjects := x.subjects()
 	g.mu.Lock()
-	wait, refused := g.quarantine.Refuses(g.now(), x.sharedParts)
+	wait, refused := g.quarantine.Refuses(g.now(), subjects)
 	g.mu.Unlock()
 	if !refused {
 		return nil
@@ -66,23 +74,31 @@
 
 // recordAnswer records a successful answer, or a stream that has gone on for answeredAfter.
 func (a *attempt) recordAnswer() {
-	if a.answered || a.began == 0 || len(a.x.sharedParts) == 0 {
+	if a.answered || a.began == 0 {
 		return
 	}
 	a.answered = true
+	keys := a.x.localKeys(a.g.answeredRequests.Seed)
+	subjects := a.x.sharedParts
+	if a.g.suspecting.Load() {
+		subjects = a.x.subjects()
+	}
 	a.g.mu.Lock()
-	a.g.quarantine.RecordAnswer(a.began, a.x.sharedParts)
+	a.g.answeredRequests.record(a.began, keys)
+	a.g.quarantine.RecordAnswer(a.began, subjects)
 	decisions := a.g.quarantine.TakeDecisions()
 	a.g.mu.Unlock()
-	a.g.logPartDecisions(decisions)
+	a.g.logQuarantineDecisions(decisions)
+	for _, d := range decisions {
+		if d.Released {
+			a.g.records.remove(d.Subject)
+		}
+	}
 }
 
-// trackUnanswered lets the attempt be cancelled if a part of the request's prompt is
-// quarantined, until untrackUnanswered is called.
+// trackUnanswered lets the attempt be cancelled if the request is quarantined, until
+// untrackUnanswered is called.
 func (a *attempt) trackUnanswered() {
-	if len(a.x.sharedParts) == 0 {
-		return
-	}
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
 	a.g.unanswered[a] = struct{}{}
@@ -91,9 +107,6 @@
 // untrackUnanswered ends that. It is called when the first event of a stream is passed on to
 // the caller, and at the end of the attempt.
 func (a *attempt) untrackUnanswered() {
-	if len(a.x.sharedParts) == 0 {
-		return
-	}
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
 	delete(a.g.unanswered, a)
@@ -109,8 +122,8 @@
 }
 
 // recordEnd handles a connection that the target ended, and reports whether the target has
-// ended too. If so, and if the request does not count as answered, the parts of its prompt come
-// under suspicion.
+// ended too. If so, and if the request does not count as answered, the request and the parts of its
+// prompt come under suspicion.
 func (a *attempt) recordEnd() (targetEnded bool) {
 	if a.answered {
 		return false
@@ -121,17 +134,36 @@
 		return false
 	}
 	a.g.logCrash(a)
-	if len(a.x.sharedParts) == 0 {
-		return true
-	}
-	a.g.mu.Lock()
-	a.g.quarantine.RecordCrash(a.g.now(), placement.TargetKey(a.target.ID), a.x.sharedParts, a.answerBegun)
-	decisions := a.g.applyEvidence()
-	a.g.mu.Unlock()
-	a.g.logPartDecisions(decisions)
+	a.g.recordCrash(a.x, a.target, a.answerBegun)
 	return true
 }
 
+// recordCrash records that a target ended under a request.
+func (g *Gateway) recordCrash(x *exchange, target placement.Target, answerBegun bool) {
+	keys := x.localKeys(g.answeredRequests.Seed)
+	subjects := x.subjects()
+	g.mu.Lock()
+	if at, ok := g.answeredRequests.time(keys.request); ok {
+		g.quarantine.RecordAnswer(at, []string{x.fingerprint()})
+	}
+	if at, ok := g.answeredRequests.time(keys.ownPart); ok && x.ownPart != "" {
+		g.quarantine.RecordAnswer(at, []string{x.ownPart})
+	}
+	g.quarantine.RecordCrash(g.now(), crashKey(target), subjects, answerBegun)
+	decisions := g.applyEvidence()
+	g.mu.Unlock()
+	g.logQuarantineDecisions(decisions)
+	g.records.saveSoon()
+}
+
+// crashKey returns a short key of one run of a target, which may start again under its id.
+func crashKey(t placement.Target) uint32 {
+	if t.Lifetime == 0 {
+		return placement.TargetKey(t.ID)
+	}
+	return placement.TargetKey(t.ID + "/" + strconv.FormatInt(t.Lifetime, 10))
+}
+
 // mergeEvidence adds the evidence of another gateway.
 func (g *Gateway) mergeEvidence(evidence []quarantine.Evidence) {
 	if len(evidence) == 0 {
@@ -141,22 +173,30 @@
 	g.quarantine.Merge(g.now(), evidence)
 	decisions := g.applyEvidence()
 	g.mu.Unlock()
-	g.logPartDecisions(decisions)
+	g.logQuarantineDecisions(decisions)
 }
 
 // applyEvidence cancels the attempts that are quarantined by now, has new evidence sent to the
 // other gateways at once, and returns the decisions for the log. g.mu must be held.
 func (g *Gateway) applyEvidence() []quarantine.Decision {
+	g.suspecting.Store(g.quarantine.Suspects())
 	if g.quarantine.TakeChanged() {
 		select {
 		case g.evidenceChanged <- struct{}{}:
 		default: // a message is pending already
 		}
 	}
+	if g.quarantine.TakeJudged() {
+		g.cancelQuarantined()
+	}
+	return g.quarantine.TakeDecisions()
+}
+
+// cancelQuarantined cancels the attempts that are quarantined by now. g.mu must be held.
+func (g *Gateway) cancelQuarantined() {
 	for a := range g.unanswered {
-		if _, refused := g.quarantine.Refuses(g.now(), a.x.sharedParts); refused {
+		if _, refused := g.quarantine.Refuses(g.now(), a.x.subjects()); refused {
 			a.cancel(errQuarantined)
 		}
 	}
-	return g.quarantine.TakeDecisions()
 }
--- a/internal/gateway/crash_request_test.go
+++ b/internal/gateway/crash_request_test.go
@@ -62,7 +62,7 @@
 			if crashing.isOf(r, string(body)) {
 				time.Sleep(crashTime)
 				gw.targets[i].crash()
-				gw.targets[i].server.CloseClientConnections()
+				gw.targets[i].current().CloseClientConnections()
 				return
 			}
 			time.Sleep(runTime)
@@ -93,7 +93,7 @@
 var requestPairs = map[string]struct{ crashing, sound plainRequest }{
 	"safe by path":      {plainRequest{"GET", "/safe/a", "key", "", ""}, plainRequest{"GET", "/safe/b", "key", "", ""}},
 	"safe by query":     {plainRequest{"GET", "/safe/a?n=1", "key", "", ""}, plainRequest{"GET", "/safe/a?n=2", "key", "", ""}},
-	"safe by caller":    {plainRequest{"GET", "/safe/a", "key", "", ""}, plainRequest{"GET", "/safe/a", "other", "", ""}},
+	"safe by caller":    {plainRequest{"GET", "/safe/a", "key", "", ""}, plainRequest{"GET", "/safe/a", "second-key", "", ""}},
 	"safe by body":      {plainRequest{"POST", "/safe/a", "key", "x", ""}, plainRequest{"POST", "/safe/a", "key", "y", ""}},
 	"once by body":      {plainRequest{"POST", "/once/a", "key", "x", ""}, plainRequest{"POST", "/once/a", "key", "y", ""}},
 	"stream by own":     {plainRequest{"GET", "/stream/a", "key", "", "doc own-x"}, plainRequest{"GET", "/stream/a", "key", "", "doc own-y"}},
@@ -176,17 +176,19 @@
 func (gw *testGateway) restart(i int, id string) {
 	gw.t.Helper()
 	old := gw.targets[i]
-	addr := old.server.Listener.Addr().String()
+	addr := old.current().Listener.Addr().String()
 	ln, err := net.Listen("tcp4", addr)
 	assert.NilError(gw.t, err)
-	server := httptest.NewUnstartedServer(old.server.Config.Handler)
+	server := httptest.NewUnstartedServer(old.current().Config.Handler)
 	_ = server.Listener.Close()
 	server.Listener = ln
 	server.Start()
 	gw.t.Cleanup(server.Close)
 	gw.store.change(fleet.TopicTargets, fleet.Change{Name: old.id, Removed: true})
 	gw.store.change(fleet.TopicTargets, fleet.Change{Name: id, Target: &fleet.Target{ID: id, Service: "s", Address: addr, AvailabilityZone: "z", Slots: 4}})
+	old.mu.Lock()
 	old.id, old.server = id, server
+	old.mu.Unlock()
 	old.crashed.Store(false)
 }
 
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -64,6 +65,26 @@
 	return n
 }
 
+// recordCrashes records the ends of n targets under requests with crashingPart.
+func (gw *testGateway) recordCrashes(n uint32) {
+	gw.g.mu.Lock()
+	defer gw.g.mu.Unlock()
+	for target := range n {
+		gw.g.quarantine.RecordCrash(gw.g.now(), target, []string{crashingPart}, true)
+	}
+	gw.g.applyEvidence()
+}
+
+// suspected returns the subjects under suspicion.
+func (gw *testGateway) suspected() []string {
+	var subjects []string
+	for _, s := range gw.g.State().(State).Quarantine {
+		subjects = append(subjects, s.Subject)
+	}
+	slices.Sort(subjects)
+	return subjects
+}
+
 // getPrompt returns the lines of a request for a stream with the given parts of a prompt.
 func getPrompt(id string, parts ...string) []string {
 	lines := get("/stream/", "T-Prompt: "+strings.Join(append(parts, "own-"+id), " "))
@@ -137,12 +158,13 @@
 	gw.targets[0].crash()
 	ctx, leave := context.WithCancel(context.Background())
 	leave()
+	x := &exchange{ctx: ctx, req: &http1.Request{}, sharedParts: []string{crashingPart}}
 	a := &attempt{
-		g: gw.g, x: &exchange{ctx: ctx, req: &http1.Request{}, sharedParts: []string{crashingPart}},
+		g: gw.g, x: x,
 		target: placement.Target{ID: "t0", Address: gw.targets[0].server.Listener.Addr().String()},
 	}
 	assert.Assert(t, a.recordEnd())
-	assert.Equal(t, len(gw.g.State().(State).Parts), 1)
+	assert.DeepEqual(t, gw.suspected(), []string{crashingPart, x.fingerprint()})
 }
 
 // Guards against a popular part that stays refused because many targets with such requests ended
@@ -205,9 +227,7 @@
 // no target.
 func TestTrialThatReachedNoTargetIsRepeated(t *testing.T) {
 	gw := newTestGateway(t, streamEvents(3, 0)).waitReady()
-	gw.g.mu.Lock()
-	gw.g.quarantine.RecordCrash(gw.g.now(), 1, []string{crashingPart}, true)
-	gw.g.mu.Unlock()
+	gw.recordCrashes(1)
 	time.Sleep(1600 * time.Millisecond) // until a request is let through
 	gw.targets[0].crash()
 	gw.do(getPrompt("a", crashingPart)...)
@@ -233,11 +253,7 @@
 		line, err = c.ReadString('\n')
 		assert.NilError(t, err)
 	}
-	gw.g.mu.Lock()
-	for target := range uint32(4) {
-		gw.g.quarantine.RecordCrash(gw.g.now(), target, []string{crashingPart}, true)
-	}
-	gw.g.mu.Unlock()
+	gw.recordCrashes(4)
 	close(quarantined)
 	_, err := io.Copy(io.Discard, c)
 	assert.NilError(t, err)
@@ -268,11 +284,7 @@
 // or that is spread over several fields. The target decodes what it can.
 func TestQuarantinedPartCanNotBeHidden(t *testing.T) {
 	gw := newTestGateway(t, streamEvents(3, 0)).waitReady()
-	gw.g.mu.Lock()
-	for target := range uint32(2) {
-		gw.g.quarantine.RecordCrash(gw.g.now(), target, []string{crashingPart}, true)
-	}
-	gw.g.mu.Unlock()
+	gw.recordCrashes(2)
 	for name, lines := range map[string][]string{
 		"undecodable entry before": getPrompt("a", "?", crashingPart),
 		"undecodable last entry":   append(get("/stream/"), "T-Prompt: route "+crashingPart+" ?"),
@@ -288,11 +300,9 @@
 // that fails a request has not begun to answer its prompt.
 func TestErrorAnswerDoesNotEndASuspicion(t *testing.T) {
 	gw := newTestGateway(t, respond(500, "failed")).waitReady()
-	gw.g.mu.Lock()
-	gw.g.quarantine.RecordCrash(gw.g.now(), 1, []string{crashingPart}, true)
-	gw.g.mu.Unlock()
+	gw.recordCrashes(1)
 	time.Sleep(1600 * time.Millisecond) // until a request is let through
 	gw.do(getPrompt("a", crashingPart)...)
 	assert.Equal(t, len(gw.targets[0].requests()), 1)
-	assert.Equal(t, len(gw.g.State().(State).Parts), 1)
+	assert.DeepEqual(t, gw.suspected(), []string{crashingPart})
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -30,8 +30,12 @@
 	service      string
 	// sharedParts are the ids of the parts of the prompt that other requests may have too.
 	sharedParts []string
-	print       fingerprint
-	// trial is true if the request was let through to find out whether targets crash on a part.
+	// ownPart is the id of the part of the prompt that belongs to the request or its session;
+	// empty if there is none.
+	ownPart string
+	// identity identifies the request across its repeats; it is read when it is needed.
+	identity identity
+	// trial is true if the request was let through to find out whether targets crash on it.
 	trial bool
 
 	// attempts is the number of targets that the request was sent to.
@@ -65,7 +69,7 @@
 type filter func(g *Gateway, x *exchange) *apierr.Error
 
 // filters are the steps before the dispatch, in their order.
-var filters = []filter{findRoute, identify, readPrompt, setDeadline, screenPrompt, admit}
+var filters = []filter{findRoute, identify, readPrompt, setDeadline, screen, admit}
 
 // handle serves one request; it runs on a goroutine of its own.
 func (g *Gateway) handle(x *exchange) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,9 +70,11 @@
 	// order. The last part belongs to the request or its session alone. Parts that can't be
 	// decoded have empty ids and cause an error, which does not concern the others.
 	PromptParts func(value string) ([]string, error)
-	Probe       EngineProbe
-	Logger      *log.Logger
-	Metrics     tally.Scope
+	// Records keeps what is quarantined while no gateway runs that knows of it.
+	Records quarantine.Store
+	Probe   EngineProbe
+	Logger  *log.Logger
+	Metrics tally.Scope
 	// OnFatalError is called with errors that must end the process.
 	OnFatalError func(error)
 }
@@ -92,9 +94,13 @@
 	balancer   *placement.Balancer
 	budgets    map[string]*retry.Window
 	quarantine *quarantine.Tracker
-	// unanswered contains the attempts at requests with shared parts whose answers have not
-	// begun.
+	// answeredRequests remembers which requests have been answered.
+	answeredRequests answeredRequests
+	// unanswered contains the attempts whose answers have not begun.
 	unanswered map[*attempt]struct{}
+	// suspecting is true while there is evidence against any request or part of a prompt.
+	suspecting atomic.Bool
+	records    *quarantineRecords
 
 	// evidenceChanged triggers a message to the other gateways at once.
 	evidenceChanged chan struct{}
@@ -141,10 +147,12 @@
 		quarantine:     quarantine.New(rng),
 		unanswered:     make(map[*attempt]struct{}),
 
-		evidenceChanged: make(chan struct{}, 1),
+		answeredRequests: newAnsweredRequests(),
+		evidenceChanged:  make(chan struct{}, 1),
 	}
 	g.view.Store(&view{})
 	g.server = newServer(g)
+	g.records = newQuarantineRecords(g)
 	return g
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -125,6 +125,7 @@
 type testGateway struct {
 	t       *testing.T
 	g       *Gateway
+	records *fakeRecords
 	store   *fakeStore
 	addr    string
 	targets []*fakeTarget
@@ -169,7 +170,14 @@
 // crash makes the target accept no more connections.
 func (f *fakeTarget) crash() {
 	f.crashed.Store(true)
-	_ = f.server.Listener.Close()
+	_ = f.current().Listener.Close()
+}
+
+// current returns the server of the target's current run.
+func (f *fakeTarget) current() *httptest.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.server
 }
 
 // requests returns the requests that the target has received.
@@ -200,7 +208,7 @@
 			route("stream", fleet.Resumable, true, 2),
 		},
 		Services:      []fleet.Service{{Name: "s"}},
-		Organisations: []fleet.Organisation{{Name: "org", Keys: []string{"key"}}, {Name: "other", Keys: []string{"other"}}},
+		Organisations: []fleet.Organisation{{Name: "org", Keys: []string{"key"}}, {Name: "second", Keys: []string{"second-key"}}},
 		Limits:        fleet.Limits{HeaderBytes: 4096, BodyBytes: 1 << 16, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second},
 	}
 }
@@ -215,7 +223,14 @@
 // means that there is none.
 func newTestGatewayWith(t *testing.T, config []fleet.Change, handlers ...http.HandlerFunc) *testGateway {
 	t.Helper()
-	gw := &testGateway{t: t, addr: freePort(t), logs: &logBuffer{}, store: &fakeStore{
+	return newTestGatewayWithRecords(t, newFakeRecords(), config, handlers...)
+}
+
+// newTestGatewayWithRecords is like newTestGatewayWith with the given records of the quarantine in
+// the store.
+func newTestGatewayWithRecords(t *testing.T, records *fakeRecords, config []fleet.Change, handlers ...http.HandlerFunc) *testGateway {
+	t.Helper()
+	gw := &testGateway{t: t, addr: freePort(t), logs: &logBuffer{}, records: records, store: &fakeStore{
 		revision: 1, changes: map[fleet.Topic][]fleet.Change{}, content: map[fleet.Topic][]fleet.Change{},
 	}}
 	gw.store.content[fleet.TopicConfig] = config
@@ -240,7 +255,7 @@
 		Settings: &settings.Gateway{
 			Name: "g", AvailabilityZone: "z", Listen: gw.addr, PeerAddress: freePort(t), Limits: limits,
 		},
-		Headers: testHeaders, PromptParts: splitParts, Source: gw.store, Logger: observe.NewLogger(gw.logs, "info", "test", "g"), Metrics: tally.NoopScope,
+		Headers: testHeaders, PromptParts: splitParts, Source: gw.store, Records: gw.records, Logger: observe.NewLogger(gw.logs, "info", "test", "g"), Metrics: tally.NoopScope,
 		Probe:        func(context.Context, string) (string, error) { return "", nil },
 		OnFatalError: func(err error) { t.Error(err) },
 	})
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -64,11 +64,12 @@
 		Str("parts", strings.Join(a.x.sharedParts, ",")).Msg("")
 }
 
-// logPartDecisions writes a log line for each change of what is believed of a part of prompts.
-func (g *Gateway) logPartDecisions(decisions []quarantine.Decision) {
+// logQuarantineDecisions writes a log line for each change of what is believed of the parts of
+// prompts and of requests.
+func (g *Gateway) logQuarantineDecisions(decisions []quarantine.Decision) {
 	for _, d := range decisions {
-		g.opts.Logger.Warn().Str("event", "belief").Str("topic", "parts").Str("subject", d.Part).
-			Str("outcome", d.Outcome).Int("crashes", d.Crashes).Msg("")
+		g.opts.Logger.Warn().Str("event", "belief").Str("topic", "quarantine").Str("subject", d.Subject).
+			Str("outcome", string(d.Outcome)).Int("crashes", d.Crashes).Msg("")
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	overBudget, peerErrors, refused    tally.Counter
 	storeFailures                      tally.Counter
 	quarantined, crashes               tally.Counter
+	recordFailures                     tally.Counter
 	// invalidStatements counts header fields about a target's state that can't be decoded.
 	invalidStatements tally.Counter
 	firstEvent        tally.Histogram
@@ -33,6 +34,7 @@
 		storeFailures:     s.Counter("store_failures"),
 		quarantined:       s.Counter("requests_quarantined"),
 		crashes:           s.Counter("target_crashes"),
+		recordFailures:    s.Counter("quarantine_record_failures"),
 		invalidStatements: s.Counter("invalid_target_statements"),
 		firstEvent:        s.Histogram("first_event", observe.LatencyBuckets),
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -30,13 +30,13 @@
 )
 
 // workMessage reports to another gateway the number of requests that the sender has at
-// each target, and its evidence against parts of prompts. A lost message is not sent again,
+// each target, and its evidence on what targets crash on. A lost message is not sent again,
 // since the next one replaces it.
 type workMessage struct {
 	Sender string `cbor:"1,keyasint,omitempty"`
 	// Work maps the placement.TargetKey of a target's id to the number of requests.
 	Work map[uint32]int `cbor:"2,keyasint,omitempty"`
-	// Evidence is what the sender knows of parts of prompts that targets crash on.
+	// Evidence is what the sender knows of requests and parts of prompts that targets crash on.
 	Evidence []quarantine.Evidence `cbor:"22,keyasint,omitempty"`
 	// Read contains the positions of the newest changes that the sender has read in the store,
 	// by topic, if one of them is recent.
@@ -217,6 +217,7 @@
 	work := l.g.balancer.WorkByTarget()
 	l.g.quarantine.SetGateways(len(peers) + 1)
 	evidence := l.g.quarantine.Evidence(l.g.now())
+	l.g.suspecting.Store(l.g.quarantine.Suspects())
 	limits := l.g.balancer.LimitsToTell(l.g.now())
 	l.g.mu.Unlock()
 	m := workMessage{Sender: l.g.opts.Settings.Name, Work: work, Evidence: evidence}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -16,8 +16,8 @@
 	InFlight      int64         `json:"in_flight"`
 	Gateways      int           `json:"gateways"`
 	Targets       []TargetState `json:"targets"`
-	// Parts are the parts of prompts that targets are suspected to crash on.
-	Parts []quarantine.Status `json:"parts,omitempty"`
+	// Quarantine contains the requests and parts of prompts that targets are suspected to crash on.
+	Quarantine []quarantine.Status `json:"quarantine,omitempty"`
 }
 
 // TargetState is the state of one target in the state dump.
@@ -59,7 +59,7 @@
 		}
 		s.Targets = append(s.Targets, ts)
 	}
-	s.Parts = g.quarantine.Status(g.now())
+	s.Quarantine = g.quarantine.Status(g.now())
 	slices.SortFunc(s.Targets, func(a, b TargetState) int { return cmp.Compare(a.ID, b.ID) })
 	return s
 }
--- a/internal/quarantine/answered.go
+++ b/internal/quarantine/answered.go
@@ -2,25 +2,29 @@
 
 import "time"
 
-// answered remembers the time of the last answer to each of the last maxParts parts or more.
-// Parts move from the older to the newer generation with each answer.
-type answered struct {
-	newer, older map[string]time.Duration
+// Answered remembers the time of the last answer to each of the last maxAnswered keys or more. Keys
+// move from the older to the newer generation with each answer.
+type Answered[K comparable] struct {
+	newer, older map[K]time.Duration
 }
 
-func (a *answered) record(at time.Duration, p string) {
-	if a.newer == nil || len(a.newer) >= maxParts/2 {
-		a.newer, a.older = make(map[string]time.Duration, maxParts/2), a.newer
+// Record records an answer at a time.
+func (a *Answered[K]) Record(at time.Duration, key K) {
+	if a.newer == nil || len(a.newer) >= maxAnswered/2 {
+		a.newer, a.older = make(map[K]time.Duration, maxAnswered/2), a.newer
 	}
-	last, _ := a.time(p)
-	a.newer[p] = max(last, at)
+	last, ok := a.Time(key)
+	if ok {
+		at = max(last, at)
+	}
+	a.newer[key] = at
 }
 
-// time returns the time of the last answer to a part that is remembered.
-func (a *answered) time(p string) (time.Duration, bool) {
-	if at, ok := a.newer[p]; ok {
+// Time returns the time of the last answer to a key that is remembered.
+func (a *Answered[K]) Time(key K) (time.Duration, bool) {
+	if at, ok := a.newer[key]; ok {
 		return at, true
 	}
-	at, ok := a.older[p]
+	at, ok := a.older[key]
 	return at, ok
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,18 +2,24 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// maxEvidence bounds the parts in one message, so that it fits a datagram.
+	// maxEvidence bounds the subjects in one message, so that it fits a datagram.
 	maxEvidence = 24
-	// maxCrashes bounds the crashes of a part in one message.
+	// maxCrashes bounds the crashes of a subject in one message.
 	maxCrashes = 8
-	// clearedTime is how long other gateways are told that a part is sound.
+	// clearedTime is how long other gateways are told that a subject is sound.
 	clearedTime = 10 * time.Second
+	// newsTime is how long after a change the evidence against a subject is in each message, so
+	// that it gets through although messages are lost. After that it is told now and then, for
+	// gateways that have started or were cut off: every quarantineRefresh for a quarantined
+	// subject, and every suspectRefresh for another one.
+	newsTime          = 3 * time.Second
+	quarantineRefresh = time.Second
+	suspectRefresh    = 10 * time.Second
 	// mergeSlack is the time by which the crash of another gateway may appear later than it
 	// was, since its message has been on the way.
 	mergeSlack = 500 * time.Millisecond
@@ -21,24 +27,27 @@
 	maxAgeMs = 24 * 60 * 60 * 1000
 )
 
-// Evidence is what a gateway knows of one part. Times are ages in milliseconds.
+// Evidence is what a gateway knows of one subject. Times are ages in milliseconds.
 type Evidence struct {
-	Part    string        `cbor:"1,keyasint"`
+	Subject string        `cbor:"1,keyasint"`
 	Crashes []CrashReport `cbor:"2,keyasint,omitempty"`
-	// Answered is true if an answer to the part is remembered, which is AnsweredMs old.
+	// Answered is true if an answer to the subject is remembered, which is AnsweredMs old.
 	Answered   bool  `cbor:"3,keyasint,omitempty"`
 	AnsweredMs int64 `cbor:"4,keyasint,omitempty"`
+	// Quarantined is true if the subject is quarantined, so that its crashes count however old
+	// they are.
+	Quarantined bool `cbor:"5,keyasint,omitempty"`
 }
 
-// CrashReport is the end of a target under requests with a part.
+// CrashReport is the end of a target under requests with a subject.
 type CrashReport struct {
 	Target uint32 `cbor:"1,keyasint"`
 	AgeMs  int64  `cbor:"2,keyasint"`
 	Begun  bool   `cbor:"3,keyasint,omitempty"`
 }
 
-// Evidence returns what other gateways should know: the suspects with the most evidence against
-// them, and the parts that were cleared a short time ago.
+// Evidence returns what other gateways should know now: the suspects with the most evidence against
+// them, and the subjects that were cleared a short time ago.
 func (t *Tracker) Evidence(now time.Duration) []Evidence {
 	t.expire(now)
 	var out []Evidence
@@ -47,22 +56,57 @@
 			out = append(out, t.evidenceOf(now, p))
 		}
 	}
-	ranked := slices.SortedFunc(maps.Keys(t.suspects), func(a, b string) int { return t.compareEvidence(b, a) })
-	for _, p := range ranked[:min(len(ranked), maxEvidence-len(out))] {
-		out = append(out, t.evidenceOf(now, p))
+	due := t.suspectsToTell(now)
+	for _, d := range due[:min(len(due), maxEvidence-len(out))] {
+		t.suspects[d.subject].toldAt = now
+		out = append(out, t.evidenceOf(now, d.subject))
 	}
 	return out
 }
 
+// rankedSuspect is a suspect with its rank in a message.
+type rankedSuspect struct {
+	subject string
+	weight  int
+	// toldAt and last are those of the suspect.
+	toldAt, last time.Duration
+}
+
+// suspectsToTell returns the suspects that should be in a message. Those with the most evidence
+// come first; others with equal evidence take turns, since a target that ends may have had more
+// requests than one message can name.
+func (t *Tracker) suspectsToTell(now time.Duration) []rankedSuspect {
+	var due []rankedSuspect
+	for p, s := range t.suspects {
+		if s.shouldTell(now) {
+			due = append(due, rankedSuspect{subject: p, weight: s.weight(nil), toldAt: s.toldAt, last: s.last})
+		}
+	}
+	slices.SortFunc(due, func(a, b rankedSuspect) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.toldAt, b.toldAt), cmp.Compare(b.last, a.last))
+	})
+	return due
+}
+
+// shouldTell reports whether a message of this time should contain the suspect.
+func (s *suspect) shouldTell(now time.Duration) bool {
+	refresh := suspectRefresh
+	if s.tied != nil {
+		refresh = quarantineRefresh
+	}
+	return now-s.changedAt < newsTime || now-s.toldAt >= refresh
+}
+
 func (t *Tracker) evidenceOf(now time.Duration, p string) Evidence {
-	e := Evidence{Part: p}
-	if at, ok := t.answered.time(p); ok {
+	e := Evidence{Subject: p}
+	if at, ok := t.answered.Time(p); ok {
 		e.Answered, e.AnsweredMs = true, (now - at).Milliseconds()
 	}
 	s := t.suspects[p]
 	if s == nil {
 		return e
 	}
+	e.Quarantined = s.tied != nil
 	for target, c := range s.crashes {
 		if len(e.Crashes) == maxCrashes {
 			break
@@ -75,32 +119,32 @@
 // Merge adds the evidence of another gateway.
 func (t *Tracker) Merge(now time.Duration, evidence []Evidence) {
 	for i := range evidence {
-		t.mergePart(now, &evidence[i])
+		t.mergeSubject(now, &evidence[i])
 	}
 	t.judge()
 }
 
-func (t *Tracker) mergePart(now time.Duration, e *Evidence) {
-	answered, known := t.answered.time(e.Part)
+func (t *Tracker) mergeSubject(now time.Duration, e *Evidence) {
+	answered, known := t.answered.Time(e.Subject)
 	for _, c := range e.Crashes {
 		age := time.Duration(min(max(0, c.AgeMs), maxAgeMs)) * time.Millisecond
 		at := now - age
-		if age > t.evidenceTime || known && at <= answered+mergeSlack {
+		if age > t.evidenceTime && !e.Quarantined || known && at <= answered+mergeSlack {
 			continue
 		}
-		t.addCrash(now, e.Part, c.Target, crash{at: at, begun: c.Begun})
+		t.addCrash(now, e.Subject, c.Target, crash{at: at, begun: c.Begun})
 	}
-	s := t.suspects[e.Part]
+	s := t.suspects[e.Subject]
 	if !e.Answered || s == nil {
 		return
 	}
 	t.unjudged = t.unjudged || !s.answeredBefore
 	s.answeredBefore = true
-	t.clear(now-time.Duration(min(max(0, e.AnsweredMs), maxAgeMs))*time.Millisecond, e.Part)
+	t.clear(now-time.Duration(min(max(0, e.AnsweredMs), maxAgeMs))*time.Millisecond, e.Subject)
 }
 
-// expire forgets suspects without enough evidence whose crashes no longer count, and parts that
-// were cleared long enough ago. Quarantined parts stay until an answer to them arrives.
+// expire forgets suspects without enough evidence whose crashes no longer count, and subjects that
+// were cleared long enough ago. Quarantined subjects stay until an answer to them arrives.
 func (t *Tracker) expire(now time.Duration) {
 	for p, s := range t.suspects {
 		if s.tied == nil && now-s.last > t.evidenceTime {
@@ -123,19 +167,19 @@
 	return changed
 }
 
-// Status is the state of one suspected part.
+// Status is the state of one suspected subject.
 type Status struct {
-	Part           string `json:"part"`
+	Subject        string `json:"subject"`
 	Crashes        int    `json:"crashes"`
 	LastCrashMsAgo int64  `json:"last_crash_ms_ago"`
 	Quarantined    bool   `json:"quarantined"`
 }
 
-// Status returns the state of each suspected part.
+// Status returns the state of each suspected subject.
 func (t *Tracker) Status(now time.Duration) []Status {
 	var out []Status
 	for p, s := range t.suspects {
-		out = append(out, Status{Part: p, Crashes: len(s.crashes), LastCrashMsAgo: (now - s.last).Milliseconds(), Quarantined: s.tied != nil})
+		out = append(out, Status{Subject: p, Crashes: len(s.crashes), LastCrashMsAgo: (now - s.last).Milliseconds(), Quarantined: s.tied != nil})
 	}
 	slices.SortFunc(out, func(a, b Status) int { return cmp.Compare(a.LastCrashMsAgo, b.LastCrashMsAgo) })
 	return out
--- a/internal/quarantine/fuzz_test.go
+++ b/internal/quarantine/fuzz_test.go
@@ -44,7 +44,7 @@
 		tr.ReturnTrial(parts)
 	case 6:
 		tr.Merge(now, []Evidence{{
-			Part: parts[0], Answered: op[1]&1 != 0, AnsweredMs: int64(int8(op[2])) << 40,
+			Subject: parts[0], Answered: op[1]&1 != 0, AnsweredMs: int64(int8(op[2])) << 40,
 			Crashes: []CrashReport{{Target: uint32(op[1]), AgeMs: int64(int8(op[1])) << 50}},
 		}})
 	case 7:
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -3,20 +3,26 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 )
 
-// judge decides which parts are quarantined. The part with the most evidence explains the
-// crashes under it; other parts are judged by the crashes that are left.
+// RequestPrefix begins the subjects that are fingerprints of requests; no other subject has it.
+const RequestPrefix = "request:"
+
+// judge decides which subjects are quarantined. The one with the most evidence explains the
+// crashes under it; others are judged by the crashes that are left.
 func (t *Tracker) judge() {
 	if !t.unjudged {
 		return
 	}
 	t.unjudged = false
 	explained := map[uint32]bool{}
-	open := make([]string, 0, len(t.suspects))
+	var open []string
 	for p, s := range t.suspects {
-		open = append(open, p)
 		s.tied = nil
+		if s.weight(nil) >= quarantineWeight {
+			open = append(open, p)
+		}
 	}
 	slices.Sort(open) // the same order at each gateway
 	for len(open) > 0 {
@@ -29,10 +35,14 @@
 		tied, rest := t.splitTied(open, worst, explained)
 		for _, p := range tied {
 			s := t.suspects[p]
-			s.tied = tied
+			s.tied = refusedTogether(p, tied)
+			t.judged = true
 			if !s.quarantined {
 				s.quarantined = true
-				t.decide(p, "quarantined", len(s.crashes))
+				t.decide(p, Quarantine, len(s.crashes))
+				if s.seenHere {
+					t.unsaved[p] = true
+				}
 			}
 		}
 		for target := range t.suspects[worst].crashes {
@@ -42,11 +52,35 @@
 	}
 }
 
-// splitTied splits parts into those that the same unexplained crashes speak against as
+// TakeJudged reports whether subjects have been quarantined, or quarantined anew on other evidence,
+// since the last call.
+func (t *Tracker) TakeJudged() bool {
+	judged := t.judged
+	t.judged = false
+	return judged
+}
+
+// refusedTogether returns the subjects of tied that a request must have, besides p, to be refused
+// because of p. A request has one fingerprint, so if there are several, they are those of different
+// requests.
+func refusedTogether(p string, tied []string) []string {
+	isRequest := func(subject string) bool { return strings.HasPrefix(subject, RequestPrefix) }
+	parts := slices.DeleteFunc(slices.Clone(tied), isRequest)
+	switch {
+	case len(tied)-len(parts) <= 1:
+		return tied
+	case isRequest(p):
+		return []string{p}
+	default:
+		return parts
+	}
+}
+
+// splitTied splits subjects into those that the same unexplained crashes speak against as
 // against worst, with as much weight, and the others.
-func (t *Tracker) splitTied(parts []string, worst string, explained map[uint32]bool) (tied, rest []string) {
+func (t *Tracker) splitTied(subjects []string, worst string, explained map[uint32]bool) (tied, rest []string) {
 	s := t.suspects[worst]
-	for _, p := range parts {
+	for _, p := range subjects {
 		if o := t.suspects[p]; o.weight(explained) == s.weight(explained) && sameTargets(o.crashes, s.crashes, explained) {
 			tied = append(tied, p)
 		} else {
@@ -70,7 +104,7 @@
 	return true
 }
 
-// weight returns the weight of the crashes that are not explained by another part.
+// weight returns the weight of the crashes that are not explained by another subject.
 func (s *suspect) weight(explained map[uint32]bool) int {
 	begun, waiting := weightBegun, weightWaiting
 	if s.answeredBefore {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,11 +1,12 @@
-// Package quarantine finds the parts of prompts on which targets crash, and decides which
-// requests must not reach a target because of them.
+// Package quarantine finds what targets crash on, and decides which requests must not reach a
+// target because of it.
 //
-// The evidence against a part is the set of targets that ended while they had a request with
-// the part that did not count as answered. A successful answer to a request with the part speaks
-// for it, and so does a stream that went on for some time after its first event. A part is
-// quarantined once the evidence against it, less what other quarantined parts explain, reaches a
-// limit. Gateways exchange their evidence.
+// A subject is what requests have in common that may make targets crash: a part of their prompts,
+// or the fingerprint of a request that comes again. The evidence against a subject is the set of
+// targets that ended while they had a request with it that did not count as answered. A successful
+// answer to a request speaks for its subjects, and so does a stream that went on for some time
+// after its first event. A subject is quarantined once the evidence against it, less what other
+// quarantined subjects explain, reaches a limit. Gateways exchange their evidence.
 //
 // A Tracker is a state machine without I/O: callers pass in the time since their start and must
 // not use it concurrently.
@@ -14,6 +15,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -21,26 +23,30 @@
 
 const (
 	// A crash under a request whose answer had begun weighs more than one under a request that
-	// may still have waited, and a crash under a part weighs more if no answer to the part is
-	// remembered: two, three, four or six targets end before a part is quarantined.
+	// may still have waited, and a crash under a subject weighs more if no answer to the subject is
+	// remembered: two, three, four or six targets end before a subject is quarantined.
 	weightBegun, weightWaiting           = 6, 4
 	weightBegunKnown, weightWaitingKnown = 3, 2
 	quarantineWeight                     = 12
 
-	// evidenceTime is how long a crash counts. After that time without another one at the
-	// latest, a request with a quarantined part is let through to find out whether targets still
-	// crash on it.
+	// evidenceTime is how long a crash counts against a subject that is not quarantined, and the
+	// least time between the last crash under a quarantined one and a trial of it.
 	evidenceTime = 10 * time.Minute
 	// evidenceJitter is the part of evidenceTime by which it differs between gateways, so that
 	// one of them finds out first and tells the others.
 	evidenceJitter = 0.2
-	// suspectPause is the time after a crash in which no other request with a suspected part is
-	// let through: the crashed request is tried again in that time.
+	// suspectPause is the time after a crash in which no other request with a suspected subject
+	// is let through: the crashed request is tried again in that time.
 	suspectPause = 1500 * time.Millisecond
-	// trialTime is the time between two requests with a suspected part.
+	// trialTime is the time between two requests with a suspected subject.
 	trialTime = 2 * time.Second
+	// trialSpacing is the mean time between the first trials of two gateways after suspectPause,
+	// so that the crash under one is known before the next; maxTrialSpread bounds that of all of
+	// them.
+	trialSpacing   = 200 * time.Millisecond
+	maxTrialSpread = 3 * time.Second
 
-	// A quarantined part that was answered before may be sound: if most requests have it, all
+	// A quarantined subject that was answered before may be sound: if most requests have it, all
 	// targets that end together speak against it. It is tried again after retryGrowth times the
 	// time over which targets have ended under it, so that the time from the first end to a
 	// retry grows by the factor retryGrowth+1. retrySpacing is the mean time between the first
@@ -48,24 +54,27 @@
 	retryGrowth  = 7
 	retrySpacing = 500 * time.Millisecond
 
-	// maxParts bounds the parts whose answers are remembered, and maxSuspects the parts with
-	// evidence against them.
-	maxParts    = 16384
-	maxSuspects = 256
-	// maxKeptCrashes bounds the crashes that are kept against a part.
+	// maxAnswered bounds the subjects whose answers are remembered, and maxSuspects the subjects
+	// with evidence against them.
+	maxAnswered = 16384
+	maxSuspects = 1024
+	// maxKeptCrashes bounds the crashes that are kept against a subject.
 	maxKeptCrashes = 32
 )
 
+// never is the time of an event that has not happened.
+const never = time.Duration(math.MinInt64 / 2)
+
 // Verdict is the decision on a request.
 type Verdict uint8
 
 // The verdicts.
 const (
-	// Allowed means that no part of the request is under suspicion.
+	// Allowed means that no subject of the request is under suspicion.
 	Allowed Verdict = iota
-	// Trial means that the request has a suspected part and is the one that is let through.
+	// Trial means that the request has a suspected subject and is the one that is let through.
 	Trial
-	// Held means that another request with a suspected part is being tried.
+	// Held means that another request with a suspected subject is being tried.
 	Held
 	// Quarantined means that targets crash on the request.
 	Quarantined
@@ -74,34 +83,40 @@
 // String returns the verdict's name for logs.
 func (v Verdict) String() string { return [...]string{"allowed", "trial", "held", "quarantined"}[v] }
 
-// crash is the end of a target under a request with a part.
+// crash is the end of a target under a request with a subject.
 type crash struct {
 	at    time.Duration
 	begun bool
 }
 
-// suspect is a part with evidence against it.
+// suspect is a subject with evidence against it.
 type suspect struct {
 	crashes map[uint32]crash
 	// last is the time of the last crash.
 	last time.Duration
-	// answeredBefore is true if this gateway or another one remembers an answer to the part
+	// answeredBefore is true if this gateway or another one remembers an answer to the subject
 	// from before its first crash.
 	answeredBefore bool
 	// nextTrial is the earliest time of the next request that is let through.
 	nextTrial time.Duration
-	// tied are the parts, including this one, that the same crashes speak against; nil unless
-	// the part is quarantined. Only requests with all of them are refused.
+	// tied are the subjects, including this one, that the same crashes speak against; nil unless
+	// the subject is quarantined. Only requests with all of them are refused.
 	tied []string
-	// quarantined is true once the part has been quarantined.
+	// seenHere is true if this gateway has seen one of the crashes itself.
+	seenHere bool
+	// quarantined is true once the subject has been quarantined.
 	quarantined bool
+	// changedAt is the time of the last change of the evidence, and toldAt that of the last
+	// message with it.
+	changedAt, toldAt time.Duration
+	retrial
 }
 
 // Tracker keeps the evidence of one gateway and of those that it hears from.
 type Tracker struct {
 	suspects map[string]*suspect
-	answered answered
-	// cleared contains the parts whose suspicion an answer has ended, for other gateways.
+	answered Answered[string]
+	// cleared contains the subjects whose suspicion an answer has ended, for other gateways.
 	cleared map[string]time.Duration
 	// evidenceTime is this gateway's own time for which a crash counts.
 	evidenceTime time.Duration
@@ -111,42 +126,61 @@
 	turn     float64
 	// changed is true if this gateway has seen crashes since TakeChanged was called.
 	changed bool
+	// unsaved contains the quarantined subjects whose records should be saved by this gateway,
+	// which has seen a crash under them.
+	unsaved map[string]bool
 	// unjudged is true if evidence has changed since the last judgement.
-	unjudged  bool
+	unjudged bool
+	// judged is true if a judgement since TakeJudged was called has quarantined a subject.
+	judged    bool
 	decisions []Decision
 }
 
-// Decision is a change of what is believed of a part, for the log.
+// Decision is a change of what is believed of a subject, for the log.
 type Decision struct {
-	Part string
-	// Outcome is suspected, quarantined or sound.
-	Outcome string
+	Subject string
+	Outcome Outcome
 	Crashes int
+	// Released is true if the subject is sound and was quarantined before.
+	Released bool
 }
 
+// Outcome is what is believed of a subject.
+type Outcome string
+
+// The outcomes.
+const (
+	Suspected  Outcome = "suspected"
+	Quarantine Outcome = "quarantined"
+	Sound      Outcome = "sound"
+)
+
 // New returns a Tracker without evidence.
 func New(rng *rand.Rand) *Tracker {
 	spread := 1 + evidenceJitter*(2*rng.Float64()-1)
 	return &Tracker{
-		suspects: map[string]*suspect{}, cleared: map[string]time.Duration{},
+		suspects: map[string]*suspect{}, cleared: map[string]time.Duration{}, unsaved: map[string]bool{},
 		evidenceTime: time.Duration(spread * float64(evidenceTime)), gateways: 1, turn: rng.Float64(),
 	}
 }
 
-// SetGateways sets the number of gateways, which take turns in trying a part again.
+// SetGateways sets the number of gateways, which take turns in trying a subject again.
 func (t *Tracker) SetGateways(n int) { t.gateways = max(1, n) }
 
-// Admit decides on a request with the parts that is about to be sent to a target. For a request
+// Suspects reports whether there is evidence against any subject.
+func (t *Tracker) Suspects() bool { return len(t.suspects) > 0 }
+
+// Admit decides on a request with the subjects that is about to be sent to a target. For a request
 // that must not be sent, wait is the time after which it may be decided on again.
-func (t *Tracker) Admit(now time.Duration, parts []string) (v Verdict, wait time.Duration) {
+func (t *Tracker) Admit(now time.Duration, subjects []string) (v Verdict, wait time.Duration) {
 	if len(t.suspects) == 0 {
 		return Allowed, 0
 	}
-	if wait, refused := t.Refuses(now, parts); refused {
+	if wait, refused := t.Refuses(now, subjects); refused {
 		return Quarantined, wait
 	}
 	var trials []*suspect
-	for _, p := range parts {
+	for _, p := range subjects {
 		s := t.suspects[p]
 		switch {
 		case s == nil || s.tied == nil && s.answeredBefore:
@@ -161,45 +195,50 @@
 	}
 	for _, s := range trials {
 		s.nextTrial = now + trialTime
+		s.beginTrial(now)
 	}
 	return Trial, 0
 }
 
-// ReturnTrial takes back the verdict Trial on a request with the parts that reached no
+// ReturnTrial takes back the verdict Trial on a request with the subjects that reached no
 // target, so that another request is let through in its place.
-func (t *Tracker) ReturnTrial(parts []string) {
-	for _, p := range parts {
+func (t *Tracker) ReturnTrial(subjects []string) {
+	for _, p := range subjects {
 		if s := t.suspects[p]; s != nil {
 			s.nextTrial = s.last + suspectPause
+			s.returnTrial()
 		}
 	}
 }
 
-// Refuses reports whether a part of a request with the parts is quarantined, and after which
-// time a gateway tries it again. It applies to requests that were admitted before.
-func (t *Tracker) Refuses(now time.Duration, parts []string) (wait time.Duration, refused bool) {
-	for _, p := range parts {
+// Refuses reports whether a subject of a request is quarantined, and after which time a gateway
+// tries it again. It applies to requests that were admitted before.
+func (t *Tracker) Refuses(now time.Duration, subjects []string) (wait time.Duration, refused bool) {
+	for _, p := range subjects {
 		s := t.suspects[p]
-		if s == nil || !s.refuses(parts) {
+		if s == nil || !s.refuses(subjects) {
 			continue
 		}
-		first, own := t.retryPauses(s)
-		if left := s.last + own - now; left > 0 {
-			return max(s.last+first-now, min(left, trialTime)), true
+		if left := t.retryWait(now, s); left > 0 {
+			s.refusedAt = now
+			return left, true
 		}
 	}
 	return 0, false
 }
 
-// retryPauses returns the times from the last crash under a quarantined part until the first
-// gateway and this one try it again.
-func (t *Tracker) retryPauses(s *suspect) (first, own time.Duration) {
+// retryWait returns the time after which a gateway tries a quarantined subject again, or zero if
+// this one may do so now.
+func (t *Tracker) retryWait(now time.Duration, s *suspect) time.Duration {
 	if !s.answeredBefore {
-		return t.evidenceTime, t.evidenceTime
+		return t.retrialWait(now, s)
+	}
+	first := max(suspectPause, retryGrowth*(s.last-s.firstCrash()))
+	own := first + time.Duration(t.turn*float64(t.gateways)*float64(retrySpacing))
+	if left := s.last + own - now; left > 0 {
+		return max(s.last+first-now, min(left, trialTime))
 	}
-	first = max(suspectPause, retryGrowth*(s.last-s.firstCrash()))
-	own = first + time.Duration(t.turn*float64(t.gateways)*float64(retrySpacing))
-	return min(first, t.evidenceTime), min(own, t.evidenceTime)
+	return 0
 }
 
 // firstCrash returns the time of the first of the crashes that are kept.
@@ -211,22 +250,22 @@
 	return at
 }
 
-// refuses reports whether the part is quarantined and the request has all of its tied.
-func (s *suspect) refuses(parts []string) bool {
-	return s.tied != nil && !slices.ContainsFunc(s.tied, func(p string) bool { return !slices.Contains(parts, p) })
+// refuses reports whether the subject is quarantined and the request has all of its tied.
+func (s *suspect) refuses(subjects []string) bool {
+	return s.tied != nil && !slices.ContainsFunc(s.tied, func(p string) bool { return !slices.Contains(subjects, p) })
 }
 
-// RecordAnswer records that a request with the parts was answered by an answer that began at a
+// RecordAnswer records that a request with the subjects was answered by an answer that began at a
 // time. It speaks against crashes up to that time only.
-func (t *Tracker) RecordAnswer(began time.Duration, parts []string) {
-	for _, p := range parts {
+func (t *Tracker) RecordAnswer(began time.Duration, subjects []string) {
+	for _, p := range subjects {
 		t.clear(began, p)
 	}
 }
 
-// clear records an answer to a part at a time, which ends a suspicion from before.
+// clear records an answer to a subject at a time, which ends a suspicion from before.
 func (t *Tracker) clear(at time.Duration, p string) {
-	t.answered.record(at, p)
+	t.answered.Record(at, p)
 	s := t.suspects[p]
 	if s == nil {
 		return
@@ -240,13 +279,13 @@
 	if len(s.crashes) == 0 {
 		delete(t.suspects, p)
 		t.cleared[p] = at
-		t.decide(p, "sound", 0)
+		t.decisions = append(t.decisions, Decision{Subject: p, Outcome: Sound, Released: s.quarantined})
 	}
 	t.judge()
 }
 
-func (t *Tracker) decide(p, outcome string, crashes int) {
-	t.decisions = append(t.decisions, Decision{Part: p, Outcome: outcome, Crashes: crashes})
+func (t *Tracker) decide(subject string, outcome Outcome, crashes int) {
+	t.decisions = append(t.decisions, Decision{Subject: subject, Outcome: outcome, Crashes: crashes})
 }
 
 // TakeDecisions returns the decisions since the last call.
@@ -256,12 +295,14 @@
 	return d
 }
 
-// RecordCrash records that a target ended under a request with the parts. begun is true if the
+// RecordCrash records that a target ended under a request with the subjects. begun is true if the
 // head of its answer had arrived.
-func (t *Tracker) RecordCrash(now time.Duration, target uint32, parts []string, begun bool) {
-	for _, p := range parts {
+func (t *Tracker) RecordCrash(now time.Duration, target uint32, subjects []string, begun bool) {
+	for _, p := range subjects {
 		if t.addCrash(now, p, target, crash{at: now, begun: begun}) {
 			t.changed = true
+			t.suspects[p].seenHere = true
+			t.unsaved[p] = true
 		}
 	}
 	t.judge()
@@ -272,11 +313,11 @@
 	s := t.suspects[p]
 	if s == nil {
 		t.makeRoom()
-		_, known := t.answered.time(p)
-		s = &suspect{crashes: map[uint32]crash{}, answeredBefore: known, last: c.at}
+		_, known := t.answered.Time(p)
+		s = &suspect{crashes: map[uint32]crash{}, answeredBefore: known, last: c.at, toldAt: never}
 		t.suspects[p] = s
 		delete(t.cleared, p)
-		t.decide(p, "suspected", 1)
+		t.decide(p, Suspected, 1)
 	}
 	old, ok := s.crashes[target]
 	if ok && (old.begun || !c.begun) {
@@ -288,12 +329,21 @@
 		s.dropOldest()
 	}
 	s.crashes[target] = c
+	s.changedAt = now
 	s.last = max(s.last, c.at)
-	s.nextTrial = max(s.nextTrial, now+suspectPause)
+	s.nextTrial = max(s.nextTrial, now+suspectPause+t.trialDelay())
+	s.endTrial()
 	t.unjudged = true
 	return true
 }
 
+// trialDelay returns the time after suspectPause from which this gateway lets a request with a
+// suspected subject through.
+func (t *Tracker) trialDelay() time.Duration {
+	spread := min(time.Duration(t.gateways-1)*trialSpacing, maxTrialSpread)
+	return time.Duration(t.turn * float64(spread))
+}
+
 // dropOldest drops the crash that is longest ago.
 func (s *suspect) dropOldest() {
 	delete(s.crashes, slices.MinFunc(slices.Collect(maps.Keys(s.crashes)), func(a, b uint32) int {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -102,7 +102,7 @@
 }
 
 // Guards against a quarantine for good, and against one that ends five targets each time it is
-// lifted: one request is let through, and its crash renews the quarantine.
+// lifted: with a grant one request is let through, and its crash renews the quarantine.
 func TestQuarantineIsTriedAgainWithOneRequest(t *testing.T) {
 	tr := newTracker()
 	for target := range uint32(2) {
@@ -110,25 +110,129 @@
 	}
 	now := time.Duration((1 + evidenceJitter) * float64(evidenceTime))
 	tr.Evidence(now)
+	assert.Equal(t, len(tr.TrialsDue(now)), 0, "a trial without a request for it")
+	assert.Equal(t, verdict(tr, now, "x"), Quarantined)
+	assert.DeepEqual(t, tr.TrialsDue(now), []string{"x"})
+	assert.Equal(t, len(tr.TrialsDue(now)), 0, "a second grant is asked for")
+	assert.Equal(t, verdict(tr, now, "x"), Quarantined)
+	tr.GrantTrial("x")
 	assert.Equal(t, verdict(tr, now, "x"), Trial)
+	assert.Assert(t, !refused(tr, now, "x"), "the trial is refused on its way")
 	assert.Equal(t, verdict(tr, now, "x"), Held)
 	tr.RecordCrash(now, 3, []string{"x"}, true)
+	assert.Assert(t, refused(tr, now, "x"), "the trial goes to a second target")
 	assert.Equal(t, verdict(tr, now+time.Minute, "x"), Quarantined)
 	now *= 3
+	assert.Equal(t, verdict(tr, now, "x"), Quarantined)
+	assert.DeepEqual(t, tr.TrialsDue(now), []string{"x"})
+	tr.GrantTrial("x")
 	assert.Equal(t, verdict(tr, now, "x"), Trial)
 	tr.RecordAnswer(now, []string{"x"})
 	assert.Equal(t, verdict(tr, now, "x"), Allowed)
 }
 
+// Guards against trials without end: after five crashes none is asked for.
+func TestSubjectIsNotTriedAfterItsFifthCrash(t *testing.T) {
+	tr := newTracker()
+	for target := range uint32(maxRetrialCrashes) {
+		tr.RecordCrash(0, target, []string{"x"}, true)
+	}
+	now := 100 * evidenceTime
+	assert.Equal(t, verdict(tr, now, "x"), Quarantined)
+	assert.Equal(t, len(tr.TrialsDue(now)), 0)
+}
+
+// Guards against a grant that is lost with a request that reached no target, and against more than
+// one request for a grant of subjects that are refused only together.
+func TestTrialThatReachedNoTargetKeepsItsGrant(t *testing.T) {
+	tr := newTracker()
+	subjects := []string{"x", "y"}
+	for target := range uint32(2) {
+		tr.RecordCrash(0, target, subjects, true)
+	}
+	now := 2 * evidenceTime
+	assert.Equal(t, verdict(tr, now, subjects...), Quarantined)
+	assert.DeepEqual(t, tr.TrialsDue(now), []string{"x"})
+	tr.GrantTrial("x")
+	assert.Equal(t, verdict(tr, now, subjects...), Trial)
+	tr.ReturnTrial(subjects)
+	assert.Equal(t, verdict(tr, now, subjects...), Trial)
+	assert.Equal(t, verdict(tr, now+2*trialTime, subjects...), Quarantined, "a grant is used twice")
+}
+
+// Guards against a fingerprint that is refused only together with that of another request, which
+// no request can have, and with it against a request that is never refused.
+func TestFingerprintsAreRefusedOneByOne(t *testing.T) {
+	tr := newTracker()
+	for target := range uint32(3) {
+		tr.RecordCrash(0, target, []string{"request:a", "doc"}, false)
+		tr.RecordCrash(0, target, []string{"request:b", "doc"}, false)
+	}
+	assert.Equal(t, verdict(tr, time.Second, "request:a"), Quarantined)
+	assert.Equal(t, verdict(tr, time.Second, "request:b", "doc"), Quarantined)
+	tr.RecordAnswer(time.Second, []string{"request:b", "doc"})
+	assert.Equal(t, verdict(tr, time.Second, "request:b", "doc"), Allowed)
+	assert.Equal(t, verdict(tr, time.Second, "request:a"), Quarantined)
+}
+
+// Guards against a quarantine that ends with the processes that know of it, and against trials
+// that each start of a process adds.
+func TestQuarantineOutlastsAllGateways(t *testing.T) {
+	wall := time.Unix(1e9, 0)
+	tr := newTracker()
+	for target := range uint32(3) {
+		tr.RecordCrash(time.Hour, target, []string{"x"}, false)
+	}
+	record, ok := tr.Record(time.Hour, wall, "x")
+	assert.Assert(t, ok)
+	started := newTracker()
+	started.Restore(0, wall.Add(2*time.Hour), []Record{record})
+	assert.Equal(t, verdict(started, 0, "x"), Quarantined)
+	assert.Assert(t, record.Grant(wall))
+	assert.Assert(t, !record.Grant(wall.Add(minTrialInterval/2)), "too soon")
+	assert.Assert(t, record.Grant(wall.Add(minTrialInterval)))
+	assert.Assert(t, !record.Grant(wall.Add(100*minTrialInterval)), "more than %d trials", maxTrials)
+}
+
+// Guards against a record that loses the crashes of later trials.
+func TestRecordAddsLaterCrashes(t *testing.T) {
+	wall := time.Unix(1e9, 0)
+	tr := newTracker()
+	for target := range uint32(3) {
+		tr.RecordCrash(0, target, []string{"x"}, false)
+	}
+	record, _ := tr.Record(0, wall, "x")
+	assert.Assert(t, !record.Add(record))
+	tr.RecordCrash(time.Hour, 3, []string{"x"}, false)
+	later, _ := tr.Record(time.Hour, wall.Add(time.Hour), "x")
+	assert.Assert(t, record.Add(later))
+	started := newTracker()
+	started.Restore(0, wall.Add(2*time.Hour), []Record{record})
+	assert.Equal(t, started.Status(0)[0].Crashes, 4)
+	assert.Equal(t, started.Status(0)[0].LastCrashMsAgo, time.Hour.Milliseconds())
+}
+
+// Guards against messages that name old suspects all the time, and against gateways that never
+// hear of them.
+func TestOldEvidenceIsToldNowAndThen(t *testing.T) {
+	tr := newTracker()
+	tr.RecordCrash(0, 1, []string{"x"}, false)
+	told := 0
+	for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
+		told += len(tr.Evidence(now))
+	}
+	assert.Assert(t, told >= int(time.Minute/suspectRefresh) && told <= 50, "told %d times", told)
+}
+
 func TestMemoryIsBoundedUnderNewParts(t *testing.T) {
 	tr := newTracker()
-	for i := range 3 * maxParts {
+	for i := range 3 * maxAnswered {
 		tr.RecordAnswer(time.Duration(i), []string{fmt.Sprint(i)})
 	}
 	for i := range 3 * maxSuspects {
 		tr.RecordCrash(time.Duration(i), 1, []string{fmt.Sprint("s", i)}, false)
 	}
-	assert.Assert(t, len(tr.answered.newer)+len(tr.answered.older) <= maxParts)
+	assert.Assert(t, len(tr.answered.newer)+len(tr.answered.older) <= maxAnswered)
 	assert.Assert(t, len(tr.suspects) <= maxSuspects)
 	assert.Assert(t, len(tr.Evidence(0)) <= maxEvidence)
 }
@@ -158,7 +262,7 @@
 		tr.RecordCrash(time.Second+time.Millisecond, 1, []string{fmt.Sprint("bystander", i)}, false)
 	}
 	evidence := tr.Evidence(time.Second + 2*time.Millisecond)
-	assert.Assert(t, slices.ContainsFunc(evidence, func(e Evidence) bool { return e.Part == "x" }))
+	assert.Assert(t, slices.ContainsFunc(evidence, func(e Evidence) bool { return e.Subject == "x" }))
 }
 
 // Guards against a quarantine that ends because many requests waited at targets that end: their
--- a/internal/quarantine/repeat_test.go
+++ b/internal/quarantine/repeat_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,15 +17,20 @@
 	rng      *rand.Rand
 	gateways []*Tracker
 	// cut contains the gateways that messages do not reach.
-	cut  map[int]bool
-	ends []time.Duration
+	cut map[int]bool
+	// store contains the records of quarantined subjects.
+	store map[string]Record
+	ends  []time.Duration
 }
 
+// timeOfDay returns the time of day at a time of the run.
+func timeOfDay(now time.Duration) time.Time { return time.Unix(1e9, 0).Add(now) }
+
 // repeatedRequest is what identifies the request.
 var repeatedRequest = []string{"request:x"}
 
 func newRepeatRun(seed uint64, gateways int) *repeatRun {
-	r := &repeatRun{rng: rand.New(rand.NewPCG(seed, 1)), cut: map[int]bool{}}
+	r := &repeatRun{rng: rand.New(rand.NewPCG(seed, 1)), cut: map[int]bool{}, store: map[string]Record{}}
 	for range gateways {
 		r.gateways = append(r.gateways, r.newGateway(gateways))
 	}
@@ -46,14 +53,34 @@
 	}
 }
 
-// restart replaces a gateway by one without evidence, which hears from another one before it
-// gets requests.
+// restart replaces a gateway by one that knows only what the store has.
 func (r *repeatRun) restart(now time.Duration, i int) {
 	r.gateways[i] = r.newGateway(len(r.gateways))
-	for other := range r.gateways {
-		if other != i && r.cut[other] == r.cut[i] {
-			r.gateways[i].Merge(now, r.gateways[other].Evidence(now))
-			return
+	r.gateways[i].Restore(now, timeOfDay(now), slices.Collect(maps.Values(r.store)))
+}
+
+// save writes the records of the subjects that a gateway has quarantined or has new evidence of.
+func (r *repeatRun) save(now time.Duration, g *Tracker) {
+	for _, subject := range g.TakeUnsaved() {
+		record, ok := g.Record(now, timeOfDay(now), subject)
+		if !ok {
+			continue
+		}
+		if old, exists := r.store[subject]; exists {
+			old.Add(record)
+			record = old
+		}
+		r.store[subject] = record
+	}
+}
+
+// grant lets a gateway try subjects again if the store allows it.
+func (r *repeatRun) grant(now time.Duration, g *Tracker) {
+	for _, subject := range g.TrialsDue(now) {
+		record := r.store[subject]
+		if record.Grant(timeOfDay(now)) {
+			r.store[subject] = record
+			g.GrantTrial(subject)
 		}
 	}
 }
@@ -62,6 +89,7 @@
 func (r *repeatRun) arrive(now time.Duration, i int) {
 	g := r.gateways[i]
 	v, _ := g.Admit(now, repeatedRequest)
+	r.grant(now, g)
 	if v == Held || v == Quarantined {
 		return
 	}
@@ -71,13 +99,14 @@
 		}
 		r.ends = append(r.ends, now)
 		g.RecordCrash(now, uint32(len(r.ends)), repeatedRequest, false)
+		r.save(now, g)
 		r.tell(now, i)
 	}
 }
 
 // Guards against a request that ends more than three targets later than stabilityWindow after the
 // third, for as long as it comes: through retries of each gateway, restarts, and zones that are
-// cut off while others find it out.
+// cut off while others find it out. All gateways lose power at once in the middle.
 func TestRequestThatKeepsComingEndsFewTargets(t *testing.T) {
 	const (
 		stabilityWindow = 3 * time.Second
@@ -101,6 +130,11 @@
 					}
 					r.arrive(now, r.rng.IntN(gateways))
 					r.tell(now, r.rng.IntN(gateways))
+					if now == runTime/interval/2*interval {
+						for i := range r.gateways {
+							r.restart(now, i)
+						}
+					}
 					if now > nextRestart {
 						r.restart(now, r.rng.IntN(gateways))
 						nextRestart += restartTime
