placement, gateway: statements of a target are forgotten when its entry lapses (red tests)

What can still be reproduced is a pause, leaving or limit that is lost with the entry of its target.

--- a/internal/gateway/statements_test.go
+++ b/internal/gateway/statements_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/fleet"
 )
 
 // arrivals records the times at which a target gets requests.
@@ -107,3 +109,24 @@
 	assert.Check(t, mostWithin(got, pause-10*time.Millisecond) == 1, "more than one request within %v", pause)
 	assert.Check(t, served > 100, "%d requests were served", served)
 }
+
+// Guards against a pause that is forgotten because the target's entry in the store lapses and
+// returns.
+func TestPauseOutlastsALapseOfTheEntry(t *testing.T) {
+	const pause = 3 * time.Second
+	var a arrivals
+	refuse := respondWith("Retry-After", "3", 503)
+	gw := newTestGateway(t, a.record(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("T-Not-Run", "1")
+		refuse(w, r)
+	}), respond(200, "x")).waitReady()
+	gw.sendFor(500*time.Millisecond, 10*time.Millisecond)
+	entry := gw.store.content[fleet.TopicTargets][0]
+	gw.store.change(fleet.TopicTargets, fleet.Change{Name: entry.Name, Removed: true})
+	gw.waitForLog("event=belief", "topic=targets", "subject=t0", "outcome=gone")
+	gw.store.change(fleet.TopicTargets, entry)
+	served := gw.sendFor(pause-time.Second, 10*time.Millisecond)
+	got := a.since(time.Time{})
+	assert.Check(t, len(got) == 1, "%d requests within %v", len(got), pause)
+	assert.Check(t, served > 50, "%d requests were served", served)
+}
