placement: what a target has said of itself outlasts a lapse of its entry

Callers of a target that had asked for a pause, had said that it leaves or stated a rate of 0 sent it work again after its entry in the store had lapsed and returned: Balancer.SetTargets dropped the state of a target without requests together with its entry, and made a new one when the entry returned in the same lifetime. With a pause of 3 s the target got the next request after 0.5 s.

Change: the state of a target that leaves the set is kept for ten minutes, for 1,024 targets at most, and used again if the target returns with its id, address and lifetime. A target that started again inherits nothing. Rates that other gateways tell reach departed targets too.

Class: what a target said was kept with its entry in the store instead of with its lifetime. The rest of the state goes with it, so the starts of a cold target and the times of blocks outlast a lapse too.

Whether the users' record came about like this is not known: it shows no lapse, and the code that reads pauses may be newer than it.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -176,7 +176,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.balancer.SetTargets(targets)
+	g.balancer.SetTargets(g.now(), targets)
 	for _, w := range g.budgets {
 		w.SetLimits(v.shares.retries)
 	}
--- a/internal/placement/departed_test.go
+++ b/internal/placement/departed_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -36,16 +37,32 @@
 					assert.Equal(t, refusal, NotRefused)
 				}
 				state(b)
-				b.SetTargets(nil)
+				b.SetTargets(second, nil)
 				if busy {
 					b.RecordResult(second+100*time.Millisecond, "t0", Answered)
-					b.SetTargets(nil)
+					b.SetTargets(second+100*time.Millisecond, nil)
 				}
 				back.change(&targets[0])
-				b.SetTargets(targets)
+				b.SetTargets(2*second, targets)
 				_, refusal := b.Choose(2*second, Request{Service: "s"})
 				assert.Check(t, (refusal != NotRefused) == back.refused, "%s, %s, busy %v: %v", said, how, busy, refusal)
 			}
 		}
 	}
 }
+
+func TestMemoryIsBoundedUnderNewTargets(t *testing.T) {
+	b := newBalancer(nil)
+	for i := range 3 {
+		targets := engineTargets(maxDeparted, 1)
+		for j := range targets {
+			targets[j].ID = fmt.Sprint(i, "-", j)
+		}
+		b.SetTargets(time.Duration(i)*second, targets)
+	}
+	b.SetTargets(3*second, nil)
+	assert.Equal(t, len(b.departed), maxDeparted)
+	assert.Equal(t, len(b.byKey), maxDeparted)
+	b.SetTargets(4*second+departedMemory, nil)
+	assert.Equal(t, len(b.departed), 0)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -104,9 +104,12 @@
 	name    string
 	zone    string
 	targets map[string]*targetState
+	// departed contains the targets that are no longer in the set and have no requests, whose
+	// entries may return in the same lifetime.
+	departed departedTargets
 	// services maps each service to its targets.
 	services map[string][]*targetState
-	// byKey maps the TargetKey of each target's id to the targets that have it.
+	// byKey maps the TargetKey of each target's id to the targets, departed ones too, that have it.
 	byKey  map[uint32][]*targetState
 	groups map[string]*group
 	// peers contains the last work report of each other gateway, by its name.
@@ -123,19 +126,23 @@
 // New returns a Balancer for the gateway with the name in the availability zone.
 func New(name, zone string, rng *rand.Rand) *Balancer {
 	return &Balancer{
-		rng: rng, name: name, zone: zone, targets: map[string]*targetState{},
+		rng: rng, name: name, zone: zone, targets: map[string]*targetState{}, departed: departedTargets{},
 		services: map[string][]*targetState{}, groups: map[string]*group{}, peers: map[string]peerWork{},
 	}
 }
 
 // SetTargets replaces the set of targets. The state of targets that remain in the set
 // with the same lifetime is kept, and so is that of removed targets until their requests
-// end, since their streams still show whether their group runs.
-func (b *Balancer) SetTargets(targets []Target) {
+// end, since their streams still show whether their group runs. After that it is kept for a while,
+// since an entry may return.
+func (b *Balancer) SetTargets(now time.Duration, targets []Target) {
 	next := make(map[string]*targetState, len(targets))
-	services, byKey := make(map[string][]*targetState), make(map[uint32][]*targetState)
+	services := make(map[string][]*targetState)
 	for _, t := range targets {
 		s := b.targets[t.ID]
+		if s == nil {
+			s = b.departed.take(t.ID)
+		}
 		if s == nil || !s.sameLifetime(&t) {
 			s = &targetState{key: TargetKey(t.ID)}
 		}
@@ -145,7 +152,6 @@
 		s.Target, s.removed = t, false
 		next[t.ID] = s
 		services[t.Service] = append(services[t.Service], s)
-		byKey[s.key] = append(byKey[s.key], s)
 	}
 	for id, s := range b.targets {
 		switch current := next[id]; {
@@ -153,11 +159,26 @@
 		case current == nil && s.inFlight > 0:
 			s.removed = true
 			next[id] = s
+		case current == nil:
+			b.depart(now, s)
 		default:
 			b.addActiveStreams(s, -s.activeStreams)
 		}
 	}
-	b.targets, b.services, b.byKey = next, services, byKey
+	b.targets, b.services = next, services
+	b.departed.prune(now)
+	b.indexKeys()
+}
+
+// indexKeys updates byKey.
+func (b *Balancer) indexKeys() {
+	b.byKey = make(map[uint32][]*targetState, len(b.targets)+len(b.departed))
+	for _, s := range b.targets {
+		b.byKey[s.key] = append(b.byKey[s.key], s)
+	}
+	for _, d := range b.departed {
+		b.byKey[d.key] = append(b.byKey[d.key], d.targetState)
+	}
 }
 
 // Choose selects the target for a request and counts the request as in flight there.
@@ -274,8 +295,8 @@
 	}
 	s.recordResult(now, result)
 	if s.removed && s.inFlight == 0 {
-		b.addActiveStreams(s, -s.activeStreams)
 		delete(b.targets, id)
+		b.depart(now, s)
 	}
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -24,7 +24,7 @@
 
 func newBalancer(targets []Target) *Balancer {
 	b := New("g", "a", rand.New(rand.NewPCG(1, 2)))
-	b.SetTargets(targets)
+	b.SetTargets(0, targets)
 	return b
 }
 
@@ -125,9 +125,9 @@
 		_, refusal := b.Choose(0, Request{Service: "s", Tried: []string{"t0"}})
 		assert.Equal(t, refusal, NotRefused)
 		b.AddActiveStreams(0, "t1", 1)
-		b.SetTargets(all[:1])
+		b.SetTargets(0, all[:1])
 		assert.Assert(t, b.IsStalled(2*second, "t0"), "%s: t1 still has a stream", name)
-		b.SetTargets(later)
+		b.SetTargets(0, later)
 		b.AddActiveStreams(3*second, "t1", -1)
 		b.RecordResult(3*second, "t1", Inconclusive)
 		assert.Assert(t, !b.IsStalled(10*second, "t0"), name)
@@ -290,7 +290,7 @@
 	onLeastLoaded := 0
 	for g := range gateways {
 		b := New("g", "a", rand.New(rand.NewPCG(uint64(g), 7)))
-		b.SetTargets(engineTargets(targets, 10))
+		b.SetTargets(0, engineTargets(targets, 10))
 		b.HandlePeerReport(second, "others", work)
 		c, refusal := b.Choose(second, Request{Service: "s"})
 		assert.Equal(t, refusal, NotRefused)
@@ -356,7 +356,7 @@
 	assert.Assert(t, !b.HandleLeaving("t0"))
 	chosen := func(lifetime int64) Refusal {
 		targets[0].Lifetime = lifetime
-		b.SetTargets(targets)
+		b.SetTargets(0, targets)
 		_, refusal := b.Choose(second, Request{Service: "s"})
 		return refusal
 	}
--- a/internal/placement/ratelimit_test.go
+++ b/internal/placement/ratelimit_test.go
@@ -69,7 +69,7 @@
 		targets[i].Lockstep = false
 	}
 	g.b = New(g.name, "a", rand.New(rand.NewPCG(f.rng.Uint64(), 1)))
-	g.b.SetTargets(targets)
+	g.b.SetTargets(0, targets)
 	g.started, g.excusedUntil = f.now, f.now+recoveryTime
 }
 
