--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -69,9 +69,9 @@
 	// backups are copies of the store's content of the last backupAge, oldest first.
 	backups []platformtest.Copy
 	faults  []string
-	// crashes contains the number of targets that ended on each crashing part.
-	crashes       map[string]int
-	crashingParts int
+	// crashes contains the number of targets that ended on each crashing request.
+	crashes          map[string]int
+	crashingRequests int
 
 	checker *checker
 }
@@ -97,7 +97,7 @@
 		assert.NilError(t, err)
 		p, err := newProxy(target.Addr())
 		assert.NilError(t, err)
-		target.OnCrash = func(part string) { tb.crashTarget(i, part) }
+		target.OnCrash = func(name string) { tb.crashTarget(i, name) }
 		tb.targets, tb.proxies = append(tb.targets, target), append(tb.proxies, p)
 		tb.services = append(tb.services, map[bool]string{true: "desk", false: "drafts"}[i < plainTargets])
 		tb.announce(i)
