gateway: the end of a target is looked for again if the first look gets no answer

The gateway now looks once more, 400 ms later: servers are away for longer than that.

TestTargetEndIsFoundByASecondLook failed before and passes.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -17,11 +17,13 @@
 const crashCheckTimeout = 150 * time.Millisecond
 
 const (
-	// givenUpCheckDelay is the time after which the gateway looks at the target of an attempt that
+	// laterLookDelay is the time after which the gateway looks at the target of an attempt that
 	// it has ended: one that crashes on the request does so soon after it has begun to run it.
-	givenUpCheckDelay = 400 * time.Millisecond
-	// maxGivenUpChecks bounds the attempts that wait for that.
-	maxGivenUpChecks = 128
+	laterLookDelay = 400 * time.Millisecond
+	// maxPendingLooks bounds the attempts that wait for that, and maxLooks the looks for one
+	// attempt.
+	maxPendingLooks = 128
+	maxLooks        = 2
 )
 
 // errQuarantined cancels an attempt whose request targets crash on.
@@ -129,35 +131,39 @@
 	a.recordAnswer()
 }
 
-// recordEnd handles a connection that the target ended, and reports whether the target has
-// ended too. If so, and if the request does not count as answered, the request and the parts of its
-// prompt come under suspicion.
+// recordEnd handles a connection that the target ended, and reports whether the target is known to
+// have ended too. If so, and if the request does not count as answered, the request and the parts of
+// its prompt come under suspicion. A target that does not answer is looked at once more.
 func (a *attempt) recordEnd() (targetEnded bool) {
 	if a.answered {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.x.ctx), crashCheckTimeout)
 	defer cancel()
-	if !upstream.Refuses(ctx, a.target.Address) {
-		return false
-	}
-	a.g.logCrash(a)
-	a.g.recordCrash(a.x, a.target, a.answerBegun)
-	return true
+	a.looks++
+	switch result := upstream.Probe(ctx, a.target.Address); {
+	case result == upstream.Refused:
+		a.g.logCrash(a)
+		a.g.recordCrash(a.x, a.target, a.answerBegun)
+		return true
+	case result == upstream.Unanswered && a.looks < maxLooks:
+		a.checkLater()
+	}
+	return false
 }
 
-// checkGivenUp has the target of an attempt that this gateway has ended, and that does not count
-// as answered, checked a short time later.
-func (a *attempt) checkGivenUp() {
+// checkLater has the target of an attempt that does not count as answered looked at a short time
+// later: of one that this gateway has ended, or whose target did not answer to the first look.
+func (a *attempt) checkLater() {
 	if a.answered {
 		return
 	}
-	if a.g.givenUpChecks.Add(1) > maxGivenUpChecks {
-		a.g.givenUpChecks.Add(-1)
+	if a.g.pendingLooks.Add(1) > maxPendingLooks {
+		a.g.pendingLooks.Add(-1)
 		return
 	}
-	time.AfterFunc(givenUpCheckDelay, func() {
-		defer a.g.givenUpChecks.Add(-1)
+	time.AfterFunc(laterLookDelay, func() {
+		defer a.g.pendingLooks.Add(-1)
 		if !a.g.client.HasOpenIdle(a.target.Address) {
 			a.recordEnd()
 		}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -306,3 +308,48 @@
 	assert.Equal(t, len(gw.targets[0].requests()), 1)
 	assert.DeepEqual(t, gw.suspected(), []string{crashingPart})
 }
+
+// Guards against evidence that is lost because the first look at a target that has ended gets no
+// answer in time, on a lossy link or a busy instance.
+func TestTargetEndIsFoundByASecondLook(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "ok")).waitReady()
+	addr, unblock := listenWithoutAccepting(t)
+	x := &exchange{ctx: context.Background(), req: &http1.Request{}}
+	a := &attempt{g: gw.g, x: x, target: placement.Target{ID: "t0", Address: addr}}
+	assert.Assert(t, !a.recordEnd())
+	assert.Equal(t, len(gw.suspected()), 0)
+	unblock()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(gw.suspected()) == 0 {
+			return poll.Continue("no suspicion")
+		}
+		return poll.Success()
+	}, poll.WithDelay(20*time.Millisecond), poll.WithTimeout(2*time.Second))
+	assert.DeepEqual(t, gw.suspected(), []string{x.fingerprint()})
+}
+
+// listenWithoutAccepting returns an address at which connections get no answer until unblock is
+// called, and are refused then: the queue of its listener is full.
+func listenWithoutAccepting(t *testing.T) (addr string, unblock func()) {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	assert.NilError(t, err)
+	assert.NilError(t, raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), 0) }))
+	assert.NilError(t, err)
+	var queued []net.Conn
+	for {
+		c, err := net.DialTimeout("tcp4", ln.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		queued = append(queued, c)
+	}
+	return ln.Addr().String(), func() {
+		_ = ln.Close()
+		for _, c := range queued {
+			_ = c.Close()
+		}
+	}
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -168,6 +168,8 @@
 	began time.Duration
 	// sent is when the attempt began, as the time since the gateway's start.
 	sent time.Duration
+	// looks counts the checks whether the target has ended.
+	looks int
 	// answered is true once the request counts as answered in the evidence on its prompt.
 	answered bool
 }
@@ -254,7 +256,7 @@
 	x.tried = append(x.tried, a.target.ID)
 	cause := context.Cause(a.ctx)
 	if cause != nil && !errors.Is(cause, errQuarantined) {
-		a.checkGivenUp()
+		a.checkLater()
 	}
 	switch {
 	case x.callerDisconnected():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,8 +101,8 @@
 	// suspecting is true while there is evidence against any request or part of a prompt.
 	suspecting atomic.Bool
 	records    *quarantineRecords
-	// givenUpChecks counts the attempts that wait for checkGivenUp.
-	givenUpChecks atomic.Int32
+	// pendingLooks counts the attempts that wait for checkLater.
+	pendingLooks atomic.Int32
 
 	// evidenceChanged triggers a message to the other gateways at once.
 	evidenceChanged chan struct{}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -38,7 +38,7 @@
 		a.reportResult(placement.Failed)
 		x.tried = append(x.tried, a.target.ID)
 		if a.cause() != nil {
-			a.checkGivenUp()
+			a.checkLater()
 		} else {
 			a.recordEnd()
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -170,7 +170,7 @@
 	x.tried = append(x.tried, a.target.ID)
 	cause := a.cause()
 	if cause != nil && !errors.Is(cause, errQuarantined) {
-		a.checkGivenUp()
+		a.checkLater()
 	}
 	switch {
 	case x.callerDisconnected():
