--- a/internal/gateway/answered_requests.go
+++ b/internal/gateway/answered_requests.go
@@ -20,7 +20,9 @@
 // record records an answer that began at a time.
 func (r *answeredRequests) record(at time.Duration, keys localKeys) {
 	r.answers.Record(at, keys.request)
-	r.answers.Record(at, keys.ownPart)
+	if keys.ownPart != 0 {
+		r.answers.Record(at, keys.ownPart)
+	}
 }
 
 // time returns the time of the last answer to what has the key, if it is remembered.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -32,9 +32,8 @@
 	sharedParts []string
 	// ownPart is the id of the part of the prompt that belongs to the request or its session;
 	// empty if there is none.
-	ownPart string
-	// identity identifies the request across its repeats; it is read when it is needed.
-	identity identity
+	ownPart      string
+	lazySubjects subjects
 	// trial is true if the request was let through to find out whether targets crash on it.
 	trial bool
 
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -6,9 +6,6 @@
 	"strings"
 )
 
-// RequestPrefix begins the subjects that are fingerprints of requests; no other subject has it.
-const RequestPrefix = "request:"
-
 // judge decides which subjects are quarantined. The one with the most evidence explains the
 // crashes under it; others are judged by the crashes that are left.
 func (t *Tracker) judge() {
