entry, agent: evidence on requests stops one that crashes targets behind agents

Change: an agent whose target closes a connection without a whole answer looks whether the target refuses connections, and names the run that has ended in the failure (targets without a start id too: the agent counts their ends). Entries keep the same evidence as gateways (package quarantine: organisation, service, method, path and body), refuse a quarantined request at once, also in the middle of its attempts and when it is forwarded, and tell each other in ZoneReport, at once after an end. The fields are optional, so older agents and entries ignore them.

Not done there: what is quarantined is not kept in the store, requests that wait at an agent are not withdrawn.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -73,7 +73,8 @@
 	done    chan struct{}
 	// metrics counts refused and finished requests; durations are measured from admission
 	// to the end of the run.
-	metrics *observe.RequestMetrics
+	metrics    *observe.RequestMetrics
+	targetEnds targetEnds
 }
 
 // New returns an Agent; Run starts it.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -232,3 +232,23 @@
 	mu.Unlock()
 	await(func() bool { n, _ := counts(); return n >= 2 })
 }
+
+// Guards against an end of the target that the entries can't tell from a closed connection.
+func TestEndOfTheTargetIsReported(t *testing.T) {
+	for path, ended := range map[string]bool{"/crash": true, "/drop": false} {
+		h := newHarness(t, 4)
+		h.request(1, path, nil)
+		f := h.finalFailure(1)
+		assert.Assert(t, f != nil && f.Kind == apierr.KindTargetFailed, "%s: %+v", path, f)
+		assert.Assert(t, (f.EndedTarget != "") == ended, "%s: ended run %q", path, f.EndedTarget)
+	}
+}
+
+// Guards against requests that were at a target when it ended and seem to have ended several.
+func TestEndsOfTheTargetAreCounted(t *testing.T) {
+	var e targetEnds
+	now := time.Now()
+	assert.Equal(t, e.record(now), 1)
+	assert.Equal(t, e.record(now.Add(targetEndSpacing/2)), 1)
+	assert.Equal(t, e.record(now.Add(3*targetEndSpacing)), 2)
+}
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -133,7 +133,7 @@
 func failureFrame(id uint64, e *apierr.Error, load message.Load) *message.ResponseEnd {
 	return &message.ResponseEnd{
 		ID:      id,
-		Failure: &message.Failure{Kind: e.Kind, Detail: e.Detail, RetryAfter: e.RetryAfter},
+		Failure: &message.Failure{Kind: e.Kind, Detail: e.Detail, RetryAfter: e.RetryAfter, EndedTarget: e.EndedTarget},
 		Load:    load,
 	}
 }
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -27,9 +27,11 @@
 	incarnation = 7
 )
 
-// fakeTarget counts runs. Requests to any path but /free block until release is closed.
+// fakeTarget counts runs. Requests to /drop lose their connection, those to /crash end the target,
+// and those to any other path but /free block until release is closed.
 type fakeTarget struct {
 	addr    string
+	ln      net.Listener
 	release chan struct{}
 
 	mu   sync.Mutex
@@ -40,7 +42,7 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	f := &fakeTarget{addr: ln.Addr().String(), release: make(chan struct{})}
+	f := &fakeTarget{addr: ln.Addr().String(), ln: ln, release: make(chan struct{})}
 	go func() { _ = fasthttp.Serve(ln, f.handle) }()
 	t.Cleanup(func() { _ = ln.Close() })
 	return f
@@ -51,7 +53,14 @@
 	f.mu.Lock()
 	f.runs = append(f.runs, path)
 	f.mu.Unlock()
-	if path != "/free" {
+	switch path {
+	case "/free":
+	case "/crash":
+		_ = f.ln.Close()
+		_ = ctx.Conn().Close()
+	case "/drop":
+		_ = ctx.Conn().Close()
+	default:
 		<-f.release
 	}
 	ctx.SetBodyString("answer of " + path)
@@ -162,28 +171,33 @@
 // finalKind waits for the frame that ends request id and returns its failure kind.
 func (h *harness) finalKind(id uint64) apierr.Kind {
 	h.t.Helper()
-	var kind apierr.Kind
+	if f := h.finalFailure(id); f != nil {
+		return f.Kind
+	}
+	return apierr.KindNone
+}
+
+// finalFailure waits for the frame that ends request id and returns its failure, or nil.
+func (h *harness) finalFailure(id uint64) *message.Failure {
+	h.t.Helper()
+	var failure *message.Failure
 	h.wait(func() bool {
 		for _, m := range h.frames {
 			switch m := m.(type) {
 			case *message.ResponseHead:
 				if m.ID == id && m.Complete {
-					kind = apierr.KindNone
 					return true
 				}
 			case *message.ResponseEnd:
 				if m.ID == id {
-					kind = apierr.KindNone
-					if m.Failure != nil {
-						kind = m.Failure.Kind
-					}
+					failure = m.Failure
 					return true
 				}
 			}
 		}
 		return false
 	})
-	return kind
+	return failure
 }
 
 // withdraw asks over p to withdraw request id and reports whether the answer is that the
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -48,6 +48,7 @@
 	if r.resp != nil {
 		r.resp.Close()
 	}
+	a.checkTargetEnd(r, err)
 	a.record(r, err)
 	a.end(r, err)
 }
--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -194,6 +194,9 @@
 	Detail string
 	// RetryAfter replaces the table's value if that is set and shorter.
 	RetryAfter time.Duration
+	// EndedTarget names the run of the target that has ended under the request; empty if the
+	// target is not known to have ended.
+	EndedTarget string
 	// Cause is the underlying error, for logs only.
 	Cause error
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -129,10 +129,10 @@
 
 // fromFailure converts the link form of a failure to an error.
 func fromFailure(f *message.Failure) *apierr.Error {
-	return &apierr.Error{Kind: f.Kind, Detail: f.Detail, RetryAfter: f.RetryAfter}
+	return &apierr.Error{Kind: f.Kind, Detail: f.Detail, RetryAfter: f.RetryAfter, EndedTarget: f.EndedTarget}
 }
 
 // toFailure converts an error to its link form.
 func toFailure(e *apierr.Error) *message.Failure {
-	return &message.Failure{Kind: e.Kind, Detail: e.Detail, RetryAfter: e.RetryAfter}
+	return &message.Failure{Kind: e.Kind, Detail: e.Detail, RetryAfter: e.RetryAfter, EndedTarget: e.EndedTarget}
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -145,7 +145,7 @@
 	s.links = append(s.links, p)
 	c.peerTracker.RecordActivity(time.Now(), id, false)
 	c.publish()
-	c.sendReport(s, p, c.zoneLoads())
+	c.sendReport(s, p, c.zoneLoads(), c.entry.evidence(c.entry.now(), len(c.peers)+1))
 	c.sendMembersTo(p)
 	c.peersAdded = true
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -51,6 +51,9 @@
 		if x.aborted() || !e.mayRetry(e.failedAttempt(x, err)) {
 			return nil, err
 		}
+		if refusal := e.checkQuarantine(x); refusal != nil {
+			return nil, refusal
+		}
 		last = err
 		x.refusals.RecordRefusal(choice, err.Kind)
 	}
@@ -113,13 +116,17 @@
 		e.calls.close(c)
 		return nil, apierr.Wrap(apierr.KindTargetUnreachable, x.target, err)
 	}
+	a, err := e.awaitHead(x, c)
 	release := func(err *apierr.Error) {
 		requests.End()
 		e.calls.close(c)
+		if err == nil && a.head.Status < 300 {
+			e.recordAnswered(x)
+		}
 		e.finishAnswered(x, err)
 	}
-	a, err := e.awaitHead(x, c)
 	if err != nil {
+		e.recordTargetEnd(x, err, false)
 		x.recordFailure(err)
 		requests.End()
 		e.calls.close(c)
@@ -232,5 +239,6 @@
 	if err == nil {
 		e.recordSuccess()
 	}
+	e.recordTargetEnd(x, err, true)
 	e.finish(x, err)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,6 +62,7 @@
 	done    chan struct{}
 
 	forwards *forwardTable
+	suspects *suspects
 	// metrics counts ended requests; durations are measured from a request's arrival to
 	// the end of its answer.
 	metrics *observe.RequestMetrics
@@ -81,6 +82,7 @@
 		limiter:  newLimiter(opts.MaxRequests),
 		done:     make(chan struct{}),
 		forwards: newForwardTable(),
+		suspects: newSuspects(),
 		metrics:  observe.NewRequestMetrics(opts.Metrics, "requests", "request_duration"),
 		budget:   retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
 	}
@@ -180,6 +182,7 @@
 	case *message.Heartbeat:
 		e.post(heartbeatReceived{peer: p, heartbeat: m})
 	case *message.ZoneReport:
+		e.mergeEvidence(m.Evidence)
 		e.post(zoneReportReceived{peer: p, report: m})
 	case *message.Members:
 		e.post(membersReceived{list: m.Members})
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -37,6 +37,8 @@
 	}
 	membersReceived struct{ list []message.Member }
 	configReceived  struct{ index *config.Index }
+	// evidenceChanged reports that this entry has seen a target end under a request.
+	evidenceChanged struct{}
 	stopRequested   struct{}
 	stateRequested  struct{ reply chan State }
 )
@@ -80,3 +82,5 @@
 func (ev stopRequested) apply(c *control) { c.stop() }
 
 func (ev stateRequested) apply(c *control) { ev.reply <- c.state() }
+
+func (evidenceChanged) apply(c *control) { c.reportToPeers() }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -39,6 +39,8 @@
 	// abort is closed when the sender withdraws or cancels the request; it is nil for
 	// callers over HTTP.
 	abort chan struct{}
+	// fingerprint is the subject of evidence on the request; empty until it is needed.
+	fingerprint string
 	// target is the name of the agent or peer entry of the last attempt.
 	target string
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -146,7 +146,7 @@
 }
 
 // forwardFilters are the filters that a forwarded request passes before its dispatch.
-var forwardFilters = []filter{checkHops, resolveForward, admit}
+var forwardFilters = []filter{checkHops, resolveForward, screen, admit}
 
 // checkHops refuses a request that has been forwarded more than routing.MaxHops times.
 func checkHops(_ *Entry, x *exchange) *apierr.Error {
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -29,7 +29,7 @@
 )
 
 // callerFilters are the filters that a caller's request passes before its dispatch.
-var callerFilters = []filter{identify, classify, checkBodySize, setDeadline, prepareRequest, admit}
+var callerFilters = []filter{identify, classify, checkBodySize, setDeadline, prepareRequest, screen, admit}
 
 // NewServer returns the HTTP server for callers.
 func (e *Entry) NewServer(limits settings.EntryLimits) *fasthttp.Server {
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
 
@@ -50,17 +51,18 @@
 func (c *control) sendReports(loads zoneLoads) {
 	c.lastReportAt = c.entry.now()
 	c.reportedDigest = loads.targetsDigest
+	evidence := c.entry.evidence(c.lastReportAt, len(c.peers)+1)
 	for _, s := range c.peers {
 		if len(s.links) > 0 {
-			c.sendReport(s, s.links[0], loads)
+			c.sendReport(s, s.links[0], loads, evidence)
 		}
 	}
 }
 
 // sendReport sends a report to one peer over l. It contains the names of the targets
 // only if they have not been sent to the peer over that link yet.
-func (c *control) sendReport(s *peerState, l link.Peer, loads zoneLoads) {
-	r := &message.ZoneReport{Leaving: c.stopping}
+func (c *control) sendReport(s *peerState, l link.Peer, loads zoneLoads, evidence []quarantine.Evidence) {
+	r := &message.ZoneReport{Leaving: c.stopping, Evidence: evidence}
 	if c.index != nil {
 		r.ConfigRevision = c.index.Revision()
 	}
--- a/internal/message/request.go
+++ b/internal/message/request.go
@@ -80,6 +80,9 @@
 	Kind       apierr.Kind   `cbor:"1,keyasint"`
 	Detail     string        `cbor:"2,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	// EndedTarget names the run of the target that has ended under the request. It is empty if the
+	// target is not known to have ended.
+	EndedTarget string `cbor:"5,keyasint,omitempty"`
 }
 
 // ResponseEnd ends an answer. Failure is nil if and only if the answer is complete.
--- a/internal/message/state.go
+++ b/internal/message/state.go
@@ -1,6 +1,10 @@
 package message
 
-import "time"
+import (
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/quarantine"
+)
 
 // TargetState is the state of the target behind an agent.
 type TargetState uint8
@@ -90,4 +94,6 @@
 	// SameAgents is true if the pools and their agents are those of the last report on
 	// this link that named them.
 	SameAgents bool `cbor:"4,keyasint,omitempty"`
+	// Evidence is what the sender knows of requests that targets crash on.
+	Evidence []quarantine.Evidence `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/upstream"
 )
 
 const (
@@ -137,6 +138,11 @@
 	return apierr.Wrap(apierr.KindTargetFailed, "target", err)
 }
 
+// Ended reports whether the target refuses connections, which shows that its process has ended.
+func (c *Client) Ended(ctx context.Context) bool {
+	return upstream.Probe(ctx, c.addr) == upstream.Refused
+}
+
 // acquire returns a connection: an idle one if reuse is set and there is one, otherwise
 // a new one.
 func (c *Client) acquire(ctx context.Context, reuse bool) (*conn, error) {
