gateway, quarantine: a rejection shows that a request is sound; bounds of the evidence

An answer below 500 that the target has run now speaks for the request, though not for the parts of its prompt. TestRejectionShowsThatARequestIsSound failed before (503 for 404). - Entries never took the list of unsaved subjects, which grew with each end of a target; it is now a mark of the suspect and bounded with it. - A grant for subjects of which one has been dropped for lack of room would have ended the process. - A trial that ended without an answer could be given back twice. - A gateway without neighbours never forgot suspects.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -120,7 +120,7 @@
 	release := func(err *apierr.Error) {
 		requests.End()
 		e.calls.close(c)
-		if err == nil && a.head.Status < 300 {
+		if err == nil && a.head.Status < 500 {
 			e.recordAnswered(x)
 		}
 		e.finishAnswered(x, err)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -88,11 +88,29 @@
 		return
 	}
 	a.answered = true
-	keys := a.x.localKeys(a.g.answeredRequests.Seed)
 	subjects := a.x.sharedParts
 	if a.g.suspecting.Load() {
 		subjects = a.x.subjects()
 	}
+	a.recordSound(a.x.localKeys(a.g.answeredRequests.Seed), subjects)
+}
+
+// recordRejection records an answer by which the target rejects the request. It shows that the
+// request is sound, but not that the target has looked at the parts of its prompt.
+func (a *attempt) recordRejection() {
+	a.answered, a.began = true, a.g.now()
+	keys := a.x.localKeys(a.g.answeredRequests.Seed)
+	keys.ownPart = 0
+	var subjects []string
+	if a.g.suspecting.Load() {
+		subjects = []string{a.x.fingerprint()}
+	}
+	a.recordSound(keys, subjects)
+}
+
+// recordSound records an answer that began at a.began, to a request with the local keys, and what
+// it speaks for.
+func (a *attempt) recordSound(keys localKeys, subjects []string) {
 	a.g.mu.Lock()
 	a.g.answeredRequests.record(a.began, keys)
 	a.g.quarantine.RecordAnswer(a.began, subjects)
--- a/internal/gateway/crash_request_test.go
+++ b/internal/gateway/crash_request_test.go
@@ -17,6 +17,8 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/http1"
+	"github.com/gentiantrail/gentiantrail/internal/placement"
 )
 
 // maxRequestCrashes is the number of targets that one request may end in all: three until it has
@@ -256,3 +258,19 @@
 		})
 	}
 }
+
+// Guards against a sound request that is refused for good because its answer is never a success: a
+// target that rejects it has not crashed on it.
+func TestRejectionShowsThatARequestIsSound(t *testing.T) {
+	sound := plainRequest{"GET", "/safe/missing", "key", "", ""}
+	gw := newTestGateway(t, respond(404, "not found")).waitReady()
+	assert.Equal(t, gw.status(sound, "first"), 404)
+	req, _, err := http1.ParseRequest([]byte(sound.bytes("a")), http1.Limits{Header: 4096})
+	assert.NilError(t, err)
+	x := &exchange{req: req, organisation: &fleet.Organisation{Name: "org"}}
+	for i := range 3 {
+		gw.g.recordCrash(x, placement.Target{ID: fmt.Sprint("gone", i)}, false)
+	}
+	assert.Equal(t, gw.status(sound, "again"), 404)
+	assert.Equal(t, len(gw.suspected()), 0)
+}
--- a/internal/gateway/quarantine_records.go
+++ b/internal/gateway/quarantine_records.go
@@ -203,6 +203,7 @@
 func (r *quarantineRecords) requestTrials(ctx context.Context) {
 	r.g.mu.Lock()
 	due := r.g.quarantine.TrialsDue(r.g.now())
+	r.g.suspecting.Store(r.g.quarantine.Suspects())
 	r.g.mu.Unlock()
 	for _, subject := range due {
 		granted := false
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -60,9 +60,12 @@
 	x.headSent, x.status = true, answer.Status
 	head := a.g.answerHead(x, answer)
 	x.out.write(http1.AppendLengthAndBody(head, body))
-	if answer.Status < 300 {
+	switch {
+	case answer.Status < 300:
 		a.began = a.g.now()
 		a.recordComplete(answer)
+	case answer.Status < 500 && !answer.NotExecuted():
+		a.recordRejection()
 	}
 	return nil, false
 }
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -37,9 +37,6 @@
 			if !s.quarantined {
 				s.quarantined = true
 				t.decide(p, Quarantine, len(s.crashes))
-				if s.seenHere {
-					t.unsaved[p] = true
-				}
 			}
 		}
 		for target := range t.suspects[worst].crashes {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -102,8 +102,8 @@
 	// tied are the subjects, including this one, that the same crashes speak against; nil unless
 	// the subject is quarantined. Only requests with all of them are refused.
 	tied []string
-	// seenHere is true if this gateway has seen one of the crashes itself.
-	seenHere bool
+	// unsaved is true if this gateway has seen a crash that is not in the subject's record.
+	unsaved bool
 	// quarantined is true once the subject has been quarantined.
 	quarantined bool
 	// changedAt is the time of the last change of the evidence, and toldAt that of the last
@@ -126,9 +126,6 @@
 	turn     float64
 	// changed is true if this gateway has seen crashes since TakeChanged was called.
 	changed bool
-	// unsaved contains the quarantined subjects whose records should be saved by this gateway,
-	// which has seen a crash under them.
-	unsaved map[string]bool
 	// unjudged is true if evidence has changed since the last judgement.
 	unjudged bool
 	// judged is true if a judgement since TakeJudged was called has quarantined a subject.
@@ -159,7 +156,7 @@
 func New(rng *rand.Rand) *Tracker {
 	spread := 1 + evidenceJitter*(2*rng.Float64()-1)
 	return &Tracker{
-		suspects: map[string]*suspect{}, cleared: map[string]time.Duration{}, unsaved: map[string]bool{},
+		suspects: map[string]*suspect{}, cleared: map[string]time.Duration{},
 		evidenceTime: time.Duration(spread * float64(evidenceTime)), gateways: 1, turn: rng.Float64(),
 	}
 }
@@ -301,8 +298,7 @@
 	for _, p := range subjects {
 		if t.addCrash(now, p, target, crash{at: now, begun: begun}) {
 			t.changed = true
-			t.suspects[p].seenHere = true
-			t.unsaved[p] = true
+			t.suspects[p].unsaved = true
 		}
 	}
 	t.judge()
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -34,16 +34,16 @@
 	return Record{Evidence: t.evidenceOf(now, subject), SavedAt: timeOfDay}, true
 }
 
-// TakeUnsaved returns the subjects with new evidence since the last call whose records, if there
-// are any, this gateway should save.
+// TakeUnsaved returns the quarantined subjects whose records lack crashes that this gateway has seen
+// since the last call.
 func (t *Tracker) TakeUnsaved() []string {
 	var unsaved []string
-	for p := range t.unsaved {
-		if s := t.suspects[p]; s != nil && s.tied != nil {
+	for p, s := range t.suspects {
+		if s.unsaved && s.tied != nil {
+			s.unsaved = false
 			unsaved = append(unsaved, p)
 		}
 	}
-	clear(t.unsaved)
 	return unsaved
 }
 
--- a/internal/quarantine/retrial.go
+++ b/internal/quarantine/retrial.go
@@ -28,8 +28,9 @@
 	nextGrant time.Duration
 }
 
-// beginTrial uses up a grant.
+// beginTrial uses up a grant, if there is one.
 func (r *retrial) beginTrial(now time.Duration) {
+	r.openUntil = 0
 	if r.granted {
 		r.granted, r.openUntil = false, now+trialTime
 	}
@@ -61,6 +62,7 @@
 // store for a grant: requests with them keep coming here, and the last crash is long ago. Of
 // those that are refused together it returns one.
 func (t *Tracker) TrialsDue(now time.Duration) []string {
+	t.expire(now)
 	var due []string
 	for p, s := range t.suspects {
 		if s.tied == nil || s.answeredBefore || s.granted || p != slices.Min(s.tied) || len(s.crashes) >= maxRetrialCrashes {
@@ -82,6 +84,8 @@
 		return
 	}
 	for _, p := range s.tied {
-		t.suspects[p].granted = true
+		if o := t.suspects[p]; o != nil {
+			o.granted = true
+		}
 	}
 }
