gateway: what is quarantined is read from the store every four seconds too

Gateways that reach the store but not each other (a cut between zones) each had to find out by themselves what crashes targets, and kept sending what others had found out. Of a series of failed calls only the first is logged. TestGatewayLearnsOfAQuarantineFromTheStore failed before.

--- a/internal/gateway/quarantine_records.go
+++ b/internal/gateway/quarantine_records.go
@@ -15,6 +15,9 @@
 	// recordsInterval is the interval at which this gateway asks for grants of trials and retries
 	// what has failed.
 	recordsInterval = time.Second
+	// recordsRefresh is the interval at which the records are read again, for the case that messages
+	// of the gateways that have found something out do not arrive here.
+	recordsRefresh = 4 * time.Second
 	// recordsTimeout bounds the calls to the store for one record.
 	recordsTimeout = 2 * time.Second
 	// maxListRecordsTime bounds the time for which the gateway takes no requests because it can't
@@ -36,6 +39,11 @@
 
 	// unsaved contains the subjects whose records are to be saved.
 	unsaved map[string]bool
+	// listedAt is the time of the last list, and read is true once one has succeeded.
+	listedAt time.Time
+	read     bool
+	// failing is true from a failed call until one succeeds.
+	failing bool
 	// mu guards released, the subjects whose records are to be removed.
 	mu       sync.Mutex
 	released map[string]bool
@@ -75,6 +83,7 @@
 		case <-ticker.C:
 		case <-r.wake:
 		}
+		r.refresh(ctx)
 		r.saveAll(ctx)
 		r.removeAll(ctx)
 		r.requestTrials(ctx)
@@ -87,13 +96,10 @@
 	limit := time.AfterFunc(maxListRecordsTime, func() { r.g.post(ctx, recordsRead{}) })
 	defer limit.Stop()
 	for ctx.Err() == nil {
-		records, undecodable, err := r.g.opts.Records.ListRecords(ctx)
-		if err == nil {
-			r.restore(records, undecodable)
+		if r.listOnce(ctx) {
 			r.g.post(ctx, recordsRead{})
 			return
 		}
-		r.logFailure("list", "", err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(recordsRetryPause):
@@ -101,13 +107,38 @@
 	}
 }
 
-func (r *quarantineRecords) restore(records []quarantine.Record, undecodable int) {
+// refresh reads the records again if the last list is recordsRefresh ago.
+func (r *quarantineRecords) refresh(ctx context.Context) {
+	if time.Since(r.listedAt) >= recordsRefresh {
+		r.listOnce(ctx)
+	}
+}
+
+// listOnce reads the records and reports whether that has succeeded.
+func (r *quarantineRecords) listOnce(ctx context.Context) bool {
+	r.listedAt = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
+	defer cancel()
+	records, undecodable, err := r.g.opts.Records.ListRecords(ctx)
+	if err != nil {
+		r.logFailure("list", "", err)
+		return false
+	}
+	r.recordSuccess()
+	r.restore(records)
+	if !r.read || undecodable > 0 {
+		r.read = true
+		r.g.opts.Logger.Info().Str("event", "quarantine-read").Int("records", len(records)).Int("undecodable", undecodable).Msg("")
+	}
+	return true
+}
+
+func (r *quarantineRecords) restore(records []quarantine.Record) {
 	r.g.mu.Lock()
 	r.g.quarantine.Restore(r.g.now(), time.Now(), records)
 	decisions := r.g.applyEvidence()
 	r.g.mu.Unlock()
 	r.g.logQuarantineDecisions(decisions)
-	r.g.opts.Logger.Info().Str("event", "quarantine-read").Int("records", len(records)).Int("undecodable", undecodable).Msg("")
 }
 
 // recordsRead is the event of the records having been read, or not having been read for too long.
@@ -134,6 +165,7 @@
 			r.logFailure("save", subject, err)
 			return // the store is away; tried again in the next round
 		}
+		r.recordSuccess()
 		delete(r.unsaved, subject)
 	}
 }
@@ -186,6 +218,7 @@
 			r.logFailure("remove", subject, err)
 			return // tried again in the next round
 		}
+		r.recordSuccess()
 		r.mu.Lock()
 		delete(r.released, subject)
 		r.mu.Unlock()
@@ -224,7 +257,20 @@
 	}
 }
 
+// logFailure counts a failed call, and logs the first one of a series.
 func (r *quarantineRecords) logFailure(call, subject string, err error) {
 	r.g.count.recordFailures.Inc(1)
+	if r.failing {
+		return
+	}
+	r.failing = true
 	r.g.opts.Logger.Warn().Str("event", "quarantine-store-failed").Str("call", call).Str("subject", subject).Err(err).Msg("")
 }
+
+// recordSuccess logs the first successful call after failed ones.
+func (r *quarantineRecords) recordSuccess() {
+	if r.failing {
+		r.failing = false
+		r.g.opts.Logger.Info().Str("event", "quarantine-store-regained").Msg("")
+	}
+}
--- a/internal/gateway/quarantine_records_test.go
+++ b/internal/gateway/quarantine_records_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
 	"github.com/gentiantrail/gentiantrail/internal/http1"
+	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 )
 
@@ -45,6 +46,30 @@
 	assert.Equal(t, len(started.targets[0].requests()), 1)
 }
 
+// Guards against gateways that can't hear each other, though they reach the store: one learns from
+// there what another one has found out.
+func TestGatewayLearnsOfAQuarantineFromTheStore(t *testing.T) {
+	pair := requestPairs["once by body"]
+	records := newFakeRecords()
+	config := []fleet.Change{{Name: "main", Config: testConfig(1)}}
+	one := newTestGatewayWithRecords(t, records, config, respond(200, "ok")).waitReady()
+	other := newTestGatewayWithRecords(t, records, config, respond(200, "ok")).waitReady()
+	req, _, err := http1.ParseRequest([]byte(pair.crashing.bytes("a")), http1.Limits{Header: 4096, Body: 4096})
+	assert.NilError(t, err)
+	x := &exchange{req: req, organisation: &fleet.Organisation{Name: "org"}}
+	for i := range 3 {
+		one.g.recordCrash(x, placement.Target{ID: fmt.Sprint("gone", i)}, false)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(other.suspected()) == 0 {
+			return poll.Continue("not known yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(50*time.Millisecond), poll.WithTimeout(2*recordsRefresh))
+	assert.Equal(t, other.status(pair.crashing, "a"), 503)
+	assert.Equal(t, other.status(pair.sound, "b"), 200)
+}
+
 // Guards against a record that outlasts the answer which shows that its subject is sound.
 func TestRecordIsRemovedWithTheQuarantine(t *testing.T) {
 	sound := requestPairs["safe by path"].sound
