--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -16,15 +16,12 @@
 // connection at once.
 const crashCheckTimeout = 150 * time.Millisecond
 
-const (
-	// laterLookDelay is the time after which the gateway looks at the target of an attempt that
-	// it has ended: one that crashes on the request does so soon after it has begun to run it.
-	laterLookDelay = 400 * time.Millisecond
-	// maxPendingLooks bounds the attempts that wait for that, and maxLooks the looks for one
-	// attempt.
-	maxPendingLooks = 128
-	maxLooks        = 2
-)
+// maxPendingLooks bounds the attempts whose targets are to be looked at later.
+const maxPendingLooks = 128
+
+// lookDelays are the times between the looks at a target: one that crashes on a request does so soon
+// after it has begun to run it, and is away for more than a second.
+var lookDelays = [...]time.Duration{400 * time.Millisecond, 700 * time.Millisecond}
 
 // errQuarantined cancels an attempt whose request targets crash on.
 var errQuarantined = errors.New("targets crash on the request or a part of its prompt")
@@ -150,40 +147,57 @@
 }
 
 // recordEnd handles a connection that the target ended, and reports whether the target is known to
-// have ended too. If so, and if the request does not count as answered, the request and the parts of
-// its prompt come under suspicion. A target that does not answer is looked at once more.
+// have ended too. A target that does not answer is looked at again.
 func (a *attempt) recordEnd() (targetEnded bool) {
+	result := a.look()
+	if result == upstream.Unanswered {
+		a.lookLater()
+	}
+	return result == upstream.Refused
+}
+
+// look looks whether the target has ended. If so, and if the request does not count as answered, the
+// request and the parts of its prompt come under suspicion.
+func (a *attempt) look() upstream.ProbeResult {
 	if a.answered {
-		return false
+		return upstream.Connected
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.x.ctx), crashCheckTimeout)
 	defer cancel()
-	a.looks++
-	switch result := upstream.Probe(ctx, a.target.Address); {
-	case result == upstream.Refused:
+	result := upstream.Probe(ctx, a.target.Address)
+	if result == upstream.Refused {
 		a.g.logCrash(a)
 		a.g.recordCrash(a.x, a.target, a.answerBegun)
-		return true
-	case result == upstream.Unanswered && a.looks < maxLooks:
-		a.checkLater()
 	}
-	return false
+	return result
 }
 
-// checkLater has the target of an attempt that does not count as answered looked at a short time
-// later: of one that this gateway has ended, or whose target did not answer to the first look.
-func (a *attempt) checkLater() {
-	if a.answered {
+// recordGivenUp has the target of an attempt that this gateway has ended looked at a short time later:
+// it may still crash on the request.
+func (a *attempt) recordGivenUp() {
+	a.givenUp = true
+	a.lookLater()
+}
+
+// lookLater looks at the target after a while, and again if that shows too little.
+func (a *attempt) lookLater() {
+	if a.answered || a.laterLooks >= len(lookDelays) {
 		return
 	}
 	if a.g.pendingLooks.Add(1) > maxPendingLooks {
 		a.g.pendingLooks.Add(-1)
 		return
 	}
-	time.AfterFunc(laterLookDelay, func() {
-		defer a.g.pendingLooks.Add(-1)
+	delay := lookDelays[a.laterLooks]
+	a.laterLooks++
+	time.AfterFunc(delay, func() {
+		a.g.pendingLooks.Add(-1)
+		result := upstream.Connected
 		if !a.g.client.HasOpenIdle(a.target.Address) {
-			a.recordEnd()
+			result = a.look()
+		}
+		if result == upstream.Unanswered || result == upstream.Connected && a.givenUp {
+			a.lookLater()
 		}
 	})
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -168,8 +168,10 @@
 	began time.Duration
 	// sent is when the attempt began, as the time since the gateway's start.
 	sent time.Duration
-	// looks counts the checks whether the target has ended.
-	looks int
+	// givenUp is true if this gateway has ended the attempt, and laterLooks counts the looks at the
+	// target since then.
+	givenUp    bool
+	laterLooks int
 	// answered is true once the request counts as answered in the evidence on its prompt.
 	answered bool
 }
@@ -256,7 +258,7 @@
 	x.tried = append(x.tried, a.target.ID)
 	cause := context.Cause(a.ctx)
 	if cause != nil && !errors.Is(cause, errQuarantined) {
-		a.checkLater()
+		a.recordGivenUp()
 	}
 	switch {
 	case x.callerDisconnected():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,7 +101,7 @@
 	// suspecting is true while there is evidence against any request or part of a prompt.
 	suspecting atomic.Bool
 	records    *quarantineRecords
-	// pendingLooks counts the attempts that wait for checkLater.
+	// pendingLooks counts the attempts whose targets are to be looked at later.
 	pendingLooks atomic.Int32
 
 	// evidenceChanged triggers a message to the other gateways at once.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -38,7 +38,7 @@
 		a.reportResult(placement.Failed)
 		x.tried = append(x.tried, a.target.ID)
 		if a.cause() != nil {
-			a.checkLater()
+			a.recordGivenUp()
 		} else {
 			a.recordEnd()
 		}
@@ -59,7 +59,12 @@
 	}
 	x.headSent, x.status = true, answer.Status
 	head := a.g.answerHead(x, answer)
-	x.out.write(http1.AppendLengthAndBody(head, body))
+	a.recordAround(answer, func() { x.out.write(http1.AppendLengthAndBody(head, body)) }, func() { a.recordBuffered(answer) })
+	return nil, false
+}
+
+// recordBuffered records what a whole answer shows of its request.
+func (a *attempt) recordBuffered(answer *upstream.Answer) {
 	switch {
 	case answer.Status < 300:
 		a.began = a.g.now()
@@ -67,7 +72,19 @@
 	case answer.Status < 500 && !answer.NotExecuted():
 		a.recordRejection()
 	}
-	return nil, false
+}
+
+// recordAround records an answer before its caller gets it, so that the request counts as answered
+// from then on. For an answer without a length, the target is looked at first, and the caller does
+// not wait for that.
+func (a *attempt) recordAround(answer *upstream.Answer, send, record func()) {
+	if answer.EndsWithConnection {
+		send()
+		record()
+		return
+	}
+	record()
+	send()
 }
 
 // mayRepeat reports whether another attempt is allowed and possible, without taking it
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -162,15 +162,14 @@
 	if errors.Is(err, io.EOF) && x.headSent {
 		answer.Finish()
 		a.reportResult(placement.Answered)
-		x.out.write([]byte(http1.LastChunk))
-		a.recordComplete(answer)
+		a.recordAround(answer, func() { x.out.write([]byte(http1.LastChunk)) }, func() { a.recordComplete(answer) })
 		return nil, false
 	}
 	answer.Abort()
 	x.tried = append(x.tried, a.target.ID)
 	cause := a.cause()
 	if cause != nil && !errors.Is(cause, errQuarantined) {
-		a.checkLater()
+		a.recordGivenUp()
 	}
 	switch {
 	case x.callerDisconnected():
