quarantine, gateway: names; a simulated fleet gets one plain request at once

No change of behaviour outside tests: variables that still said part are called subject, outcomes have a prefix, and the checks of a target that may have ended are called so.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -16,12 +16,12 @@
 // connection at once.
 const crashCheckTimeout = 150 * time.Millisecond
 
-// maxPendingLooks bounds the attempts whose targets are to be looked at later.
-const maxPendingLooks = 128
+// maxPendingEndChecks bounds the attempts whose targets are to be checked later.
+const maxPendingEndChecks = 128
 
-// lookDelays are the times between the looks at a target: one that crashes on a request does so soon
+// endCheckDelays are the times between the checks of a target: one that crashes on a request does so soon
 // after it has begun to run it, and is away for more than a second.
-var lookDelays = [...]time.Duration{400 * time.Millisecond, 700 * time.Millisecond}
+var endCheckDelays = [...]time.Duration{400 * time.Millisecond, 700 * time.Millisecond}
 
 // errQuarantined cancels an attempt whose request targets crash on.
 var errQuarantined = errors.New("targets crash on the request or a part of its prompt")
@@ -147,18 +147,18 @@
 }
 
 // recordEnd handles a connection that the target ended, and reports whether the target is known to
-// have ended too. A target that does not answer is looked at again.
+// have ended too. A target that does not answer is checked again.
 func (a *attempt) recordEnd() (targetEnded bool) {
-	result := a.look()
+	result := a.checkEnded()
 	if result == upstream.Unanswered {
-		a.lookLater()
+		a.checkEndedLater()
 	}
 	return result == upstream.Refused
 }
 
-// look looks whether the target has ended. If so, and if the request does not count as answered, the
+// checkEnded connects to the target to find out whether it has ended. If so, and if the request does not count as answered, the
 // request and the parts of its prompt come under suspicion.
-func (a *attempt) look() upstream.ProbeResult {
+func (a *attempt) checkEnded() upstream.ProbeResult {
 	if a.answered {
 		return upstream.Connected
 	}
@@ -172,32 +172,32 @@
 	return result
 }
 
-// recordGivenUp has the target of an attempt that this gateway has ended looked at a short time later:
-// it may still crash on the request.
+// recordGivenUp has the target of an attempt that this gateway has ended checked a short time later: it
+// may still crash on the request.
 func (a *attempt) recordGivenUp() {
 	a.givenUp = true
-	a.lookLater()
+	a.checkEndedLater()
 }
 
-// lookLater looks at the target after a while, and again if that shows too little.
-func (a *attempt) lookLater() {
-	if a.answered || a.laterLooks >= len(lookDelays) {
+// checkEndedLater checks the target after a while, and again if that leaves open whether it ends.
+func (a *attempt) checkEndedLater() {
+	if a.answered || a.laterChecks >= len(endCheckDelays) {
 		return
 	}
-	if a.g.pendingLooks.Add(1) > maxPendingLooks {
-		a.g.pendingLooks.Add(-1)
+	if a.g.pendingEndChecks.Add(1) > maxPendingEndChecks {
+		a.g.pendingEndChecks.Add(-1)
 		return
 	}
-	delay := lookDelays[a.laterLooks]
-	a.laterLooks++
+	delay := endCheckDelays[a.laterChecks]
+	a.laterChecks++
 	time.AfterFunc(delay, func() {
-		a.g.pendingLooks.Add(-1)
+		a.g.pendingEndChecks.Add(-1)
 		result := upstream.Connected
 		if !a.g.client.HasOpenIdle(a.target.Address) {
-			result = a.look()
+			result = a.checkEnded()
 		}
 		if result == upstream.Unanswered || result == upstream.Connected && a.givenUp {
-			a.lookLater()
+			a.checkEndedLater()
 		}
 	})
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -309,9 +309,9 @@
 	assert.DeepEqual(t, gw.suspected(), []string{crashingPart})
 }
 
-// Guards against evidence that is lost because the first look at a target that has ended gets no
+// Guards against evidence that is lost because the first check of a target that has ended gets no
 // answer in time, on a lossy link or a busy instance.
-func TestTargetEndIsFoundByASecondLook(t *testing.T) {
+func TestTargetEndIsFoundByASecondCheck(t *testing.T) {
 	gw := newTestGateway(t, respond(200, "ok")).waitReady()
 	addr, unblock := listenWithoutAccepting(t)
 	x := &exchange{ctx: context.Background(), req: &http1.Request{}}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -168,10 +168,10 @@
 	began time.Duration
 	// sent is when the attempt began, as the time since the gateway's start.
 	sent time.Duration
-	// givenUp is true if this gateway has ended the attempt, and laterLooks counts the looks at the
+	// givenUp is true if this gateway has ended the attempt, and laterChecks counts the checks of the
 	// target since then.
-	givenUp    bool
-	laterLooks int
+	givenUp     bool
+	laterChecks int
 	// answered is true once the request counts as answered in the evidence on its prompt.
 	answered bool
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,8 +101,8 @@
 	// suspecting is true while there is evidence against any request or part of a prompt.
 	suspecting atomic.Bool
 	records    *quarantineRecords
-	// pendingLooks counts the attempts whose targets are to be looked at later.
-	pendingLooks atomic.Int32
+	// pendingEndChecks counts the attempts whose targets are to be checked later.
+	pendingEndChecks atomic.Int32
 
 	// evidenceChanged triggers a message to the other gateways at once.
 	evidenceChanged chan struct{}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -75,8 +75,8 @@
 }
 
 // recordAround records an answer before its caller gets it, so that the request counts as answered
-// from then on. For an answer without a length, the target is looked at first, and the caller does
-// not wait for that.
+// from then on. For an answer without a length the target is checked first, and the caller does not
+// wait for that.
 func (a *attempt) recordAround(answer *upstream.Answer, send, record func()) {
 	if answer.EndsWithConnection {
 		send()
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -51,9 +51,9 @@
 func (t *Tracker) Evidence(now time.Duration) []Evidence {
 	t.expire(now)
 	var out []Evidence
-	for p := range t.cleared {
+	for subject := range t.cleared {
 		if len(out) < maxEvidence/2 {
-			out = append(out, t.evidenceOf(now, p))
+			out = append(out, t.evidenceOf(now, subject))
 		}
 	}
 	due := t.suspectsToTell(now)
@@ -77,9 +77,9 @@
 // requests than one message can name.
 func (t *Tracker) suspectsToTell(now time.Duration) []rankedSuspect {
 	var due []rankedSuspect
-	for p, s := range t.suspects {
+	for subject, s := range t.suspects {
 		if s.shouldTell(now) {
-			due = append(due, rankedSuspect{subject: p, weight: s.weight(nil), toldAt: s.toldAt, last: s.last})
+			due = append(due, rankedSuspect{subject: subject, weight: s.weight(nil), toldAt: s.toldAt, last: s.last})
 		}
 	}
 	slices.SortFunc(due, func(a, b rankedSuspect) int {
@@ -97,12 +97,12 @@
 	return now-s.changedAt < newsTime || now-s.toldAt >= refresh
 }
 
-func (t *Tracker) evidenceOf(now time.Duration, p string) Evidence {
-	e := Evidence{Subject: p}
-	if at, ok := t.answered.Time(p); ok {
+func (t *Tracker) evidenceOf(now time.Duration, subject string) Evidence {
+	e := Evidence{Subject: subject}
+	if at, ok := t.answered.Time(subject); ok {
 		e.Answered, e.AnsweredMs = true, (now - at).Milliseconds()
 	}
-	s := t.suspects[p]
+	s := t.suspects[subject]
 	if s == nil {
 		return e
 	}
@@ -146,14 +146,14 @@
 // expire forgets suspects without enough evidence whose crashes no longer count, and subjects that
 // were cleared long enough ago. Quarantined subjects stay until an answer to them arrives.
 func (t *Tracker) expire(now time.Duration) {
-	for p, s := range t.suspects {
+	for subject, s := range t.suspects {
 		if s.tied == nil && now-s.last > t.evidenceTime {
-			delete(t.suspects, p)
+			delete(t.suspects, subject)
 		}
 	}
-	for p, at := range t.cleared {
+	for subject, at := range t.cleared {
 		if now-at > clearedTime {
-			delete(t.cleared, p)
+			delete(t.cleared, subject)
 		}
 	}
 }
@@ -178,8 +178,8 @@
 // Status returns the state of each suspected subject.
 func (t *Tracker) Status(now time.Duration) []Status {
 	var out []Status
-	for p, s := range t.suspects {
-		out = append(out, Status{Subject: p, Crashes: len(s.crashes), LastCrashMsAgo: (now - s.last).Milliseconds(), Quarantined: s.tied != nil})
+	for subject, s := range t.suspects {
+		out = append(out, Status{Subject: subject, Crashes: len(s.crashes), LastCrashMsAgo: (now - s.last).Milliseconds(), Quarantined: s.tied != nil})
 	}
 	slices.SortFunc(out, func(a, b Status) int { return cmp.Compare(a.LastCrashMsAgo, b.LastCrashMsAgo) })
 	return out
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -18,8 +18,8 @@
 	// parts are the parts of the requests, and arrivals the mean time between two of them.
 	parts    []string
 	arrivals time.Duration
-	// crash is true if targets crash as they begin an answer.
-	crash bool
+	// crash is true if targets crash as they begin an answer, and unbegun if they do so before that.
+	crash, unbegun bool
 	// running contains the requests at targets by the time at which their answers begin.
 	running map[time.Duration][]fleetRequest
 	// ends are the times at which targets have ended.
@@ -100,7 +100,7 @@
 		return
 	}
 	f.ends = append(f.ends, now)
-	g.RecordCrash(now, uint32(len(f.ends)), f.parts, true)
+	g.RecordCrash(now, uint32(len(f.ends)), f.parts, !f.unbegun)
 	if r.attempt++; r.attempt < 2 && !refused(g, now, f.parts...) {
 		f.begin(now, r)
 	}
@@ -140,6 +140,27 @@
 	}
 }
 
+// Guards against one plain request that several gateways get at the same time: three targets end on it,
+// and three more at most, also if messages between the gateways are lost.
+func TestFleetEndsFewTargetsOnAPlainRequest(t *testing.T) {
+	const maxCrashed = 3 + 3
+	for gateways, seeds := range map[int]uint64{7: 40, 30: 10, 100: 3, 350: 1} {
+		for _, loss := range []float64{0, 0.1, 0.3} {
+			t.Run(fmt.Sprintf("%d-gateways-loss-%.0f", gateways, 100*loss), func(t *testing.T) {
+				most := 0
+				for seed := range seeds {
+					f := newFleetRun(seed, gateways, loss)
+					f.parts, f.crash, f.unbegun = []string{"request:x"}, true, true
+					f.run(0, fleetTime)
+					most = max(most, len(f.ends))
+				}
+				t.Logf("%d gateways, %.0f%% lost: %d targets end at most", gateways, 100*loss, most)
+				assert.Assert(t, most <= maxCrashed, "%d targets end", most)
+			})
+		}
+	}
+}
+
 // Guards against a part that most requests have, and that is refused for minutes because many
 // targets with such requests ended at once: half of the requests or more are served again once
 // stabilityWindow has passed.
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -15,10 +15,10 @@
 	t.unjudged = false
 	explained := map[uint32]bool{}
 	var open []string
-	for p, s := range t.suspects {
+	for subject, s := range t.suspects {
 		s.tied = nil
 		if s.weight(nil) >= quarantineWeight {
-			open = append(open, p)
+			open = append(open, subject)
 		}
 	}
 	slices.Sort(open) // the same order at each gateway
@@ -30,13 +30,13 @@
 			return
 		}
 		tied, rest := t.splitTied(open, worst, explained)
-		for _, p := range tied {
-			s := t.suspects[p]
-			s.tied = refusedTogether(p, tied)
+		for _, subject := range tied {
+			s := t.suspects[subject]
+			s.tied = refusedTogether(subject, tied)
 			t.judged = true
 			if !s.quarantined {
 				s.quarantined = true
-				t.decide(p, Quarantine, len(s.crashes))
+				t.decide(subject, OutcomeQuarantined, len(s.crashes))
 			}
 		}
 		for target := range t.suspects[worst].crashes {
@@ -54,17 +54,17 @@
 	return judged
 }
 
-// refusedTogether returns the subjects of tied that a request must have, besides p, to be refused
-// because of p. A request has one fingerprint, so if there are several, they are those of different
+// refusedTogether returns the subjects of tied that a request must have, besides subject, to be refused
+// because of subject. A request has one fingerprint, so if there are several, they are those of different
 // requests.
-func refusedTogether(p string, tied []string) []string {
+func refusedTogether(subject string, tied []string) []string {
 	isRequest := func(subject string) bool { return strings.HasPrefix(subject, RequestPrefix) }
 	parts := slices.DeleteFunc(slices.Clone(tied), isRequest)
 	switch {
 	case len(tied)-len(parts) <= 1:
 		return tied
-	case isRequest(p):
-		return []string{p}
+	case isRequest(subject):
+		return []string{subject}
 	default:
 		return parts
 	}
@@ -74,11 +74,11 @@
 // against worst, with as much weight, and the others.
 func (t *Tracker) splitTied(subjects []string, worst string, explained map[uint32]bool) (tied, rest []string) {
 	s := t.suspects[worst]
-	for _, p := range subjects {
-		if o := t.suspects[p]; o.weight(explained) == s.weight(explained) && sameTargets(o.crashes, s.crashes, explained) {
-			tied = append(tied, p)
+	for _, subject := range subjects {
+		if o := t.suspects[subject]; o.weight(explained) == s.weight(explained) && sameTargets(o.crashes, s.crashes, explained) {
+			tied = append(tied, subject)
 		} else {
-			rest = append(rest, p)
+			rest = append(rest, subject)
 		}
 	}
 	return tied, rest
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -147,9 +147,9 @@
 
 // The outcomes.
 const (
-	Suspected  Outcome = "suspected"
-	Quarantine Outcome = "quarantined"
-	Sound      Outcome = "sound"
+	OutcomeSuspected   Outcome = "suspected"
+	OutcomeQuarantined Outcome = "quarantined"
+	OutcomeSound       Outcome = "sound"
 )
 
 // New returns a Tracker without evidence.
@@ -177,8 +177,8 @@
 		return Quarantined, wait
 	}
 	var trials []*suspect
-	for _, p := range subjects {
-		s := t.suspects[p]
+	for _, subject := range subjects {
+		s := t.suspects[subject]
 		switch {
 		case s == nil || s.tied == nil && s.answeredBefore:
 			continue // requests with a widely shared part go on until it is quarantined
@@ -200,8 +200,8 @@
 // ReturnTrial takes back the verdict Trial on a request with the subjects that reached no
 // target, so that another request is let through in its place.
 func (t *Tracker) ReturnTrial(subjects []string) {
-	for _, p := range subjects {
-		if s := t.suspects[p]; s != nil {
+	for _, subject := range subjects {
+		if s := t.suspects[subject]; s != nil {
 			s.nextTrial = s.last + suspectPause
 			s.returnTrial()
 		}
@@ -211,8 +211,8 @@
 // Refuses reports whether a subject of a request is quarantined, and after which time a gateway
 // tries it again. It applies to requests that were admitted before.
 func (t *Tracker) Refuses(now time.Duration, subjects []string) (wait time.Duration, refused bool) {
-	for _, p := range subjects {
-		s := t.suspects[p]
+	for _, subject := range subjects {
+		s := t.suspects[subject]
 		if s == nil || !s.refuses(subjects) {
 			continue
 		}
@@ -249,21 +249,21 @@
 
 // refuses reports whether the subject is quarantined and the request has all of its tied.
 func (s *suspect) refuses(subjects []string) bool {
-	return s.tied != nil && !slices.ContainsFunc(s.tied, func(p string) bool { return !slices.Contains(subjects, p) })
+	return s.tied != nil && !slices.ContainsFunc(s.tied, func(subject string) bool { return !slices.Contains(subjects, subject) })
 }
 
 // RecordAnswer records that a request with the subjects was answered by an answer that began at a
 // time. It speaks against crashes up to that time only.
 func (t *Tracker) RecordAnswer(began time.Duration, subjects []string) {
-	for _, p := range subjects {
-		t.clear(began, p)
+	for _, subject := range subjects {
+		t.clear(began, subject)
 	}
 }
 
 // clear records an answer to a subject at a time, which ends a suspicion from before.
-func (t *Tracker) clear(at time.Duration, p string) {
-	t.answered.Record(at, p)
-	s := t.suspects[p]
+func (t *Tracker) clear(at time.Duration, subject string) {
+	t.answered.Record(at, subject)
+	s := t.suspects[subject]
 	if s == nil {
 		return
 	}
@@ -274,9 +274,9 @@
 		}
 	}
 	if len(s.crashes) == 0 {
-		delete(t.suspects, p)
-		t.cleared[p] = at
-		t.decisions = append(t.decisions, Decision{Subject: p, Outcome: Sound, Released: s.quarantined})
+		delete(t.suspects, subject)
+		t.cleared[subject] = at
+		t.decisions = append(t.decisions, Decision{Subject: subject, Outcome: OutcomeSound, Released: s.quarantined})
 	}
 	t.judge()
 }
@@ -295,25 +295,25 @@
 // RecordCrash records that a target ended under a request with the subjects. begun is true if the
 // head of its answer had arrived.
 func (t *Tracker) RecordCrash(now time.Duration, target uint32, subjects []string, begun bool) {
-	for _, p := range subjects {
-		if t.addCrash(now, p, target, crash{at: now, begun: begun}) {
+	for _, subject := range subjects {
+		if t.addCrash(now, subject, target, crash{at: now, begun: begun}) {
 			t.changed = true
-			t.suspects[p].unsaved = true
+			t.suspects[subject].unsaved = true
 		}
 	}
 	t.judge()
 }
 
 // addCrash reports whether the crash adds to the evidence.
-func (t *Tracker) addCrash(now time.Duration, p string, target uint32, c crash) bool {
-	s := t.suspects[p]
+func (t *Tracker) addCrash(now time.Duration, subject string, target uint32, c crash) bool {
+	s := t.suspects[subject]
 	if s == nil {
 		t.makeRoom()
-		_, known := t.answered.Time(p)
+		_, known := t.answered.Time(subject)
 		s = &suspect{crashes: map[uint32]crash{}, answeredBefore: known, last: c.at, toldAt: never}
-		t.suspects[p] = s
-		delete(t.cleared, p)
-		t.decide(p, Suspected, 1)
+		t.suspects[subject] = s
+		delete(t.cleared, subject)
+		t.decide(subject, OutcomeSuspected, 1)
 	}
 	old, ok := s.crashes[target]
 	if ok && (old.begun || !c.begun) {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -38,10 +38,10 @@
 // since the last call.
 func (t *Tracker) TakeUnsaved() []string {
 	var unsaved []string
-	for p, s := range t.suspects {
+	for subject, s := range t.suspects {
 		if s.unsaved && s.tied != nil {
 			s.unsaved = false
-			unsaved = append(unsaved, p)
+			unsaved = append(unsaved, subject)
 		}
 	}
 	return unsaved
--- a/internal/quarantine/retrial.go
+++ b/internal/quarantine/retrial.go
@@ -64,14 +64,14 @@
 func (t *Tracker) TrialsDue(now time.Duration) []string {
 	t.expire(now)
 	var due []string
-	for p, s := range t.suspects {
-		if s.tied == nil || s.answeredBefore || s.granted || p != slices.Min(s.tied) || len(s.crashes) >= maxRetrialCrashes {
+	for subject, s := range t.suspects {
+		if s.tied == nil || s.answeredBefore || s.granted || subject != slices.Min(s.tied) || len(s.crashes) >= maxRetrialCrashes {
 			continue
 		}
 		refused := s.refusedAt > 0 && now-s.refusedAt <= recentRefusal
 		if refused && now >= max(s.last+t.evidenceTime, s.nextGrant) {
 			s.nextGrant = now + t.evidenceTime
-			due = append(due, p)
+			due = append(due, subject)
 		}
 	}
 	return due
@@ -83,8 +83,8 @@
 	if s == nil {
 		return
 	}
-	for _, p := range s.tied {
-		if o := t.suspects[p]; o != nil {
+	for _, subject := range s.tied {
+		if o := t.suspects[subject]; o != nil {
 			o.granted = true
 		}
 	}
