gateway: a request refused for its quarantine is logged with its fingerprint

The line named the attempt only, so its cause could not be found: other attempts of the same request have other ids. docs/OPERATIONS.md shows the way from the id to the target that ended.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -35,6 +35,9 @@
 		line = line.Int64("last_event", x.lastEvent).Int64("first_event_ms", x.firstEvent.Milliseconds()).
 			Int64("longest_gap_ms", x.longestGap.Milliseconds())
 	}
+	if kind == apierr.KindQuarantined {
+		line = line.Str("fingerprint", x.fingerprint()).Str("parts", strings.Join(x.sharedParts, ","))
+	}
 	if err != nil {
 		line = line.Str("detail", err.Error())
 	}
