quarantine: only gateways that have seen a crash repeat the evidence

With whole requests under suspicion a target that ends adds many suspects, and each gateway told all of them, its own and those it had heard of, for ten minutes. Now the gateways that saw a crash tell it, one that remembers an answer says so, and what is quarantined is read from the store every 4 s besides. Entries, which have links to a few entries of other zones only, still pass new evidence on.

--- a/internal/entry/filter_screen.go
+++ b/internal/entry/filter_screen.go
@@ -26,7 +26,9 @@
 }
 
 func newSuspects() *suspects {
-	return &suspects{seed: maphash.MakeSeed(), tracker: quarantine.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
+	tracker := quarantine.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	tracker.Relay() // entries have links to few entries of other availability zones
+	return &suspects{seed: maphash.MakeSeed(), tracker: tracker}
 }
 
 // identity returns what the request has in common with its repeats.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -102,8 +102,9 @@
 	// tied are the subjects, including this one, that the same crashes speak against; nil unless
 	// the subject is quarantined. Only requests with all of them are refused.
 	tied []string
-	// unsaved is true if this gateway has seen a crash that is not in the subject's record.
-	unsaved bool
+	// seenHere is true if this gateway has seen one of the crashes itself, and unsaved if it has
+	// seen one that is not in the subject's record.
+	seenHere, unsaved bool
 	// quarantined is true once the subject has been quarantined.
 	quarantined bool
 	// changedAt is the time of the last change of the evidence, and toldAt that of the last
@@ -124,6 +125,8 @@
 	// 0 to 1.
 	gateways int
 	turn     float64
+	// relay is true if new evidence of others is passed on.
+	relay bool
 	// changed is true if this gateway has seen crashes since TakeChanged was called.
 	changed bool
 	// unjudged is true if evidence has changed since the last judgement.
@@ -164,6 +167,9 @@
 // SetGateways sets the number of gateways, which take turns in trying a subject again.
 func (t *Tracker) SetGateways(n int) { t.gateways = max(1, n) }
 
+// Relay has new evidence of others passed on, for fleets in which not all reach each other.
+func (t *Tracker) Relay() { t.relay = true }
+
 // Suspects reports whether there is evidence against any subject.
 func (t *Tracker) Suspects() bool { return len(t.suspects) > 0 }
 
@@ -298,7 +304,8 @@
 	for _, subject := range subjects {
 		if t.addCrash(now, subject, target, crash{at: now, begun: begun}) {
 			t.changed = true
-			t.suspects[subject].unsaved = true
+			s := t.suspects[subject]
+			s.seenHere, s.unsaved = true, true
 		}
 	}
 	t.judge()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -212,6 +212,25 @@
 	assert.Equal(t, started.Status(0)[0].LastCrashMsAgo, time.Hour.Milliseconds())
 }
 
+// Guards against messages that grow with the number of gateways: evidence is repeated by those that
+// have seen a crash, and one that has only heard of it tells no more than an answer that it remembers.
+func TestOnlyWitnessesRepeatEvidence(t *testing.T) {
+	witness, other, knowing := newTracker(), newTracker(), newTracker()
+	knowing.RecordAnswer(0, []string{"x"})
+	witness.RecordCrash(time.Second, 1, []string{"x"}, false)
+	evidence := witness.Evidence(time.Second)
+	other.Merge(time.Second, evidence)
+	knowing.Merge(time.Second, evidence)
+	assert.Equal(t, len(other.Evidence(time.Second)), 0)
+	assert.Equal(t, len(knowing.Evidence(time.Second)), 1)
+	other.Relay()
+	assert.Equal(t, len(other.Evidence(time.Second)), 1)
+	later := time.Second + newsTime + suspectRefresh
+	assert.Equal(t, len(witness.Evidence(later)), 1)
+	assert.Equal(t, len(other.Evidence(later)), 0)
+	assert.Equal(t, len(knowing.Evidence(later)), 0)
+}
+
 // Guards against messages that name old suspects all the time, and against gateways that never
 // hear of them.
 func TestOldEvidenceIsToldNowAndThen(t *testing.T) {
--- a/internal/quarantine/repeat_test.go
+++ b/internal/quarantine/repeat_test.go
@@ -88,6 +88,7 @@
 // arrive sends the request through a gateway, and to a second target if the first one ends.
 func (r *repeatRun) arrive(now time.Duration, i int) {
 	g := r.gateways[i]
+	g.Restore(now, timeOfDay(now), slices.Collect(maps.Values(r.store))) // gateways read the store more often than requests come
 	v, _ := g.Admit(now, repeatedRequest)
 	r.grant(now, g)
 	if v == Held || v == Quarantined {
