--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -98,8 +98,10 @@
 	// same port.
 	PeerAddress string
 	// Service is the name of the engine's service.
-	Service     string
-	Engine      Engine
+	Service string
+	Engine  Engine
+	// Listen opens the socket on PeerAddress; nil means listenUDP.
+	Listen      func(*net.UDPAddr) (Socket, error)
 	Source      fleet.Source
 	DemandStore DemandStore
 	Logger      *log.Logger
@@ -119,7 +121,7 @@
 	opts               Options
 	changes, abandoned tally.Counter
 	events             chan event
-	socket             *net.UDPConn
+	socket             Socket
 	port               int
 
 	// The fields below are owned by the goroutine of Run.
@@ -205,6 +207,9 @@
 
 // New returns a Mapper, which Run starts.
 func New(opts Options) *Mapper {
+	if opts.Listen == nil {
+		opts.Listen = listenUDP
+	}
 	return &Mapper{opts: opts, changes: opts.Metrics.Counter("map_changes"), abandoned: opts.Metrics.Counter("map_changes_abandoned"), events: make(chan event, 256), peers: map[string]*net.UDPAddr{}, subscribers: map[string]subscriber{}}
 }
 
@@ -215,7 +220,7 @@
 		return err
 	}
 	m.port = addr.Port
-	if m.socket, err = net.ListenUDP("udp4", addr); err != nil {
+	if m.socket, err = m.opts.Listen(addr); err != nil {
 		return err
 	}
 	context.AfterFunc(ctx, func() { _ = m.socket.Close() })
--- a/internal/mapper/wire.go
+++ b/internal/mapper/wire.go
@@ -10,10 +10,18 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/gentiantrail/gentiantrail/internal/fleet"
 	"github.com/gentiantrail/gentiantrail/internal/mapswitch"
 )
 
+// Socket sends and receives datagrams; *net.UDPConn implements it.
+type Socket interface {
+	ReadFromUDP(b []byte) (int, *net.UDPAddr, error)
+	WriteToUDP(b []byte, addr *net.UDPAddr) (int, error)
+	Close() error
+}
+
+func listenUDP(addr *net.UDPAddr) (Socket, error) { return net.ListenUDP("udp4", addr) }
+
 // maxDatagram is the largest size of a datagram in bytes.
 const maxDatagram = 60 << 10
 
@@ -207,84 +215,3 @@
 		Shifted: time.Since(m.shiftedAt) < shiftReportTime,
 	}
 }
-
-// discover starts a read of the store for the engine's description and the other processes
-// of the service, while the description, the leader or some of the ranks are missing.
-func (m *Mapper) discover(ctx context.Context) {
-	complete := m.engine != nil && (!m.isLeader && m.leader.addr != nil && time.Since(m.leader.lastBeacon) < leaderTimeout ||
-		m.isLeader && m.leaderState.allRanksSeen(m.local.Size))
-	if complete || m.discovering || time.Since(m.discoveryStartedAt) < discoverInterval {
-		return
-	}
-	m.discovering, m.discoveryStartedAt = true, time.Now()
-	needConfig := m.engine == nil
-	go func() {
-		result := m.readStore(ctx, needConfig)
-		m.post(ctx, result)
-	}()
-}
-
-// readStore reads the store and returns the event that applies the result.
-func (m *Mapper) readStore(ctx context.Context, needConfig bool) event {
-	var engine *fleet.Engine
-	if needConfig {
-		batch, err := m.opts.Source.List(ctx, fleet.TopicConfig)
-		if err != nil {
-			return storeReadFailureEvent(err)
-		}
-		engine = findEngine(batch, m.opts.Service)
-	}
-	batch, err := m.opts.Source.List(ctx, fleet.TopicTargets)
-	if err != nil {
-		return storeReadFailureEvent(err)
-	}
-	return func(_ context.Context, m *Mapper) {
-		m.discovering = false
-		if engine != nil {
-			m.engine = engine
-		}
-		m.replacePeers(batch)
-	}
-}
-
-// storeReadFailureEvent returns the event that logs a failed read of the store.
-func storeReadFailureEvent(err error) event {
-	return func(_ context.Context, m *Mapper) {
-		m.discovering = false
-		m.opts.Logger.Info().Str("event", "store-unread").Err(err).Msg("")
-	}
-}
-
-// findEngine returns the engine's description from the settings of the service, or nil.
-func findEngine(batch fleet.Batch, service string) *fleet.Engine {
-	for i := range batch.Changes {
-		if batch.Changes[i].Config == nil {
-			continue
-		}
-		if s, ok := fleet.NewIndex(batch.Changes[i].Config).Service(service); ok {
-			return s.Engine
-		}
-	}
-	return nil
-}
-
-// replacePeers replaces the known processes by those that run beside the service's targets.
-func (m *Mapper) replacePeers(batch fleet.Batch) {
-	peers := make(map[string]*net.UDPAddr)
-	for i := range batch.Changes {
-		t := batch.Changes[i].Target
-		if t == nil || t.Service != m.opts.Service {
-			continue
-		}
-		host, _, err := net.SplitHostPort(t.Address)
-		if err != nil {
-			continue
-		}
-		addr := &net.UDPAddr{IP: net.ParseIP(host), Port: m.port}
-		if addr.IP == nil || addr.String() == m.opts.PeerAddress {
-			continue
-		}
-		peers[addr.String()] = addr
-	}
-	m.peers = peers
-}
