placement: starts at a cold target are shared out by rendezvous hashing

With few gateways known, just after a start, each took many times its share.

Change: StartRate is the bound of all gateways together, and the balancer takes its share of whole starts as for the rates that targets state. The gateways that the store lists count from the start on; before the list, a gateway gets one start where it comes early in the target's order. A tenth of the bound is left for gateways that the others do not know yet.

Two tests of StartRate now list the gateways first, since the bound is the fleet's.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"net"
 	"time"
 
@@ -21,6 +20,9 @@
 	// spareGateways is added to the number of known gateways when limits are divided, for
 	// gateways that have started but are not known yet.
 	spareGateways = 3
+	// startMargin is the part of the bound on the requests to a cold target that is used; the
+	// rest is for gateways that the others do not know yet.
+	startMargin = 0.9
 	// assumedGateways is the number of gateways assumed until another one is known.
 	assumedGateways = 64
 )
@@ -68,6 +70,9 @@
 		Source:  g.opts.Source,
 		Self:    fleet.Gateway{Name: g.opts.Settings.Name, PeerAddress: g.opts.Settings.PeerAddress},
 		OnEvent: func(e fleet.Event) { g.post(ctx, storeEvent(e)) },
+
+		DrainTimeout: g.opts.Settings.Limits.DrainTimeout,
+		LivePeers:    c.peers.livePeers,
 	}
 	follower.Run(ctx)
 	go g.records.run(ctx)
@@ -200,14 +205,13 @@
 	return p
 }
 
-// startRate returns this gateway's share of the requests that a cold target may get in
-// one second. It applies to warm targets too, since a target may turn cold at any moment.
+// startRate returns the number of requests that a cold target may get from all gateways in one
+// second. It applies to warm targets too, since a target may turn cold at any moment.
 func (sh shares) startRate(s *fleet.Service) int {
 	if s.ColdRate <= 0 {
 		return 0
 	}
-	total := s.ColdRate*sh.coldFactor + sh.coldSlack
-	return max(1, int(math.Floor(total/float64(sh.gateways))))
+	return max(1, int(startMargin*(s.ColdRate*sh.coldFactor+sh.coldSlack)))
 }
 
 const (
--- a/internal/gateway/control_store.go
+++ b/internal/gateway/control_store.go
@@ -31,6 +31,9 @@
 	if e.Batch.Undecodable > 0 {
 		c.g.opts.Logger.Warn().Str("event", "store-objects-refused").Str("topic", e.Topic.String()).Int("count", e.Batch.Undecodable).Msg("")
 	}
+	if e.Topic == fleet.TopicGateways && e.Complete {
+		c.addMembers(now)
+	}
 	c.logDecisions(decisions, e.Batch.Position)
 	if len(decisions) > 0 || e.Complete {
 		c.publish()
@@ -38,6 +41,17 @@
 	}
 }
 
+// addMembers tells the balancer which gateways the store lists.
+func (c *control) addMembers(now time.Duration) {
+	var names []string
+	for _, g := range c.registry.View().Gateways {
+		names = append(names, g.Name)
+	}
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	c.g.balancer.AddMembers(now, names)
+}
+
 // expire applies the changes of the registry that are due and schedules the next one.
 func (c *control) expire() {
 	now := c.g.now()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,7 +19,7 @@
 	Slots int
 	// Accepting is false while the target is leaving or its availability zone is evacuated.
 	Accepting bool
-	// StartRate bounds the requests that this process sends the target in any second;
+	// StartRate bounds the requests that all gateways together send the target in any second;
 	// zero means no bound.
 	StartRate int
 	// MaxConns bounds this process's connections to the target; zero means no bound.
@@ -121,6 +121,10 @@
 	membersAt      time.Duration
 	memberVersion  int
 	membersChanged bool
+	// listed contains the time at which the store last listed each other gateway. membersListed
+	// is true once it has listed the gateways, whether there are others or not.
+	listed        map[string]time.Duration
+	membersListed bool
 }
 
 // New returns a Balancer for the gateway with the name in the availability zone.
@@ -128,6 +132,7 @@
 	return &Balancer{
 		rng: rng, name: name, zone: zone, targets: map[string]*targetState{}, departed: departedTargets{},
 		services: map[string][]*targetState{}, groups: map[string]*group{}, peers: map[string]peerWork{},
+		listed: map[string]time.Duration{},
 	}
 }
 
@@ -242,7 +247,7 @@
 	if g := b.groupOf(s); g != nil && (g.stalled(now) || now < g.downUntil) {
 		return GroupDown
 	}
-	if s.StartRate > 0 && s.startsWithin(now, startSpan) >= s.StartRate {
+	if s.StartRate > 0 && s.startsWithin(now, startSpan) >= b.startShare(now, s) {
 		return Full
 	}
 	if now < s.pausedUntil || !b.withinLimit(now, s) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -71,11 +71,12 @@
 }
 
 // Many gateways may see the same idle cold target; each stays within its share of starts
-// in any second.
+// in any second. This one is alone.
 func TestStartsWithinAnySecondAreBounded(t *testing.T) {
 	targets := engineTargets(1, 100)
 	targets[0].StartRate = 5
 	b := newBalancer(targets)
+	b.AddMembers(0, nil)
 	var starts []time.Duration
 	for now := time.Duration(0); now < 10*second; now += 37 * time.Millisecond {
 		c, refusal := b.Choose(now, Request{Service: "s"})
@@ -102,6 +103,7 @@
 	targets := engineTargets(1, 10*rate)
 	targets[0].StartRate = rate
 	b := newBalancer(targets)
+	b.AddMembers(0, nil)
 	started := 0
 	for range 2 * rate {
 		if _, refusal := b.Choose(second, Request{Service: "s"}); refusal == NotRefused {
--- a/internal/placement/ratelimit.go
+++ b/internal/placement/ratelimit.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -20,16 +18,6 @@
 	// is told again, and for how long.
 	limitRetellInterval = 15 * time.Second
 	limitRetellTime     = time.Second
-	// memberTimeout is the time without a message after which another gateway gets no share of
-	// a target's rate. It is long, since a gateway that is only cut off from this one may go
-	// on sending.
-	memberTimeout = 10 * time.Second
-	// memberCheckInterval is the interval at which silent gateways are looked for.
-	memberCheckInterval = 500 * time.Millisecond
-	// discoveryTime is the time after the start within which there may be other gateways that
-	// are not known yet, and assumedMembers the number that is assumed then.
-	discoveryTime  = 5 * time.Second
-	assumedMembers = 64
 	// maxLimitsToTell bounds the limits in one message. If there are more, each message has
 	// other ones, since the order of the targets is random.
 	maxLimitsToTell = 128
@@ -181,62 +169,6 @@
 	return b.share(now, s, 1) > 0 && (!s.started || now-s.lastStart >= gap)
 }
 
-// share returns this gateway's part of a number of requests to a target. The parts of all
-// gateways that know each other sum up to the number: the remainder of the division goes to
-// the first gateways in an order that depends on the target.
-func (b *Balancer) share(now time.Duration, s *targetState, total int) int {
-	b.updateMembers(now)
-	n := len(b.members) + 1
-	if len(b.members) == 0 && now < discoveryTime {
-		return total / assumedMembers
-	}
-	if s.rankVersion != b.memberVersion {
-		s.rank, s.rankVersion = b.rank(s.key), b.memberVersion
-	}
-	if s.rank < total%n {
-		return total/n + 1
-	}
-	return total / n
-}
-
-// rank returns the number of other gateways that precede this one in the order of a target
-// (rendezvous hashing).
-func (b *Balancer) rank(key uint32) int {
-	rank, own := 0, memberWeight(key, b.name)
-	for _, member := range b.members {
-		if w := memberWeight(key, member); w > own || w == own && member < b.name {
-			rank++
-		}
-	}
-	return rank
-}
-
-func memberWeight(key uint32, member string) uint64 {
-	h := xxhash.NewWithSeed(uint64(key))
-	_, _ = h.WriteString(member) // never fails
-	return h.Sum64()
-}
-
-// updateMembers updates the names of the other gateways that get a share of limits: those from
-// which a message has come within memberTimeout.
-func (b *Balancer) updateMembers(now time.Duration) {
-	if !b.membersChanged && now-b.membersAt < memberCheckInterval {
-		return
-	}
-	var members []string
-	for name, p := range b.peers {
-		if now-p.receivedAt <= memberTimeout {
-			members = append(members, name)
-		}
-	}
-	slices.Sort(members)
-	b.membersChanged, b.membersAt = false, now
-	if !slices.Equal(members, b.members) || b.memberVersion == 0 {
-		b.members = members
-		b.memberVersion++
-	}
-}
-
 // startTimes contains the times of the starts of requests at a target.
 type startTimes struct {
 	// times contains the starts within the last limitSpan, oldest first.
