fleet: pings do not grow with the fleet, watches pause by the drain timeout

Change: up to 32 gateways ping as before; with more of them the interval grows so that they make as many calls together. One that notices a restore or a silence reads the store and tells the others, which call the store when a message has a later era. The pause between watches is a quarter of the drain timeout, at most 1 s. A gateway lists the others right after it has registered: of two gateways the later one finds the earlier.

Periodic pings are no longer postponed by those after a watch: after a change all gateways were in step, and a silence just then was seen by none.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -23,17 +23,15 @@
 	// relistPause is the pause before a topic is listed again, so that a store which refuses
 	// each watch is not called in a tight loop.
 	relistPause = 50 * time.Millisecond
-	// registerPause is the pause between a gateway's registration and its listing of the
-	// other gateways: the instances of a deployment start within a few hundred
-	// milliseconds of each other.
-	registerPause = time.Second
-	// watchPause is the pause between two watches of a topic, so that changes in quick
-	// succession need one call. It is far below the bounds for acting on a change.
-	watchPause = 500 * time.Millisecond
+	// maxWatchPause bounds WatchPause.
+	maxWatchPause = time.Second
 	// pingInterval is the mean interval of the calls that notice a restore of the store, or that
 	// it is silent, while all watches wait. With jitter the longest is below the bound for
-	// acting on a change.
-	pingInterval = 400 * time.Millisecond
+	// acting on a change. If there are more than pingingGateways, the interval grows so that
+	// they make as many calls together: one that notices something reads the store and tells the
+	// others the positions.
+	pingInterval    = 400 * time.Millisecond
+	pingingGateways = 32
 	// pingTimeout bounds a ping. If a silent store loses the last ping before it answers again,
 	// its return is noticed after this time and a retry pause.
 	pingTimeout = 800 * time.Millisecond
@@ -72,18 +70,27 @@
 	Self Gateway
 	// OnEvent is called with each event, from several goroutines.
 	OnEvent func(Event)
+	// DrainTimeout is the time within which a gateway must act on a change.
+	DrainTimeout time.Duration
+	// LivePeers returns the number of other gateways that currently pass on their Positions. If it
+	// is nil, there are none.
+	LivePeers func() int
 
 	backoff outageBackoff
 	watches openWatches
 	eras    *eraTracker
-	// watchOpened triggers a ping soon after the call of a watch.
-	watchOpened chan struct{}
+	// watchOpened triggers a ping soon after the call of a watch, and laterEra one at once.
+	watchOpened, laterEra chan struct{}
 }
 
+// watchPause returns the pause between two watches of a topic, so that changes in quick succession
+// need one call. It is far below the time within which a gateway must act on a change.
+func watchPause(drainTimeout time.Duration) time.Duration { return min(drainTimeout/4, maxWatchPause) }
+
 // Run starts a goroutine for each topic; they end with ctx.
 func (f *Follower) Run(ctx context.Context) {
 	f.eras = newEraTracker(ctx)
-	f.watchOpened = make(chan struct{}, 1)
+	f.watchOpened, f.laterEra = make(chan struct{}, 1), make(chan struct{}, 1)
 	for t := Topic(0); t < TopicGateways; t++ {
 		go f.follow(ctx, t)
 	}
@@ -96,10 +103,28 @@
 func (f *Follower) Positions() []Position { return f.watches.positions(time.Now()) }
 
 // ObservePeer handles the Positions of another gateway.
-func (f *Follower) ObservePeer(positions []Position) { f.watches.observePeer(time.Now(), positions) }
+func (f *Follower) ObservePeer(positions []Position) {
+	f.watches.observePeer(time.Now(), positions)
+	era, _ := f.eras.current()
+	for _, p := range positions {
+		if p.Era > era {
+			notify(f.laterEra)
+			return
+		}
+	}
+}
+
+// notify makes a value available on a channel with a capacity of one.
+func notify(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default: // there is one already
+	}
+}
 
 // announce registers this gateway and lists the other gateways, once in each era of the
-// store. Gateways that start later find this one in the store and contact it.
+// store. Of two gateways, the one that registers later finds the other in the store and contacts
+// it.
 func (f *Follower) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		registered := f.announceOnce(ctx)
@@ -115,7 +140,6 @@
 		era, err = f.Source.Register(ctx, f.Self)
 		return err
 	})
-	sleep(ctx, registerPause) // gateways that start together find each other
 	f.retry(ctx, TopicGateways, func() error {
 		batch, err := f.Source.List(ctx, TopicGateways)
 		if err == nil {
@@ -130,8 +154,10 @@
 // may stay open while the store is restored, and is then not answered for changes with lower
 // revisions; or the store was silent when it got the call, and never answers it.
 func (f *Follower) ping(ctx context.Context) {
+	due := time.NewTimer(jittered(f.pingPause()))
+	defer due.Stop()
 	for ctx.Err() == nil {
-		f.waitForPing(ctx)
+		f.waitForPing(ctx, due)
 		if f.backoff.failing() {
 			continue // the calls that are tried again tell as much
 		}
@@ -143,15 +169,27 @@
 	}
 }
 
-func (f *Follower) waitForPing(ctx context.Context) {
+// waitForPing waits until a ping is needed. The periodic pings, for which due fires, are not
+// postponed by others: all gateways call their watches at the same time after a change.
+func (f *Follower) waitForPing(ctx context.Context, due *time.Timer) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(jittered(pingInterval)):
+	case <-due.C:
+		due.Reset(jittered(f.pingPause()))
+	case <-f.laterEra:
 	case <-f.watchOpened:
 		sleep(ctx, openPingDelay)
 	}
 }
 
+// pingPause returns the mean interval of this gateway's pings.
+func (f *Follower) pingPause() time.Duration {
+	if f.LivePeers == nil {
+		return pingInterval
+	}
+	return pingInterval * time.Duration(max(pingingGateways, 1+f.LivePeers())) / pingingGateways
+}
+
 func (f *Follower) follow(ctx context.Context, topic Topic) {
 	for ctx.Err() == nil {
 		position := f.list(ctx, topic)
@@ -193,7 +231,7 @@
 		f.watches.recordRead(time.Now(), topic, batch.Changes)
 		f.OnEvent(Event{Topic: topic, Resumed: resumed, After: after, Batch: batch})
 		after.Revision = max(after.Revision, batch.Position.Revision)
-		sleep(ctx, watchPause)
+		sleep(ctx, watchPause(f.DrainTimeout))
 	}
 }
 
@@ -226,10 +264,7 @@
 func (f *Follower) openWatch(ctx context.Context, topic Topic, after Position) (Batch, error) {
 	watch, end := f.watches.begin(ctx, topic)
 	defer end()
-	select {
-	case f.watchOpened <- struct{}{}:
-	default: // a ping is due already
-	}
+	notify(f.watchOpened)
 	batch, err := f.watchSource(watch, topic, after, watchTimeout)
 	if cause := context.Cause(watch); err != nil && isRenewal(cause) {
 		return Batch{}, cause
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -11,11 +11,16 @@
 	// missing entry may have lapsed during an outage. It covers a call that hangs and the
 	// time to the next one.
 	outageWindow = 2800 * time.Millisecond
-	// noticeTime is the time that a gateway may need to learn that an entry was removed and
-	// to send the requests for which the target was chosen before. It includes watchPause.
-	noticeTime = 700 * time.Millisecond
+	// noticeSlack is the time, beside watchPause, that a gateway may need to learn that an entry
+	// was removed and to send the requests for which the target was chosen before.
+	noticeSlack = 200 * time.Millisecond
 )
 
+// noticeTime returns the time that a gateway may need to act on the removal of an entry.
+func noticeTime(drainTimeout time.Duration) time.Duration {
+	return watchPause(drainTimeout) + noticeSlack
+}
+
 // Registry is a gateway's view of the fleet. It is a state machine without I/O: the
 // caller passes in the time and must not use it concurrently.
 type Registry struct {
@@ -226,7 +231,7 @@
 // no longer than drainTimeout allows.
 func (r *Registry) removeTarget(now time.Duration, id string, mayHaveLapsed bool) Decision {
 	e := r.targets[id]
-	if keep := r.drainTimeout - noticeTime; mayHaveLapsed && keep > 0 && e.target.State == TargetReady {
+	if keep := r.drainTimeout - noticeTime(r.drainTimeout); mayHaveLapsed && keep > 0 && e.target.State == TargetReady {
 		e.lapsed, e.keepUntil = true, now+keep
 		r.targets[id] = e
 		return Decision{Subject: id, Outcome: "lapsed", Keep: keep}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -91,14 +91,16 @@
 	store *fleet.Follower
 
 	mu sync.Mutex
-	// peers maps the name of each other gateway to its address.
+	// peers maps the name of each other gateway to its address, and heard to the time of its last
+	// message.
 	peers map[string]*net.UDPAddr
+	heard map[string]time.Time
 	// subscribeNow triggers a subscription to the mappers' reports at once.
 	subscribeNow chan struct{}
 }
 
 func newPeerLink(g *Gateway) *peerLink {
-	return &peerLink{g: g, peers: make(map[string]*net.UDPAddr), subscribeNow: make(chan struct{}, 1)}
+	return &peerLink{g: g, peers: make(map[string]*net.UDPAddr), heard: make(map[string]time.Time), subscribeNow: make(chan struct{}, 1)}
 }
 
 // addPeers adds the gateways that the store lists.
@@ -132,6 +134,29 @@
 	return len(l.peers)
 }
 
+// peerSilenceTimeout is the time without a message after which another gateway does not count as
+// live.
+const peerSilenceTimeout = 2 * time.Second
+
+// livePeers returns the number of other gateways that send messages.
+func (l *peerLink) livePeers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, at := range l.heard {
+		if time.Since(at) < peerSilenceTimeout {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *peerLink) recordMessage(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard[name] = time.Now()
+}
+
 // addresses returns the addresses of the other known gateways.
 func (l *peerLink) addresses() []*net.UDPAddr {
 	l.mu.Lock()
@@ -257,6 +282,7 @@
 			l.handleReport(from, m.Report)
 			continue
 		}
+		l.recordMessage(m.Sender)
 		if l.add(m.Sender, from) {
 			l.g.post(ctx, peerFound{name: m.Sender})
 		}
