mapper, gateway: datagrams do not grow with the square of the fleet

Cause: every mapper reported to every gateway four times a second (192 x 149: 114,000 datagrams a second, computed), every gateway renewed each subscription every 3 s and got an answer to it, and sent its work to 148 others 3.3 times a second.

Change: with more than 40 gateways only those with requests at an engine get frequent reports; the others get one each 1.25 s, and all of them each change at once. Rare reports do not prove silence. Work goes to the other availability zones every 900 ms. The work of others is summed up as reports arrive: a choice among 192 targets took an iteration over 149 reports for each.

--- a/internal/fleet/watches.go
+++ b/internal/fleet/watches.go
@@ -17,7 +17,7 @@
 	// are ahead of.
 	lagRenewSpacing = 2 * time.Second
 	// readTellTime is how long a gateway tells the others of a change that it has read.
-	readTellTime = 2 * time.Second
+	readTellTime = 3 * time.Second
 )
 
 // The causes of ending a watch that may never be answered, to call it again.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,10 +19,10 @@
 	// fullRatePeers others. With more of them the interval grows, so that traffic grows
 	// with the number of gateways and not with its square.
 	workInterval  = 100 * time.Millisecond
-	fullRatePeers = 40
-	// subscribeInterval is the interval at which the subscription to the mappers' reports
-	// is renewed.
-	subscribeInterval = 3 * time.Second
+	fullRatePeers = hint.ManyGateways
+	// remoteWorkInterval is the longest interval at which work is sent to gateways of other
+	// availability zones, if there are more than fullRatePeers: links between zones cost more.
+	remoteWorkInterval = 900 * time.Millisecond
 	// maxDatagram is the largest datagram that is read, in bytes.
 	maxDatagram = 8 << 10
 )
@@ -34,6 +32,8 @@
 // since the next one replaces it.
 type workMessage struct {
 	Sender string `cbor:"1,keyasint,omitempty"`
+	// Zone is the sender's availability zone.
+	Zone string `cbor:"26,keyasint,omitempty"`
 	// Work maps the placement.TargetKey of a target's id to the number of requests.
 	Work map[uint32]int `cbor:"2,keyasint,omitempty"`
 	// Evidence is what the sender knows of requests and parts of prompts that targets crash on.
@@ -91,16 +91,27 @@
 	store *fleet.Follower
 
 	mu sync.Mutex
-	// peers maps the name of each other gateway to its address, and heard to the time of its last
-	// message.
-	peers map[string]*net.UDPAddr
-	heard map[string]time.Time
+	// peers contains the other gateways by their names.
+	peers map[string]*peer
 	// subscribeNow triggers a subscription to the mappers' reports at once.
 	subscribeNow chan struct{}
+	// messages counts the periodic messages of work.
+	messages int
+	// busySent contains the time of the last subscription with Busy to each engine's instance.
+	busySent map[string]time.Time
+}
+
+// peer is another gateway.
+type peer struct {
+	addr *net.UDPAddr
+	// zone is its availability zone, empty until a message has come; heardAt is the time of the
+	// last message.
+	zone    string
+	heardAt time.Time
 }
 
 func newPeerLink(g *Gateway) *peerLink {
-	return &peerLink{g: g, peers: make(map[string]*net.UDPAddr), heard: make(map[string]time.Time), subscribeNow: make(chan struct{}, 1)}
+	return &peerLink{g: g, peers: make(map[string]*peer), subscribeNow: make(chan struct{}, 1), busySent: make(map[string]time.Time)}
 }
 
 // addPeers adds the gateways that the store lists.
@@ -122,9 +133,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	old := l.peers[name]
-	l.peers[name] = addr
-	return old == nil
+	if p := l.peers[name]; p != nil {
+		p.addr = addr
+		return false
+	}
+	l.peers[name] = &peer{addr: addr}
+	return true
 }
 
 // peerCount returns the number of other known gateways.
@@ -143,25 +157,46 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
-	for _, at := range l.heard {
-		if time.Since(at) < peerSilenceTimeout {
+	for _, p := range l.peers {
+		if time.Since(p.heardAt) < peerSilenceTimeout {
 			n++
 		}
 	}
 	return n
 }
 
-func (l *peerLink) recordMessage(name string) {
+// recordMessage records that a gateway, which is known, has sent a message from a zone.
+func (l *peerLink) recordMessage(name, zone string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.heard[name] = time.Now()
+	if p := l.peers[name]; p != nil {
+		p.zone, p.heardAt = zone, time.Now()
+	}
 }
 
-// addresses returns the addresses of the other known gateways.
-func (l *peerLink) addresses() []*net.UDPAddr {
+// addresses returns the addresses of the other known gateways: of all, or of those in the own
+// availability zone.
+func (l *peerLink) addresses(all bool) []*net.UDPAddr {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Collect(maps.Values(l.peers))
+	addrs := make([]*net.UDPAddr, 0, len(l.peers))
+	for _, p := range l.peers {
+		if all || p.zone == l.g.opts.Settings.AvailabilityZone {
+			addrs = append(addrs, p.addr)
+		}
+	}
+	return addrs
+}
+
+// remoteDue reports whether the next periodic message goes to gateways of other availability zones
+// too, and counts the message.
+func (l *peerLink) remoteDue() bool {
+	every := 1
+	if l.peerCount() > fullRatePeers {
+		every = max(1, int(remoteWorkInterval/(workInterval*l.slowdown())))
+	}
+	l.messages++
+	return l.messages%every == 0
 }
 
 // run sends and receives until ctx ends.
@@ -180,72 +215,45 @@
 	go l.receive(ctx, socket)
 	workTimer := time.NewTimer(workInterval)
 	defer workTimer.Stop()
-	subscribeTicker := time.NewTicker(subscribeInterval)
-	defer subscribeTicker.Stop()
+	subscribeTimer := time.NewTimer(subscribeInterval)
+	defer subscribeTimer.Stop()
+	subscribeUnknown := time.NewTicker(subscribeUnknownInterval)
+	defer subscribeUnknown.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-workTimer.C:
-			l.sendWork(socket)
-			workTimer.Reset(workInterval * time.Duration(max(1, l.peerCount()/fullRatePeers)))
+			l.sendWork(socket, l.remoteDue())
+			l.subscribeBusy(socket)
+			workTimer.Reset(workInterval * l.slowdown())
 		case <-l.g.evidenceChanged:
-			l.sendWork(socket)
-		case <-subscribeTicker.C:
+			l.sendWork(socket, true)
+		case <-subscribeTimer.C:
 			l.subscribe(socket)
+			subscribeTimer.Reset(subscribeInterval * min(l.slowdown(), maxSubscribeSlowdown))
+		case <-subscribeUnknown.C:
+			l.subscribeToUnknown(socket)
 		case <-l.subscribeNow:
 			l.subscribe(socket)
 		}
 	}
 }
 
-// subscribe asks the mappers on the engines' instances for their reports. A mapper uses
-// the same port number as this process.
-func (l *peerLink) subscribe(socket *net.UDPConn) {
-	b, err := (&hint.Message{Subscribe: true}).Encode()
-	if err != nil {
-		l.g.opts.Logger.Error().Str("event", "peer-encode").Err(err).Msg("")
-		return
-	}
-	port := socket.LocalAddr().(*net.UDPAddr).Port
-	for host := range l.g.view.Load().engines {
-		if ip := net.ParseIP(host); ip != nil {
-			if _, err := socket.WriteToUDP(b, &net.UDPAddr{IP: ip, Port: port}); err != nil {
-				l.g.count.peerErrors.Inc(1) // sent again after subscribeInterval
-			}
-		}
-	}
-}
-
-// handleReport handles a mapper's report on the lock-step group of its engine.
-func (l *peerLink) handleReport(from *net.UDPAddr, r *hint.Report) {
-	id, ok := l.g.view.Load().engines[from.IP.String()]
-	if !ok {
-		return
-	}
-	l.g.mu.Lock()
-	defer l.g.mu.Unlock()
-	change := l.g.balancer.HandleGroupReport(l.g.now(), id, r.Group, r.Epoch, r.Open)
-	if change != "" {
-		l.g.opts.Logger.Info().Str("event", "belief").Str("topic", "groups").Str("subject", r.Group).Str("from", id).
-			Int64("epoch", r.Epoch).Str("outcome", change).Msg("")
-	}
-}
-
-// sendWork sends the current work to every other gateway.
-func (l *peerLink) sendWork(socket *net.UDPConn) {
-	peers := l.addresses()
+// sendWork sends the current work to all other gateways, or to those in the own availability zone.
+func (l *peerLink) sendWork(socket *net.UDPConn, all bool) {
+	peers := l.addresses(all)
 	if len(peers) == 0 {
 		return
 	}
 	l.g.mu.Lock()
 	work := l.g.balancer.WorkByTarget()
-	l.g.quarantine.SetGateways(len(peers) + 1)
+	l.g.quarantine.SetGateways(l.peerCount() + 1)
 	evidence := l.g.quarantine.Evidence(l.g.now())
 	l.g.suspecting.Store(l.g.quarantine.Suspects())
 	limits := l.g.balancer.LimitsToTell(l.g.now())
 	l.g.mu.Unlock()
-	m := workMessage{Sender: l.g.opts.Settings.Name, Work: work, Evidence: evidence}
+	m := workMessage{Sender: l.g.opts.Settings.Name, Zone: l.g.opts.Settings.AvailabilityZone, Work: work, Evidence: evidence}
 	for _, limit := range limits {
 		m.Limits = append(m.Limits, newPeerLimit(limit))
 	}
@@ -264,6 +272,12 @@
 	}
 }
 
+// slowdown returns the factor by which the intervals of periodic messages grow with the number of
+// gateways.
+func (l *peerLink) slowdown() time.Duration {
+	return time.Duration(max(1, l.peerCount()/fullRatePeers))
+}
+
 func (l *peerLink) receive(ctx context.Context, socket *net.UDPConn) {
 	buf := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
@@ -282,10 +296,10 @@
 			l.handleReport(from, m.Report)
 			continue
 		}
-		l.recordMessage(m.Sender)
 		if l.add(m.Sender, from) {
 			l.g.post(ctx, peerFound{name: m.Sender})
 		}
+		l.recordMessage(m.Sender, m.Zone)
 		l.g.mu.Lock()
 		l.g.balancer.HandlePeerReport(l.g.now(), m.Sender, m.Work)
 		l.handleLimits(&m)
--- a/internal/hint/hint.go
+++ b/internal/hint/hint.go
@@ -3,13 +3,31 @@
 // datagram is not sent again, since the next one follows.
 package hint
 
-import "github.com/fxamacker/cbor/v2"
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// FrequentInterval and RareInterval are the intervals of the reports while nothing changes.
+	FrequentInterval = 250 * time.Millisecond
+	RareInterval     = 1250 * time.Millisecond
+	// BusyDuration is the time for which a gateway gets frequent reports after a request with
+	// Busy.
+	BusyDuration = 2500 * time.Millisecond
+	// ManyGateways is the number of gateways above which not all of them get frequent reports.
+	ManyGateways = 40
+)
 
 // Message is a datagram between a gateway and a mapper. One of its fields is set.
 type Message struct {
 	// Subscribe asks a mapper to send its reports for a limited time.
 	Subscribe bool `cbor:"20,keyasint,omitempty"`
-	// Report is a mapper's answer, sent each time the mapper polls its engine.
+	// Busy is set in a request of a gateway that has requests at the engine: it needs frequent
+	// reports.
+	Busy bool `cbor:"25,keyasint,omitempty"`
+	// Report is a mapper's answer, sent when the state of the engine changes and periodically.
 	Report *Report `cbor:"21,keyasint,omitempty"`
 }
 
@@ -24,6 +42,9 @@
 	// Running and Waiting are the numbers of requests that run and wait at the engine.
 	Running int `cbor:"4,keyasint"`
 	Waiting int `cbor:"5,keyasint"`
+	// Frequent is true if the receiver gets a report at least each FrequentInterval. A mapper
+	// with many subscribers sends the others reports each RareInterval.
+	Frequent bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Encode returns m encoded as a datagram.
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -22,6 +22,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/hint"
 	"github.com/gentiantrail/gentiantrail/internal/mapswitch"
 	"github.com/gentiantrail/gentiantrail/internal/rebalance"
 )
@@ -33,7 +34,7 @@
 	// reportInterval is the period of the messages to other processes while nothing
 	// changes. In groups of more than smallGroupSize ranks, heartbeats to the leader and its
 	// requests are sent half as often then.
-	reportInterval = 250 * time.Millisecond
+	reportInterval = hint.FrequentInterval
 	smallGroupSize = 40
 	// shiftReportTime is the time after a shift of the demand in which a rank sends a
 	// heartbeat at every poll: the first reading may still include some of the earlier
@@ -163,7 +164,7 @@
 	discoveryStartedAt time.Time
 	discovering        bool
 	// subscribers contains the gateways that receive hints, by address.
-	subscribers map[string]subscriber
+	subscribers map[string]*subscriber
 }
 
 // localRows contains the experts of the local rank and the digest of the prepared ones.
@@ -235,7 +236,7 @@
 	if opts.Listen == nil {
 		opts.Listen = listenUDP
 	}
-	return &Mapper{opts: opts, changes: opts.Metrics.Counter("map_changes"), abandoned: opts.Metrics.Counter("map_changes_abandoned"), events: make(chan event, 256), peers: map[string]*net.UDPAddr{}, subscribers: map[string]subscriber{}}
+	return &Mapper{opts: opts, changes: opts.Metrics.Counter("map_changes"), abandoned: opts.Metrics.Counter("map_changes_abandoned"), events: make(chan event, 256), peers: map[string]*net.UDPAddr{}, subscribers: map[string]*subscriber{}}
 }
 
 // Run runs the mapper until ctx ends.
@@ -291,7 +292,7 @@
 	due := changed || now.Sub(m.reportedAt) >= reportInterval
 	if due {
 		m.reportedAt = now
-		m.sendHints()
+		m.sendHints(now, changed)
 	}
 	if reading.Group == "" || !reading.State.Open {
 		return
--- a/internal/mapper/wire.go
+++ b/internal/mapper/wire.go
@@ -43,8 +43,9 @@
 	// leader.
 	Demand    *demandReport `cbor:"8,keyasint,omitempty"`
 	Collected *demandReport `cbor:"9,keyasint,omitempty"`
-	// Subscribe is set in a gateway's subscription request.
+	// Subscribe and Busy are those of a hint.Message from a gateway.
 	Subscribe bool `cbor:"20,keyasint,omitempty"`
+	Busy      bool `cbor:"25,keyasint,omitempty"`
 }
 
 // heartbeat reports a rank's map to the leader, and its demand for experts if the rank has no
@@ -175,7 +176,7 @@
 
 func (m *Mapper) handleDatagram(ctx context.Context, from *net.UDPAddr, d *datagram) {
 	if d.Subscribe {
-		m.handleSubscription(ctx, from)
+		m.handleSubscription(from, d.Busy)
 		return
 	}
 	m.peers[from.String()] = from
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -6,14 +6,51 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// peerReportMaxAge is the age up to which another gateway's report of its work is used.
-const peerReportMaxAge = time.Second
+const (
+	// peerReportMaxAge is the age up to which another gateway's report of its work is used, and
+	// slowPeerReportMaxAge is used instead with more than fastPeers others, which report less
+	// often.
+	peerReportMaxAge     = time.Second
+	slowPeerReportMaxAge = 2250 * time.Millisecond
+	fastPeers            = 40
+)
+
+// peerReportMaxAge returns the age up to which reports of other gateways are used.
+func (b *Balancer) peerReportMaxAge() time.Duration {
+	if len(b.peers) > fastPeers {
+		return slowPeerReportMaxAge
+	}
+	return peerReportMaxAge
+}
+
+// expiryCheckInterval is the interval at which outdated reports are looked for.
+const expiryCheckInterval = 50 * time.Millisecond
 
 // peerWork is the number of requests that another gateway has at each target, by
 // TargetKey.
 type peerWork struct {
 	work       map[uint32]int
 	receivedAt time.Duration
+	// counted is true while the work is included in peerTotals.
+	counted bool
+}
+
+// peerTotals contains the sums of the work of all other gateways with recent reports.
+type peerTotals struct {
+	work map[uint32]int
+	// recent is the number of gateways with recent reports.
+	recent    int
+	checkedAt time.Duration
+}
+
+// add adds the work of a gateway sign times.
+func (t *peerTotals) add(work map[uint32]int, sign int) {
+	for key, n := range work {
+		if t.work[key] += sign * n; t.work[key] == 0 {
+			delete(t.work, key)
+		}
+	}
+	t.recent += sign
 }
 
 // TargetKey returns a short key of a target's id for messages between gateways. If two
@@ -23,23 +60,38 @@
 // HandlePeerReport handles another gateway's report of its requests at each target.
 // Targets that are missing from the report have none.
 func (b *Balancer) HandlePeerReport(now time.Duration, peer string, work map[uint32]int) {
-	if _, known := b.peers[peer]; !known {
+	old, known := b.peers[peer]
+	if !known {
 		b.membersChanged = true
 	}
-	b.peers[peer] = peerWork{work: work, receivedAt: now}
+	if old.counted {
+		b.totals.add(old.work, -1)
+	}
+	b.totals.add(work, 1)
+	b.peers[peer] = peerWork{work: work, receivedAt: now, counted: true}
 }
 
 // peerWorkAt returns the number of requests that other gateways have at a target, and
 // whether any of them has reported recently.
 func (b *Balancer) peerWorkAt(now time.Duration, key uint32) (int, bool) {
-	total, fresh := 0, false
-	for _, p := range b.peers {
-		if now-p.receivedAt <= peerReportMaxAge {
-			total += p.work[key]
-			fresh = true
+	b.expirePeerWork(now)
+	return b.totals.work[key], b.totals.recent > 0
+}
+
+// expirePeerWork removes outdated reports from the totals.
+func (b *Balancer) expirePeerWork(now time.Duration) {
+	if now-b.totals.checkedAt < expiryCheckInterval {
+		return
+	}
+	b.totals.checkedAt = now
+	maxAge := b.peerReportMaxAge()
+	for name, p := range b.peers {
+		if p.counted && now-p.receivedAt > maxAge {
+			b.totals.add(p.work, -1)
+			p.counted = false
+			b.peers[name] = p
 		}
 	}
-	return total, fresh
 }
 
 // WorkByTarget returns the number of requests that this process has at each target, by
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -113,7 +113,8 @@
 	byKey  map[uint32][]*targetState
 	groups map[string]*group
 	// peers contains the last work report of each other gateway, by its name.
-	peers map[string]peerWork
+	peers  map[string]peerWork
+	totals peerTotals
 	// members contains the names of the other gateways that share the limits of targets, as of
 	// membersAt. memberVersion changes with it; membersChanged is true if a message of a
 	// gateway that was unknown has come since.
@@ -131,7 +132,7 @@
 func New(name, zone string, rng *rand.Rand) *Balancer {
 	return &Balancer{
 		rng: rng, name: name, zone: zone, targets: map[string]*targetState{}, departed: departedTargets{},
-		services: map[string][]*targetState{}, groups: map[string]*group{}, peers: map[string]peerWork{},
+		services: map[string][]*targetState{}, groups: map[string]*group{}, peers: map[string]peerWork{}, totals: peerTotals{work: map[uint32]int{}},
 		listed: map[string]time.Duration{},
 	}
 }
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -20,7 +20,7 @@
 	// heardAt is the time of the last sign of life: an event, an answer, or a report from
 	// the target's instance.
 	heardAt time.Duration
-	// reports is true once the target's instance has reported.
+	// reports is true if the target's instance reports frequently.
 	reports bool
 	// busySince is the time since which this process has had requests at the target.
 	busySince time.Duration
@@ -69,3 +69,17 @@
 	}
 	return s.isSilent(now), now - s.heardAt
 }
+
+// ReportsRarely records that the instance of a target does not report frequently now, so that its
+// silence shows late.
+func (b *Balancer) ReportsRarely(id string) {
+	if s := b.targets[id]; s != nil {
+		s.reports = false
+	}
+}
+
+// IsBusy reports whether this process has requests at the target.
+func (b *Balancer) IsBusy(id string) bool {
+	s := b.targets[id]
+	return s != nil && s.inFlight > 0
+}
