fleet, rebalance: watches pause longer while changes keep coming; no copies for a skew under 1.12

The pause after a watch that was answered at once doubles from 500 ms up to the drain timeout less 2 s; a watch waits for 0.9 of the history.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// watchTimeout is how long a watch call waits. The store allows up to 30 s, and a
+	// maxWatchTimeout is the longest time for which a watch call waits. The store allows up to 30 s, and a
 	// waiting watch counts as one call.
-	watchTimeout = 29 * time.Second
+	maxWatchTimeout = 29 * time.Second
+	// historyShare is the share of the store's history for which a watch waits. A watch that
+	// waits for longer can't be continued, and the topic has to be listed again.
+	historyShare = 0.9
 	// catchUpTimeout is how long the first watch after a closed one waits. The store
 	// answers it at once, so it shows whether the store is available and returns the
 	// changes that were missed.
@@ -23,8 +26,12 @@
 	// relistPause is the pause before a topic is listed again, so that a store which refuses
 	// each watch is not called in a tight loop.
 	relistPause = 50 * time.Millisecond
-	// maxWatchPause bounds WatchPause.
-	maxWatchPause = time.Second
+	// firstWatchPause is the pause between two watches of a topic, so that changes in quick
+	// succession need one call.
+	firstWatchPause = 500 * time.Millisecond
+	// reactionTime is the part of the drain timeout that is left for all but the pauses between
+	// watches.
+	reactionTime = 2 * time.Second
 	// pingInterval is the mean interval of the calls that notice a restore of the store, or that
 	// it is silent, while all watches wait. With jitter the longest is below the bound for
 	// acting on a change. If there are more than pingingGateways, the interval grows so that
@@ -72,6 +79,8 @@
 	OnEvent func(Event)
 	// DrainTimeout is the time within which a gateway must act on a change.
 	DrainTimeout time.Duration
+	// History is the time for which the store keeps the changes; zero if that is not known.
+	History time.Duration
 	// LivePeers returns the number of other gateways that currently pass on their Positions. If it
 	// is nil, there are none.
 	LivePeers func() int
@@ -83,9 +92,28 @@
 	watchOpened, laterEra chan struct{}
 }
 
-// watchPause returns the pause between two watches of a topic, so that changes in quick succession
-// need one call. It is far below the time within which a gateway must act on a change.
-func watchPause(drainTimeout time.Duration) time.Duration { return min(drainTimeout/4, maxWatchPause) }
+// watchTimeout returns the time for which a watch call waits.
+func (f *Follower) watchTimeout() time.Duration {
+	if f.History == 0 {
+		return maxWatchTimeout
+	}
+	return min(time.Duration(historyShare*float64(f.History)), maxWatchTimeout)
+}
+
+// maxWatchPause returns the longest pause between two watches of a topic.
+func maxWatchPause(drainTimeout time.Duration) time.Duration {
+	return max(min(firstWatchPause, drainTimeout/4), drainTimeout-reactionTime)
+}
+
+// nextWatchPause returns the pause after a watch that was open for some time. While changes keep
+// coming, the pause grows: each gateway that reads a change costs the store a call.
+func nextWatchPause(last, open, drainTimeout time.Duration) time.Duration {
+	longest := maxWatchPause(drainTimeout)
+	if open > last {
+		return min(firstWatchPause, longest)
+	}
+	return min(max(2*last, firstWatchPause), longest)
+}
 
 // Run starts a goroutine for each topic; they end with ctx.
 func (f *Follower) Run(ctx context.Context) {
@@ -223,7 +251,9 @@
 // watch follows the changes after a position until the store does not have the history, for
 // instance since it was restored from a copy, or until ctx ends with the position's era.
 func (f *Follower) watch(ctx context.Context, topic Topic, after Position) {
+	pause := time.Duration(0)
 	for ctx.Err() == nil {
+		began := time.Now()
 		batch, resumed, err := f.watchOnce(ctx, topic, after)
 		if errors.Is(err, ErrHistoryGone) || ctx.Err() != nil {
 			return
@@ -231,7 +261,8 @@
 		f.watches.recordRead(time.Now(), topic, batch.Changes)
 		f.OnEvent(Event{Topic: topic, Resumed: resumed, After: after, Batch: batch})
 		after.Revision = max(after.Revision, batch.Position.Revision)
-		sleep(ctx, watchPause(f.DrainTimeout))
+		pause = nextWatchPause(pause, time.Since(began), f.DrainTimeout)
+		sleep(ctx, pause)
 	}
 }
 
@@ -265,7 +296,7 @@
 	watch, end := f.watches.begin(ctx, topic)
 	defer end()
 	notify(f.watchOpened)
-	batch, err := f.watchSource(watch, topic, after, watchTimeout)
+	batch, err := f.watchSource(watch, topic, after, f.watchTimeout())
 	if cause := context.Cause(watch); err != nil && isRenewal(cause) {
 		return Batch{}, cause
 	}
--- a/internal/fleet/large_fleet_test.go
+++ b/internal/fleet/large_fleet_test.go
@@ -221,3 +221,21 @@
 		})
 	}
 }
+
+// TestWatchPauseFollowsTheChanges checks that a change after a calm time is read at once, that
+// steady changes need few calls, and that no pause exceeds what the drain timeout allows.
+func TestWatchPauseFollowsTheChanges(t *testing.T) {
+	for _, drainTimeout := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		longest := maxWatchPause(drainTimeout)
+		assert.Assert(t, longest <= drainTimeout/2)
+		pause, calls := time.Duration(0), 0
+		const span = time.Minute
+		for now := time.Duration(0); now < span; now += pause {
+			pause = nextWatchPause(pause, 0, drainTimeout)
+			assert.Assert(t, pause > 0 && pause <= longest)
+			calls++
+		}
+		assert.Assert(t, calls <= int(span/longest)+2, "%d calls", calls)
+		assert.Assert(t, nextWatchPause(longest, longest+1, drainTimeout) <= firstWatchPause)
+	}
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -11,14 +11,14 @@
 	// missing entry may have lapsed during an outage. It covers a call that hangs and the
 	// time to the next one.
 	outageWindow = 2800 * time.Millisecond
-	// noticeSlack is the time, beside watchPause, that a gateway may need to learn that an entry
+	// noticeSlack is the time, beside the pause between watches, that a gateway may need to learn that an entry
 	// was removed and to send the requests for which the target was chosen before.
 	noticeSlack = 200 * time.Millisecond
 )
 
 // noticeTime returns the time that a gateway may need to act on the removal of an entry.
 func noticeTime(drainTimeout time.Duration) time.Duration {
-	return watchPause(drainTimeout) + noticeSlack
+	return maxWatchPause(drainTimeout) + noticeSlack
 }
 
 // Registry is a gateway's view of the fleet. It is a state machine without I/O: the
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -71,6 +71,7 @@
 		Self:    fleet.Gateway{Name: g.opts.Settings.Name, PeerAddress: g.opts.Settings.PeerAddress},
 		OnEvent: func(e fleet.Event) { g.post(ctx, storeEvent(e)) },
 
+		History:      g.opts.Settings.StoreHistory,
 		DrainTimeout: g.opts.Settings.Limits.DrainTimeout,
 		LivePeers:    c.peers.livePeers,
 	}
--- a/internal/rebalance/quota_search.go
+++ b/internal/rebalance/quota_search.go
@@ -4,7 +4,7 @@
 
 const (
 	// acceptableSkew is the skew of a layer up to which further loads are not worthwhile.
-	acceptableSkew = 1.08
+	acceptableSkew = 1.12
 	// minProgress is the share of a layer's cost that a load has to save for the search to
 	// continue with the layer.
 	minProgress = 0.02
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -21,6 +21,9 @@
 	PeerAddress string `yaml:"peer_address"`
 	// StoreAddress is the IP address and port of the platform's store. Required.
 	StoreAddress string `yaml:"store_address"`
+	// StoreHistory is the time for which the store keeps the changes for watches. Default 30s,
+	// range 1s to 1h.
+	StoreHistory time.Duration `yaml:"store_history"`
 	// Memory is the process's memory in MiB; the garbage collector aims to stay below it.
 	// Range 16 to 65536.
 	Memory int `yaml:"memory"`
@@ -60,9 +63,11 @@
 	}
 }
 
+const defaultStoreHistory = 30 * time.Second
+
 // LoadGateway reads and checks the gateway settings at path. The error is an *Error.
 func LoadGateway(path string) (*Gateway, error) {
-	g := &Gateway{Limits: DefaultGatewayLimits()}
+	g := &Gateway{Limits: DefaultGatewayLimits(), StoreHistory: defaultStoreHistory}
 	if err := load(path, g); err != nil {
 		return nil, err
 	}
@@ -77,6 +82,7 @@
 	c.address("admin_address", g.AdminAddress)
 	c.address("peer_address", g.PeerAddress)
 	c.address("store_address", g.StoreAddress)
+	checkRange(c, "store_history", g.StoreHistory, time.Second, time.Hour)
 	checkRange(c, "memory", g.Memory, 16, 65536)
 	l := &g.Limits
 	checkRange(c, "limits.retry_ratio", l.RetryRatio, 0, 1)
