--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -93,6 +93,7 @@
 
 // Handle serves the engine's HTTP interface.
 func (e *Engine) Handle(ctx *fasthttp.RequestCtx) {
+	jsonhttp.EchoRequestID(ctx)
 	switch string(ctx.Path()) {
 	case "/load":
 		e.serveLoad(ctx)
--- a/internal/standin/jsonhttp/jsonhttp.go
+++ b/internal/standin/jsonhttp/jsonhttp.go
@@ -21,3 +21,11 @@
 	}
 	return err == nil
 }
+
+// EchoRequestID returns the id of the request in the answer.
+func EchoRequestID(ctx *fasthttp.RequestCtx) {
+	const header = "Gentiantrail-Request-Id"
+	if id := ctx.Request.Header.Peek(header); len(id) > 0 {
+		ctx.Response.Header.SetBytesV(header, id)
+	}
+}
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -48,6 +48,7 @@
 
 // Handle serves the service's HTTP interface.
 func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+	jsonhttp.EchoRequestID(ctx)
 	switch string(ctx.Path()) {
 	case "/load":
 		s.mu.Lock()
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/sockopt"
 	"github.com/gentiantrail/gentiantrail/internal/upstream"
 )
 
@@ -35,9 +36,16 @@
 	maxBodyBytes = 256 << 20
 )
 
+// requestIDHeader contains the id of a request. A target that returns it in its answer shows to which
+// request the answer belongs.
+const requestIDHeader = "Gentiantrail-Request-Id"
+
 // errBodyTooLong reports an answer whose body exceeds maxBodyBytes.
 var errBodyTooLong = errors.New("the answer's body is too long")
 
+// errForeignAnswer reports an answer that belongs to another request.
+var errForeignAnswer = errors.New("the answer does not have the id of the request")
+
 // Client calls one target. It is safe for concurrent use.
 type Client struct {
 	addr string
@@ -57,8 +65,14 @@
 	bw        *bufio.Writer
 	written   int64
 	idleSince time.Time
+	// reused is true if the connection has served a request before.
+	reused bool
 }
 
+// quiet reports whether an idle connection is open and has no unread bytes. Bytes that arrive while
+// no request is waiting belong to no request.
+func (c *conn) quiet() bool { return c.br.Buffered() == 0 && sockopt.IsQuiet(c.Conn) }
+
 // Write writes to the socket and counts the bytes that it accepted.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -82,6 +96,8 @@
 	resp     *fasthttp.Response
 	stop     func() bool
 	complete bool
+	// echoed is true if the answer contains the id of the request.
+	echoed bool
 }
 
 // Do sends req and reads the head of the answer. Cancelling the context closes the
@@ -109,11 +125,18 @@
 		_ = cn.Conn.Close()
 		return nil, transportError(ctx, err)
 	}
+	echo := string(resp.Header.Peek(requestIDHeader))
+	if echo != req.RequestID && (cn.reused || echo != "") {
+		stop()
+		_ = cn.Conn.Close()
+		fasthttp.ReleaseResponse(resp)
+		return nil, apierr.Wrap(apierr.KindTargetFailed, "target", errForeignAnswer)
+	}
 	r := &Response{
 		Status:  resp.StatusCode(),
 		Headers: endToEnd(&resp.Header),
 		Length:  int64(resp.Header.ContentLength()),
-		client:  c, conn: cn, resp: resp, stop: stop,
+		client:  c, conn: cn, resp: resp, stop: stop, echoed: echo != "",
 	}
 	if r.Length < -1 {
 		r.Close()
@@ -174,7 +197,8 @@
 		last := len(c.idle) - 1
 		cn := c.idle[last]
 		c.idle = c.idle[:last]
-		if time.Since(cn.idleSince) < maxIdleTime {
+		if time.Since(cn.idleSince) < maxIdleTime && cn.quiet() {
+			cn.reused = true
 			return cn
 		}
 		_ = cn.Conn.Close()
@@ -205,14 +229,15 @@
 }
 
 // Close ends the response. Its connection is kept for reuse only if the body was read
-// completely.
+// completely and the answer contains the id of the request: on a kept connection, a second copy of
+// an answer could otherwise be taken for the next one.
 func (r *Response) Close() {
 	if r.conn == nil {
 		return
 	}
 	cn := r.conn
 	r.conn = nil
-	if r.stop() && r.complete && !r.resp.ConnectionClose() {
+	if r.stop() && r.complete && r.echoed && !r.resp.ConnectionClose() && cn.quiet() {
 		r.client.release(cn)
 	} else {
 		_ = cn.Conn.Close()
@@ -270,7 +295,7 @@
 			out.Header.Add(h.Name, h.Value)
 		}
 	}
-	out.Header.Set("Gentiantrail-Request-Id", req.RequestID)
+	out.Header.Set(requestIDHeader, req.RequestID)
 	if req.IdempotencyKey != "" {
 		out.Header.Set("Idempotency-Key", req.IdempotencyKey)
 	}
@@ -286,7 +311,7 @@
 func endToEnd(h *fasthttp.ResponseHeader) []message.Header {
 	var out []message.Header
 	for k, v := range h.All() {
-		if !hopByHop(string(k)) {
+		if name := string(k); !hopByHop(name) && !strings.EqualFold(name, requestIDHeader) {
 			out = append(out, message.Header{Name: string(k), Value: string(v)})
 		}
 	}
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -164,3 +166,102 @@
 		})
 	}
 }
+
+// serveTwice answers each request on a connection with its path as the body, and sends a second
+// copy of the answer after the delay. With echo, answers contain the id of their request.
+func serveTwice(t *testing.T, delay time.Duration, echo bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	answerTwice := func(c net.Conn) {
+		br := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			head := "HTTP/1.1 200 OK\r\n"
+			if echo {
+				head += requestIDHeader + ": " + req.Header.Get(requestIDHeader) + "\r\n"
+			}
+			answer := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(req.URL.Path), req.URL.Path)
+			_, _ = io.WriteString(c, answer)
+			if delay < 0 { // with the next request
+				if _, err := br.Peek(1); err != nil {
+					return
+				}
+			} else {
+				time.Sleep(delay)
+			}
+			_, _ = io.WriteString(c, answer)
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerTwice(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a caller that gets the answer of another request: the target sends a second copy
+// of an answer on a connection that is kept, at once, later, or as the next request arrives.
+func TestSecondCopyOfAnAnswerReachesNoCaller(t *testing.T) {
+	for _, echo := range []bool{false, true} {
+		for _, delay := range []time.Duration{0, 20 * time.Millisecond, -1} {
+			c := New(serveTwice(t, delay, echo))
+			served := 0
+			for i := range 10 {
+				path := fmt.Sprint("/", i)
+				r, e := c.Do(t.Context(), &message.Request{Method: "POST", Path: path, Idempotent: true, RequestID: fmt.Sprint("id", i)})
+				if e == nil {
+					body, err := io.ReadAll(r.Body)
+					assert.NilError(t, err)
+					assert.Equal(t, string(body), path, "echo %v, delay %v", echo, delay)
+					r.Close()
+					served++
+				}
+				time.Sleep(30 * time.Millisecond)
+			}
+			assert.Assert(t, served >= 5, "echo %v, delay %v: %d answers", echo, delay, served)
+		}
+	}
+}
+
+// A connection is kept if the target shows with the request's id that it answers that request.
+func TestConnectionsOfTargetsThatEchoTheIDAreReused(t *testing.T) {
+	for _, echo := range []bool{false, true} {
+		accepted := atomic.Int64{}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if echo {
+				w.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
+			}
+		}))
+		t.Cleanup(server.Close)
+		server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				accepted.Add(1)
+			}
+		}
+		c := New(server.Listener.Addr().String())
+		const requests = 5
+		for i := range requests {
+			r, e := c.Do(t.Context(), &message.Request{Method: "POST", Path: "/", Idempotent: true, RequestID: fmt.Sprint("id", i)})
+			assert.Assert(t, e == nil)
+			_, err := io.ReadAll(r.Body)
+			assert.NilError(t, err)
+			r.Close()
+		}
+		if echo {
+			assert.Equal(t, accepted.Load(), int64(1))
+		} else {
+			assert.Equal(t, accepted.Load(), int64(requests))
+		}
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -12,8 +12,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/gentiantrail/gentiantrail/internal/http1"
 	"github.com/gentiantrail/gentiantrail/internal/sockopt"
 )
@@ -238,25 +236,7 @@
 // reusable reports whether an idle connection is open and has no unread bytes. Bytes that
 // arrive while no request is waiting belong to no request.
 func (cn *conn) reusable() bool {
-	if cn.br.Buffered() > 0 {
-		return false
-	}
-	sc, ok := cn.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	var probe [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && noData
+	return cn.br.Buffered() == 0 && sockopt.IsQuiet(cn.Conn)
 }
 
 // idleTime returns the time for which an idle connection may be kept: the target's stated
