mapper: a planned stop ends the hold of a change before the process ends

A leader that was asked to stop in the middle of a change ended at once and left the group held until the next process of the rank settled it.

--- a/cmd/gentiantrail-mapper/main.go
+++ b/cmd/gentiantrail-mapper/main.go
@@ -39,6 +39,7 @@
 	case err := <-failed:
 		return err
 	case <-daemon.StopSignals():
+		m.Stop(ctx)
 	}
 	return telemetry.Close()
 }
--- a/internal/mapper/leader.go
+++ b/internal/mapper/leader.go
@@ -177,7 +177,7 @@
 	if before == mapswitch.Preparing && after == mapswitch.Preparing {
 		m.abandonStaleChange()
 	}
-	if m.isLeader && l.coordinator.Ready() {
+	if m.isLeader && !m.stopping && l.coordinator.Ready() {
 		m.planChange(ctx, states)
 	}
 	l.nextRound = time.Now().Add(l.roundPause())
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -163,6 +163,8 @@
 	savedAt            time.Time
 	discoveryStartedAt time.Time
 	discovering        bool
+	// stopping is true once the process has been asked to stop.
+	stopping bool
 	// subscribers contains the gateways that receive hints, by address.
 	subscribers map[string]*subscriber
 }
