--- a/internal/fleet/large_fleet_test.go
+++ b/internal/fleet/large_fleet_test.go
@@ -115,12 +115,6 @@
 	}
 }
 
-func (f *largeFleet) setSilent(silent bool) {
-	for _, l := range f.links {
-		l.setSilent(silent)
-	}
-}
-
 // assertVersion asserts that a configuration is in force at every gateway.
 func (f *largeFleet) assertVersion(t *testing.T, seed uint64, version int64) {
 	t.Helper()
--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -4,9 +4,9 @@
 //
 // One process runs beside each rank's engine. A leader sends beacons to the other processes,
 // and a process leads unless it receives beacons; of several leaders, the one of the lowest rank
-// remains. The leader collects the
-// counts of all ranks, plans, and changes the map with package mapswitch. The processes
-// communicate over UDP and send lost messages again.
+// remains. The leader collects the counts of all ranks, plans, and changes the map with package
+// mapswitch. In large groups, collectors sum up the counts and ranks pass on the maps. The
+// processes communicate over UDP and send lost messages again.
 //
 // One goroutine owns the state of a process. The choice of the leader affects only
 // progress: mapswitch remains safe with several leaders.
@@ -43,11 +43,6 @@
 	// shiftSettleTime is the time after the first report of a shift within which all other
 	// ranks detect it and their reports are sent: one poll interval and the transmission.
 	shiftSettleTime = 120 * time.Millisecond
-	// leaderTimeout is the time without a beacon after which a leader counts as failed.
-	leaderTimeout = 1500 * time.Millisecond
-	// electionStagger is the time by which each rank waits longer than the rank below it before
-	// it leads, so that the beacons of the first one stop the others.
-	electionStagger = 15 * time.Millisecond
 	// planInterval is the least time between two plans, unless the demand shifts.
 	planInterval = 250 * time.Millisecond
 	// discoverInterval is the least time between two reads of the store for the processes
@@ -365,39 +360,3 @@
 	}
 	return reading, nil
 }
-
-// elect makes this process lead unless it has recently received a beacon from a lower rank.
-// Before it leads, the engine's description must be known, and a process of any rank but rank 0
-// waits electionTimeout.
-func (m *Mapper) elect(ctx context.Context) {
-	if m.leader.addr != nil && m.leader.rank < m.local.Rank && time.Since(m.leader.lastBeacon) < leaderTimeout {
-		if m.isLeader {
-			m.opts.Logger.Info().Str("event", "leading-ends").Int("leader", m.leader.rank).Msg("")
-			m.isLeader = false
-		}
-		return
-	}
-	if m.isLeader || m.engine == nil || m.engine.Layers == 0 || m.local.Rank > 0 && time.Since(m.lastElection()) < m.electionTimeout() {
-		return
-	}
-	m.opts.Logger.Info().Str("event", "leading").Str("group", m.local.Group).Int("rank", m.local.Rank).Msg("")
-	m.isLeader = true
-	if m.leaderState == nil {
-		m.leaderState = m.newLeaderState()
-		m.loadDemand(ctx)
-	}
-}
-
-// electionTimeout returns the time without a beacon after which this process leads.
-func (m *Mapper) electionTimeout() time.Duration {
-	return leaderTimeout + time.Duration(m.local.Rank)*electionStagger
-}
-
-// lastElection returns the time from which electionTimeout counts: that of the last beacon, or
-// when this process first observed its rank.
-func (m *Mapper) lastElection() time.Time {
-	if m.leader.lastBeacon.After(m.joinedAt) {
-		return m.leader.lastBeacon
-	}
-	return m.joinedAt
-}
