fleet: in a zone of many gateways two watch the store and pass the changes on

Change: from eight live gateways in a zone, the first two in a fixed order keep watches; the others wait for the changes that these read. One that has missed a change, seen from the positions that the watching ones tell, reads it in the store; one that hears of no gateway with healthy watches watches itself. A gateway whose watches are from an era that others have left is not relied on. Failed calls of the watching ones are told, since entries that lapse in an outage are kept. Not connected to the network yet.

Tests, at 96 gateways in four zones with a tenth of all messages lost: the restores and silences of before, the death of all that watch just before a change, and the number of calls for 20 changes.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -39,6 +39,10 @@
 	// others the positions.
 	pingInterval    = 400 * time.Millisecond
 	pingingGateways = 32
+	// minPingInterval is the shortest interval of the gateways that watch the store for their zone,
+	// and readerPingInterval that of the others.
+	minPingInterval    = 100 * time.Millisecond
+	readerPingInterval = 10 * time.Second
 	// pingTimeout bounds a ping. If a silent store loses the last ping before it answers again,
 	// its return is noticed after this time and a retry pause.
 	pingTimeout = 800 * time.Millisecond
@@ -81,6 +85,9 @@
 	DrainTimeout time.Duration
 	// History is the time for which the store keeps the changes; zero if that is not known.
 	History time.Duration
+	// OnChanges is called with the changes that a watch of this gateway has read, for the other
+	// gateways of the zone. If it is nil, changes are not passed on.
+	OnChanges func(RelayedChanges)
 	// LivePeers returns the number of other gateways that currently pass on their Positions. If it
 	// is nil, there are none.
 	LivePeers func() int
@@ -88,6 +95,7 @@
 	backoff outageBackoff
 	watches openWatches
 	eras    *eraTracker
+	relays  *relayTracker
 	// watchOpened triggers a ping soon after the call of a watch, and laterEra one at once.
 	watchOpened, laterEra chan struct{}
 }
@@ -117,7 +125,7 @@
 
 // Run starts a goroutine for each topic; they end with ctx.
 func (f *Follower) Run(ctx context.Context) {
-	f.eras = newEraTracker(ctx)
+	f.eras, f.relays = newEraTracker(ctx), newRelayTracker(f.Self.Name)
 	f.watchOpened, f.laterEra = make(chan struct{}, 1), make(chan struct{}, 1)
 	for t := Topic(0); t < TopicGateways; t++ {
 		go f.follow(ctx, t)
@@ -133,6 +141,11 @@
 // ObservePeer handles the Positions of another gateway.
 func (f *Follower) ObservePeer(positions []Position) {
 	f.watches.observePeer(time.Now(), positions)
+	f.observeEra(positions)
+}
+
+// observeEra calls the store if another gateway has read it in a later era.
+func (f *Follower) observeEra(positions []Position) {
 	era, _ := f.eras.current()
 	for _, p := range positions {
 		if p.Era > era {
@@ -215,7 +228,17 @@
 	if f.LivePeers == nil {
 		return pingInterval
 	}
-	return pingInterval * time.Duration(max(pingingGateways, 1+f.LivePeers())) / pingingGateways
+	now, gateways := time.Now(), 1+f.LivePeers()
+	live := f.relays.liveMembers(now)
+	switch {
+	case live < relayMinMembers:
+		return pingInterval * time.Duration(max(pingingGateways, gateways)) / pingingGateways
+	case f.relays.mustWatch(now):
+		watching := gateways * relayWatchers / live
+		return max(minPingInterval, pingInterval*time.Duration(watching)/pingingGateways)
+	default:
+		return readerPingInterval
+	}
 }
 
 func (f *Follower) follow(ctx context.Context, topic Topic) {
@@ -241,6 +264,7 @@
 			return ErrOlderEra
 		}
 		position = batch.Position
+		f.relays.recordRead(topic, position)
 		f.watches.recordRead(time.Now(), topic, batch.Changes)
 		f.OnEvent(Event{Topic: topic, Complete: true, Batch: batch})
 		return nil
@@ -251,21 +275,73 @@
 // watch follows the changes after a position until the store does not have the history, for
 // instance since it was restored from a copy, or until ctx ends with the position's era.
 func (f *Follower) watch(ctx context.Context, topic Topic, after Position) {
+	defer f.relays.setWatched(topic, false)
 	pause := time.Duration(0)
 	for ctx.Err() == nil {
+		mustWatch := f.relays.mustWatch(time.Now())
+		f.relays.setWatched(topic, mustWatch)
+		if !mustWatch {
+			position, err := f.followRelay(ctx, topic, after)
+			if err != nil {
+				return
+			}
+			after = position
+			continue
+		}
 		began := time.Now()
 		batch, resumed, err := f.watchOnce(ctx, topic, after)
 		if errors.Is(err, ErrHistoryGone) || ctx.Err() != nil {
 			return
 		}
-		f.watches.recordRead(time.Now(), topic, batch.Changes)
-		f.OnEvent(Event{Topic: topic, Resumed: resumed, After: after, Batch: batch})
+		f.apply(topic, after, batch, resumed)
+		f.passOn(topic, batch)
 		after.Revision = max(after.Revision, batch.Position.Revision)
 		pause = nextWatchPause(pause, time.Since(began), f.DrainTimeout)
 		sleep(ctx, pause)
 	}
 }
 
+// followRelay waits for changes after a position that another gateway of the zone passes on, and
+// reads them in the store if they were missed. It returns the new position.
+func (f *Follower) followRelay(ctx context.Context, topic Topic, after Position) (Position, error) {
+	c, outcome := f.relays.await(ctx, topic, after)
+	switch outcome {
+	case relayedBatch:
+		batch := Batch{Position: c.To, Changes: c.Changes}
+		f.apply(topic, after, batch, false)
+		f.relays.recordRead(topic, c.To)
+		return c.To, nil
+	case relayMissed:
+		batch, err := f.catchUp(ctx, topic, after)
+		if err != nil {
+			return after, err
+		}
+		f.apply(topic, after, batch, true)
+		after.Revision = max(after.Revision, batch.Position.Revision)
+		f.relays.recordRead(topic, after)
+		return after, nil
+	default:
+		return after, ctx.Err()
+	}
+}
+
+// apply reports the changes after a position.
+func (f *Follower) apply(topic Topic, after Position, batch Batch, resumed bool) {
+	f.watches.recordRead(time.Now(), topic, batch.Changes)
+	f.OnEvent(Event{Topic: topic, Resumed: resumed, After: after, Batch: batch})
+}
+
+// passOn passes the changes that a watch has read on to the other gateways of the zone.
+func (f *Follower) passOn(topic Topic, batch Batch) {
+	if len(batch.Changes) == 0 {
+		return
+	}
+	before := f.relays.recordRead(topic, batch.Position)
+	if f.OnChanges != nil {
+		f.OnChanges(RelayedChanges{Topic: topic, After: before, To: batch.Position, Changes: batch.Changes})
+	}
+}
+
 // watchOnce returns the next changes after a position, and whether the watch was closed or
 // called again in the meantime. The error is ErrHistoryGone or that of ctx.
 func (f *Follower) watchOnce(ctx context.Context, topic Topic, after Position) (batch Batch, resumed bool, err error) {
@@ -359,6 +435,7 @@
 		}
 		failed = true
 		f.watches.recordFailure()
+		f.relays.recordFailure(began)
 		f.OnEvent(Event{Topic: topic, Err: err, Took: time.Since(began)})
 		f.backoff.wait(ctx, began, jittered(pause))
 		pause = min(2*pause, maxRetryPause)
--- a/internal/fleet/large_fleet_test.go
+++ b/internal/fleet/large_fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -19,6 +21,14 @@
 	mu    sync.Mutex
 	era   int64
 	pings int
+	// calls is the number of lists and watches.
+	calls int
+}
+
+func (s *gatewaySource) count() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
 }
 
 func (s *gatewaySource) answered() {
@@ -35,6 +45,7 @@
 }
 
 func (s *gatewaySource) List(ctx context.Context, topic Topic) (Batch, error) {
+	s.count()
 	b, err := s.restorableStore.List(ctx, topic)
 	if err == nil {
 		s.answered()
@@ -43,6 +54,7 @@
 }
 
 func (s *gatewaySource) Watch(ctx context.Context, topic Topic, after Position, wait time.Duration) (Batch, error) {
+	s.count()
 	b, err := s.restorableStore.Watch(ctx, topic, after, wait)
 	if err == nil {
 		s.answered()
@@ -63,62 +75,98 @@
 
 // largeFleet is a number of gateways that follow one store and tell each other positions.
 type largeFleet struct {
+	// zones is the number of availability zones in which changes are passed on; zero if they are
+	// not.
+	zones    int
 	store    *restorableStore
 	links    []*silentLink
 	sources  []*gatewaySource
 	gateways []*followedRegistry
+	// ends ends the process of each gateway.
+	ends []context.CancelFunc
 }
 
 const (
 	largeFleetSize = 96
-	// largeFleetTellInterval and largeFleetLoss are the interval of the messages between gateways
-	// and the share of them that is lost.
+	// largeFleetTellInterval is the interval of the messages between gateways, and
+	// zoneTellInterval that of those within a zone. largeFleetLoss is the share of them that is lost.
 	largeFleetTellInterval = 900 * time.Millisecond
+	zoneTellInterval       = 300 * time.Millisecond
 	largeFleetLoss         = 0.1
+	// passOnDelay is the time in which changes reach another gateway of the zone.
+	passOnDelay = 2 * time.Millisecond
 )
 
 // startLargeFleet starts the gateways; it must be called in a synctest bubble.
-func startLargeFleet(ctx context.Context, seed uint64) *largeFleet {
-	f := &largeFleet{store: newRestorableStore()}
+func startLargeFleet(ctx context.Context, seed uint64, zones int) *largeFleet {
+	f := &largeFleet{zones: zones, store: newRestorableStore()}
 	f.store.keepsWatches = true
-	for range largeFleetSize {
+	for i := range largeFleetSize {
 		source := &gatewaySource{restorableStore: f.store}
 		link := &silentLink{Source: source}
 		r := &followedRegistry{registry: NewRegistry(drainTimeout), start: time.Now()}
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		r.follower = &Follower{
-			Source: link, Self: Gateway{Name: "g"}, OnEvent: r.apply, DrainTimeout: drainTimeout,
-			LivePeers: func() int { return largeFleetSize - 1 },
+			Source: link, Self: Gateway{Name: fmt.Sprint("g", i)}, OnEvent: r.apply, DrainTimeout: drainTimeout,
+			LivePeers: func() int { return largeFleetSize - 1 }, History: 20 * time.Second,
+		}
+		if zones > 0 {
+			r.follower.OnChanges = func(c RelayedChanges) { f.passOn(rand.New(rand.NewPCG(rng.Uint64(), 1)), i, c) }
 		}
 		f.sources, f.links, f.gateways = append(f.sources, source), append(f.links, link), append(f.gateways, r)
 	}
-	for i, r := range f.gateways {
-		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+	for i := range f.gateways {
+		process, end := context.WithCancel(ctx)
+		f.ends = append(f.ends, end)
+		rng := rand.New(rand.NewPCG(seed, 1<<20+uint64(i)))
 		go func() {
-			sleep(ctx, time.Duration(rng.IntN(300))*time.Millisecond)
-			r.follower.Run(ctx)
-			f.tell(ctx, rng, r)
+			sleep(process, time.Duration(rng.IntN(300))*time.Millisecond)
+			f.gateways[i].follower.Run(process)
+			f.tell(process, rng, i)
 		}()
 	}
 	return f
 }
 
-// tell sends the positions of one gateway to the others until ctx ends.
-func (f *largeFleet) tell(ctx context.Context, rng *rand.Rand, from *followedRegistry) {
-	for ctx.Err() == nil {
-		sleep(ctx, largeFleetTellInterval)
-		positions := from.follower.Positions()
-		for _, to := range f.gateways {
-			if to != from && to.follower.eras != nil && rng.Float64() >= largeFleetLoss {
-				to.follower.ObservePeer(positions)
+// runs reports whether the process of a gateway has started.
+func (r *followedRegistry) runs() bool { return r.follower.eras != nil }
+
+// passOn passes changes on to the other gateways of the zone, except for those that are lost.
+func (f *largeFleet) passOn(rng *rand.Rand, from int, c RelayedChanges) {
+	for i, to := range f.gateways {
+		if i != from && i%f.zones == from%f.zones && to.runs() && rng.Float64() >= largeFleetLoss {
+			time.AfterFunc(passOnDelay, func() { to.follower.ReceiveChanges(c) })
+		}
+	}
+}
+
+// tell sends the messages of one gateway to the others until ctx ends.
+func (f *largeFleet) tell(ctx context.Context, rng *rand.Rand, from int) {
+	for tick := 1; ctx.Err() == nil; tick++ {
+		sleep(ctx, zoneTellInterval)
+		follower := f.gateways[from].follower
+		positions, state := follower.Positions(), follower.RelayState()
+		all := tick%int(largeFleetTellInterval/zoneTellInterval) == 0
+		for i, to := range f.gateways {
+			sameZone := f.zones > 0 && i%f.zones == from%f.zones
+			if i == from || !to.runs() || !all && !sameZone || rng.Float64() < largeFleetLoss {
+				continue
+			}
+			to.follower.ObservePeer(positions)
+			if sameZone {
+				to.follower.ObserveRelay(follower.Self.Name, state)
 			}
 		}
 	}
 }
 
-// assertVersion asserts that a configuration is in force at every gateway.
+// assertVersion asserts that a configuration is in force at every gateway that runs.
 func (f *largeFleet) assertVersion(t *testing.T, seed uint64, version int64) {
 	t.Helper()
 	for i, r := range f.gateways {
+		if r.ended {
+			continue
+		}
 		assert.Check(t, r.configVersion() == version, "seed %d: gateway %d has version %d, want %d", seed, i, r.configVersion(), version)
 	}
 }
@@ -133,19 +181,98 @@
 	return n
 }
 
-// runLargeFleet runs a test with gateways that have read the first configuration.
+// calls returns the number of lists and watches of all gateways.
+func (f *largeFleet) calls() int {
+	n := 0
+	for _, s := range f.sources {
+		s.mu.Lock()
+		n += s.calls
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// fleetZones are the numbers of zones with which the tests are run.
+var fleetZones = []int{0, 4}
+
+// runLargeFleet runs a test with gateways that have read the first configuration, once without
+// zones and once with gateways that pass on changes.
 func runLargeFleet(t *testing.T, seed uint64, test func(f *largeFleet, rng *rand.Rand)) {
+	for _, zones := range fleetZones {
+		runZones(t, seed, zones, test)
+	}
+}
+
+func runZones(t *testing.T, seed uint64, zones int, test func(f *largeFleet, rng *rand.Rand)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := startLargeFleet(ctx, seed)
+		f := startLargeFleet(ctx, seed, zones)
 		f.store.putConfig(1)
 		time.Sleep(5 * time.Second)
 		test(f, rand.New(rand.NewPCG(seed, 1<<32)))
 		cancel()
+		time.Sleep(time.Second) // lets messages on their way end
 		synctest.Wait()
 	})
 }
 
+// TestChangeCostsAFewCallsInEachZone changes the configuration now and then. With gateways that
+// pass the changes on, a change costs a call of each of those that watch the store, and of the few
+// that miss both messages.
+func TestChangeCostsAFewCallsInEachZone(t *testing.T) {
+	const zones, changes = 4, 20
+	runZones(t, 3, zones, func(f *largeFleet, rng *rand.Rand) {
+		version := int64(1)
+		put := func() {
+			version++
+			f.store.putConfig(version)
+			time.Sleep(time.Second + time.Duration(rng.IntN(1000))*time.Millisecond)
+		}
+		for range 20 {
+			put() // the first watches of all gateways end
+		}
+		time.Sleep(20 * time.Second)
+		before, begin := f.calls(), time.Now()
+		for range changes {
+			put()
+		}
+		f.assertVersion(t, 3, version)
+		// Each watch that waits is called again once in History.
+		renewed := zones * relayWatchers * int(TopicGateways) * (1 + int(time.Since(begin)/(18*time.Second)))
+		missed := int(math.Ceil(2 * largeFleetLoss * largeFleetLoss * largeFleetSize * changes))
+		allowed := changes*zones*relayWatchers + missed + renewed
+		assert.Assert(t, f.calls()-before <= allowed, "%d calls, %d are allowed", f.calls()-before, allowed)
+	})
+}
+
+// TestZoneGoesOnWithoutThoseThatWatch ends the gateways that watch the store for a zone, all at
+// once, just before a change.
+func TestZoneGoesOnWithoutThoseThatWatch(t *testing.T) {
+	for seed := range uint64(10) {
+		runZones(t, seed, 4, func(f *largeFleet, rng *rand.Rand) {
+			version := int64(1)
+			for range 5 {
+				for range 3 {
+					version++
+					f.store.putConfig(version)
+					time.Sleep(applyBound)
+				}
+				for i, r := range f.gateways {
+					if r.follower.RelayState().Watching {
+						f.ends[i]()
+						f.gateways[i].ended = true
+					}
+				}
+				time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
+				version++
+				f.store.putConfig(version)
+				time.Sleep(applyBound)
+				f.assertVersion(t, seed, version)
+			}
+		})
+	}
+}
+
 // TestPingsDoNotGrowWithTheFleet counts the pings of a large fleet while nothing happens.
 func TestPingsDoNotGrowWithTheFleet(t *testing.T) {
 	runLargeFleet(t, 1, func(f *largeFleet, _ *rand.Rand) {
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -23,6 +23,8 @@
 	follower *Follower
 	// renewed counts the watches that were ended to call them again.
 	renewed int
+	// ended is true once a test has ended the process.
+	ended bool
 }
 
 // follow starts a follower of the store that ends with ctx.
