gateway, platform: gateways of a zone pass on what they have read, signed

The changes go over the gateways' datagrams to the own zone, signed with a key that the first gateway of a large zone puts into the store (one read at a tenth of the price for each gateway, from eight in a zone on). A message with another signature is dropped and the key is read again, since a restore may have replaced it. Belief lines name the gateway that passed a change on, and each change of the watching role is logged.

Tests: a gateway with nine others in its zone applies what they pass on and not what is signed with another key; the first proposal becomes the key.

--- a/cmd/gentiantrail-gateway/main.go
+++ b/cmd/gentiantrail-gateway/main.go
@@ -23,7 +23,7 @@
 	store := platform.NewClient(s.StoreAddress)
 	failed := make(chan error, 4)
 	g := gateway.New(gateway.Options{
-		Settings: s, PromptParts: platform.PromptParts, Headers: platform.Headers, Source: store, Records: store, Probe: store.GroupOf,
+		Settings: s, PromptParts: platform.PromptParts, Headers: platform.Headers, Source: store, Records: store, Keys: store, Probe: store.GroupOf,
 		Logger: logger.Logger, Metrics: metrics.Scope, OnFatalError: func(err error) { failed <- err },
 	})
 	ready := observe.NewAdmin(observe.AdminConfig{Ready: g.Ready, Logger: logger.Logger})
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -58,6 +58,9 @@
 	Complete bool
 	// Resumed is true if the batch answers the first watch after a closed one.
 	Resumed bool
+	// RelayedBy is the name of the gateway that has passed on the changes; empty if they were read
+	// in the store.
+	RelayedBy string
 	// After is the position whose later changes the batch contains, unless it is complete.
 	After Position
 	Batch Batch
@@ -88,6 +91,8 @@
 	// OnChanges is called with the changes that a watch of this gateway has read, for the other
 	// gateways of the zone. If it is nil, changes are not passed on.
 	OnChanges func(RelayedChanges)
+	// OnWatchRole, if set, is called when this gateway begins or ceases to watch a topic itself.
+	OnWatchRole func(topic Topic, watches bool)
 	// LivePeers returns the number of other gateways that currently pass on their Positions. If it
 	// is nil, there are none.
 	LivePeers func() int
@@ -231,7 +236,7 @@
 	now, gateways := time.Now(), 1+f.LivePeers()
 	live := f.relays.liveMembers(now)
 	switch {
-	case live < relayMinMembers:
+	case live < RelayMinMembers:
 		return pingInterval * time.Duration(max(pingingGateways, gateways)) / pingingGateways
 	case f.relays.mustWatch(now):
 		watching := gateways * relayWatchers / live
@@ -275,11 +280,11 @@
 // watch follows the changes after a position until the store does not have the history, for
 // instance since it was restored from a copy, or until ctx ends with the position's era.
 func (f *Follower) watch(ctx context.Context, topic Topic, after Position) {
-	defer f.relays.setWatched(topic, false)
+	defer func() { _ = f.relays.setWatched(topic, false) }()
 	pause := time.Duration(0)
 	for ctx.Err() == nil {
 		mustWatch := f.relays.mustWatch(time.Now())
-		f.relays.setWatched(topic, mustWatch)
+		f.setWatched(topic, mustWatch)
 		if !mustWatch {
 			position, err := f.followRelay(ctx, topic, after)
 			if err != nil {
@@ -301,14 +306,21 @@
 	}
 }
 
+// setWatched records whether this gateway watches a topic itself.
+func (f *Follower) setWatched(topic Topic, watched bool) {
+	if f.relays.setWatched(topic, watched) && f.OnWatchRole != nil {
+		f.OnWatchRole(topic, watched)
+	}
+}
+
 // followRelay waits for changes after a position that another gateway of the zone passes on, and
 // reads them in the store if they were missed. It returns the new position.
 func (f *Follower) followRelay(ctx context.Context, topic Topic, after Position) (Position, error) {
 	c, outcome := f.relays.await(ctx, topic, after)
 	switch outcome {
 	case relayedBatch:
-		batch := Batch{Position: c.To, Changes: c.Changes}
-		f.apply(topic, after, batch, false)
+		f.watches.recordRead(time.Now(), topic, c.Changes)
+		f.OnEvent(Event{Topic: topic, RelayedBy: c.From, After: after, Batch: Batch{Position: c.To, Changes: c.Changes}})
 		f.relays.recordRead(topic, c.To)
 		return c.To, nil
 	case relayMissed:
@@ -338,7 +350,7 @@
 	}
 	before := f.relays.recordRead(topic, batch.Position)
 	if f.OnChanges != nil {
-		f.OnChanges(RelayedChanges{Topic: topic, After: before, To: batch.Position, Changes: batch.Changes})
+		f.OnChanges(RelayedChanges{From: f.Self.Name, Topic: topic, After: before, To: batch.Position, Changes: batch.Changes})
 	}
 }
 
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -14,8 +14,8 @@
 // changes on to the others, which call the store only if they have missed one: otherwise each
 // change would cost the store a call from every gateway.
 const (
-	// relayMinMembers is the number of live gateways in a zone from which changes are passed on.
-	relayMinMembers = 8
+	// RelayMinMembers is the number of live gateways in a zone from which changes are passed on.
+	RelayMinMembers = 8
 	// relayWatchers is the number of gateways of a zone that watch the store.
 	relayWatchers = 2
 	// relayTimeout is the time without a message after which a gateway of the zone does not count
@@ -50,6 +50,8 @@
 
 // RelayedChanges are the changes of a topic between two positions.
 type RelayedChanges struct {
+	// From is the name of the gateway that has read the changes.
+	From      string
 	Topic     Topic
 	After, To Position
 	Changes   []Change
@@ -104,7 +106,7 @@
 		}
 		watching = watching || r.usable(&m)
 	}
-	return live < relayMinMembers || before < relayWatchers || !watching
+	return live < RelayMinMembers || before < relayWatchers || !watching
 }
 
 // usable reports whether another gateway watches the store and has read it in the era that this one
@@ -233,11 +235,13 @@
 	return before
 }
 
-// setWatched records whether this gateway watches a topic itself.
-func (r *relayTracker) setWatched(topic Topic, watched bool) {
+// setWatched records whether this gateway watches a topic itself, and reports whether that is new.
+func (r *relayTracker) setWatched(topic Topic, watched bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	changed := r.watched[topic] != watched
 	r.watched[topic] = watched
+	return changed
 }
 
 func (r *relayTracker) recordFailure(began time.Time) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -74,10 +74,12 @@
 		History:      g.opts.Settings.StoreHistory,
 		DrainTimeout: g.opts.Settings.Limits.DrainTimeout,
 		LivePeers:    c.peers.livePeers,
+		OnChanges:    c.peers.sendChanges,
+		OnWatchRole:  g.logWatchRole,
 	}
+	c.peers.store = &follower
 	follower.Run(ctx)
 	go g.records.run(ctx)
-	c.peers.store = &follower
 	go c.peers.run(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/gateway/control_store.go
+++ b/internal/gateway/control_store.go
@@ -34,7 +34,7 @@
 	if e.Topic == fleet.TopicGateways && e.Complete {
 		c.addMembers(now)
 	}
-	c.logDecisions(decisions, e.Batch.Position)
+	c.logDecisions(decisions, e.Batch.Position, e.RelayedBy)
 	if len(decisions) > 0 || e.Complete {
 		c.publish()
 		c.expire()
@@ -57,7 +57,7 @@
 	now := c.g.now()
 	due, decisions := c.registry.Expire(now)
 	if len(decisions) > 0 {
-		c.logDecisions(decisions, fleet.Position{})
+		c.logDecisions(decisions, fleet.Position{}, "")
 		c.publish()
 	}
 	if due > 0 {
@@ -141,13 +141,16 @@
 	line.Stringer("position", e.Batch.Position).Int("objects", len(e.Batch.Changes)).Msg("")
 }
 
-func (c *control) logDecisions(decisions []fleet.Decision, position fleet.Position) {
+func (c *control) logDecisions(decisions []fleet.Decision, position fleet.Position, relayedBy string) {
 	for _, d := range decisions {
 		line := c.g.opts.Logger.Info().Str("event", "belief").Str("topic", d.Topic.String()).
 			Str("subject", d.Subject).Str("outcome", d.Outcome).Stringer("position", position)
 		if d.Topic == fleet.TopicConfig {
 			line = line.Int64("version", c.registry.View().Config.Version)
 		}
+		if relayedBy != "" {
+			line = line.Str("relayed_by", relayedBy)
+		}
 		if d.Keep > 0 {
 			line = line.Int64("keep_ms", d.Keep.Milliseconds())
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,8 @@
 	PromptParts func(value string) ([]string, error)
 	// Records keeps what is quarantined while no gateway runs that knows of it.
 	Records quarantine.Store
+	// Keys keeps the key of the gateways. If it is nil, each gateway watches the store itself.
+	Keys    PeerKeys
 	Probe   EngineProbe
 	Logger  *log.Logger
 	Metrics tally.Scope
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -180,7 +180,7 @@
 		Settings: &settings.Gateway{
 			Name: "g", AvailabilityZone: "z", Listen: gw.addr, PeerAddress: freePort(t), Limits: limits,
 		},
-		Headers: testHeaders, PromptParts: splitParts, Source: gw.store, Records: gw.records, Logger: observe.NewLogger(gw.logs, "info", "test", "g"), Metrics: tally.NoopScope,
+		Headers: testHeaders, PromptParts: splitParts, Source: gw.store, Records: gw.records, Keys: fakeKeys{}, Logger: observe.NewLogger(gw.logs, "info", "test", "g"), Metrics: tally.NoopScope,
 		Probe:        func(context.Context, string) (string, error) { return "", nil },
 		OnFatalError: func(err error) { t.Error(err) },
 	})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -43,6 +44,10 @@
 	Read []readPosition `cbor:"23,keyasint,omitempty"`
 	// Limits are rates that targets have stated in answers to the sender.
 	Limits []peerLimit `cbor:"24,keyasint,omitempty"`
+	// Relay is what the sender has read in the store, for gateways of its zone.
+	Relay *signedRelay `cbor:"27,keyasint,omitempty"`
+	// RelayOnly is true if only Relay is set.
+	RelayOnly bool `cbor:"28,keyasint,omitempty"`
 	// Report is set instead of the other fields in a mapper's datagram.
 	Report *hint.Report `cbor:"21,keyasint,omitempty"`
 }
@@ -89,6 +94,12 @@
 	g *Gateway
 	// store follows the store; other gateways tell it of changes that it may have missed.
 	store *fleet.Follower
+	// socket is nil until run has opened it.
+	socket atomic.Pointer[net.UDPConn]
+	// key signs what gateways have read; nil until it is known. keyOutdated is true if another
+	// gateway has signed with another key.
+	key         atomic.Pointer[[]byte]
+	keyOutdated atomic.Bool
 
 	mu sync.Mutex
 	// peers contains the other gateways by their names.
@@ -174,14 +185,14 @@
 	}
 }
 
-// addresses returns the addresses of the other known gateways: of all, or of those in the own
-// availability zone.
-func (l *peerLink) addresses(all bool) []*net.UDPAddr {
+// addresses returns the addresses of the other known gateways in the own availability zone, or of
+// those in other or unknown zones.
+func (l *peerLink) addresses(remote bool) []*net.UDPAddr {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	addrs := make([]*net.UDPAddr, 0, len(l.peers))
 	for _, p := range l.peers {
-		if all || p.zone == l.g.opts.Settings.AvailabilityZone {
+		if remote != (p.zone == l.g.opts.Settings.AvailabilityZone) {
 			addrs = append(addrs, p.addr)
 		}
 	}
@@ -212,7 +223,9 @@
 		return
 	}
 	context.AfterFunc(ctx, func() { _ = socket.Close() })
+	l.socket.Store(socket)
 	go l.receive(ctx, socket)
+	go l.readKey(ctx)
 	workTimer := time.NewTimer(workInterval)
 	defer workTimer.Stop()
 	subscribeTimer := time.NewTimer(subscribeInterval)
@@ -242,8 +255,7 @@
 
 // sendWork sends the current work to all other gateways, or to those in the own availability zone.
 func (l *peerLink) sendWork(socket *net.UDPConn, all bool) {
-	peers := l.addresses(all)
-	if len(peers) == 0 {
+	if l.peerCount() == 0 {
 		return
 	}
 	l.g.mu.Lock()
@@ -260,16 +272,11 @@
 	for _, p := range l.store.Positions() {
 		m.Read = append(m.Read, readPosition{Era: p.Era, Revision: p.Revision})
 	}
-	b, err := cbor.Marshal(m)
-	if err != nil {
-		l.g.opts.Logger.Error().Str("event", "peer-encode").Err(err).Msg("")
-		return
-	}
-	for _, p := range peers {
-		if _, err := socket.WriteToUDP(b, p); err != nil {
-			l.g.count.peerErrors.Inc(1) // a full or broken link; the next message follows soon
-		}
+	if all {
+		l.sendTo(socket, l.addresses(true), m)
 	}
+	m.Relay = l.signRelay(nil)
+	l.sendTo(socket, l.addresses(false), m)
 }
 
 // slowdown returns the factor by which the intervals of periodic messages grow with the number of
@@ -300,6 +307,10 @@
 			l.g.post(ctx, peerFound{name: m.Sender})
 		}
 		l.recordMessage(m.Sender, m.Zone)
+		l.handleRelay(&m)
+		if m.RelayOnly {
+			continue
+		}
 		l.g.mu.Lock()
 		l.g.balancer.HandlePeerReport(l.g.now(), m.Sender, m.Work)
 		l.handleLimits(&m)
