--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -83,6 +83,22 @@
 	assert.Equal(t, len(gw.targets[0].requests())+len(gw.targets[1].requests()), 1)
 }
 
+// Guards against work that is run again after its answer was lost: the route allows a second target,
+// but only for a request that has not run.
+func TestNonIdempotentRequestIsNotRepeatedAlthoughAttemptsAreLeft(t *testing.T) {
+	config := testConfig(1)
+	for i := range config.Routes {
+		config.Routes[i].MaxAttempts = 3
+	}
+	gw := newTestGatewayWith(t, []fleet.Change{{Name: "main", Config: config}}, closeConnection, closeConnection).waitReady()
+	const requests = 6
+	for range requests {
+		status, _, _, _ := gw.do(get("/once/")...)
+		assert.Assert(t, status == 502 || status == 504, "status %d promises that the request has not run", status)
+	}
+	assert.Equal(t, len(gw.targets[0].requests())+len(gw.targets[1].requests()), requests)
+}
+
 // A status that means "not run" is not relayed unless the target's NotExecuted header
 // confirms it.
 func TestRefusalStatusWithoutNotExecutedHeaderIsNotRelayed(t *testing.T) {
