--- a/internal/gateway/peer_relay.go
+++ b/internal/gateway/peer_relay.go
@@ -15,7 +15,8 @@
 
 // PeerKeys keeps the key with which gateways sign what they have read in the store.
 type PeerKeys interface {
-	// PeerKey returns the key of all gateways. If there is none yet, the proposal becomes the key.
+	// PeerKey returns the key of all gateways. If there is none yet, the proposal becomes the key;
+	// without a proposal PeerKey returns nil then.
 	PeerKey(ctx context.Context, proposal []byte) ([]byte, error)
 }
 
@@ -26,8 +27,10 @@
 	relayMACBytes = 16
 	// maxRelayBytes bounds a relay message with changes. Gateways read larger changes in the store.
 	maxRelayBytes = 6 << 10
-	// peerKeyInterval is the least time between two reads of the key.
-	peerKeyInterval = 4 * time.Second
+	// peerKeyInterval is the least time between two reads of the key, and peerKeyCheckInterval the
+	// interval at which a gateway checks whether it needs the key.
+	peerKeyInterval      = 2 * time.Second
+	peerKeyCheckInterval = 500 * time.Millisecond
 	// peerKeyTimeout bounds a read of the key.
 	peerKeyTimeout = 3 * time.Second
 )
@@ -112,26 +115,47 @@
 // another gateway has signed with another one. That may follow from a restore of the store.
 func (l *peerLink) readKey(ctx context.Context) {
 	for ctx.Err() == nil {
+		pause := peerKeyCheckInterval
 		needed := l.key.Load() == nil || l.keyOutdated.Load()
 		if needed && l.g.opts.Keys != nil && len(l.addresses(false))+1 >= fleet.RelayMinMembers {
 			l.readKeyOnce(ctx)
+			pause = peerKeyInterval
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(peerKeyInterval):
+		case <-time.After(pause):
 		}
 	}
 }
 
+// proposesKey reports whether this gateway makes the key if there is none: the first of each zone
+// does, so that few of them try at the same time.
+func (l *peerLink) proposesKey() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, p := range l.peers {
+		if p.zone == l.g.opts.Settings.AvailabilityZone && name < l.g.opts.Settings.Name && time.Since(p.heardAt) < peerSilenceTimeout {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *peerLink) readKeyOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, peerKeyTimeout)
 	defer cancel()
-	proposal := make([]byte, peerKeyBytes)
-	if _, err := rand.Read(proposal); err != nil {
-		l.g.opts.Logger.Error().Str("event", "peer-key").Err(err).Msg("")
-		return
+	var proposal []byte
+	if l.proposesKey() {
+		proposal = make([]byte, peerKeyBytes)
+		if _, err := rand.Read(proposal); err != nil {
+			l.g.opts.Logger.Error().Str("event", "peer-key").Err(err).Msg("")
+			return
+		}
 	}
 	key, err := l.g.opts.Keys.PeerKey(ctx, proposal)
+	if err == nil && key == nil {
+		return // another gateway is about to make it
+	}
 	if err != nil || len(key) != peerKeyBytes {
 		l.g.opts.Logger.Warn().Str("event", "peer-key").Int("length", len(key)).Err(err).Msg("")
 		return
