--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -299,25 +299,30 @@
 			l.g.count.peerErrors.Inc(1)
 			continue
 		}
-		if m.Report != nil {
-			l.handleReport(from, m.Report)
-			continue
-		}
-		if l.add(m.Sender, from) {
-			l.g.post(ctx, peerFound{name: m.Sender})
-		}
-		l.recordMessage(m.Sender, m.Zone)
-		l.handleRelay(&m)
-		if m.RelayOnly {
-			continue
-		}
-		l.g.mu.Lock()
-		l.g.balancer.HandlePeerReport(l.g.now(), m.Sender, m.Work)
-		l.handleLimits(&m)
-		l.g.mu.Unlock()
-		l.g.mergeEvidence(m.Evidence)
-		l.observeRead(m.Read)
+		l.handleMessage(ctx, from, &m)
+	}
+}
+
+// handleMessage handles a message of another gateway or of a mapper.
+func (l *peerLink) handleMessage(ctx context.Context, from *net.UDPAddr, m *workMessage) {
+	if m.Report != nil {
+		l.handleReport(from, m.Report)
+		return
 	}
+	if l.add(m.Sender, from) {
+		l.g.post(ctx, peerFound{name: m.Sender})
+	}
+	l.recordMessage(m.Sender, m.Zone)
+	l.handleRelay(m)
+	if m.RelayOnly {
+		return
+	}
+	l.g.mu.Lock()
+	l.g.balancer.HandlePeerReport(l.g.now(), m.Sender, m.Work)
+	l.handleLimits(m)
+	l.g.mu.Unlock()
+	l.g.mergeEvidence(m.Evidence)
+	l.observeRead(m.Read)
 }
 
 // observeRead handles the positions that another gateway has read in the store.
--- a/internal/mapper/round.go
+++ b/internal/mapper/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -119,15 +120,19 @@
 func (m *Mapper) handleRequest(ctx context.Context, from *net.UDPAddr, request *roundRequest) {
 	if request.ReplyTo.IsValid() {
 		from = net.UDPAddrFromAddrPort(request.ReplyTo)
-		m.relay(*request, request.Relay)
+		m.relay(*request, request.Relay[:min(len(request.Relay), m.local.Size)])
 	}
 	if state, ok := m.carryOutRequest(ctx, request); ok {
 		m.send(from, datagram{Answer: &roundAnswer{Round: request.Round, State: state}})
 	}
 }
 
+// errUnknownOrder means that a request has an order that this version does not know.
+var errUnknownOrder = errors.New("the order is not known")
+
 // carryOutRequest passes the request's order to the local engine and reads the engine's
-// state afterwards. It returns false if the map is malformed or the state can't be read.
+// state afterwards. It returns false if the order is unknown, the map is malformed or the state
+// can't be read.
 func (m *Mapper) carryOutRequest(ctx context.Context, request *roundRequest) (mapswitch.State, bool) {
 	result := mapswitch.Accepted
 	if request.Order != nil {
@@ -135,8 +140,11 @@
 		if len(request.Map) > 0 {
 			request.Order.Map, err = unpackMap(request.Map)
 		}
+		if err == nil && !request.Order.Op.IsKnown() {
+			err = errUnknownOrder
+		}
 		if err != nil {
-			m.opts.Logger.Warn().Str("event", "map-refused").Err(err).Msg("")
+			m.opts.Logger.Warn().Str("event", "order-refused").Err(err).Msg("")
 			return mapswitch.State{}, false
 		}
 		result = m.sendOrder(ctx, request.Order)
--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -37,9 +37,15 @@
 	Go
 )
 
+// IsKnown reports whether the order is one of those above.
+func (o Op) IsKnown() bool { return o >= Prepare && o <= Go }
+
 // String returns the order's name for logs.
 func (o Op) String() string {
-	return [...]string{"none", "prepare", "hold", "arm", "disarm", "go"}[o]
+	if !o.IsKnown() {
+		return "unknown"
+	}
+	return [...]string{"", "prepare", "hold", "arm", "disarm", "go"}[o]
 }
 
 // Order is one order to one rank.
