--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,8 +24,9 @@
 	follower *Follower
 	// renewed counts the watches that were ended to call them again.
 	renewed int
-	// ended is true once a test has ended the process.
-	ended bool
+	// started is true once the process runs, and ended once a test has ended it.
+	started atomic.Bool
+	ended   bool
 }
 
 // follow starts a follower of the store that ends with ctx.
