--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -8,12 +8,6 @@
 )
 
 const (
-	// maxWatchTimeout is the longest time for which a watch call waits. The store allows up to 30 s, and a
-	// waiting watch counts as one call.
-	maxWatchTimeout = 29 * time.Second
-	// historyShare is the share of the store's history for which a watch waits. A watch that
-	// waits for longer can't be continued, and the topic has to be listed again.
-	historyShare = 0.9
 	// catchUpTimeout is how long the first watch after a closed one waits. The store
 	// answers it at once, so it shows whether the store is available and returns the
 	// changes that were missed.
@@ -26,29 +20,6 @@
 	// relistPause is the pause before a topic is listed again, so that a store which refuses
 	// each watch is not called in a tight loop.
 	relistPause = 50 * time.Millisecond
-	// firstWatchPause is the pause between two watches of a topic, so that changes in quick
-	// succession need one call.
-	firstWatchPause = 500 * time.Millisecond
-	// reactionTime is the part of the drain timeout that is left for all but the pauses between
-	// watches.
-	reactionTime = 2 * time.Second
-	// pingInterval is the mean interval of the calls that notice a restore of the store, or that
-	// it is silent, while all watches wait. With jitter the longest is below the bound for
-	// acting on a change. If there are more than pingingGateways, the interval grows so that
-	// they make as many calls together: one that notices something reads the store and tells the
-	// others the positions.
-	pingInterval    = 400 * time.Millisecond
-	pingingGateways = 32
-	// minPingInterval is the shortest interval of the gateways that watch the store for their zone,
-	// and readerPingInterval that of the others.
-	minPingInterval    = 100 * time.Millisecond
-	readerPingInterval = 10 * time.Second
-	// pingTimeout bounds a ping. If a silent store loses the last ping before it answers again,
-	// its return is noticed after this time and a retry pause.
-	pingTimeout = 800 * time.Millisecond
-	// openPingDelay is the time from the call of a watch to the ping that shows whether the
-	// store was silent when it got the watch.
-	openPingDelay = 20 * time.Millisecond
 )
 
 // Event is the result of one call of a Follower to the store.
@@ -105,29 +76,6 @@
 	watchOpened, laterEra chan struct{}
 }
 
-// watchTimeout returns the time for which a watch call waits.
-func (f *Follower) watchTimeout() time.Duration {
-	if f.History == 0 {
-		return maxWatchTimeout
-	}
-	return min(time.Duration(historyShare*float64(f.History)), maxWatchTimeout)
-}
-
-// maxWatchPause returns the longest pause between two watches of a topic.
-func maxWatchPause(drainTimeout time.Duration) time.Duration {
-	return max(min(firstWatchPause, drainTimeout/4), drainTimeout-reactionTime)
-}
-
-// nextWatchPause returns the pause after a watch that was open for some time. While changes keep
-// coming, the pause grows: each gateway that reads a change costs the store a call.
-func nextWatchPause(last, open, drainTimeout time.Duration) time.Duration {
-	longest := maxWatchPause(drainTimeout)
-	if open > last {
-		return min(firstWatchPause, longest)
-	}
-	return min(max(2*last, firstWatchPause), longest)
-}
-
 // Run starts a goroutine for each topic; they end with ctx.
 func (f *Follower) Run(ctx context.Context) {
 	f.eras, f.relays = newEraTracker(ctx), newRelayTracker(f.Self.Name)
@@ -196,56 +144,6 @@
 	return era
 }
 
-// ping calls the store periodically, and soon after each call of a watch. A watch that waits
-// may stay open while the store is restored, and is then not answered for changes with lower
-// revisions; or the store was silent when it got the call, and never answers it.
-func (f *Follower) ping(ctx context.Context) {
-	due := time.NewTimer(jittered(f.pingPause()))
-	defer due.Stop()
-	for ctx.Err() == nil {
-		f.waitForPing(ctx, due)
-		if f.backoff.failing() {
-			continue // the calls that are tried again tell as much
-		}
-		f.retry(ctx, TopicGateways, func() error {
-			ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-			defer cancel()
-			return f.Source.Ping(ctx, f.Self)
-		})
-	}
-}
-
-// waitForPing waits until a ping is needed. The periodic pings, for which due fires, are not
-// postponed by others: all gateways call their watches at the same time after a change.
-func (f *Follower) waitForPing(ctx context.Context, due *time.Timer) {
-	select {
-	case <-ctx.Done():
-	case <-due.C:
-		due.Reset(jittered(f.pingPause()))
-	case <-f.laterEra:
-	case <-f.watchOpened:
-		sleep(ctx, openPingDelay)
-	}
-}
-
-// pingPause returns the mean interval of this gateway's pings.
-func (f *Follower) pingPause() time.Duration {
-	if f.LivePeers == nil {
-		return pingInterval
-	}
-	now, gateways := time.Now(), 1+f.LivePeers()
-	live := f.relays.liveMembers(now)
-	switch {
-	case live < RelayMinMembers:
-		return pingInterval * time.Duration(max(pingingGateways, gateways)) / pingingGateways
-	case f.relays.mustWatch(now):
-		watching := gateways * relayWatchers / live
-		return max(minPingInterval, pingInterval*time.Duration(watching)/pingingGateways)
-	default:
-		return readerPingInterval
-	}
-}
-
 func (f *Follower) follow(ctx context.Context, topic Topic) {
 	for ctx.Err() == nil {
 		position := f.list(ctx, topic)
