--- a/internal/fleet/large_fleet_test.go
+++ b/internal/fleet/large_fleet_test.go
@@ -87,7 +87,6 @@
 }
 
 const (
-	largeFleetSize = 96
 	// The bounds of deployments of 40 gateways and more: the time within which a target that has
 	// left gets no more work, that within which a configuration is in force, and that after the
 	// end of a disruption of the store from which on a gateway meets them.
@@ -252,7 +251,7 @@
 // TestZoneGoesOnWithoutThoseThatWatch ends the gateways that watch the store for a zone, all at
 // once, just before a change.
 func TestZoneGoesOnWithoutThoseThatWatch(t *testing.T) {
-	for seed := range uint64(10) {
+	for seed := range min(uint64(10), raceSeeds) {
 		runZones(t, seed, 4, func(f *largeFleet, rng *rand.Rand) {
 			version := int64(1)
 			for range 5 {
@@ -297,7 +296,7 @@
 // TestRestoreIsNoticedByALargeFleet restores the store from a copy, while the watches stay open
 // and wait for revisions that the restored store reaches late.
 func TestRestoreIsNoticedByALargeFleet(t *testing.T) {
-	for seed := range uint64(10) {
+	for seed := range min(uint64(10), raceSeeds) {
 		runLargeFleet(t, seed, func(f *largeFleet, rng *rand.Rand) {
 			version := int64(1)
 			for range 3 {
@@ -321,7 +320,7 @@
 // TestChangesReachALargeFleetThroughSilences lets the store fall silent for all gateways or for
 // half of them, before and after changes. Some silences are so short that few pings fall into them.
 func TestChangesReachALargeFleetThroughSilences(t *testing.T) {
-	for seed := range uint64(12) {
+	for seed := range min(uint64(12), raceSeeds) {
 		runLargeFleet(t, seed, func(f *largeFleet, rng *rand.Rand) {
 			version := int64(1)
 			put := func() {
