--- a/internal/fleet/ping.go
+++ b/internal/fleet/ping.go
@@ -10,7 +10,7 @@
 	// it is silent, while all watches wait. With jitter the longest is below the bound for
 	// acting on a change. If there are more than pingingGateways, the interval grows so that
 	// they make as many calls together: one that notices something reads the store and tells the
-	// others the positions.
+	// others the positions. Where gateways pass on changes, those that watch make these calls.
 	pingInterval    = 400 * time.Millisecond
 	pingingGateways = 32
 	// minPingInterval is the shortest interval of the gateways that watch the store for their zone,
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -11,8 +11,8 @@
 	// missing entry may have lapsed during an outage. It covers a call that hangs and the
 	// time to the next one.
 	outageWindow = 2800 * time.Millisecond
-	// noticeSlack is the time, beside the pause between watches, that a gateway may need to learn that an entry
-	// was removed and to send the requests for which the target was chosen before.
+	// noticeSlack is the time, beside the pause between watches, that a gateway may need to learn
+	// that an entry was removed and to send the requests for which the target was chosen before.
 	noticeSlack = 200 * time.Millisecond
 )
 
--- a/internal/mapper/election.go
+++ b/internal/mapper/election.go
@@ -13,9 +13,9 @@
 	electionStagger = 15 * time.Millisecond
 )
 
-// elect makes this process lead unless it has recently received a beacon from a lower rank.
-// Before it leads, the engine's description must be known, and a process of any rank but rank 0
-// waits electionTimeout.
+// elect decides whether this process leads. A leader yields to a lower rank whose beacons it
+// receives. Rank 0 leads once the engine's description is known; any other rank only after it has
+// received no beacon, of whatever rank, for electionTimeout.
 func (m *Mapper) elect(ctx context.Context) {
 	if m.leader.addr != nil && m.leader.rank < m.local.Rank && time.Since(m.leader.lastBeacon) < leaderTimeout {
 		if m.isLeader {
