--- a/review/standin/blame.go
+++ b/review/standin/blame.go
@@ -15,7 +15,7 @@
 const (
 	blameServers = 18
 	blameCrashed = 3 // srv_crash, share 0.17
-	blameRate    = 150
+	blameRate    = 140
 	blameBudget  = 8 * time.Second
 	blameEvents  = 20
 	blameGap     = 50 * time.Millisecond
--- a/review/standin/hang.go
+++ b/review/standin/hang.go
@@ -18,6 +18,7 @@
 	hangTime    = 45 * time.Second
 	// brokenShare is the share of its answers that the faulty one of the two servers breaks off.
 	brokenShare = 0.05
+	brokenSpell = 5 * time.Second // for_s
 )
 
 // playHang plays the case of unfinished refusals: a server breaks off some of its answers.
@@ -40,7 +41,7 @@
 	for i, zone := range []string{"sk-a", "sk-b"} {
 		s := &server{service: "permit-desk", zone: zone, addr: w.address(w.host(), "app"), slots: 4, id: "i-permit" + zone, serve: plainAnswer(60 * time.Millisecond)}
 		if w.trouble() && i == 1 {
-			s.broken = func() bool { return rand.Float64() < brokenShare }
+			s.broken = func() bool { return w.inSpell(brokenSpell) && rand.Float64() < brokenShare }
 		}
 		if err := w.startServer(s); err != nil {
 			return false, err
--- a/review/standin/resume.go
+++ b/review/standin/resume.go
@@ -25,6 +25,7 @@
 	// streams, and answer_lost on three of five servers, which lose 30% of their answers.
 	garbleShare = 0.05
 	lostShare   = 0.3
+	lossSpell   = 4 * time.Second // for_s of both
 )
 
 // runs notes at which servers each attempt of a client has run.
@@ -103,7 +104,7 @@
 func stream(s *server, c *call, ran *runs, garbles, loses bool) {
 	time.Sleep(resumeGap)
 	ran.add(c.attempt, s.id) // the first token
-	if loses && rand.Float64() < lostShare {
+	if loses && s.w.inSpell(lossSpell) && rand.Float64() < lostShare {
 		s.w.logf("server %s has run %s, and its answer is lost", s.id, c.attempt)
 		time.Sleep(resumeGap)
 		if tcp, ok := c.conn.(*net.TCPConn); ok {
@@ -117,7 +118,7 @@
 		last, _ = strconv.Atoi(text)
 	}
 	cut := -1
-	if garbles && rand.Float64() < garbleShare {
+	if garbles && s.w.inSpell(lossSpell) && rand.Float64() < garbleShare {
 		cut = last + 1 + rand.IntN(resumeEvents)
 	}
 	_, err := io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nAttempt-Id: "+c.attempt+"\r\nResponse-Signature: r."+c.attempt+
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -78,6 +78,12 @@
 	return ln.Addr().(*net.TCPAddr).Port, nil
 }
 
+// inSpell reports whether a disruption is on that comes for a time, again and again, with a second
+// between two.
+func (w *world) inSpell(length time.Duration) bool {
+	return time.Since(w.start)%(length+time.Second) < length
+}
+
 // host returns the IP address of another machine.
 func (w *world) host() string {
 	w.hosts++
