mapswitch: the coordinator that runs settles the hold of any rank

Cause: Coordinator.Round looked for holds without an owner at its own rank only. The process of another rank does not lead after its restart, and so runs no rounds that would find its hold.

Ruled out: a Go order that is lost (the leader gives none), an epoch that changes (it does not), the election (rank 0 leads and reads all states).

Change: a coordinator settles the hold of any rank, its own first, another one's when it makes no change itself. Ranks are fenced before any is disarmed, so that an owner that still runs can't release a change of which some ranks are disarmed. No change begins before all passes that were held have begun, so that no pass is held twice. map-change logs held_rank.

--- a/internal/mapper/leader.go
+++ b/internal/mapper/leader.go
@@ -238,7 +238,7 @@
 func (m *Mapper) logPhase(before, after mapswitch.Phase) {
 	c := m.leaderState.coordinator
 	m.opts.Logger.Info().Str("event", "map-change").Str("group", m.local.Group).Str("from", before.String()).Str("to", after.String()).
-		Int64("version", c.Version()).Int64("held_pass", c.HoldPass()).Int64("pass", m.local.State.Pass).
+		Int64("version", c.Version()).Int("held_rank", c.Holder()).Int64("held_pass", c.HoldPass()).Int64("pass", m.local.State.Pass).
 		Int64("since_begin_ms", time.Since(m.leaderState.begunAt).Milliseconds()).Msg("")
 }
 
--- a/internal/mapswitch/coordinator_test.go
+++ b/internal/mapswitch/coordinator_test.go
@@ -161,7 +161,7 @@
 			sim.runRound(0, unsent, uint16(step))
 			c := sim.coordinators[0]
 			if c.Phase() == Arming && sim.rng.IntN(3) == 0 {
-				c.startSettling(c.holdPass)
+				c.startSettling(c.rank, c.holdPass)
 			}
 			if c.Phase() == Settling {
 				for i := range c.fenced {
@@ -180,6 +180,64 @@
 	assert.Assert(t, found, "the simulation did not detect the planted fault")
 }
 
+// endAllProcesses ends the coordinators of all ranks, with the orders that they have not sent.
+func (sim *simulation) endAllProcesses() { clear(sim.coordinators) }
+
+// TestHoldOfAnyRankIsSettled ends all processes at any moment of a change, which may leave holds
+// without an owner at any ranks, and late orders. A process of a single rank must let the group go
+// on.
+func TestHoldOfAnyRankIsSettled(t *testing.T) {
+	const size = 5
+	for seed := range uint64(600) {
+		sim := newSimulation(seed, size, 0.3)
+		sim.leaders = size
+		runSteps(sim, size, 100+int(seed), true)
+		sim.endAllProcesses()
+		last := sim.rng.IntN(size)
+		sim.lossRate = 0
+		unsent := make([]pending, size)
+		for step := range 400 {
+			sim.tick()
+			sim.deliverDelayed()
+			sim.runRound(last, unsent, uint16(step))
+		}
+		begun := sim.pass
+		for step := range 100 {
+			sim.tick()
+			sim.runRound(last, unsent, uint16(step))
+		}
+		assert.Assert(t, !sim.mapsDiffer, "seed %d: ranks with different maps at pass %d", seed, sim.pass)
+		assert.Assert(t, sim.pass > begun, "seed %d: no pass begins after %d, led by rank %d", seed, begun, last)
+	}
+}
+
+// TestSimulationDetectsUnfencedHoldOfAnotherRank checks that the simulation detects a coordinator
+// that disarms ranks for the hold of another rank, whose coordinator runs, without a fence.
+func TestSimulationDetectsUnfencedHoldOfAnotherRank(t *testing.T) {
+	found := false
+	for seed := uint64(0); seed < 3000 && !found; seed++ {
+		sim := newSimulation(seed, 3, 0.3)
+		unsent := make([]pending, 3)
+		for step := range 800 {
+			rank := sim.rng.IntN(2)
+			sim.runRound(rank, unsent, uint16(step))
+			if c := sim.coordinators[rank]; c.Phase() == Settling && c.holder != rank {
+				for i := range c.fenced {
+					c.fenced[i] = true
+				}
+			}
+			if sim.rng.IntN(3) == 0 {
+				sim.tick()
+			}
+			if sim.rng.IntN(8) == 0 {
+				sim.deliverDelayed()
+			}
+		}
+		found = sim.mapsDiffer
+	}
+	assert.Assert(t, found, "the simulation did not detect the planted fault")
+}
+
 // TestAnswersToAnAbandonedChangeDoNotCount abandons a change after its orders were sent and
 // before the answers arrive, and begins another one. The answers must not count for the
 // second change.
--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -13,18 +13,22 @@
 //  3. arm: every rank is set to switch to the new version as pass S begins.
 //  4. go: the hold is released, but only after all ranks were observed to be armed.
 //
-// A hold that does not belong to the coordinator's current change is settled: every rank
-// that is not armed prepares a higher version, which makes any late arm of an earlier
-// version fail, and the ranks that this rank's coordinators armed for the held pass are
-// disarmed. Only then is the hold released. If every rank is armed with one version, that
-// change is released instead. A version that was disarmed once is never armed again, since
-// a late disarm may still be in transit.
+// A hold that does not belong to the coordinator's current change is settled, whichever rank
+// it is at: every rank that is not armed prepares a higher version, which makes any late arm of
+// an earlier version fail, and the ranks that the coordinators of the holding rank armed for
+// the held pass are disarmed. Only then is the hold released. If every rank is armed with one
+// version, that change is released instead. The owner of the hold may still run: it can't find
+// all ranks armed once one of them has prepared the higher version, and no rank is disarmed
+// before that. A version that was disarmed once is never armed again, since a late disarm may
+// still be in transit.
 //
 // A version modulo the size of the group is the rank of the coordinator that issued it, so
 // that two coordinators never use the same version. A new process begins no change until
 // every pass that an earlier process may have held has begun.
 package mapswitch
 
+import "slices"
+
 // Op is the kind of an order.
 type Op uint8
 
@@ -144,16 +148,19 @@
 	firstEpoch int64
 	phase      Phase
 	epoch      int64
+	// pass is the last pass that has begun, as of the last round.
+	pass int64
 	// blockedUntilPass is the last pass during which no change begins, since an earlier
-	// process on this rank may have held a pass up to it.
+	// process on this rank may have held a pass, or issued a version, up to it.
 	blockedUntilPass int64
-	// safeToBegin is true once no pass that may have been held is still ahead.
-	safeToBegin bool
 
-	// version, newMap, digests and holdPass describe the current change.
-	version  int64
-	newMap   [][][]uint16
-	digests  []uint64
+	// version, newMap and digests describe the current change.
+	version int64
+	newMap  [][][]uint16
+	digests []uint64
+	// holder is the rank at which holdPass is held: the coordinator's own one, unless it settles
+	// the hold of another.
+	holder   int
 	holdPass int64
 	// lastHoldPass is the last pass for which a hold was requested or found.
 	lastHoldPass int64
@@ -175,7 +182,7 @@
 // epoch when the process started.
 func New(rank, size int, firstEpoch int64) *Coordinator {
 	return &Coordinator{
-		rank: rank, size: size, firstEpoch: firstEpoch, lastHoldPass: NoPass,
+		rank: rank, size: size, firstEpoch: firstEpoch, holder: rank, lastHoldPass: NoPass,
 		lastOps: make([]Op, size), prepareAnswered: make([]bool, size), fenced: make([]bool, size),
 	}
 }
@@ -189,8 +196,13 @@
 // HoldPass returns the pass that is held or to be held.
 func (c *Coordinator) HoldPass() int64 { return c.holdPass }
 
-// Ready reports whether a change may begin.
-func (c *Coordinator) Ready() bool { return c.phase == Idle && c.safeToBegin }
+// Holder returns the rank at which HoldPass is held or to be held.
+func (c *Coordinator) Holder() int { return c.holder }
+
+// Ready reports whether a change may begin: no pass that may have been held is still ahead.
+func (c *Coordinator) Ready() bool {
+	return c.phase == Idle && c.pass > c.blockedUntilPass && c.pass >= c.lastHoldPass
+}
 
 // Begin starts a change to newMap; digests identify the experts of each rank. The version
 // of the change is above every version that the coordinator has observed, and above
@@ -224,9 +236,9 @@
 	return c.highestVersion
 }
 
-// armedByThisRank reports whether a rank is armed for holdPass by a process of this rank.
-func (c *Coordinator) armedByThisRank(s State) bool {
-	return s.ArmedVersion != 0 && s.ArmedVersion%int64(c.size) == int64(c.rank) && s.ArmedPass == c.holdPass
+// armedByHolder reports whether a rank is armed for holdPass by a process of the holding rank.
+func (c *Coordinator) armedByHolder(s State) bool {
+	return s.ArmedVersion != 0 && s.ArmedVersion%int64(c.size) == int64(c.holder) && s.ArmedPass == c.holdPass
 }
 
 // Round processes the states of all ranks and the active map, and returns the next orders.
@@ -237,9 +249,8 @@
 	}
 	c.activeMap = activeMap
 	c.recordPrepareResults(states)
-	own := states[c.rank]
-	if own.HeldPass != NoPass && !c.ownsHold(own.HeldPass) {
-		c.startSettling(own.HeldPass)
+	if rank := c.unownedHold(states); rank >= 0 {
+		c.startSettling(rank, states[rank].HeldPass)
 	}
 	commands := c.nextCommands(states)
 	clear(c.lastOps)
@@ -292,32 +303,47 @@
 // begins, it discards the state of the earlier one.
 func (c *Coordinator) observe(states []State) bool {
 	own := states[c.rank]
-	for _, s := range states {
-		if !s.Open || s.Epoch != own.Epoch {
-			return false
-		}
-		c.highestVersion = max(c.highestVersion, s.Version, s.Prepared, s.ArmedVersion)
+	if slices.ContainsFunc(states, func(s State) bool { return !s.Open || s.Epoch != own.Epoch }) {
+		return false
 	}
 	if own.Epoch != c.epoch {
-		c.blockedUntilPass = NoPass
-		if own.Epoch <= c.firstEpoch {
-			c.blockedUntilPass = own.Pass + 2*holdLead
-		}
-		c.epoch, c.phase, c.safeToBegin, c.lastHoldPass = own.Epoch, Idle, false, NoPass
-		clear(c.lastOps)
+		c.startEpoch(own)
 	}
-	if own.Pass > c.blockedUntilPass && own.Pass >= c.lastHoldPass {
-		c.safeToBegin = true
+	c.pass = own.Pass
+	for _, s := range states {
+		c.highestVersion = max(c.highestVersion, s.Version, s.Prepared, s.ArmedVersion)
 	}
 	return true
 }
 
-// ownsHold reports whether the coordinator has requested a hold of the pass and is still
-// handling it.
-func (c *Coordinator) ownsHold(pass int64) bool {
+// startEpoch discards the state of the earlier epoch.
+func (c *Coordinator) startEpoch(own State) {
+	c.blockedUntilPass = NoPass
+	if own.Epoch <= c.firstEpoch {
+		c.blockedUntilPass = own.Pass + 2*holdLead
+	}
+	c.epoch, c.phase, c.lastHoldPass = own.Epoch, Idle, NoPass
+	clear(c.lastOps)
+}
+
+// unownedHold returns the rank of a hold that is to be settled, or -1. The hold of another rank
+// waits until the coordinator has completed its current change or hold.
+func (c *Coordinator) unownedHold(states []State) int {
+	if own := states[c.rank].HeldPass; own != NoPass && !c.handlesHold(c.rank, own) {
+		return c.rank
+	}
+	if c.phase != Idle && c.phase != Preparing && (c.phase != Releasing || states[c.holder].HeldPass == c.holdPass) {
+		return -1
+	}
+	return slices.IndexFunc(states, func(s State) bool { return s.HeldPass != NoPass })
+}
+
+// handlesHold reports whether the coordinator has requested or found the hold of the pass at the
+// rank and is still handling it.
+func (c *Coordinator) handlesHold(rank int, pass int64) bool {
 	switch c.phase {
 	case Holding, Arming, Releasing, Settling:
-		return c.holdPass == pass
+		return c.holder == rank && c.holdPass == pass
 	default:
 		return false
 	}
--- a/internal/mapswitch/phases.go
+++ b/internal/mapswitch/phases.go
@@ -19,7 +19,7 @@
 		return commands
 	}
 	c.phase = Holding
-	c.holdPass = NoPass
+	c.holder, c.holdPass = c.rank, NoPass
 	return c.hold(states)
 }
 
@@ -42,7 +42,7 @@
 func (c *Coordinator) arm(states []State) []Command {
 	if states[c.rank].HeldPass != c.holdPass {
 		// The hold has ended although no go order was sent: no rank may stay armed.
-		c.startSettling(c.holdPass)
+		c.startSettling(c.rank, c.holdPass)
 		return c.continueSettling(states)
 	}
 	var commands []Command
@@ -50,7 +50,7 @@
 		switch {
 		case s.ArmedVersion == c.version && s.ArmedPass == c.holdPass:
 		case s.ArmedVersion != 0 || s.Prepared != c.version || s.Digest != c.digests[r]:
-			c.startSettling(c.holdPass)
+			c.startSettling(c.rank, c.holdPass)
 			return c.continueSettling(states)
 		default:
 			commands = append(commands, c.newCommand(r, Order{Op: Arm, Version: c.version, Pass: c.holdPass}))
@@ -63,22 +63,21 @@
 	return c.release(states)
 }
 
-// release orders the coordinator's own rank to end the hold.
+// release orders the holding rank to end the hold.
 func (c *Coordinator) release(states []State) []Command {
-	own := states[c.rank]
-	if own.HeldPass == c.holdPass {
-		return []Command{c.newCommand(c.rank, Order{Op: Go, Pass: c.holdPass})}
+	if states[c.holder].HeldPass == c.holdPass {
+		return []Command{c.newCommand(c.holder, Order{Op: Go, Pass: c.holdPass})}
 	}
-	if own.Pass >= c.holdPass {
-		c.phase, c.safeToBegin = Idle, true
+	if c.pass >= c.holdPass {
+		c.phase = Idle
 	}
 	return nil
 }
 
-// startSettling begins to disarm the ranks that may be armed for a held pass.
-func (c *Coordinator) startSettling(pass int64) {
+// startSettling begins to disarm the ranks that may be armed for a pass that a rank holds.
+func (c *Coordinator) startSettling(holder int, pass int64) {
 	c.phase = Settling
-	c.holdPass = pass
+	c.holder, c.holdPass = holder, pass
 	c.lastHoldPass = max(c.lastHoldPass, pass)
 	c.fenceVersion = c.nextVersion()
 	clear(c.fenced)
@@ -99,15 +98,15 @@
 	}
 	var commands []Command
 	for r, s := range states {
-		if c.armedByThisRank(s) {
+		if c.armedByHolder(s) {
 			commands = append(commands, c.newCommand(r, Order{Op: Disarm, Version: s.ArmedVersion}))
 		}
 	}
 	if len(commands) > 0 {
 		return commands
 	}
-	if states[c.rank].HeldPass == c.holdPass {
-		return []Command{c.newCommand(c.rank, Order{Op: Go, Pass: c.holdPass})}
+	if states[c.holder].HeldPass == c.holdPass {
+		return []Command{c.newCommand(c.holder, Order{Op: Go, Pass: c.holdPass})}
 	}
 	c.phase = Idle
 	return nil
@@ -126,14 +125,14 @@
 }
 
 // fenceUnarmed orders the ranks that are not armed to prepare fenceVersion. A rank that
-// another coordinator has armed has that coordinator's version prepared, and so rejects arm
-// orders of this one.
+// another coordinator than the holding rank's has armed has that coordinator's version prepared,
+// and so rejects arm orders of the settled change.
 func (c *Coordinator) fenceUnarmed(states []State) []Command {
 	var commands []Command
 	for r, s := range states {
 		switch {
 		case s.ArmedVersion != 0:
-			c.fenced[r] = c.fenced[r] || !c.armedByThisRank(s)
+			c.fenced[r] = c.fenced[r] || !c.armedByHolder(s)
 		case s.Prepared >= c.fenceVersion:
 			c.fenced[r] = true
 		case !c.fenced[r]:
