mapswitch: a later process never issues a version again

Cause: the version of a change was the lowest of the rank above those that the ranks show. A process that starts after its predecessor has issued a version that no rank shows yet issues it again, with another map. A late prepare order then gives one rank the earlier map, whose version fits, and whose digest fits where the rank's own experts are the same in both.

Ruled out: the digest alone. A rank shows its own experts only, so that a whole map can only be identified by its version.

Change: versions of changes grow with the group's passes, which the engines count, and are at most four passes ahead. A process that starts within an epoch begins no change for that many passes. Fences, which can't wait while a pass is held, have versions that no change ever has.

--- a/internal/mapswitch/coordinator_test.go
+++ b/internal/mapswitch/coordinator_test.go
@@ -66,16 +66,12 @@
 		return
 	}
 	before := c.Phase()
-	unsent[rank].commands = c.Round(states, mapOf(uint16(sim.engines[rank].digest)))
+	unsent[rank].commands = c.Round(states, mapOf(sim.engines[rank].number, len(sim.engines)))
 	if before == Releasing && c.Phase() == Idle {
 		sim.changes++
 	}
 	if c.Ready() && sim.rng.IntN(4) == 0 {
-		digests := make([]uint64, len(sim.engines))
-		for i := range digests {
-			digests[i] = uint64(mapNumber)
-		}
-		c.Begin(mapOf(mapNumber), digests, 0)
+		c.Begin(mapOf(mapNumber, len(sim.engines)), digestsOf(mapNumber, len(sim.engines)), 0)
 	}
 }
 
@@ -211,6 +207,31 @@
 	}
 }
 
+// TestSimulationDetectsReusedVersions checks that the simulation detects a process that issues
+// versions again which an earlier process of its rank has issued.
+func TestSimulationDetectsReusedVersions(t *testing.T) {
+	found := false
+	for seed := uint64(0); seed < 400 && !found; seed++ {
+		sim := newSimulation(seed, 3, 0.5)
+		unsent := make([]pending, 3)
+		for step := range 1500 {
+			sim.runRound(0, unsent, uint16(step))
+			if c := sim.coordinators[0]; c != nil {
+				c.blockedUntilPass = NoPass
+			}
+			if sim.rng.IntN(3) == 0 {
+				sim.tick()
+			}
+			if sim.rng.IntN(8) == 0 {
+				sim.deliverDelayed()
+			}
+			sim.injectFault(unsent, true)
+		}
+		found = sim.mapsDiffer
+	}
+	assert.Assert(t, found, "the simulation did not detect the planted fault")
+}
+
 // TestSimulationDetectsUnfencedHoldOfAnotherRank checks that the simulation detects a coordinator
 // that disarms ranks for the hold of another rank, whose coordinator runs, without a fence.
 func TestSimulationDetectsUnfencedHoldOfAnotherRank(t *testing.T) {
@@ -238,6 +259,57 @@
 	assert.Assert(t, found, "the simulation did not detect the planted fault")
 }
 
+// TestVersionsOfAnEarlierProcessAreNotReused lets a process issue a version that no rank shows
+// before the process ends. A prepare order that is carried out late must not be one of the next
+// process's change.
+func TestVersionsOfAnEarlierProcessAreNotReused(t *testing.T) {
+	const size = 2
+	pass := int64(20)
+	states := func() []State {
+		s := State{Open: true, Epoch: 3, Pass: pass, HeldPass: NoPass}
+		return []State{s, s}
+	}
+	// begin runs a new process until it begins a change, and returns the change's version.
+	begin := func(n uint16) int64 {
+		c := New(1, size, 3)
+		for !c.Begin(mapOf(n, size), digestsOf(n, size), 0) {
+			c.Round(states(), mapOf(0, size))
+			pass++
+		}
+		return c.Version()
+	}
+	first := begin(2)
+	second := begin(4)
+	assert.Assert(t, second > first, "versions %d and %d", first, second)
+}
+
+// TestFenceVersionsAreNeverThoseOfChanges checks that a late order that prepares a fence can't be
+// taken for one of a change of the next process.
+func TestFenceVersionsAreNeverThoseOfChanges(t *testing.T) {
+	const size = 3
+	for rank := range size {
+		c := New(rank, size, 0)
+		for range 5 {
+			change, fence := c.nextVersion(false), c.nextVersion(true)
+			assert.Equal(t, change%size, int64(rank))
+			assert.Equal(t, fence%size, int64(rank))
+			assert.Equal(t, change/size%2, int64(0))
+			assert.Equal(t, fence/size%2, int64(1))
+			c.highestVersion = max(change, fence)
+		}
+	}
+}
+
+// TestVersionsGoOnWherePassesAreCountedAnew checks that a process begins changes in an epoch in
+// which the engines count their passes from zero.
+func TestVersionsGoOnWherePassesAreCountedAnew(t *testing.T) {
+	c := New(0, 1, 0)
+	for i, pass := range []int64{1 << 30, 3} {
+		c.Round([]State{{Open: true, Epoch: int64(i + 1), Pass: pass, HeldPass: NoPass}}, nil)
+		assert.Assert(t, c.Begin(mapOf(1, 1), digestsOf(1, 1), 0), "pass %d", pass)
+	}
+}
+
 // TestAnswersToAnAbandonedChangeDoNotCount abandons a change after its orders were sent and
 // before the answers arrive, and begins another one. The answers must not count for the
 // second change.
@@ -247,9 +319,9 @@
 		return []State{{Open: true, Epoch: 2, Pass: 9, HeldPass: NoPass, Result: Accepted}, {Open: true, Epoch: 2, Pass: 9, HeldPass: NoPass, Result: Accepted}}
 	}
 	c.Round(idle(), nil)
-	assert.Assert(t, c.Begin(mapOf(1), []uint64{1, 1}, 0))
+	assert.Assert(t, c.Begin(mapOf(1, 2), digestsOf(1, 2), 0))
 	assert.Equal(t, len(c.Round(idle(), nil)), 2) // both ranks receive a prepare order
 	c.Abandon()
-	assert.Assert(t, c.Begin(mapOf(2), []uint64{2, 2}, 0))
+	assert.Assert(t, c.Begin(mapOf(2, 2), digestsOf(2, 2), 0))
 	assert.Equal(t, len(c.Round(idle(), nil)), 2, "want a prepare order to each rank: answers to the abandoned change must not count")
 }
--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -22,9 +22,13 @@
 // before that. A version that was disarmed once is never armed again, since a late disarm may
 // still be in transit.
 //
-// A version modulo the size of the group is the rank of the coordinator that issued it, so
-// that two coordinators never use the same version. A new process begins no change until
-// every pass that an earlier process may have held has begun.
+// No two changes of an epoch have the same version, and no rank holds the same pass twice, so
+// that a late order of one change never acts on another. A version modulo the size of the group
+// is the rank of the coordinator that issued it; of its versions, every other one is for fences,
+// which are prepared but never armed. The versions of changes and the held passes grow with the
+// passes of the group and are at most restartPasses passes ahead. A process that starts within an
+// epoch begins no change until that many passes have begun, and so stays above all that the
+// earlier processes of its rank may have issued, although no rank may show it yet.
 package mapswitch
 
 import "slices"
@@ -138,6 +142,11 @@
 	// skipVersions is the number of its own versions that a coordinator skips when a rank
 	// has already had a higher version.
 	skipVersions = 16
+	// restartPasses is the number of passes by which the held passes and the versions of changes
+	// are at most ahead of the group.
+	restartPasses = 2 * holdLead
+	// versionsPerPass is the number of versions of each rank that belong to one pass.
+	versionsPerPass = 1024
 )
 
 // Coordinator changes the map of one group. It is a state machine that does no I/O.
@@ -212,7 +221,11 @@
 		return false
 	}
 	c.highestVersion = max(c.highestVersion, minVersion)
-	c.version = c.nextVersion()
+	version := c.nextVersion(false)
+	if version >= c.firstVersion(c.pass+restartPasses+1) {
+		return false // a process that starts later could issue the version again
+	}
+	c.version, c.highestVersion = version, version
 	c.newMap, c.digests = newMap, digests
 	clear(c.prepareAnswered)
 	clear(c.lastOps) // answers to orders of an abandoned change must not count for this one
@@ -228,12 +241,20 @@
 	}
 }
 
-// nextVersion returns the lowest version of this rank above every version observed or
-// issued.
-func (c *Coordinator) nextVersion() int64 {
-	n, least := int64(c.size), c.highestVersion+1
-	c.highestVersion = least + ((int64(c.rank)-least)%n+n)%n
-	return c.highestVersion
+// nextVersion returns the lowest version of this rank above those observed or issued, and not
+// below those of the last pass. The versions of changes and of fences are different ones.
+func (c *Coordinator) nextVersion(fence bool) int64 {
+	residue, n := int64(c.rank), 2*int64(c.size)
+	if fence {
+		residue += int64(c.size)
+	}
+	least := max(c.highestVersion, c.firstVersion(c.pass)) + 1
+	return least + ((residue-least)%n+n)%n
+}
+
+// firstVersion returns the lowest version that belongs to a pass.
+func (c *Coordinator) firstVersion(pass int64) int64 {
+	return pass * versionsPerPass * int64(c.size)
 }
 
 // armedByHolder reports whether a rank is armed for holdPass by a process of the holding rank.
@@ -294,7 +315,7 @@
 		} else if s.ArmedVersion == 0 && s.Prepared < c.fenceVersion {
 			// The rank has already prepared a higher version, which its state no longer shows.
 			c.highestVersion += int64(skipVersions * c.size)
-			c.fenceVersion = c.nextVersion()
+			c.raiseFence()
 		}
 	}
 }
@@ -320,7 +341,10 @@
 func (c *Coordinator) startEpoch(own State) {
 	c.blockedUntilPass = NoPass
 	if own.Epoch <= c.firstEpoch {
-		c.blockedUntilPass = own.Pass + 2*holdLead
+		c.blockedUntilPass = own.Pass + restartPasses
+	}
+	if own.Pass < c.pass {
+		c.highestVersion = 0 // passes, with which versions grow, are counted anew
 	}
 	c.epoch, c.phase, c.lastHoldPass = own.Epoch, Idle, NoPass
 	clear(c.lastOps)
--- a/internal/mapswitch/phases.go
+++ b/internal/mapswitch/phases.go
@@ -79,10 +79,16 @@
 	c.phase = Settling
 	c.holder, c.holdPass = holder, pass
 	c.lastHoldPass = max(c.lastHoldPass, pass)
-	c.fenceVersion = c.nextVersion()
+	c.raiseFence()
 	clear(c.fenced)
 }
 
+// raiseFence sets fenceVersion above every version observed or issued.
+func (c *Coordinator) raiseFence() {
+	c.fenceVersion = c.nextVersion(true)
+	c.highestVersion = c.fenceVersion
+}
+
 // continueSettling ends a hold whose change can't go on, or whose owner no longer runs. If
 // every rank is armed with the same version, an earlier process may already have sent the
 // go order, so the change is released. Otherwise the ranks that are not armed first prepare
--- a/internal/mapswitch/simulation_test.go
+++ b/internal/mapswitch/simulation_test.go
@@ -4,17 +4,18 @@
 	"math/rand/v2"
 )
 
-// engine simulates the engine of one rank, with the documented effect of each order.
+// engine simulates the engine of one rank, with the documented effect of each order. Its maps
+// are numbers; see mapOf.
 type engine struct {
-	highest        int64 // highest version that the rank has prepared
-	version        int64
-	digest         uint64
-	prepared       int64
-	preparedDigest uint64
+	highest     int64 // highest version that the rank has prepared
+	version     int64
+	number      uint16
+	prepared    int64
+	preparedMap uint16
 	// copyTicks is the number of ticks until prepared shows in the state.
 	copyTicks    int
 	armedVersion int64
-	armedDigest  uint64
+	armedMap     uint16
 	armedPass    int64
 	held         int64
 }
@@ -67,7 +68,7 @@
 			return Rejected
 		}
 		e.highest, e.prepared, e.copyTicks = o.Version, o.Version, sim.rng.IntN(3)
-		e.preparedDigest = digestOf(o.Map)
+		e.preparedMap = numberOf(o.Map)
 	case Hold:
 		if o.Pass <= sim.pass || e.held != NoPass && e.held != o.Pass {
 			return Rejected
@@ -77,7 +78,7 @@
 		if e.prepared != o.Version || e.copyTicks > 0 || o.Pass <= sim.pass {
 			return Rejected
 		}
-		e.armedVersion, e.armedDigest, e.armedPass = o.Version, e.preparedDigest, o.Pass
+		e.armedVersion, e.armedMap, e.armedPass = o.Version, e.preparedMap, o.Pass
 	case Disarm:
 		if e.version == o.Version {
 			return Rejected
@@ -93,10 +94,27 @@
 	return Accepted
 }
 
-// digestOf identifies a map. The maps in these tests consist of a single number.
-func digestOf(m [][][]uint16) uint64 { return uint64(m[0][0][0]) }
+// mapOf returns the map with a number. In each map rank 0 has other experts. The experts of the
+// other ranks are the same in many maps, so that a rank's experts don't identify a map.
+func mapOf(n uint16, size int) [][][]uint16 {
+	rows := [][]uint16{{n}}
+	for rank := 1; rank < size; rank++ {
+		rows = append(rows, []uint16{n % 2})
+	}
+	return [][][]uint16{rows}
+}
+
+// numberOf reverses mapOf.
+func numberOf(m [][][]uint16) uint16 { return m[0][0][0] }
 
-func mapOf(n uint16) [][][]uint16 { return [][][]uint16{{{n}}} }
+// digestsOf returns the digests of the experts of all ranks, as ranks show them.
+func digestsOf(n uint16, size int) []uint64 {
+	var digests []uint64
+	for _, row := range mapOf(n, size)[0] {
+		digests = append(digests, uint64(row[0]))
+	}
+	return digests
+}
 
 // tick begins the next pass unless it is held, and compares the ranks' maps.
 func (sim *simulation) tick() {
@@ -114,12 +132,12 @@
 	for i := range sim.engines {
 		e := &sim.engines[i]
 		if e.armedVersion != 0 && e.armedPass == sim.pass {
-			e.version, e.digest = e.armedVersion, e.armedDigest
+			e.version, e.number = e.armedVersion, e.armedMap
 			e.armedVersion, e.prepared = 0, 0
 		}
 	}
 	for i := range sim.engines {
-		if sim.engines[i].version != sim.engines[0].version || sim.engines[i].digest != sim.engines[0].digest {
+		if sim.engines[i].version != sim.engines[0].version || sim.engines[i].number != sim.engines[0].number {
 			sim.mapsDiffer = true
 		}
 	}
@@ -133,7 +151,7 @@
 		ArmedVersion: e.armedVersion, ArmedPass: e.armedPass, HeldPass: e.held, Result: result,
 	}
 	if e.copyTicks == 0 {
-		s.Prepared, s.Digest = e.prepared, e.preparedDigest
+		s.Prepared, s.Digest = e.prepared, digestsOf(e.preparedMap, len(sim.engines))[rank]
 	}
 	return s
 }
