mapswitch: smaller versions, and no zero fields in a rank's state

A pass has 16 versions of each rank in place of 1,024, and fields of a rank's state that are zero are left out; older processes read both.

--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -96,11 +96,11 @@
 	Version int64 `cbor:"4,keyasint"`
 	// Prepared is the version whose experts are all loaded, or zero. Digest identifies
 	// those experts.
-	Prepared int64  `cbor:"5,keyasint"`
-	Digest   uint64 `cbor:"6,keyasint"`
+	Prepared int64  `cbor:"5,keyasint,omitempty"`
+	Digest   uint64 `cbor:"6,keyasint,omitempty"`
 	// ArmedVersion is the version to which the rank switches as ArmedPass begins, or zero.
-	ArmedVersion int64 `cbor:"7,keyasint"`
-	ArmedPass    int64 `cbor:"8,keyasint"`
+	ArmedVersion int64 `cbor:"7,keyasint,omitempty"`
+	ArmedPass    int64 `cbor:"8,keyasint,omitempty"`
 	// HeldPass is the pass that the rank keeps the group from beginning, or NoPass.
 	HeldPass int64 `cbor:"9,keyasint"`
 	// Result is the outcome of the round's order; Accepted if there was none.
@@ -146,7 +146,7 @@
 	// are at most ahead of the group.
 	restartPasses = 2 * holdLead
 	// versionsPerPass is the number of versions of each rank that belong to one pass.
-	versionsPerPass = 1024
+	versionsPerPass = 16
 )
 
 // Coordinator changes the map of one group. It is a state machine that does no I/O.
