platform: an odd entry of another writer hides no target

An entry of an unknown service with the address of a live target and a later creation took the target out of use.

Entries of services that the configuration does not name are not used and hide no other.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -278,13 +278,17 @@
 	v.Loaded = r.config != nil && r.loaded[TopicTargets] && r.loaded[TopicEvacuations]
 	newest := make(map[string]Position, len(r.targets))
 	for _, e := range r.targets {
+		if !r.config.hasService(e.target.Service) {
+			continue
+		}
 		if known, ok := newest[e.target.Address]; !ok || e.target.Created.Compare(known) > 0 {
 			newest[e.target.Address] = e.target.Created
 		}
 	}
 	for _, e := range r.targets {
-		// An older entry with the address of a newer one belongs to a lifetime that has ended.
-		if e.target.Created == newest[e.target.Address] {
+		// An older entry with the address of a newer one belongs to a lifetime that has ended. An
+		// entry of a service that the configuration does not name may be anyone's.
+		if r.config.hasService(e.target.Service) && e.target.Created == newest[e.target.Address] {
 			v.Targets = append(v.Targets, e.target)
 		}
 	}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -30,6 +30,20 @@
 	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"b": TargetReady})
 }
 
+// Guards against an entry of another writer that takes a live target out of use: it names a service
+// that does not exist, and the target's address.
+func TestEntryOfAnUnknownServiceHidesNoTarget(t *testing.T) {
+	r := NewRegistry(drainTimeout)
+	odd := target("odd", TargetReady)
+	odd.Target.Service, odd.Target.Created = "unknown", Position{Revision: 9}
+	r.ApplyList(0, TopicTargets, batch(target("a", TargetReady), odd))
+	r.ApplyList(0, TopicConfig, batch(Change{Name: "main", Config: &Config{Version: 1, Services: []Service{{Name: "s"}}}}))
+	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"a": TargetReady})
+	// A later configuration may name the service; then the address has gone to its target.
+	r.ApplyChanges(0, TopicConfig, batch(Change{Name: "main", Config: &Config{Version: 2, Services: []Service{{Name: "s"}, {Name: "unknown"}}}}))
+	assert.DeepEqual(t, ids(r.View()), map[string]TargetState{"odd": TargetReady})
+}
+
 // Entries of live targets may expire during an outage of the store. A target that does not
 // register again is removed after the grace period and no earlier. The period ends early
 // enough for the target to get no work drainTimeout after it left, if it left on purpose
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -4,7 +4,10 @@
 // through the Source interface.
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RepeatPolicy defines whether a request may run more than once.
 type RepeatPolicy uint8
@@ -33,6 +36,12 @@
 	Organisations []Organisation
 }
 
+// hasService reports whether the configuration names a service. Before it is known, any service
+// may exist.
+func (c *Config) hasService(name string) bool {
+	return c == nil || slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == name })
+}
+
 // Route defines which requests go to which services, and how they are handled.
 type Route struct {
 	Name string
