upstream: a refusal that is written once more fits no other request

Cause: answers are matched by the attempt id that they echo. A connection could carry the same id twice (an id that a caller uses again; a successor at the address of a target that answered 421), only the first of several ids was compared, and an empty id fitted a request without one. A repeated refusal with another id, or without one, was skipped before.

Change: a connection carries an attempt id once in its last sixteen calls, all echoed ids must fit, and a request without an id gets a new connection.

Evidence: TestRepeatedRefusalIsNotTakenForTheNextAnswer, three of seven forms failed on. All pass now.

--- a/internal/http1/header.go
+++ b/internal/http1/header.go
@@ -33,18 +33,21 @@
 	return "", false
 }
 
-// List returns the values of all fields with the name, in order and separated by commas
-// (RFC 9110, section 5.3).
-func (h Header) List(name string) string {
+// All returns the values of all fields with the name, in order.
+func (h Header) All(name string) []string {
 	var values []string
 	for i := range h {
 		if strings.EqualFold(h[i].Name, name) {
 			values = append(values, h[i].Value)
 		}
 	}
-	return strings.Join(values, ", ")
+	return values
 }
 
+// List returns the values of all fields with the name, in order and separated by commas
+// (RFC 9110, section 5.3).
+func (h Header) List(name string) string { return strings.Join(h.All(name), ", ") }
+
 // Without returns a copy of h that lacks the fields for which drop returns true.
 func (h Header) Without(drop func(name string) bool) Header {
 	kept := make(Header, 0, len(h))
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -67,14 +68,15 @@
 // ErrForeignAnswer means that the connection delivered only answers to other requests.
 var ErrForeignAnswer = errors.New("the answer belongs to another request")
 
-// answersCall reports whether an answer echoes the call's attempt id. An answer without an
-// id is accepted only as the first on its connection: it can only be for the first request.
+// answersCall reports whether an answer echoes the call's attempt id, and no other. An answer
+// without an id is accepted only as the first on its connection: it can only be for the first
+// request.
 func (a *Answer) answersCall(resp *http1.Response, call *Call) bool {
-	id, echoed := resp.Header.Lookup(a.client.names.Attempt)
-	if echoed {
-		return id == call.Attempt
+	echoed := resp.Header.All(a.client.names.Attempt)
+	if len(echoed) == 0 {
+		return a.conn.served == 0
 	}
-	return a.conn.served == 0
+	return !slices.ContainsFunc(echoed, func(id string) bool { return id != call.Attempt })
 }
 
 // NotExecuted reports whether the target states that it did not run the request.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"slices"
 	"strings"
@@ -78,6 +79,29 @@
 	idleFor   time.Duration
 	// served is the number of answers read from the connection.
 	served int
+	// carried contains hashes of the attempt ids of the last calls, the next of which replaces the
+	// one at carriedNext.
+	carried     [maxCarried]uint64
+	carriedNext int
+}
+
+// maxCarried is the number of calls whose attempt ids a connection remembers: the same id is sent to
+// a target again only shortly after the first time.
+const maxCarried = 16
+
+var idSeed = maphash.MakeSeed()
+
+func hashID(attempt string) uint64 { return maphash.String(idSeed, attempt) }
+
+// hasCarried reports whether a call with the attempt id was sent on the connection. A second one must
+// not be, since an answer to the first that the target writes once more would fit.
+func (cn *conn) hasCarried(attempt string) bool {
+	return slices.Contains(cn.carried[:], hashID(attempt))
+}
+
+func (cn *conn) recordCall(attempt string) {
+	cn.carried[cn.carriedNext] = hashID(attempt)
+	cn.carriedNext = (cn.carriedNext + 1) % maxCarried
 }
 
 // Call is one request to one target.
@@ -85,7 +109,8 @@
 	// Addr is the target's IP address and port.
 	Addr    string
 	Request *http1.Request
-	// Attempt is the attempt id that the answer must echo.
+	// Attempt is the attempt id that the answer must echo. A call without one gets a new
+	// connection, as its answer could not be told from a late one.
 	Attempt string
 	// MaxConns bounds the connections to the target; zero means no bound.
 	MaxConns int
@@ -101,6 +126,7 @@
 	if err != nil {
 		return nil, &Failure{Stage: StageConnect, Cause: err}
 	}
+	cn.recordCall(call.Attempt)
 	stop := context.AfterFunc(ctx, cn.reset)
 	a := &Answer{client: c, conn: cn, stop: stop}
 	if err := a.send(&call); err != nil {
@@ -116,8 +142,8 @@
 
 // acquire returns a kept connection that still appears usable, or a new one.
 func (c *Client) acquire(ctx context.Context, call *Call) (*conn, error) {
-	for call.MaxIdle > 0 {
-		cn := c.takeIdle(call.Addr)
+	for call.MaxIdle > 0 && call.Attempt != "" {
+		cn := c.takeIdle(call.Addr, call.Attempt)
 		if cn == nil {
 			break
 		}
@@ -178,17 +204,19 @@
 	c.release(cn.addr)
 }
 
-// takeIdle removes and returns the idle connection that was used last, or returns nil.
-func (c *Client) takeIdle(addr string) *conn {
+// takeIdle removes and returns the idle connection that was used last and has not carried the
+// attempt id, or returns nil.
+func (c *Client) takeIdle(addr, attempt string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if cn := list[i]; !cn.hasCarried(attempt) {
+			c.idle[addr] = slices.Delete(list, i, i+1)
+			return cn
+		}
 	}
-	cn := list[len(list)-1]
-	c.idle[addr] = list[:len(list)-1]
-	return cn
+	return nil
 }
 
 // HasOpenIdle reports whether an idle connection to the target is open, so that its process runs.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -141,6 +141,53 @@
 	assert.Equal(t, body, "b")
 }
 
+// refusal is the answer of a target that does not run the request with an id.
+func refusal(fields string) string {
+	return "HTTP/1.1 503 Busy\r\n" + fields + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// Guards against a target that writes an earlier refusal once more on a kept connection: the caller
+// would be told that its request has not run although the target runs it, and the request could be
+// sent to a second target. The target writes the answer to the second request either on the same
+// connection or, if the client opens one, on a new one.
+func TestRepeatedRefusalIsNotTakenForTheNextAnswer(t *testing.T) {
+	const first = "X-Id: 1\r\n"
+	for name, test := range map[string]struct{ second, repeated string }{
+		"its own id":              {"2", refusal(first)},
+		"twice":                   {"2", refusal(first) + refusal(first)},
+		"no id":                   {"2", refusal("")},
+		"two ids":                 {"2", refusal("X-Id: 2\r\n" + first)},
+		"the same id sent again":  {"1", refusal(first)},
+		"no id, for one without":  {"", refusal("")},
+		"empty id, without an id": {"", refusal("X-Id: \r\n")},
+	} {
+		answer := okAnswer(test.second, "b")
+		f := startTarget(t, []string{refusal(first), test.repeated + answer}, []string{answer})
+		c := New(testNames)
+		_, a, failure := do(t, c, call(f, "1"))
+		assert.Assert(t, failure == nil && a.NotExecuted(), name)
+		body, a, failure := do(t, c, call(f, test.second))
+		if failure != nil {
+			assert.Equal(t, failure.Stage, StageSent, name) // unknown, and not a refusal
+			continue
+		}
+		assert.Assert(t, !a.NotExecuted(), name)
+		assert.Equal(t, body, "b", name)
+	}
+}
+
+// The id of a request that a connection carried long ago does not matter, and connections are
+// reused for other requests.
+func TestConnectionIsNotReusedForAnIDThatItCarried(t *testing.T) {
+	f := startTarget(t, []string{okAnswer("1", "a"), okAnswer("2", "b"), okAnswer("3", "c")}, []string{okAnswer("1", "d")})
+	c := New(testNames)
+	for _, id := range []string{"1", "2", "1", "3"} {
+		_, _, failure := do(t, c, call(f, id))
+		assert.Assert(t, failure == nil, id)
+	}
+	assert.Equal(t, len(f.conns), 2)
+}
+
 func TestAnswerWithoutAttemptIDIsRejectedOnReusedConnection(t *testing.T) {
 	unmarked := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nz"
 	f := startTarget(t, []string{okAnswer("1", "a"), unmarked})
