gateway: only events continue a broken stream

Cause: the order of events was checked for events with ids only, so that text without one was relayed; and an answer without an event completed a stream of which an earlier target had sent some. Answers with another status than 200 were refused before.

Change: in a stream whose events have ids, each event but a comment has the next id; an answer without an event completes no stream.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,7 +41,8 @@
 	stallTimer := a.startStallTimer()
 	defer stallTimer.Stop()
 	events := upstream.NewEventReader(answer.Body)
-	active := false
+	// progressed is true once the target has sent an event, and not only comments.
+	active, progressed := false, false
 	var last time.Time
 	defer func() {
 		if active {
@@ -63,8 +64,12 @@
 			if a.g.now()-a.began >= answeredAfter {
 				a.recordAnswer()
 			}
+			progressed = progressed || !ev.Comment
 			err = a.checkOrder(ev)
 		}
+		if errors.Is(err, io.EOF) && !progressed {
+			err = errNoEvents
+		}
 		if err != nil {
 			return a.handleStreamEnd(answer, err)
 		}
@@ -120,10 +125,14 @@
 // errOrder reports that an event's id does not follow that of the event before it.
 var errOrder = errors.New("the stream's event ids are out of order")
 
-// checkOrder returns errOrder if an event's id does not follow that of the last event that
-// was sent to the caller.
+// errNoEvents reports a stream that ended without an event. It can't be told from an answer that
+// is no stream, so that a stream which was to be resumed is not complete.
+var errNoEvents = errors.New("the stream ended without an event")
+
+// checkOrder returns errOrder if an event does not follow the last event that was sent to the caller.
+// In a stream whose events have ids, text without one is part of something else.
 func (a *attempt) checkOrder(ev upstream.StreamEvent) error {
-	if a.x.hasEvent && ev.HasID && ev.ID != a.x.lastEvent+1 {
+	if a.x.hasEvent && !ev.Comment && (!ev.HasID || ev.ID != a.x.lastEvent+1) {
 		return errOrder
 	}
 	return nil
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -18,7 +18,9 @@
 	// ID is the event's id. HasID is true if the event has one.
 	ID    int64
 	HasID bool
-	Bytes []byte
+	// Comment is true if the event consists of comments only.
+	Comment bool
+	Bytes   []byte
 }
 
 // EventReader splits a stream into complete events (WHATWG HTML, section 9.2).
@@ -59,9 +61,13 @@
 	return len(b) > 0 && b[len(b)-1] != '\n'
 }
 
-// readID sets ID and HasID from the event's id field.
+// readID sets ID and HasID from the event's id field, and Comment.
 func (ev *StreamEvent) readID() error {
+	ev.Comment = true
 	for line := range bytes.Lines(ev.Bytes) {
+		if len(bytes.TrimRight(line, "\r\n")) > 0 && line[0] != ':' {
+			ev.Comment = false
+		}
 		value, found := bytes.CutPrefix(line, []byte("id:"))
 		if !found {
 			continue
