--- a/internal/mapper/discover.go
+++ b/internal/mapper/discover.go
@@ -43,6 +43,9 @@
 		if engine != nil {
 			m.engine = engine
 		}
+		if batch.Undecodable > 0 {
+			m.opts.Logger.Warn().Str("event", "store-objects-refused").Str("topic", fleet.TopicTargets.String()).Int("count", batch.Undecodable).Msg("")
+		}
 		m.replacePeers(batch)
 	}
 }
--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -241,8 +241,8 @@
 	}
 }
 
-// nextVersion returns the lowest version of this rank above those observed or issued, and not
-// below those of the last pass. The versions of changes and of fences are different ones.
+// nextVersion returns the lowest version of this rank, for a change or for a fence, that is above
+// every version observed or issued and belongs to the last pass or a later one.
 func (c *Coordinator) nextVersion(fence bool) int64 {
 	residue, n := int64(c.rank), 2*int64(c.size)
 	if fence {
--- a/internal/mapswitch/phases.go
+++ b/internal/mapswitch/phases.go
@@ -130,9 +130,9 @@
 	return version
 }
 
-// fenceUnarmed orders the ranks that are not armed to prepare fenceVersion. A rank that
-// another coordinator than the holding rank's has armed has that coordinator's version prepared,
-// and so rejects arm orders of the settled change.
+// fenceUnarmed orders the ranks that are not armed to prepare fenceVersion. A rank that is armed by
+// the coordinator of any other rank than the holder has that coordinator's version prepared, and so
+// rejects arm orders of the settled change.
 func (c *Coordinator) fenceUnarmed(states []State) []Command {
 	var commands []Command
 	for r, s := range states {
