--- a/internal/mapswitch/coordinator_test.go
+++ b/internal/mapswitch/coordinator_test.go
@@ -146,24 +146,17 @@
 	assert.Assert(t, found, "the simulation did not detect the planted fault")
 }
 
-// TestSimulationDetectsMissingFence checks that the simulation detects a coordinator that
-// settles a hold and releases it without making late arm orders fail.
-func TestSimulationDetectsMissingFence(t *testing.T) {
-	found := false
-	for seed := uint64(0); seed < 3000 && !found; seed++ {
-		sim := newSimulation(seed, 3, 0.5)
-		unsent := make([]pending, 3)
-		for step := range 800 {
-			sim.runRound(0, unsent, uint16(step))
-			c := sim.coordinators[0]
-			if c.Phase() == Arming && sim.rng.IntN(3) == 0 {
-				c.startSettling(c.rank, c.holdPass)
-			}
-			if c.Phase() == Settling {
-				for i := range c.fenced {
-					c.fenced[i] = true
-				}
-			}
+// detects reports whether the simulation finds ranks with different maps in one of the seeds. Some
+// leaders run rounds, and plant alters a coordinator, or the simulation, after each of its rounds.
+func detects(seeds uint64, lossRate float64, leaders int, plant func(sim *simulation, c *Coordinator, unsent []pending)) bool {
+	const size = 3
+	for seed := range seeds {
+		sim := newSimulation(seed, size, lossRate)
+		unsent := make([]pending, size)
+		for step := range 1500 {
+			rank := sim.rng.IntN(leaders)
+			sim.runRound(rank, unsent, uint16(step))
+			plant(sim, sim.coordinators[rank], unsent)
 			if sim.rng.IntN(3) == 0 {
 				sim.tick()
 			}
@@ -171,9 +164,31 @@
 				sim.deliverDelayed()
 			}
 		}
-		found = sim.mapsDiffer
+		if sim.mapsDiffer {
+			return true
+		}
 	}
-	assert.Assert(t, found, "the simulation did not detect the planted fault")
+	return false
+}
+
+// skipFence makes a coordinator that settles a hold take all ranks for fenced.
+func skipFence(c *Coordinator) {
+	for i := range c.fenced {
+		c.fenced[i] = true
+	}
+}
+
+// TestSimulationDetectsMissingFence checks that the simulation detects a coordinator that
+// settles a hold and releases it without making late arm orders fail.
+func TestSimulationDetectsMissingFence(t *testing.T) {
+	assert.Assert(t, detects(3000, 0.5, 1, func(sim *simulation, c *Coordinator, _ []pending) {
+		if c.Phase() == Arming && sim.rng.IntN(3) == 0 {
+			c.startSettling(c.rank, c.holdPass)
+		}
+		if c.Phase() == Settling {
+			skipFence(c)
+		}
+	}), "the simulation did not detect the planted fault")
 }
 
 // endAllProcesses ends the coordinators of all ranks, with the orders that they have not sent.
@@ -210,53 +225,20 @@
 // TestSimulationDetectsReusedVersions checks that the simulation detects a process that issues
 // versions again which an earlier process of its rank has issued.
 func TestSimulationDetectsReusedVersions(t *testing.T) {
-	found := false
-	for seed := uint64(0); seed < 400 && !found; seed++ {
-		sim := newSimulation(seed, 3, 0.5)
-		unsent := make([]pending, 3)
-		for step := range 1500 {
-			sim.runRound(0, unsent, uint16(step))
-			if c := sim.coordinators[0]; c != nil {
-				c.blockedUntilPass = NoPass
-			}
-			if sim.rng.IntN(3) == 0 {
-				sim.tick()
-			}
-			if sim.rng.IntN(8) == 0 {
-				sim.deliverDelayed()
-			}
-			sim.injectFault(unsent, true)
-		}
-		found = sim.mapsDiffer
-	}
-	assert.Assert(t, found, "the simulation did not detect the planted fault")
+	assert.Assert(t, detects(400, 0.5, 1, func(sim *simulation, c *Coordinator, unsent []pending) {
+		c.blockedUntilPass = NoPass
+		sim.injectFault(unsent, true)
+	}), "the simulation did not detect the planted fault")
 }
 
 // TestSimulationDetectsUnfencedHoldOfAnotherRank checks that the simulation detects a coordinator
 // that disarms ranks for the hold of another rank, whose coordinator runs, without a fence.
 func TestSimulationDetectsUnfencedHoldOfAnotherRank(t *testing.T) {
-	found := false
-	for seed := uint64(0); seed < 3000 && !found; seed++ {
-		sim := newSimulation(seed, 3, 0.3)
-		unsent := make([]pending, 3)
-		for step := range 800 {
-			rank := sim.rng.IntN(2)
-			sim.runRound(rank, unsent, uint16(step))
-			if c := sim.coordinators[rank]; c.Phase() == Settling && c.holder != rank {
-				for i := range c.fenced {
-					c.fenced[i] = true
-				}
-			}
-			if sim.rng.IntN(3) == 0 {
-				sim.tick()
-			}
-			if sim.rng.IntN(8) == 0 {
-				sim.deliverDelayed()
-			}
+	assert.Assert(t, detects(3000, 0.3, 2, func(_ *simulation, c *Coordinator, _ []pending) {
+		if c.Phase() == Settling && c.holder != c.rank {
+			skipFence(c)
 		}
-		found = sim.mapsDiffer
-	}
-	assert.Assert(t, found, "the simulation did not detect the planted fault")
+	}), "the simulation did not detect the planted fault")
 }
 
 // TestVersionsOfAnEarlierProcessAreNotReused lets a process issue a version that no rank shows
