mapswitch: hold a later pass when orders go unanswered

Cause: a change holds the second pass after the newest one.

Change: after an unanswered prepare order the sixth pass is held. The passes by which a restarted process waits grow with it.

TestUnansweredOrderDelaysTheHeldPass fails before the change.

--- a/internal/mapswitch/coordinator_test.go
+++ b/internal/mapswitch/coordinator_test.go
@@ -307,3 +307,29 @@
 	assert.Assert(t, c.Begin(mapOf(2, 2), digestsOf(2, 2), 0))
 	assert.Equal(t, len(c.Round(idle(), nil)), 2, "want a prepare order to each rank: answers to the abandoned change must not count")
 }
+
+// TestUnansweredOrderDelaysTheHeldPass guards against a pause of the group: ranks that leave orders
+// unanswered need several rounds to arm, and the group must not reach the held pass before that.
+func TestUnansweredOrderDelaysTheHeldPass(t *testing.T) {
+	for _, test := range []struct {
+		answer Result
+		lead   int64
+	}{{Accepted, holdLead}, {Unknown, lateHoldLead}} {
+		const pass = 9
+		c := New(0, 2, 1)
+		states := func(version int64, digests []uint64, result Result) []State {
+			s := State{Open: true, Epoch: 2, Pass: pass, HeldPass: NoPass, Prepared: version, Result: Accepted}
+			a, b := s, s
+			a.Digest, b.Digest, b.Result = digests[0], digests[1], result
+			return []State{a, b}
+		}
+		none, digests := []uint64{0, 0}, digestsOf(1, 2)
+		c.Round(states(0, none, Accepted), nil)
+		assert.Assert(t, c.Begin(mapOf(1, 2), digests, 0))
+		c.Round(states(0, none, Accepted), nil) // sends the prepare orders
+		c.Round(states(0, none, test.answer), nil)
+		commands := c.Round(states(c.Version(), digests, Accepted), nil)
+		assert.Equal(t, len(commands), 1)
+		assert.DeepEqual(t, commands[0].Order, Order{Op: Hold, Epoch: 2, Pass: pass + test.lead})
+	}
+}
--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -136,6 +136,9 @@
 	// takes tens of milliseconds and the orders take a few round trips, so that the group
 	// seldom reaches the held pass before it is released.
 	holdLead = 2
+	// lateHoldLead is used instead after an order was not answered: arming all ranks then takes
+	// several rounds, and a group that reaches the held pass before that pauses all its streams.
+	lateHoldLead = 6
 	// minHoldLead is the least number of passes ahead for which the hold order is repeated;
 	// a pass that is closer is replaced by a later one.
 	minHoldLead = 1
@@ -144,7 +147,7 @@
 	skipVersions = 16
 	// restartPasses is the number of passes by which the held passes and the versions of changes
 	// are at most ahead of the group.
-	restartPasses = 2 * holdLead
+	restartPasses = 2 * lateHoldLead
 	// versionsPerPass is the number of versions of each rank that belong to one pass.
 	versionsPerPass = 16
 )
@@ -177,6 +180,8 @@
 	// ranks that have answered a prepare order of the current version.
 	lastOps         []Op
 	prepareAnswered []bool
+	// prepareUnanswered is true if a prepare order of the current change was not answered.
+	prepareUnanswered bool
 	// highestVersion is the highest version that was observed or issued.
 	highestVersion int64
 	// activeMap is sent with the prepare orders for fenceVersion.
@@ -227,6 +232,7 @@
 	}
 	c.version, c.highestVersion = version, version
 	c.newMap, c.digests = newMap, digests
+	c.prepareUnanswered = false
 	clear(c.prepareAnswered)
 	clear(c.lastOps) // answers to orders of an abandoned change must not count for this one
 	c.phase = Preparing
@@ -303,7 +309,11 @@
 // follows shows in their states only once it is complete.
 func (c *Coordinator) recordPrepareResults(states []State) {
 	for r, s := range states {
-		if c.lastOps[r] != Prepare || s.Result == Unknown {
+		if c.lastOps[r] != Prepare {
+			continue
+		}
+		if s.Result == Unknown {
+			c.prepareUnanswered = true
 			continue
 		}
 		c.prepareAnswered[r] = true
--- a/internal/mapswitch/phases.go
+++ b/internal/mapswitch/phases.go
@@ -31,12 +31,20 @@
 		return c.arm(states)
 	}
 	if c.holdPass == NoPass || c.holdPass < own.Pass+minHoldLead {
-		c.holdPass = max(own.Pass+holdLead, c.lastHoldPass+1)
+		c.holdPass = max(own.Pass+c.holdLead(), c.lastHoldPass+1)
 		c.lastHoldPass = c.holdPass
 	}
 	return []Command{c.newCommand(c.rank, Order{Op: Hold, Pass: c.holdPass})}
 }
 
+// holdLead returns the number of passes from the newest one to the one that is held.
+func (c *Coordinator) holdLead() int64 {
+	if c.prepareUnanswered {
+		return lateHoldLead
+	}
+	return holdLead
+}
+
 // arm orders every rank to switch at the held pass, and starts the release once all are
 // armed.
 func (c *Coordinator) arm(states []State) []Command {
