placement: admit requests by priority on services with levels

Cause: route and organisation priorities are decoded but not used. A full service refuses the most important requests as often as the others.

The balancer sums up load and limit of the targets that could get work in the loop of Choose and checks a request against its level's part. Demand of other gateways is valid as long as their work reports. A gateway that hears no other one for 3 s keeps within its own part. Choose looks up the group of a target once instead of twice. Nothing calls SetLevels yet.

--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/priority"
 )
 
 // largeBalancer returns a balancer of a fleet in which every gateway has requests at some of the
@@ -45,16 +47,35 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
-	for _, size := range []struct{ gateways, targets int }{{7, 16}, {43, 63}, {149, 192}, {350, 600}} {
-		b.Run(fmt.Sprintf("gateways=%d,targets=%d", size.gateways, size.targets), func(b *testing.B) {
-			balancer := largeBalancer(size.gateways, size.targets)
-			now := time.Second
-			for b.Loop() {
-				now += 10 * time.Microsecond
-				if c, refusal := balancer.Choose(now, Request{Service: "s"}); refusal == NotRefused {
-					balancer.RecordResult(now, c.Target.ID, Answered)
+	for _, size := range []struct{ gateways, targets int }{{7, 16}, {43, 63}, {40, 72}, {149, 192}, {350, 600}} {
+		for _, groups := range []bool{false, true} {
+			b.Run(fmt.Sprintf("gateways=%d,targets=%d,groups=%t", size.gateways, size.targets, groups), func(b *testing.B) {
+				balancer := largeBalancer(size.gateways, size.targets)
+				if groups {
+					for i := range size.targets {
+						balancer.SetGroup(fmt.Sprint("t", i), "x")
+					}
 				}
-			}
-		})
+				b.Run("levels=false", func(b *testing.B) { benchmarkChoose(b, balancer) })
+				balancer.SetLevels(map[string]bool{"s": true})
+				for g := range size.gateways {
+					balancer.HandlePeerDemand(fmt.Sprint("g", g), 1, []priority.Report{
+						{Service: TargetKey("s"), Priority: 0}, {Service: TargetKey("s"), Priority: 1}, {Service: TargetKey("s"), Priority: 2},
+					})
+				}
+				b.Run("levels=true", func(b *testing.B) { benchmarkChoose(b, balancer) })
+			})
+		}
+	}
+}
+
+func benchmarkChoose(b *testing.B, balancer *Balancer) {
+	now := time.Second
+	for i := 0; b.Loop(); i++ {
+		now += 10 * time.Microsecond
+		balancer.RecordArrival(now, "s", i%3, false)
+		if c, refusal := balancer.Choose(now, Request{Service: "s", Priority: i % 3}); refusal == NotRefused {
+			balancer.RecordResult(now, c.Target.ID, Answered)
+		}
 	}
 }
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/gentiantrail/gentiantrail/internal/priority"
 )
 
 const (
@@ -29,7 +31,11 @@
 // peerWork is the number of requests that another gateway has at each target, by
 // TargetKey.
 type peerWork struct {
-	work       map[uint32]int
+	work map[uint32]int
+	// demand is its demand for services with levels.
+	demand []priority.Report
+	// sent is when the report was sent, as the time since the sender's start; zero if unknown.
+	sent       time.Duration
 	receivedAt time.Duration
 	// counted is true while the work is included in peerTotals.
 	counted bool
@@ -37,15 +43,17 @@
 
 // peerTotals contains the sums of the work of all other gateways with recent reports.
 type peerTotals struct {
-	work map[uint32]int
+	work   map[uint32]int
+	demand priority.Totals
 	// recent is the number of gateways with recent reports.
 	recent    int
 	checkedAt time.Duration
 }
 
-// add adds the work of a gateway sign times.
-func (t *peerTotals) add(work map[uint32]int, sign int) {
-	for key, n := range work {
+// add adds the work and the demand of a gateway sign times.
+func (t *peerTotals) add(p peerWork, sign int) {
+	t.demand.Add(p.demand, sign)
+	for key, n := range p.work {
 		if t.work[key] += sign * n; t.work[key] == 0 {
 			delete(t.work, key)
 		}
@@ -65,10 +73,11 @@
 		b.membersChanged = true
 	}
 	if old.counted {
-		b.totals.add(old.work, -1)
+		b.totals.add(old, -1)
 	}
-	b.totals.add(work, 1)
+	b.contactAt = now
 	b.peers[peer] = peerWork{work: work, receivedAt: now, counted: true}
+	b.totals.add(b.peers[peer], 1)
 }
 
 // peerWorkAt returns the number of requests that other gateways have at a target, and
@@ -87,7 +96,7 @@
 	maxAge := b.peerReportMaxAge()
 	for name, p := range b.peers {
 		if p.counted && now-p.receivedAt > maxAge {
-			b.totals.add(p.work, -1)
+			b.totals.add(p, -1)
 			p.counted = false
 			b.peers[name] = p
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,6 +5,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/priority"
 )
 
 // Target is one target that may get work.
@@ -41,6 +43,13 @@
 	EventGap time.Duration
 	// Urgent requests may use the capacity that is reserved for them.
 	Urgent bool
+	// Priority is the request's level on services that have levels; 0 is the most important.
+	Priority int
+	// Returning is true if the caller was refused before.
+	Returning bool
+	// Admitted is true once a target was chosen for the request. It is not checked against its
+	// level again.
+	Admitted bool
 }
 
 // Refusal is the reason why no target gets a request.
@@ -76,6 +85,10 @@
 	Load int
 	// ReportAge is the age of the target's last load report; negative if there is none.
 	ReportAge time.Duration
+	// Level is the check of the request against its level's part of the service; nil if the
+	// service has no levels or the request was admitted before. It is also set if the request
+	// is refused as Full.
+	Level *priority.Check
 }
 
 // Result classifies the end of an attempt by what it shows of the target's health.
@@ -126,6 +139,11 @@
 	// is true once it has listed the gateways, whether there are others or not.
 	listed        map[string]time.Duration
 	membersListed bool
+	// levels contains the services whose requests have different priorities. contactAt is the time
+	// of the last report of another gateway.
+	levels       map[string]*serviceLevels
+	contactAt    time.Duration
+	demandBuffer priority.Levels
 }
 
 // New returns a Balancer for the gateway with the name in the availability zone.
@@ -189,7 +207,20 @@
 
 // Choose selects the target for a request and counts the request as in flight there.
 func (b *Balancer) Choose(now time.Duration, r Request) (Choice, Refusal) {
-	sample, refusal := b.sample(now, &r)
+	levels := b.levels[r.Service]
+	r.Urgent = r.Urgent || r.Returning && levels != nil
+	var sum *serviceSum
+	if levels != nil && !r.Admitted {
+		sum = &serviceSum{}
+	}
+	sample, refusal := b.sample(now, &r, sum)
+	var check *priority.Check
+	if sum != nil && (len(sample) > 0 || refusal == Full) {
+		if check = b.checkLevel(now, levels, &r, sum); len(sample) == 0 || !check.Admitted() {
+			return Choice{Level: check}, Full
+		}
+		levels.meter.RecordAdmission(now, r.Priority)
+	}
 	var best *targetState
 	bestCost := 0.0
 	for _, s := range sample {
@@ -200,7 +231,7 @@
 	if best == nil {
 		return Choice{}, refusal
 	}
-	c := Choice{Target: best.Target, Load: best.load(now, b), ReportAge: best.reportAge(now)}
+	c := Choice{Target: best.Target, Load: best.load(now, b), ReportAge: best.reportAge(now), Level: check}
 	best.recordStart(now)
 	return c, NotRefused
 }
@@ -211,13 +242,13 @@
 const sampleSize = 5
 
 // sample draws up to sampleSize usable targets with equal probability. If there are none,
-// it returns the reason.
-func (b *Balancer) sample(now time.Duration, r *Request) ([]*targetState, Refusal) {
+// it returns the reason. sum, if not nil, becomes the sum over the targets that could get work.
+func (b *Balancer) sample(now time.Duration, r *Request, sum *serviceSum) ([]*targetState, Refusal) {
 	refusal := NoTarget
 	drawn := make([]*targetState, 0, sampleSize)
 	usableCount := 0
 	for _, s := range b.services[r.Service] {
-		why := b.refusalFor(now, s, r)
+		why := b.refusalFor(now, s, r, sum)
 		if why != NotRefused {
 			refusal = max(refusal, why)
 			continue
@@ -232,34 +263,6 @@
 	return drawn, refusal
 }
 
-// refusalFor returns why a target can't get the request, or NotRefused if it can.
-func (b *Balancer) refusalFor(now time.Duration, s *targetState, r *Request) Refusal {
-	if !s.Accepting || s.leaving {
-		return NoTarget
-	}
-	for _, id := range r.Tried {
-		if id == s.ID {
-			return Unreachable
-		}
-	}
-	if now < s.blockedUntil || s.isSilent(now) || r.AvoidGroup != "" && r.AvoidGroup == s.group {
-		return Unreachable
-	}
-	if g := b.groupOf(s); g != nil && (g.stalled(now) || now < g.downUntil) {
-		return GroupDown
-	}
-	if s.StartRate > 0 && s.startsWithin(now, startSpan) >= b.startShare(now, s) {
-		return Full
-	}
-	if now < s.pausedUntil || !b.withinLimit(now, s) {
-		return Full
-	}
-	if s.load(now, b) >= b.workLimit(s, r.Urgent) {
-		return Full
-	}
-	return NotRefused
-}
-
 const (
 	// failureCost is the cost at a failure rate of 1, in units of the target's slots.
 	failureCost = 2.0
@@ -300,6 +303,9 @@
 		}
 	}
 	s.recordResult(now, result)
+	if l := b.levels[s.Service]; l != nil && (result == Answered || result == Failed || result == Inconclusive) {
+		l.meter.RecordCompletion(now)
+	}
 	if s.removed && s.inFlight == 0 {
 		delete(b.targets, id)
 		b.depart(now, s)
@@ -341,7 +347,7 @@
 // canPlace reports whether any target could get the request now.
 func (b *Balancer) canPlace(now time.Duration, r *Request) bool {
 	for _, s := range b.services[r.Service] {
-		if b.refusalFor(now, s, r) == NotRefused {
+		if b.refusalFor(now, s, r, nil) == NotRefused {
 			return true
 		}
 	}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -95,15 +95,21 @@
 	}
 }
 
-// workLimit returns the number of requests that a target should have at most.
-func (b *Balancer) workLimit(s *targetState, urgent bool) int {
+// workShare returns the number of requests that a target of a group, or of none, should have at
+// most, as a fraction of its slots.
+func workShare(g *group, urgent bool) float64 {
 	share := 1 + queueShare
-	if g := b.groupOf(s); g != nil {
+	if g != nil {
 		share = g.share()
 	}
 	if urgent {
 		share += urgentShare
 	}
+	return share
+}
+
+// workLimit returns the number of requests that a target should have at most.
+func (b *Balancer) workLimit(s *targetState, share float64) int {
 	// The fractional part is rounded up with that probability, so that the mean is exact.
 	return max(1, int(math.Floor(share*float64(s.Slots)+b.rng.Float64())))
 }
--- /dev/null
+++ b/internal/priority/priority.go
@@ -0,0 +1,126 @@
+// Package priority decides which requests a service admits when it cannot serve all of
+// them. It does no I/O and reads no clock: time and random numbers are passed in.
+//
+// The policy is trunk reservation: a request of a level is admitted while the load of the
+// service is below its limit minus a reserve for more important levels. That is optimal
+// for loss systems whose classes have equal service times and different rewards (Miller
+// 1969), and needs no coordinator.
+package priority
+
+import "time"
+
+const (
+	// reserveTime is the time of arrivals of more important levels that is kept free. Within
+	// it a gateway learns of the work of other gateways.
+	reserveTime = 300 * time.Millisecond
+	// maxReserveShare bounds the reserve as a fraction of the limit.
+	maxReserveShare = 0.5
+	// minShare is the lowest ratio of admitted to arrived requests of a level, as a fraction
+	// of the same ratio of all levels together.
+	minShare = 0.3
+	// minArrivals is the lowest rate of arrivals, per second, from which the ratio of admitted
+	// to arrived requests follows; below it, the ratio is 1.
+	minArrivals = 1e-3
+)
+
+// Level is the demand of one level of a service.
+type Level struct {
+	// Priority identifies the level; 0 is the most important.
+	Priority int
+	Rates
+}
+
+// Rates are the rates of a level's requests, per second.
+type Rates struct{ Arrivals, Admissions float64 }
+
+// ratio returns the share of the arrived requests that are admitted.
+func (r Rates) ratio() float64 {
+	if r.Arrivals < minArrivals {
+		return 1
+	}
+	return r.Admissions / r.Arrivals
+}
+
+// Levels is the demand of a service by level, most important first.
+type Levels []Level
+
+// Add adds rates to those of a level.
+func (l Levels) Add(priority int, r Rates) Levels {
+	i := 0
+	for i < len(l) && l[i].Priority < priority {
+		i++
+	}
+	if i == len(l) || l[i].Priority != priority {
+		l = append(l, Level{})
+		copy(l[i+1:], l[i:])
+		l[i] = Level{Priority: priority}
+	}
+	l[i].Arrivals += r.Arrivals
+	l[i].Admissions += r.Admissions
+	return l
+}
+
+// Scale multiplies all rates by a factor.
+func (l Levels) Scale(factor float64) {
+	for i := range l {
+		l[i].Arrivals *= factor
+		l[i].Admissions *= factor
+	}
+}
+
+// Reserve returns the part of the limit that is kept free for the levels that are more
+// important than the priority. For a returning request it is the reserve of the next more
+// important level.
+func (l Levels) Reserve(priority int, returning bool, limit float64) float64 {
+	arrivals, last := 0.0, 0.0
+	for _, level := range l {
+		if level.Priority >= priority {
+			break
+		}
+		last = level.Arrivals
+		arrivals += last
+	}
+	if returning {
+		arrivals -= last
+	}
+	return min(max(0, arrivals)*reserveTime.Seconds(), maxReserveShare*limit)
+}
+
+// Deprived reports whether the admitted share of a level is below its minimum.
+func (l Levels) Deprived(priority int) bool {
+	var own, all Rates
+	for _, level := range l {
+		if level.Priority == priority {
+			own = level.Rates
+		}
+		all.Arrivals += level.Arrivals
+		all.Admissions += level.Admissions
+	}
+	return own.ratio() < minShare*all.ratio()
+}
+
+// Check is a request that is checked against its level's part of a service.
+type Check struct {
+	Priority int
+	// Returning is true if the caller was refused before.
+	Returning bool
+	// Load is the number of the service's requests and Limit their highest number.
+	Load, Limit float64
+	// Reserve is the part of the limit that is kept free for more important levels.
+	Reserve float64
+	// Deprived is true if the level's admitted share is below its minimum, so that there is
+	// no reserve.
+	Deprived bool
+}
+
+// NewCheck returns the check of a request of a service with the given demand.
+func NewCheck(demand Levels, priority int, returning bool, load, limit float64) Check {
+	c := Check{Priority: priority, Returning: returning, Load: load, Limit: limit, Deprived: demand.Deprived(priority)}
+	if !c.Deprived {
+		c.Reserve = demand.Reserve(priority, returning, limit)
+	}
+	return c
+}
+
+// Admitted reports whether the request is admitted.
+func (c Check) Admitted() bool { return c.Load < c.Limit-c.Reserve }
