gateway: use priorities on services with levels

Cause: the balancer can admit by priority, but nothing tells it which services have levels, nor the demand at other gateways.

Change: a published view contains the services to which routes with different priorities lead. Requests of these have a level, are counted once as arrivals, and have a log field and counters. Field 31 is sent only if a service has levels. Refusals name level, load, limit and reserve, and tell to retry when predicted capacity reaches the level.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -104,11 +104,12 @@
 	}
 }
 
-// tick removes idle connections, reports the age of the store's answers, and probes engines
-// whose group is unknown.
+// tick removes idle connections, reports the age of the store's answers and the reserves of levels,
+// and probes engines whose group is unknown.
 func (c *control) tick(ctx context.Context) {
 	c.g.client.Sweep(c.usedAddresses())
 	c.reportReadAges()
+	c.g.reportReserves()
 	c.probe(ctx)
 }
 
@@ -143,6 +144,9 @@
 		default: // a subscription is pending already
 		}
 	}
+	if v.leveled = old.leveled; v.index != nil && v.index != old.index {
+		v.leveled = leveledServices(v.index.Config)
+	}
 	v.shares = c.shares()
 	c.g.setTargets(v, fv)
 	c.g.view.Store(v)
@@ -185,6 +189,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.balancer.SetTargets(g.now(), targets)
+	g.balancer.SetLevels(v.leveled)
 	for _, w := range g.budgets {
 		w.SetLimits(v.shares.retries)
 	}
--- a/internal/gateway/datagram_fuzz_test.go
+++ b/internal/gateway/datagram_fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"testing"
 
@@ -27,6 +28,8 @@
 		{Sender: "p", Zone: "z", Work: map[uint32]int{1: -5, 2: 1 << 40}},
 		{Sender: "p", Zone: "z", Evidence: []quarantine.Evidence{{Subject: "s", Quarantined: true}}},
 		{Sender: "p", Zone: "z", Read: make([]readPosition, 20), Limits: []peerLimit{{Key: 1, Rate: -1, AgeMs: -1}}},
+		{Sender: "p", Zone: "z", SentUs: -1, Demand: demand{{Priority: -1, Arrivals: -1}, {Arrivals: shortFloat(math.Inf(1)), Admitted: shortFloat(math.NaN())}}},
+		{Sender: "p", Zone: "z", SentUs: 1 << 62, Demand: make(demand, 100)},
 		{Sender: "p", Zone: "z", Relay: &signedRelay{Message: message, MAC: relayMAC(testPeerKey, message)}},
 		{Sender: "p", Zone: "z", Relay: &signedRelay{Message: message}, RelayOnly: true},
 		{Report: &hint.Report{Group: "g", Epoch: -1, Open: true}},
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -77,11 +77,13 @@
 
 func (g *Gateway) choose(x *exchange) (placement.Choice, placement.Refusal) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.balancer.Choose(g.now(), placement.Request{
+	c, refusal := g.balancer.Choose(g.now(), placement.Request{
 		Service: x.service, Tried: x.tried, AvoidGroup: x.avoidGroup, Urgent: x.attempts > 0,
-		EventGap: x.route.EventGap,
+		EventGap: x.route.EventGap, Priority: x.priority, Returning: x.returning, Admitted: x.admitted,
 	})
+	g.mu.Unlock()
+	g.recordChoice(x, c, refusal)
+	return c, refusal
 }
 
 const (
@@ -133,7 +135,7 @@
 	}
 	switch r {
 	case placement.Full:
-		return apierr.New(apierr.KindOverloaded, x.service)
+		return apierr.New(apierr.KindOverloaded, x.fullDetail())
 	case placement.Unreachable, placement.GroupDown:
 		return apierr.New(apierr.KindTargetUnreachable, x.service+": "+r.String())
 	default:
--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -32,7 +32,7 @@
 	if x.id != "" {
 		b = http1.AppendFields(b, http1.Header{{Name: g.opts.Headers.Attempt, Value: x.id}})
 	}
-	if after := retryAfter(err.Kind, row.RetryAfter, x); after > 0 {
+	if after := g.retryAfter(err.Kind, row.RetryAfter, x); after > 0 {
 		b = http1.AppendFields(b, http1.Header{{Name: headerRetryAfter, Value: secondsText(after)}})
 	}
 	b = g.appendConnection(b, x)
@@ -57,12 +57,12 @@
 
 // retryAfter returns a randomised time after which a refused caller should retry. Kinds
 // without a rule here use usual, the time from their row of the answer table.
-func retryAfter(k apierr.Kind, usual time.Duration, x *exchange) time.Duration {
+func (g *Gateway) retryAfter(k apierr.Kind, usual time.Duration, x *exchange) time.Duration {
 	switch k {
 	case apierr.KindDraining:
 		return jittered(retryAfterDraining)
 	case apierr.KindOverloaded:
-		return jittered(retryAfterOverload)
+		return g.fullRetryAfter(x)
 	case apierr.KindTargetUnreachable, apierr.KindNoTarget, apierr.KindConfigUnavailable:
 		return outageRetryAfter(x)
 	case apierr.KindQuarantined:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
 	"github.com/gentiantrail/gentiantrail/internal/http1"
+	"github.com/gentiantrail/gentiantrail/internal/priority"
 )
 
 // exchange is one request of a caller with the state of its processing.
@@ -37,6 +38,17 @@
 	// trial is true if the request was let through to find out whether targets crash on it.
 	trial bool
 
+	// leveled is true if the service has levels. priority is the request's level, and returning is
+	// true if the caller was refused before.
+	leveled   bool
+	priority  int
+	returning bool
+	// admitted is true once a target was chosen.
+	admitted bool
+	// levelCheck is the last check of the request against its level's part of the service; nil if
+	// there was none.
+	levelCheck *priority.Check
+
 	// attempts is the number of targets that the request was sent to.
 	attempts int
 	// tried contains the ids of targets that refused or failed the request.
--- a/internal/gateway/filter_admit.go
+++ b/internal/gateway/filter_admit.go
@@ -5,7 +5,7 @@
 // maxInFlight bounds the requests in flight, since each may hold a body and buffers.
 const maxInFlight = 1024
 
-// admit counts the request for its service's retry budget. It refuses the request if the
+// admit counts the request for its service's retry budget and its level. It refuses the request if the
 // process has too many in flight, or if it arrived so late in a stop that it might not
 // complete before the process ends.
 func admit(g *Gateway, x *exchange) *apierr.Error {
@@ -15,6 +15,7 @@
 	if g.inFlight.Load() > maxInFlight {
 		return apierr.New(apierr.KindOverloaded, "too many requests in flight")
 	}
-	g.countRequest(x.service)
+	x.setLevel()
+	g.countRequest(x)
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,7 @@
 	client         *upstream.Client
 	requestMetrics *observe.RequestMetrics
 	count          counters
+	levelMetrics   levelMetrics
 	answers        answerMeter
 
 	mu         sync.Mutex
@@ -127,6 +128,8 @@
 	loaded   bool
 	stopping bool
 	shares   shares
+	// leveled contains the services that have levels.
+	leveled map[string]bool
 }
 
 // shares is this gateway's part of the limits that apply to all gateways together.
@@ -146,6 +149,7 @@
 		client:         upstream.New(upstream.HeaderNames{Attempt: opts.Headers.Attempt, NotExecuted: opts.Headers.NotExecuted}),
 		requestMetrics: observe.NewRequestMetrics(opts.Metrics, "requests", "request_duration"),
 		count:          newCounters(opts.Metrics),
+		levelMetrics:   levelMetrics{scope: opts.Metrics},
 		balancer:       placement.New(opts.Settings.Name, opts.Settings.AvailabilityZone, rng),
 		budgets:        make(map[string]*retry.Window),
 		quarantine:     quarantine.New(rng),
@@ -186,11 +190,14 @@
 	return g.budget(service).Take(g.now())
 }
 
-// countRequest adds a caller's request to its service's retry budget.
-func (g *Gateway) countRequest(service string) {
+// countRequest adds a caller's request to its service's retry budget and to the demand of its level.
+func (g *Gateway) countRequest(x *exchange) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budget(service).RecordRequest(g.now())
+	g.budget(x.service).RecordRequest(g.now())
+	if x.leveled {
+		g.balancer.RecordArrival(g.now(), x.service, x.priority, x.returning)
+	}
 }
 
 // budget returns a service's retry budget; g.mu must be held.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -25,6 +25,9 @@
 	if x.route != nil {
 		line = line.Str("route", x.route.Name)
 	}
+	if x.leveled {
+		line = line.Int("priority", x.priority)
+	}
 	if x.view.index != nil {
 		line = line.Int64("config_version", x.view.index.Config.Version)
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -48,6 +48,11 @@
 	Relay *signedRelay `cbor:"27,keyasint,omitempty"`
 	// RelayOnly is true if only Relay is set.
 	RelayOnly bool `cbor:"28,keyasint,omitempty"`
+	// Demand is the sender's demand for services with levels.
+	Demand demand `cbor:"29,keyasint,omitempty"`
+	// SentUs is the time since the sender's start, in microseconds, if it has services with levels.
+	// Messages may arrive late, twice or in another order.
+	SentUs int64 `cbor:"31,keyasint,omitempty"`
 	// Report is set instead of the other fields in a mapper's datagram.
 	Report *hint.Report `cbor:"21,keyasint,omitempty"`
 }
@@ -264,8 +269,13 @@
 	evidence := l.g.quarantine.Evidence(l.g.now())
 	l.g.suspecting.Store(l.g.quarantine.Suspects())
 	limits := l.g.balancer.LimitsToTell(l.g.now())
+	reports, sentUs := l.g.balancer.DemandToTell(l.g.now()), int64(0)
+	if l.g.balancer.HasLevels() {
+		sentUs = l.g.now().Microseconds()
+	}
 	l.g.mu.Unlock()
-	m := workMessage{Sender: l.g.opts.Settings.Name, Zone: l.g.opts.Settings.AvailabilityZone, Work: work, Evidence: evidence}
+	m := workMessage{Sender: l.g.opts.Settings.Name, Zone: l.g.opts.Settings.AvailabilityZone, Work: work, Evidence: evidence, SentUs: sentUs}
+	m.Demand = newDemand(reports)
 	for _, limit := range limits {
 		m.Limits = append(m.Limits, newPeerLimit(limit))
 	}
@@ -318,13 +328,24 @@
 		return
 	}
 	l.g.mu.Lock()
-	l.g.balancer.HandlePeerReport(l.g.now(), m.Sender, m.Work)
+	l.handleWork(m)
 	l.handleLimits(m)
 	l.g.mu.Unlock()
 	l.g.mergeEvidence(m.Evidence)
 	l.observeRead(m.Read)
 }
 
+// handleWork handles the work and the demand in another gateway's message, if that is the newest one;
+// g.mu must be held.
+func (l *peerLink) handleWork(m *workMessage) {
+	now, sent := l.g.now(), time.Duration(m.SentUs)*time.Microsecond
+	if l.g.balancer.IsOutdated(now, m.Sender, sent) {
+		return
+	}
+	l.g.balancer.HandlePeerReport(now, m.Sender, m.Work)
+	l.g.balancer.HandlePeerDemand(m.Sender, sent, m.Demand.decode())
+}
+
 // observeRead handles the positions that another gateway has read in the store.
 func (l *peerLink) observeRead(read []readPosition) {
 	positions := make([]fleet.Position, 0, len(read))
--- a/internal/placement/priority.go
+++ b/internal/placement/priority.go
@@ -14,6 +14,8 @@
 	// contactTimeout is the time without a message of any other gateway after which a gateway
 	// keeps within its own part of the limits of services with levels.
 	contactTimeout = 3 * time.Second
+	// minToldRate is the least rate of arrivals, per second, that other gateways are told.
+	minToldRate = 0.01
 )
 
 // serviceLevels is the state of a service whose requests have different priorities.
@@ -138,6 +140,9 @@
 	var reports []priority.Report
 	for _, l := range b.levels {
 		for _, level := range l.meter.Levels(now) {
+			if level.Arrivals < minToldRate {
+				continue
+			}
 			reports = append(reports, priority.Report{Service: l.key, Priority: level.Priority, Rates: level.Rates})
 		}
 	}
