gateway: an unfinished refusal of a target is acted on at once

Cause: each step that read from a target started its own timer for the deadline, and the one that discards a refusal's body started none. If the body did not end, the request was never answered, and no other target was tried.

Change: attempt.run starts one timer for the deadline until the attempt ends. upstream.Answer.Discard does not wait for the body: a goroutine reads what has not arrived yet, for at most 400 ms, and keeps or resets the connection.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -186,6 +186,9 @@
 // target may be tried.
 func (a *attempt) run() (err *apierr.Error, again bool) {
 	defer a.cancel(nil)
+	// This timer bounds every wait for the target's bytes, up to the end of the answer.
+	deadline := time.AfterFunc(a.x.remaining(), func() { a.cancel(errDeadline) })
+	defer deadline.Stop()
 	a.trackUnanswered()
 	defer a.untrackUnanswered()
 	a.g.count.attempts.Inc(1)
@@ -198,9 +201,6 @@
 	a.answerBegun = true
 	a.x.attempts++
 	a.readStatements(answer)
-	body := a.g.answers.open(answer.Body)
-	answer.Body = body
-	a.x.answers = append(a.x.answers, body)
 	return a.handleAnswer(answer)
 }
 
@@ -216,11 +216,11 @@
 	}
 }
 
-// watch cancels the attempt at the deadline, when its target's group stalls, or when
-// another target may still serve the request in time. The caller must call stop once the
-// head of the response has arrived or the call has failed.
+// watch cancels the attempt when its target's group stalls, or when another target may still
+// serve the request in time. The caller must call stop once the head of the response has
+// arrived or the call has failed.
 func (a *attempt) watch() (stop func()) {
-	timers := []*time.Timer{time.AfterFunc(a.x.remaining(), func() { a.cancel(errDeadline) })}
+	var timers []*time.Timer
 	route := a.x.route
 	switch retryable := a.x.attempts+1 < route.MaxAttempts; {
 	case retryable && route.Repeat == fleet.Resumable:
@@ -351,7 +351,7 @@
 		return a.relayBuffered(answer)
 	}
 	err := apierr.New(apierr.KindOverloaded, a.target.ID+" refused with status "+strconv.Itoa(answer.Status))
-	a.discard(answer)
+	answer.Discard(maxDiscard, min(discardTimeout, x.remaining()))
 	if answer.Status == 421 {
 		// Another target has the address by now; this does not count as an attempt.
 		x.attempts--
@@ -362,18 +362,9 @@
 	return err, true
 }
 
-// maxDiscard is the largest refusal body, in bytes, that is read to keep the connection.
-const maxDiscard = 8 << 10
-
-// discard reads a refusal's body so that the connection can be kept.
-func (a *attempt) discard(answer *upstream.Answer) {
-	if answer.Length < 0 || answer.Length > maxDiscard {
-		answer.Abort()
-		return
-	}
-	if _, err := readAll(answer.Body, maxDiscard); err != nil {
-		answer.Abort()
-		return
-	}
-	answer.Finish()
-}
+const (
+	// maxDiscard is the largest refusal body, in bytes, that is read to keep the connection.
+	maxDiscard = 8 << 10
+	// discardTimeout bounds the time for that. A refusal's body usually arrives with its head.
+	discardTimeout = 400 * time.Millisecond
+)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,7 +5,6 @@
 	"io"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
@@ -26,13 +25,18 @@
 	return body, err
 }
 
+// meterBody returns the answer's body. Its bytes count until the end of the exchange.
+func (a *attempt) meterBody(answer *upstream.Answer) io.Reader {
+	body := a.g.answers.open(answer.Body)
+	a.x.answers = append(a.x.answers, body)
+	return body
+}
+
 // relayBuffered reads a response to its end and then sends it to the caller. A response
 // with a status of 500 or above is dropped if another attempt is allowed.
 func (a *attempt) relayBuffered(answer *upstream.Answer) (*apierr.Error, bool) {
 	x := a.x
-	deadline := time.AfterFunc(x.remaining(), func() { a.cancel(errDeadline) })
-	defer deadline.Stop()
-	body, err := readAll(answer.Body, maxAnswerBytes)
+	body, err := readAll(a.meterBody(answer), maxAnswerBytes)
 	if err != nil {
 		answer.Abort()
 		a.reportResult(placement.Failed)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -35,12 +35,9 @@
 // so that after an earlier failure the request can still get an error response or be sent
 // to another target.
 func (a *attempt) relayStream(answer *upstream.Answer) (*apierr.Error, bool) {
-	x := a.x
-	deadline := time.AfterFunc(x.remaining(), func() { a.cancel(errDeadline) })
-	defer deadline.Stop()
 	stallTimer := a.startStallTimer()
 	defer stallTimer.Stop()
-	events := upstream.NewEventReader(answer.Body)
+	events := upstream.NewEventReader(a.meterBody(answer))
 	// progressed is true once the target has sent an event, and not only comments.
 	active, progressed := false, false
 	var last time.Time
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -8,11 +8,12 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/http1"
 )
 
-// Answer is the answer of a target. The caller must end it with Finish or Abort.
+// Answer is the answer of a target. The caller must end it with Finish, Discard or Abort.
 type Answer struct {
 	*http1.Response
 
@@ -95,7 +96,17 @@
 		return
 	}
 	a.ended = true
-	if !a.stop() || !a.KeepAlive || !a.requestWritten() || a.conn.br.Buffered() > 0 {
+	if !a.stop() {
+		a.client.closeConn(a.conn)
+		return
+	}
+	a.keepConn()
+}
+
+// keepConn keeps the connection after the end of its answer if Finish's conditions hold, and
+// closes it otherwise.
+func (a *Answer) keepConn() {
+	if !a.KeepAlive || !a.requestWritten() || a.conn.br.Buffered() > 0 {
 		a.client.closeConn(a.conn)
 		return
 	}
@@ -107,6 +118,45 @@
 	a.client.putIdle(a.conn)
 }
 
+// Discard ends an answer whose body is not needed, and does not wait for that body. It keeps the
+// connection as Finish does if the body has a length of at most limit bytes and arrives within
+// timeout, and resets it otherwise.
+func (a *Answer) Discard(limit int64, timeout time.Duration) {
+	if a.Length < 0 || a.Length > limit {
+		a.Abort()
+		return
+	}
+	if a.ended {
+		return
+	}
+	a.ended = true
+	switch {
+	case !a.stop():
+		a.client.closeConn(a.conn)
+	case int64(a.conn.br.Buffered()) >= a.Length:
+		a.discardBody(timeout)
+	default:
+		go a.discardBody(timeout)
+	}
+}
+
+// discardBody reads the body until its end or the timeout.
+func (a *Answer) discardBody(timeout time.Duration) {
+	err := a.conn.SetReadDeadline(time.Now().Add(timeout))
+	if err == nil {
+		_, err = io.Copy(io.Discard, a.Body)
+	}
+	if err == nil {
+		err = a.conn.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		a.conn.reset()
+		a.client.release(a.conn.addr)
+		return
+	}
+	a.keepConn()
+}
+
 // requestWritten reports whether the whole request has been sent.
 func (a *Answer) requestWritten() bool {
 	if a.writeResult == nil {
