gateway: a resumed stream is sent to at most MaxAttempts targets

Cause: dispatch and attempt.resume each decided whether another target may be tried. In the loop of resume only the retry budget was checked, not the limit, so that a stream whose next targets failed before their first event was sent to up to five targets.

Change: exchange.countTarget alone counts the targets, and attempt.takeAnother decides for repeats and for resumed streams. The stall timer reads the count when it is started, since a resumed attempt changes it on another goroutine.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -64,11 +64,7 @@
 		if a.unsent {
 			continue
 		}
-		if x.attempts >= x.route.MaxAttempts {
-			return x.finalError(err)
-		}
-		if !g.takeRepeat(x.service) {
-			g.count.overBudget.Inc(1)
+		if !a.takeAnother() {
 			return x.finalError(err)
 		}
 		g.count.repeats.Inc(1)
@@ -199,11 +195,30 @@
 		return a.handleFailure(failure)
 	}
 	a.answerBegun = true
-	a.x.attempts++
+	if answer.Status != 421 {
+		a.x.countTarget()
+	}
 	a.readStatements(answer)
 	return a.handleAnswer(answer)
 }
 
+// takeAnother reports whether the request may be sent to another target after this attempt, and
+// takes that from the service's retry budget. It decides for repeats and for resumed streams. An
+// attempt of which no byte was sent counts for neither limit.
+func (a *attempt) takeAnother() bool {
+	switch {
+	case a.unsent:
+		return true
+	case a.x.attemptsUsed():
+		return false
+	case !a.g.takeRepeat(a.x.service):
+		a.g.count.overBudget.Inc(1)
+		return false
+	default:
+		return true
+	}
+}
+
 // call builds the call to the target.
 func (a *attempt) call() upstream.Call {
 	maxIdle := maxReuseIdle
@@ -254,7 +269,7 @@
 		a.reportResult(result)
 		return apierr.Wrap(apierr.KindTargetUnreachable, a.target.ID, f.Cause), true
 	}
-	x.attempts++
+	x.countTarget()
 	x.tried = append(x.tried, a.target.ID)
 	cause := context.Cause(a.ctx)
 	if cause != nil && !errors.Is(cause, errQuarantined) {
@@ -353,8 +368,6 @@
 	err := apierr.New(apierr.KindOverloaded, a.target.ID+" refused with status "+strconv.Itoa(answer.Status))
 	answer.Discard(maxDiscard, min(discardTimeout, x.remaining()))
 	if answer.Status == 421 {
-		// Another target has the address by now; this does not count as an attempt.
-		x.attempts--
 		a.reportResult(placement.Replaced)
 		return err, true
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -37,7 +37,7 @@
 	// trial is true if the request was let through to find out whether targets crash on it.
 	trial bool
 
-	// attempts is the number of targets that the request was sent to.
+	// attempts is the number of targets that the request was sent to. Only countTarget changes it.
 	attempts int
 	// tried contains the ids of targets that refused or failed the request.
 	tried []string
@@ -99,6 +99,13 @@
 	}
 }
 
+// countTarget counts a target that the request was sent to, whatever came of it. A process that
+// answers 421 is not the target and does not count.
+func (x *exchange) countTarget() { x.attempts++ }
+
+// attemptsUsed reports whether the request was sent to as many targets as its route allows.
+func (x *exchange) attemptsUsed() bool { return x.attempts >= x.route.MaxAttempts }
+
 // remaining returns the time to the deadline.
 func (x *exchange) remaining() time.Duration { return time.Until(x.deadline) }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -95,7 +95,7 @@
 // from the budget.
 func (a *attempt) mayRepeat() bool {
 	x := a.x
-	if x.route.Repeat != fleet.Idempotent || x.attempts >= x.route.MaxAttempts {
+	if x.route.Repeat != fleet.Idempotent || x.attemptsUsed() {
 		return false
 	}
 	a.g.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -78,8 +78,9 @@
 // long and another target could continue the stream. It has no effect on streams that
 // can't be resumed or have no attempt left.
 func (a *attempt) startStallTimer() *time.Timer {
+	movable := a.x.route.Repeat == fleet.Resumable && !a.x.attemptsUsed()
 	return time.AfterFunc(initialStallTimeout, func() {
-		if a.x.route.Repeat != fleet.Resumable || a.x.attempts >= a.x.route.MaxAttempts {
+		if !movable {
 			return
 		}
 		if _, alternative := a.stallState(); alternative {
@@ -206,14 +207,7 @@
 // resume continues a broken stream at another target, within the same response.
 func (a *attempt) resume(failed *apierr.Error) (*apierr.Error, bool) {
 	x := a.x
-	if x.route.Repeat != fleet.Resumable || !x.hasEvent || x.attempts >= x.route.MaxAttempts {
-		return failed, false
-	}
-	if a.g.checkQuarantine(x) != nil {
-		return failed, false
-	}
-	if !a.g.takeRepeat(x.service) {
-		a.g.count.overBudget.Inc(1)
+	if x.route.Repeat != fleet.Resumable || !x.hasEvent || a.g.checkQuarantine(x) != nil || !a.takeAnother() {
 		return failed, false
 	}
 	a.g.count.resumes.Inc(1)
@@ -225,7 +219,7 @@
 		}
 		next := a.g.newAttempt(x, choice)
 		err, again := next.run()
-		if err == nil || !again || a.g.checkQuarantine(x) != nil || !next.unsent && !a.g.takeRepeat(x.service) {
+		if err == nil || !again || a.g.checkQuarantine(x) != nil || !next.takeAnother() {
 			return err, false
 		}
 	}
