gateway: a request quarantined after its target was chosen is not counted there

Cause: dispatch returned after checkQuarantine without reporting a result, although Choose had counted the request at the target. The target's count stayed too high by one until the end of its lifetime, also at other gateways, which are told it.

Change: dispatch reports the choice as Inconclusive. A start that Choose has counted towards a target's start rate stays counted, as for other attempts.

Result: TestQuarantinedRequestDoesNotCountAtItsTarget failed before (1 request in flight instead of 0) and passes.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -16,6 +16,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/fleet"
 	"github.com/gentiantrail/gentiantrail/internal/http1"
 	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
@@ -309,6 +311,23 @@
 	assert.DeepEqual(t, gw.suspected(), []string{crashingPart})
 }
 
+// Guards against a target's count that stays too high: a request that is quarantined after its target
+// was chosen is not sent there.
+func TestQuarantinedRequestDoesNotCountAtItsTarget(t *testing.T) {
+	gw := newTestGateway(t, streamEvents(3, 0)).waitReady()
+	gw.recordCrashes(2)
+	x := &exchange{
+		ctx: context.Background(), req: &http1.Request{}, deadline: time.Now().Add(time.Second),
+		route: &fleet.Route{MaxAttempts: 1}, service: "s", sharedParts: []string{crashingPart},
+	}
+	err := gw.g.dispatch(x)
+	assert.Assert(t, err != nil && err.Kind == apierr.KindQuarantined, err)
+	gw.g.mu.Lock()
+	defer gw.g.mu.Unlock()
+	inFlight, _, _, _ := gw.g.balancer.TargetStatus(gw.g.now(), "t0")
+	assert.Equal(t, inFlight, 0)
+}
+
 // Guards against evidence that is lost because the first check of a target that has ended gets no
 // answer in time, on a lossy link or a busy instance.
 func TestTargetEndIsFoundByASecondCheck(t *testing.T) {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -47,6 +47,7 @@
 			return x.refusalError(refusal)
 		}
 		if err := g.checkQuarantine(x); err != nil {
+			g.recordResult(choice.Target.ID, placement.Inconclusive) // not sent
 			return x.finalError(err)
 		}
 		a := g.newAttempt(x, choice)
@@ -313,10 +314,14 @@
 }
 
 // reportResult reports the attempt's result to the balancer.
-func (a *attempt) reportResult(result placement.Result) {
-	a.g.mu.Lock()
-	defer a.g.mu.Unlock()
-	a.g.balancer.RecordResult(a.g.now(), a.target.ID, result)
+func (a *attempt) reportResult(result placement.Result) { a.g.recordResult(a.target.ID, result) }
+
+// recordResult records the result of a request at the target that was chosen for it. Each choice
+// needs exactly one result, as the request counts at its target until then.
+func (g *Gateway) recordResult(target string, result placement.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.RecordResult(g.now(), target, result)
 }
 
 // handleAnswer checks the head of a response, and relays the response or handles it as a
