--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -47,6 +47,7 @@
 			return x.refusalError(refusal)
 		}
 		if err := g.checkQuarantine(x); err != nil {
+			g.recordResult(choice.Target.ID, placement.Inconclusive) // not sent
 			return x.finalError(err)
 		}
 		a := g.newAttempt(x, choice)
@@ -64,11 +65,7 @@
 		if a.unsent {
 			continue
 		}
-		if x.attempts >= x.route.MaxAttempts {
-			return x.finalError(err)
-		}
-		if !g.takeRepeat(x.service) {
-			g.count.overBudget.Inc(1)
+		if !a.takeAnother() {
 			return x.finalError(err)
 		}
 		g.count.repeats.Inc(1)
@@ -188,6 +185,9 @@
 // target may be tried.
 func (a *attempt) run() (err *apierr.Error, again bool) {
 	defer a.cancel(nil)
+	// This timer bounds every wait for the target's bytes, up to the end of the answer.
+	deadline := time.AfterFunc(a.x.remaining(), func() { a.cancel(errDeadline) })
+	defer deadline.Stop()
 	a.trackUnanswered()
 	defer a.untrackUnanswered()
 	a.g.count.attempts.Inc(1)
@@ -198,14 +198,30 @@
 		return a.handleFailure(failure)
 	}
 	a.answerBegun = true
-	a.x.attempts++
+	if answer.Status != 421 {
+		a.x.countTarget()
+	}
 	a.readStatements(answer)
-	body := a.g.answers.open(answer.Body)
-	answer.Body = body
-	a.x.answers = append(a.x.answers, body)
 	return a.handleAnswer(answer)
 }
 
+// takeAnother reports whether the request may be sent to another target after this attempt, and
+// takes that from the service's retry budget. It decides for repeats and for resumed streams. An
+// attempt of which no byte was sent counts for neither limit.
+func (a *attempt) takeAnother() bool {
+	switch {
+	case a.unsent:
+		return true
+	case a.x.attemptsUsed():
+		return false
+	case !a.g.takeRepeat(a.x.service):
+		a.g.count.overBudget.Inc(1)
+		return false
+	default:
+		return true
+	}
+}
+
 // call builds the call to the target.
 func (a *attempt) call() upstream.Call {
 	maxIdle := maxReuseIdle
@@ -218,11 +234,11 @@
 	}
 }
 
-// watch cancels the attempt at the deadline, when its target's group stalls, or when
-// another target may still serve the request in time. The caller must call stop once the
-// head of the response has arrived or the call has failed.
+// watch cancels the attempt when its target's group stalls, or when another target may still
+// serve the request in time. The caller must call stop once the head of the response has
+// arrived or the call has failed.
 func (a *attempt) watch() (stop func()) {
-	timers := []*time.Timer{time.AfterFunc(a.x.remaining(), func() { a.cancel(errDeadline) })}
+	var timers []*time.Timer
 	route := a.x.route
 	switch retryable := a.x.attempts+1 < route.MaxAttempts; {
 	case retryable && route.Repeat == fleet.Resumable:
@@ -256,7 +272,7 @@
 		a.reportResult(result)
 		return apierr.Wrap(apierr.KindTargetUnreachable, a.target.ID, f.Cause), true
 	}
-	x.attempts++
+	x.countTarget()
 	x.tried = append(x.tried, a.target.ID)
 	cause := context.Cause(a.ctx)
 	if cause != nil && !errors.Is(cause, errQuarantined) {
@@ -300,10 +316,14 @@
 }
 
 // reportResult reports the attempt's result to the balancer.
-func (a *attempt) reportResult(result placement.Result) {
-	a.g.mu.Lock()
-	defer a.g.mu.Unlock()
-	a.g.balancer.RecordResult(a.g.now(), a.target.ID, result)
+func (a *attempt) reportResult(result placement.Result) { a.g.recordResult(a.target.ID, result) }
+
+// recordResult records the result of a request at the target that was chosen for it. Each choice
+// needs exactly one result, as the request counts at its target until then.
+func (g *Gateway) recordResult(target string, result placement.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.RecordResult(g.now(), target, result)
 }
 
 // handleAnswer checks the head of a response, and relays the response or handles it as a
@@ -353,10 +373,8 @@
 		return a.relayBuffered(answer)
 	}
 	err := apierr.New(apierr.KindOverloaded, a.target.ID+" refused with status "+strconv.Itoa(answer.Status))
-	a.discard(answer)
+	answer.Discard(maxDiscard, min(discardTimeout, x.remaining()))
 	if answer.Status == 421 {
-		// Another target has the address by now; this does not count as an attempt.
-		x.attempts--
 		a.reportResult(placement.Replaced)
 		return err, true
 	}
@@ -364,18 +382,9 @@
 	return err, true
 }
 
-// maxDiscard is the largest refusal body, in bytes, that is read to keep the connection.
-const maxDiscard = 8 << 10
-
-// discard reads a refusal's body so that the connection can be kept.
-func (a *attempt) discard(answer *upstream.Answer) {
-	if answer.Length < 0 || answer.Length > maxDiscard {
-		answer.Abort()
-		return
-	}
-	if _, err := readAll(answer.Body, maxDiscard); err != nil {
-		answer.Abort()
-		return
-	}
-	answer.Finish()
-}
+const (
+	// maxDiscard is the largest refusal body, in bytes, that is read to keep the connection.
+	maxDiscard = 8 << 10
+	// discardTimeout bounds the time for that. A refusal's body usually arrives with its head.
+	discardTimeout = 400 * time.Millisecond
+)
