placement: set the share of a lock-step group by a model of its pass time

Cause: the controller of the share of slots reacts in fixed steps and only after gaps are too long, and pauses that load does not cause reduce the share as well.

Change: services with levels (fleet.Config.PriorityLevels) whose engine publishes step_ms and per_seq_ms use the model of docs/design/contention.md, part 2. Gaps that end within 20 ms are one pass, single pauses and the pass after each do not count. The load of all ranks is summed up at most every 100 ms, outside the path of an event. The share is in the state dump and in a log line.

The plain formula is not enough with several gateways: each learns of the others' work 100 to 900 ms late, and all take the same free slots. Each gateway now keeps the most requests that it had in the last second plus its part of the slots that were free, or all decrease in proportion; the limits of ranks are rounded by a fixed number instead of a random one, since repeated attempts filled them up to the next integer.

--- a/internal/fleet/index.go
+++ b/internal/fleet/index.go
@@ -13,6 +13,8 @@
 	routes        map[string][]*Route
 	services      map[string]*Service
 	organisations map[string]*Organisation
+	// levels contains the priority levels of each service.
+	levels map[string][]int
 }
 
 // NewIndex returns an index of c, which must not be changed afterwards.
@@ -20,6 +22,7 @@
 	x := &Index{
 		Config: c, routes: map[string][]*Route{},
 		services: map[string]*Service{}, organisations: map[string]*Organisation{},
+		levels: map[string][]int{},
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -30,7 +33,8 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
 	for i := range c.Services {
-		x.services[c.Services[i].Name] = &c.Services[i]
+		name := c.Services[i].Name
+		x.services[name], x.levels[name] = &c.Services[i], c.PriorityLevels(name)
 	}
 	for i := range c.Organisations {
 		for _, key := range c.Organisations[i].Keys {
@@ -57,6 +61,9 @@
 	return s, ok
 }
 
+// HasLevels reports whether routes of different priorities lead to the service with the name.
+func (x *Index) HasLevels(service string) bool { return len(x.levels[service]) > 1 }
+
 // Organisation returns the organisation with the API key.
 func (x *Index) Organisation(key string) (*Organisation, bool) {
 	o, ok := x.organisations[key]
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -42,6 +42,21 @@
 	return c == nil || slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == name })
 }
 
+// PriorityLevels returns the distinct priorities of the routes that send requests to a service, in
+// ascending order. The service has levels if there are several.
+func (c *Config) PriorityLevels(service string) []int {
+	var levels []int
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		leads := func(s WeightedService) bool { return s.Service == service && s.Weight > 0 }
+		if slices.ContainsFunc(r.Split, leads) {
+			levels = append(levels, r.Priority)
+		}
+	}
+	slices.Sort(levels)
+	return slices.Compact(levels)
+}
+
 // Route defines which requests go to which services, and how they are handled.
 type Route struct {
 	Name string
@@ -100,6 +115,9 @@
 	MaxCopiesPerChange int
 	// CopyTime is the time that a rank needs to copy one expert.
 	CopyTime time.Duration
+	// StepTime is the time of a token step without requests, and StepTimePerRequest the time
+	// that each request that is generating output adds to it. They are zero if unknown.
+	StepTime, StepTimePerRequest time.Duration
 }
 
 // Limits bound what a client may send.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -49,6 +49,8 @@
 	// for a report of its group, or to probeDone.
 	probeStates map[string]time.Duration
 	peers       *peerLink
+	// loggedShares contains the last log line of the share of each group.
+	loggedShares map[string]loggedShare
 	// expiry fires when the next entry of the registry is due.
 	expiry *time.Timer
 }
@@ -104,11 +106,12 @@
 	}
 }
 
-// tick removes idle connections, reports the age of the store's answers, and probes engines
-// whose group is unknown.
+// tick removes idle connections, reports the age of the store's answers, logs changed shares of
+// groups, and probes engines whose group is unknown.
 func (c *control) tick(ctx context.Context) {
 	c.g.client.Sweep(c.usedAddresses())
 	c.reportReadAges()
+	c.logGroupShares()
 	c.probe(ctx)
 }
 
@@ -201,6 +204,9 @@
 	if s, ok := v.index.Service(t.Service); ok {
 		p.StartRate = v.shares.startRate(s)
 		p.Lockstep = s.Engine != nil
+		if s.Engine != nil && v.index.HasLevels(t.Service) {
+			p.StepTime, p.StepTimePerRequest = s.Engine.StepTime, s.Engine.StepTimePerRequest
+		}
 		if s.MaxConnections > 0 {
 			p.MaxConns = max(1, s.MaxConnections/v.shares.gateways)
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -16,6 +16,8 @@
 	InFlight      int64         `json:"in_flight"`
 	Gateways      int           `json:"gateways"`
 	Targets       []TargetState `json:"targets"`
+	// Groups contains the lock-step groups whose share of work is set by a model.
+	Groups []GroupState `json:"groups,omitempty"`
 	// Quarantine contains the requests and parts of prompts that targets are suspected to crash on.
 	Quarantine []quarantine.Status `json:"quarantine,omitempty"`
 }
@@ -59,6 +61,7 @@
 		}
 		s.Targets = append(s.Targets, ts)
 	}
+	s.Groups = groupStates(g.balancer.GroupShares(g.now()))
 	s.Quarantine = g.quarantine.Status(g.now())
 	slices.SortFunc(s.Targets, func(a, b TargetState) int { return cmp.Compare(a.ID, b.ID) })
 	return s
--- a/internal/placement/group.go
+++ b/internal/placement/group.go
@@ -43,6 +43,12 @@
 	// gap is the moving average of the time between two events of a stream.
 	gap time.Duration
 	admissionShare
+	// model replaces admissionShare for targets with known step times. It uses loads, the load
+	// of the group's ranks.
+	model passModel
+	loads loadMeter
+	// inFlight is the sum of inFlight of the group's targets.
+	inFlight int
 	// stalledAt is the time at which a stall was last detected; zero if there is none.
 	stalledAt time.Duration
 	// closedEpoch is the epoch for which the group was last reported not running, at
@@ -69,7 +75,7 @@
 
 // recordEvent records an event of one of the group's streams. gap is the time since the
 // stream's previous event, or zero.
-func (g *group) recordEvent(now, gap, objective time.Duration, load func() float64) {
+func (g *group) recordEvent(now, gap time.Duration) {
 	switch {
 	case gap <= 0:
 	case g.gap == 0 || now-g.lastEvent > gapMaxAge:
@@ -77,9 +83,6 @@
 	default:
 		g.gap += time.Duration(gapWeight * float64(gap-g.gap))
 	}
-	if gap > 0 {
-		g.observe(now, gap, g.gap, objective, load)
-	}
 	g.lastEvent, g.stalledAt = now, 0
 	g.downUntil, g.downTime = 0, 0
 }
@@ -156,6 +159,7 @@
 	}
 	if g := b.groupOf(s); g != nil {
 		g.activeStreams -= s.activeStreams
+		g.inFlight -= s.inFlight
 	}
 	s.group = name
 	if name == "" {
@@ -167,6 +171,7 @@
 		b.groups[name] = g
 	}
 	g.activeStreams += s.activeStreams
+	g.inFlight += s.inFlight
 }
 
 // Group returns the name of a target's lock-step group, or the empty string.
@@ -189,7 +194,7 @@
 		s.hear(now)
 	}
 	if g := b.groupOf(s); g != nil && n > 0 {
-		g.recordEvent(now, 0, 0, nil)
+		g.recordEvent(now, 0)
 	}
 }
 
@@ -203,6 +208,13 @@
 	}
 }
 
+// addInFlight adds n to the requests of a target's group.
+func (b *Balancer) addInFlight(s *targetState, n int) {
+	if g := b.groupOf(s); g != nil {
+		g.inFlight += n
+	}
+}
+
 // RecordEvent records an event of a stream at a target. gap is the time since the stream's
 // previous event, and objective the longest gap that the stream should have.
 // RecordEvent returns the time without a further event after which the stream should move
@@ -216,10 +228,23 @@
 	if g == nil {
 		return maxStallTimeout
 	}
-	g.recordEvent(now, gap, objective, func() float64 { return b.groupLoad(now, g) })
+	g.recordEvent(now, gap)
+	if gap > 0 {
+		b.adjustShare(now, s, g, gap, objective)
+	}
 	return g.stallTimeout()
 }
 
+// adjustShare adjusts the share of the group of a target to a gap between two events.
+func (b *Balancer) adjustShare(now time.Duration, s *targetState, g *group, gap, objective time.Duration) {
+	if t := s.stepTimes(); t.known() {
+		b.sampleLoad(now, s.group, g)
+		g.model.observe(now, gap, objective, t, &g.loads)
+		return
+	}
+	g.observe(now, gap, g.gap, objective, func() float64 { return b.groupLoad(now, g) })
+}
+
 // groupLoad returns the load of a group's ranks as a fraction of their slots.
 func (b *Balancer) groupLoad(now time.Duration, g *group) float64 {
 	load, slots := 0, 0
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,6 +27,9 @@
 	// Lockstep is true if the target runs its passes together with others of its service,
 	// so that a long time without events indicates a stall.
 	Lockstep bool
+	// StepTime and StepTimePerRequest are the times of a pass of the target's group without
+	// requests and of each request at a rank. They are zero if they are unknown or not used.
+	StepTime, StepTimePerRequest time.Duration
 }
 
 // Request contains the properties of a request that placement depends on.
@@ -169,6 +172,7 @@
 			b.depart(now, s)
 		default:
 			b.addActiveStreams(s, -s.activeStreams)
+			b.addInFlight(s, -s.inFlight)
 		}
 	}
 	b.targets, b.services = next, services
@@ -202,6 +206,7 @@
 	}
 	c := Choice{Target: best.Target, Load: best.load(now, b), ReportAge: best.reportAge(now)}
 	best.recordStart(now)
+	b.addInFlight(best, 1)
 	return c, NotRefused
 }
 
@@ -254,7 +259,7 @@
 	if now < s.pausedUntil || !b.withinLimit(now, s) {
 		return Full
 	}
-	if s.load(now, b) >= b.workLimit(s, r.Urgent) {
+	if s.load(now, b) >= b.workLimit(now, s, r.Urgent) {
 		return Full
 	}
 	return NotRefused
@@ -299,7 +304,9 @@
 			s.blockedUntil = now + minDownTime
 		}
 	}
+	before := s.inFlight
 	s.recordResult(now, result)
+	b.addInFlight(s, s.inFlight-before)
 	if s.removed && s.inFlight == 0 {
 		delete(b.targets, id)
 		b.depart(now, s)
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -96,9 +96,12 @@
 }
 
 // workLimit returns the number of requests that a target should have at most.
-func (b *Balancer) workLimit(s *targetState, urgent bool) int {
+func (b *Balancer) workLimit(now time.Duration, s *targetState, urgent bool) int {
 	share := 1 + queueShare
 	if g := b.groupOf(s); g != nil {
+		if s.stepTimes().known() {
+			return b.modelLimit(now, s, g, urgent)
+		}
 		share = g.share()
 	}
 	if urgent {
