--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -49,6 +49,8 @@
 	// for a report of its group, or to probeDone.
 	probeStates map[string]time.Duration
 	peers       *peerLink
+	// loggedShares contains the last log line of the share of each group.
+	loggedShares map[string]loggedShare
 	// expiry fires when the next entry of the registry is due.
 	expiry *time.Timer
 }
@@ -105,11 +107,12 @@
 }
 
 // tick removes idle connections, reports the age of the store's answers and the reserves of levels,
-// and probes engines whose group is unknown.
+// logs changed shares of groups, and probes engines whose group is unknown.
 func (c *control) tick(ctx context.Context) {
 	c.g.client.Sweep(c.usedAddresses())
 	c.reportReadAges()
 	c.g.reportReserves()
+	c.logGroupShares()
 	c.probe(ctx)
 }
 
@@ -145,7 +148,7 @@
 		}
 	}
 	if v.leveled = old.leveled; v.index != nil && v.index != old.index {
-		v.leveled = leveledServices(v.index.Config)
+		v.leveled = v.index.LeveledServices()
 	}
 	v.shares = c.shares()
 	c.g.setTargets(v, fv)
@@ -206,6 +209,9 @@
 	if s, ok := v.index.Service(t.Service); ok {
 		p.StartRate = v.shares.startRate(s)
 		p.Lockstep = s.Engine != nil
+		if s.Engine != nil && v.index.HasLevels(t.Service) {
+			p.StepTime, p.StepTimePerRequest = s.Engine.StepTime, s.Engine.StepTimePerRequest
+		}
 		if s.MaxConnections > 0 {
 			p.MaxConns = max(1, s.MaxConnections/v.shares.gateways)
 		}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -76,7 +76,7 @@
 	g.mu.Lock()
 	c, refusal := g.balancer.Choose(g.now(), placement.Request{
 		Service: x.service, Tried: x.tried, AvoidGroup: x.avoidGroup, Urgent: x.attempts > 0,
-		EventGap: x.route.EventGap, Priority: x.priority, Returning: x.returning, Admitted: x.admitted,
+		EventGap: x.route.EventGap, Priority: x.level, Admitted: x.admitted,
 	})
 	g.mu.Unlock()
 	g.recordChoice(x, c, refusal)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -38,11 +38,9 @@
 	// trial is true if the request was let through to find out whether targets crash on it.
 	trial bool
 
-	// leveled is true if the service has levels. priority is the request's level, and returning is
-	// true if the caller was refused before.
-	leveled   bool
-	priority  int
-	returning bool
+	// leveled is true if the service has levels. level is the request's one.
+	leveled bool
+	level   int
 	// admitted is true once a target was chosen.
 	admitted bool
 	// levelCheck is the last check of the request against its level's part of the service; nil if
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,7 +196,7 @@
 	defer g.mu.Unlock()
 	g.budget(x.service).RecordRequest(g.now())
 	if x.leveled {
-		g.balancer.RecordArrival(g.now(), x.service, x.priority, x.returning)
+		g.balancer.RecordArrival(g.now(), x.service, x.level)
 	}
 }
 
--- a/internal/gateway/levels.go
+++ b/internal/gateway/levels.go
@@ -2,35 +2,15 @@
 
 import (
 	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/gentiantrail/gentiantrail/internal/fleet"
 	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/priority"
 )
 
-// leveledServices returns the services that have levels: those to which routes with different
-// priorities lead.
-func leveledServices(c *fleet.Config) map[string]bool {
-	priorities, leveled := map[string]int{}, map[string]bool{}
-	for _, r := range c.Routes {
-		for _, s := range r.Split {
-			if s.Weight <= 0 {
-				continue
-			}
-			if p, known := priorities[s.Service]; known && p != r.Priority {
-				leveled[s.Service] = true
-			}
-			priorities[s.Service] = r.Priority
-		}
-	}
-	return leveled
-}
-
 // returningMargin is the time by which a caller's deadline is below its route's timeout if the
 // caller was refused before. Less is lost on the way.
 const returningMargin = 200 * time.Millisecond
@@ -38,11 +18,12 @@
 // setLevel sets the request's level, if its service has levels.
 func (x *exchange) setLevel() {
 	x.leveled = x.view.leveled[x.service]
-	x.priority = x.route.Priority
+	effective := x.route.Priority
 	if x.organisation != nil && x.organisation.Priority != nil {
-		x.priority = *x.organisation.Priority
+		effective = *x.organisation.Priority
 	}
-	x.returning = x.route.Timeout > 0 && x.deadline.Sub(x.arrived) < x.route.Timeout-returningMargin
+	returning := x.route.Timeout > 0 && x.deadline.Sub(x.arrived) < x.route.Timeout-returningMargin
+	x.level = priority.LevelOf(effective, x.route.Priority, returning)
 }
 
 // recordChoice records the choice of the request's first target, or its refusal for lack of capacity.
@@ -51,9 +32,9 @@
 	if x.leveled && !x.admitted {
 		switch refusal {
 		case placement.NotRefused:
-			g.levelMetrics.counters(x.priority).admitted.Inc(1)
+			g.levelMetrics.counters(x.level).admitted.Inc(1)
 		case placement.Full:
-			g.levelMetrics.counters(x.priority).refusedForRoom.Inc(1)
+			g.levelMetrics.counters(x.level).refusedForRoom.Inc(1)
 		}
 	}
 	x.admitted = x.admitted || refusal == placement.NotRefused
@@ -65,7 +46,7 @@
 	if c == nil {
 		return x.service
 	}
-	return fmt.Sprintf("%s: priority %d, load %.0f, limit %.0f, reserve %.0f", x.service, c.Priority, c.Load, c.Limit, c.Reserve)
+	return fmt.Sprintf("%s: priority %s, load %.0f, limit %.0f, reserve %.0f", x.service, priority.LevelName(c.Priority), c.Load, c.Limit, c.Reserve)
 }
 
 // fullRetryAfter records that the caller is refused for lack of capacity. It returns the time after
@@ -73,7 +54,7 @@
 func (g *Gateway) fullRetryAfter(x *exchange) time.Duration {
 	if x.leveled {
 		g.mu.Lock()
-		after, ok := g.balancer.RecordRefusal(g.now(), x.service, x.priority, x.remaining())
+		after, ok := g.balancer.RecordRefusal(g.now(), x.service, x.level, x.remaining())
 		g.mu.Unlock()
 		if ok {
 			return after
@@ -88,7 +69,7 @@
 	reserves := g.balancer.Reserves(g.now())
 	g.mu.Unlock()
 	for _, r := range reserves {
-		g.levelMetrics.scope.Tagged(map[string]string{"service": r.Service, "priority": strconv.Itoa(r.Priority)}).Gauge("reserve").Update(r.Reserve)
+		g.levelMetrics.scope.Tagged(map[string]string{"service": r.Service, "priority": priority.LevelName(r.Priority)}).Gauge("reserve").Update(r.Reserve)
 	}
 }
 
@@ -105,7 +86,7 @@
 	if c, ok := m.byPriority.Load(level); ok {
 		return c.(*levelCounters)
 	}
-	s := m.scope.Tagged(map[string]string{"priority": strconv.Itoa(level)})
+	s := m.scope.Tagged(map[string]string{"priority": priority.LevelName(level)})
 	c, _ := m.byPriority.LoadOrStore(level, &levelCounters{admitted: s.Counter("admitted"), refusedForRoom: s.Counter("refused_for_room")})
 	return c.(*levelCounters)
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/placement"
+	"github.com/gentiantrail/gentiantrail/internal/priority"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 )
 
@@ -26,7 +27,7 @@
 		line = line.Str("route", x.route.Name)
 	}
 	if x.leveled {
-		line = line.Int("priority", x.priority)
+		line = line.Str("priority", priority.LevelName(x.level))
 	}
 	if x.view.index != nil {
 		line = line.Int64("config_version", x.view.index.Config.Version)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -29,6 +29,9 @@
 	// Lockstep is true if the target runs its passes together with others of its service,
 	// so that a long time without events indicates a stall.
 	Lockstep bool
+	// StepTime and StepTimePerRequest are the times of a pass of the target's group without
+	// requests and of each request at a rank. They are zero if they are unknown or not used.
+	StepTime, StepTimePerRequest time.Duration
 }
 
 // Request contains the properties of a request that placement depends on.
@@ -41,12 +44,13 @@
 	AvoidGroup string
 	// EventGap is the longest gap between events that the request's objective allows.
 	EventGap time.Duration
+	// headroom is the part of the limits of a group's targets that the request may use beyond them,
+	// since less important requests are refused instead.
+	headroom float64
 	// Urgent requests may use the capacity that is reserved for them.
 	Urgent bool
 	// Priority is the request's level on services that have levels; 0 is the most important.
 	Priority int
-	// Returning is true if the caller was refused before.
-	Returning bool
 	// Admitted is true once a target was chosen for the request. It is not checked against its
 	// level again.
 	Admitted bool
@@ -187,6 +191,7 @@
 			b.depart(now, s)
 		default:
 			b.addActiveStreams(s, -s.activeStreams)
+			b.addInFlight(s, -s.inFlight)
 		}
 	}
 	b.targets, b.services = next, services
@@ -208,10 +213,10 @@
 // Choose selects the target for a request and counts the request as in flight there.
 func (b *Balancer) Choose(now time.Duration, r Request) (Choice, Refusal) {
 	levels := b.levels[r.Service]
-	r.Urgent = r.Urgent || r.Returning && levels != nil
 	var sum *serviceSum
 	if levels != nil && !r.Admitted {
 		sum = &serviceSum{}
+		r.headroom = b.demand(now, levels).Headroom(r.Priority, 1)
 	}
 	sample, refusal := b.sample(now, &r, sum)
 	var check *priority.Check
@@ -233,6 +238,7 @@
 	}
 	c := Choice{Target: best.Target, Load: best.load(now, b), ReportAge: best.reportAge(now), Level: check}
 	best.recordStart(now)
+	b.addInFlight(best, 1)
 	return c, NotRefused
 }
 
@@ -302,10 +308,12 @@
 			s.blockedUntil = now + minDownTime
 		}
 	}
+	before := s.inFlight
 	s.recordResult(now, result)
 	if l := b.levels[s.Service]; l != nil && (result == Answered || result == Failed || result == Inconclusive) {
 		l.meter.RecordCompletion(now)
 	}
+	b.addInFlight(s, s.inFlight-before)
 	if s.removed && s.inFlight == 0 {
 		delete(b.targets, id)
 		b.depart(now, s)
--- a/internal/placement/priority.go
+++ b/internal/placement/priority.go
@@ -50,11 +50,10 @@
 	b.levels = next
 }
 
-// RecordArrival records a caller's request to a service. returning is true if the caller was
-// refused before.
-func (b *Balancer) RecordArrival(now time.Duration, service string, level int, returning bool) {
+// RecordArrival records a caller's request to a service.
+func (b *Balancer) RecordArrival(now time.Duration, service string, level int) {
 	if l := b.levels[service]; l != nil {
-		l.meter.RecordArrival(now, level, returning)
+		l.meter.RecordArrival(now, level)
 	}
 }
 
@@ -76,7 +75,7 @@
 	if b.isCutOff(now) {
 		load, limit = float64(sum.own), limit/float64(len(b.members)+1)
 	}
-	c := priority.NewCheck(b.demand(now, l), r.Priority, r.Returning, load, limit)
+	c := priority.NewCheck(b.demand(now, l), r.Priority, load, limit)
 	return &c
 }
 
@@ -170,7 +169,7 @@
 		}
 		demand := b.demand(now, l)
 		for _, level := range demand {
-			c := priority.NewCheck(demand, level.Priority, false, 0, sum.limit)
+			c := priority.NewCheck(demand, level.Priority, 0, sum.limit)
 			reserves = append(reserves, LevelReserve{Service: name, Priority: level.Priority, Reserve: c.Reserve})
 		}
 	}
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -20,14 +20,23 @@
 	if g != nil && (g.stalled(now) || now < g.downUntil) {
 		return GroupDown
 	}
-	load, share := s.load(now, b), workShare(g, r.Urgent)
+	load, share := s.load(now, b), b.workShare(now, s, g, r.Urgent)
 	if sum != nil && now >= s.pausedUntil {
 		sum.add(s, load, share*float64(s.Slots))
 	}
 	if s.StartRate > 0 && s.startsWithin(now, startSpan) >= b.startShare(now, s) {
 		return Full
 	}
-	if now < s.pausedUntil || !b.withinLimit(now, s) || load >= b.workLimit(s, share) {
+	if now < s.pausedUntil || !b.withinLimit(now, s) {
+		return Full
+	}
+	if g != nil && s.stepTimes().known() {
+		if !g.hasPartLeft(r) {
+			return Full
+		}
+		share *= 1 + r.headroom
+	}
+	if load >= b.workLimit(now, s, share) {
 		return Full
 	}
 	return NotRefused
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -95,11 +95,15 @@
 	}
 }
 
-// workShare returns the number of requests that a target of a group, or of none, should have at
-// most, as a fraction of its slots.
-func workShare(g *group, urgent bool) float64 {
+// workShare returns the number of requests that a target should have at most, as a fraction of its
+// slots.
+func (b *Balancer) workShare(now time.Duration, s *targetState, g *group, urgent bool) float64 {
 	share := 1 + queueShare
-	if g != nil {
+	switch {
+	case g != nil && s.stepTimes().known():
+		b.sampleLoad(now, s.group, g)
+		share = g.model.share(now)
+	case g != nil:
 		share = g.share()
 	}
 	if urgent {
@@ -109,7 +113,10 @@
 }
 
 // workLimit returns the number of requests that a target should have at most.
-func (b *Balancer) workLimit(s *targetState, share float64) int {
+func (b *Balancer) workLimit(now time.Duration, s *targetState, share float64) int {
+	if s.stepTimes().known() {
+		return max(1, int(share*float64(s.Slots)+roundingOf(now, s.key)))
+	}
 	// The fractional part is rounded up with that probability, so that the mean is exact.
 	return max(1, int(math.Floor(share*float64(s.Slots)+b.rng.Float64())))
 }
--- a/internal/priority/meter.go
+++ b/internal/priority/meter.go
@@ -60,14 +60,14 @@
 
 // RecordArrival records a caller's request. It is called once for a request, before it is
 // checked.
-func (m *Meter) RecordArrival(now time.Duration, priority int, returning bool) {
+func (m *Meter) RecordArrival(now time.Duration, level int) {
 	m.decay(now)
-	m.add(priority, Rates{Arrivals: perEvent})
-	if !returning {
+	m.add(level, Rates{Arrivals: perEvent})
+	if !Returning(level) {
 		return
 	}
 	for i := range m.refused {
-		if m.refused[i].priority == priority {
+		if m.refused[i].priority == level-1 {
 			m.refused[i].callers = max(0, m.refused[i].callers-1)
 		}
 	}
--- a/internal/priority/priority.go
+++ b/internal/priority/priority.go
@@ -12,12 +12,13 @@
 const (
 	// reserveTime is the time of arrivals of more important levels that is kept free. Within
 	// it a gateway learns of the work of other gateways.
-	reserveTime = 300 * time.Millisecond
+	reserveTime = 500 * time.Millisecond
 	// maxReserveShare bounds the reserve as a fraction of the limit.
 	maxReserveShare = 0.5
 	// minShare is the lowest ratio of admitted to arrived requests of a level, as a fraction
-	// of the same ratio of all levels together.
-	minShare = 0.3
+	// of the same ratio of all levels together. It is above the 0.3 that each level is promised, as
+	// the rates follow the requests with a delay.
+	minShare = 0.35
 	// minArrivals is the lowest rate of arrivals, per second, from which the ratio of admitted
 	// to arrived requests follows; below it, the ratio is 1.
 	minArrivals = 1e-3
@@ -71,19 +72,31 @@
 // Reserve returns the part of the limit that is kept free for the levels that are more
 // important than the priority. For a returning request it is the reserve of the next more
 // important level.
-func (l Levels) Reserve(priority int, returning bool, limit float64) float64 {
-	arrivals, last := 0.0, 0.0
+func (l Levels) Reserve(priority int, limit float64) float64 {
+	arrivals := 0.0
 	for _, level := range l {
 		if level.Priority >= priority {
 			break
 		}
-		last = level.Arrivals
-		arrivals += last
+		arrivals += level.Arrivals
 	}
-	if returning {
-		arrivals -= last
+	return min(arrivals*reserveTime.Seconds(), maxReserveShare*limit)
+}
+
+// MaxHeadroomShare bounds the headroom of a level as a fraction of the limit.
+const MaxHeadroomShare = 0.2
+
+// Headroom returns how far above the limit requests of a level may go, in requests: the arrivals of
+// less important levels within reserveTime, which are refused instead. Without it, requests that
+// were admitted before would keep out the most important ones whenever the limit falls.
+func (l Levels) Headroom(level int, limit float64) float64 {
+	arrivals := 0.0
+	for _, other := range l {
+		if other.Priority > level {
+			arrivals += other.Arrivals
+		}
 	}
-	return min(max(0, arrivals)*reserveTime.Seconds(), maxReserveShare*limit)
+	return min(arrivals*reserveTime.Seconds(), MaxHeadroomShare*limit)
 }
 
 // Deprived reports whether the admitted share of a level is below its minimum.
@@ -102,25 +115,25 @@
 // Check is a request that is checked against its level's part of a service.
 type Check struct {
 	Priority int
-	// Returning is true if the caller was refused before.
-	Returning bool
 	// Load is the number of the service's requests and Limit their highest number.
 	Load, Limit float64
 	// Reserve is the part of the limit that is kept free for more important levels.
 	Reserve float64
+	// Headroom is the part above the limit that the level may use.
+	Headroom float64
 	// Deprived is true if the level's admitted share is below its minimum, so that there is
 	// no reserve.
 	Deprived bool
 }
 
 // NewCheck returns the check of a request of a service with the given demand.
-func NewCheck(demand Levels, priority int, returning bool, load, limit float64) Check {
-	c := Check{Priority: priority, Returning: returning, Load: load, Limit: limit, Deprived: demand.Deprived(priority)}
+func NewCheck(demand Levels, priority int, load, limit float64) Check {
+	c := Check{Priority: priority, Load: load, Limit: limit, Deprived: demand.Deprived(priority)}
 	if !c.Deprived {
-		c.Reserve = demand.Reserve(priority, returning, limit)
+		c.Reserve, c.Headroom = demand.Reserve(priority, limit), demand.Headroom(priority, limit)
 	}
 	return c
 }
 
 // Admitted reports whether the request is admitted.
-func (c Check) Admitted() bool { return c.Load < c.Limit-c.Reserve }
+func (c Check) Admitted() bool { return c.Load < c.Limit+c.Headroom-c.Reserve }
