Route requests between availability zones by predicted time

A target of another zone always cost 0.02 of a target's load, so that in a fleet of three zones about two thirds of the requests left their zone even while its own targets were sufficient.

Gateways report slots, load and demand of their zone in field 30 of the work message. The plan only orders usable targets: if the preferred zone has none, the others are used as before. Without recent reports targets are chosen as before.

--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -100,6 +100,14 @@
 	MaxCopiesPerChange int
 	// CopyTime is the time that a rank needs to copy one expert.
 	CopyTime time.Duration
+	// Delays are the delays of the network between availability zones, as far as they are known.
+	Delays []ZoneDelay
+}
+
+// ZoneDelay is the time that a message takes from one availability zone to another.
+type ZoneDelay struct {
+	From, To string
+	Delay    time.Duration
 }
 
 // Limits bound what a client may send.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -45,6 +45,9 @@
 	recordsRead bool
 	// limits are the limits of the current settings.
 	limits settings.GatewayLimits
+	// zoneSettings are those of the current settings, and zoneLog what was logged of the decisions.
+	zoneSettings settings.ZoneRouting
+	zoneLog      zoneLog
 	// probeStates maps the id of each known engine to the time since which the gateway waits
 	// for a report of its group, or to probeDone.
 	probeStates map[string]time.Duration
@@ -57,7 +60,7 @@
 	limits := g.opts.Settings.Limits
 	return &control{
 		g: g, registry: fleet.NewRegistry(limits.DrainTimeout), storeLost: map[fleet.Topic]*storeLoss{},
-		limits: limits, probeStates: map[string]time.Duration{}, peers: newPeerLink(g), expiry: time.NewTimer(tickInterval),
+		limits: limits, zoneSettings: g.opts.Settings.ZoneRouting, zoneLog: zoneLog{}, probeStates: map[string]time.Duration{}, peers: newPeerLink(g), expiry: time.NewTimer(tickInterval),
 	}
 }
 
@@ -104,11 +107,12 @@
 	}
 }
 
-// tick removes idle connections, reports the age of the store's answers, and probes engines
-// whose group is unknown.
+// tick removes idle connections, reports the age of the store's answers, logs changed decisions on
+// availability zones, and probes engines whose group is unknown.
 func (c *control) tick(ctx context.Context) {
 	c.g.client.Sweep(c.usedAddresses())
 	c.reportReadAges()
+	c.logZones()
 	c.probe(ctx)
 }
 
@@ -145,6 +149,7 @@
 	}
 	v.shares = c.shares()
 	c.g.setTargets(v, fv)
+	c.g.setZoneSettings(c.zoneSettings, fv.Config)
 	c.g.view.Store(v)
 }
 
@@ -282,11 +287,12 @@
 // settingsReloaded is the event of changed settings.
 type settingsReloaded struct {
 	limits settings.GatewayLimits
+	zones  settings.ZoneRouting
 	done   chan struct{}
 }
 
 func (r settingsReloaded) apply(c *control) {
-	c.limits = r.limits
+	c.limits, c.zoneSettings = r.limits, r.zones
 	c.registry.SetDrainTimeout(r.limits.DrainTimeout)
 	c.publish()
 	close(r.done)
--- a/internal/gateway/datagram_fuzz_test.go
+++ b/internal/gateway/datagram_fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"testing"
 
@@ -29,6 +30,7 @@
 		{Sender: "p", Zone: "z", Read: make([]readPosition, 20), Limits: []peerLimit{{Key: 1, Rate: -1, AgeMs: -1}}},
 		{Sender: "p", Zone: "z", Relay: &signedRelay{Message: message, MAC: relayMAC(testPeerKey, message)}},
 		{Sender: "p", Zone: "z", Relay: &signedRelay{Message: message}, RelayOnly: true},
+		{Sender: "p", Zone: "y", ZoneLoads: []zoneLoad{{Slots: -1, Load: float32(math.NaN()), Demand: float32(math.Inf(1))}}},
 		{Report: &hint.Report{Group: "g", Epoch: -1, Open: true}},
 	}
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -78,10 +78,14 @@
 func (g *Gateway) choose(x *exchange) (placement.Choice, placement.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.Choose(g.now(), placement.Request{
+	choice, refusal := g.balancer.Choose(g.now(), placement.Request{
 		Service: x.service, Tried: x.tried, AvoidGroup: x.avoidGroup, Urgent: x.attempts > 0,
 		EventGap: x.route.EventGap,
 	})
+	if choice.Zone != placement.ZoneUnplanned {
+		g.zoneCounters.inc(choice.Target.AvailabilityZone, choice.Zone)
+	}
+	return choice, refusal
 }
 
 const (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,8 @@
 	balancer   *placement.Balancer
 	budgets    map[string]*retry.Window
 	quarantine *quarantine.Tracker
+	// zoneCounters count the requests that are sent to each availability zone.
+	zoneCounters *zoneCounters
 	// answeredRequests remembers which requests have been answered.
 	answeredRequests answeredRequests
 	// unanswered contains the attempts whose answers have not begun.
@@ -149,6 +151,7 @@
 		balancer:       placement.New(opts.Settings.Name, opts.Settings.AvailabilityZone, rng),
 		budgets:        make(map[string]*retry.Window),
 		quarantine:     quarantine.New(rng),
+		zoneCounters:   newZoneCounters(opts.Metrics, opts.Settings.AvailabilityZone),
 		unanswered:     make(map[*attempt]struct{}),
 
 		answeredRequests: newAnsweredRequests(),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -48,6 +48,9 @@
 	Relay *signedRelay `cbor:"27,keyasint,omitempty"`
 	// RelayOnly is true if only Relay is set.
 	RelayOnly bool `cbor:"28,keyasint,omitempty"`
+	// ZoneLoads is what the sender knows of its availability zone, at most 32 entries. It is empty
+	// if routing between zones is not enabled.
+	ZoneLoads []zoneLoad `cbor:"30,keyasint,omitempty"`
 	// Report is set instead of the other fields in a mapper's datagram.
 	Report *hint.Report `cbor:"21,keyasint,omitempty"`
 }
@@ -264,8 +267,9 @@
 	evidence := l.g.quarantine.Evidence(l.g.now())
 	l.g.suspecting.Store(l.g.quarantine.Suspects())
 	limits := l.g.balancer.LimitsToTell(l.g.now())
+	zoneLoads := l.g.balancer.ZoneLoads(l.g.now())
 	l.g.mu.Unlock()
-	m := workMessage{Sender: l.g.opts.Settings.Name, Zone: l.g.opts.Settings.AvailabilityZone, Work: work, Evidence: evidence}
+	m := workMessage{Sender: l.g.opts.Settings.Name, Zone: l.g.opts.Settings.AvailabilityZone, Work: work, Evidence: evidence, ZoneLoads: newZoneLoads(zoneLoads)}
 	for _, limit := range limits {
 		m.Limits = append(m.Limits, newPeerLimit(limit))
 	}
@@ -320,6 +324,7 @@
 	l.g.mu.Lock()
 	l.g.balancer.HandlePeerReport(l.g.now(), m.Sender, m.Work)
 	l.handleLimits(m)
+	l.g.balancer.HandleZoneLoads(l.g.now(), m.Sender, m.Zone, decodeZoneLoads(m.ZoneLoads))
 	l.g.mu.Unlock()
 	l.g.mergeEvidence(m.Evidence)
 	l.observeRead(m.Read)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 )
 
@@ -18,6 +19,8 @@
 	Targets       []TargetState `json:"targets"`
 	// Quarantine contains the requests and parts of prompts that targets are suspected to crash on.
 	Quarantine []quarantine.Status `json:"quarantine,omitempty"`
+	// Zones contains the routing between availability zones, by service and zone.
+	Zones []placement.ZoneStatus `json:"zones,omitempty"`
 }
 
 // TargetState is the state of one target in the state dump.
@@ -59,6 +62,7 @@
 		}
 		s.Targets = append(s.Targets, ts)
 	}
+	s.Zones = g.balancer.ZoneStatus(g.now())
 	s.Quarantine = g.quarantine.Status(g.now())
 	slices.SortFunc(s.Targets, func(a, b TargetState) int { return cmp.Compare(a.ID, b.ID) })
 	return s
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -43,9 +43,9 @@
 		Int64("took_ms", g.timeSinceStop().Milliseconds()).Msg("")
 }
 
-// Reload applies the limits of changed settings.
+// Reload applies the limits and the routing between zones of changed settings.
 func (g *Gateway) Reload(ctx context.Context, s *settings.Gateway) {
-	r := settingsReloaded{limits: s.Limits, done: make(chan struct{})}
+	r := settingsReloaded{limits: s.Limits, zones: s.ZoneRouting, done: make(chan struct{})}
 	g.post(ctx, r)
 	select {
 	case <-r.done:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -76,6 +76,8 @@
 	Load int
 	// ReportAge is the age of the target's last load report; negative if there is none.
 	ReportAge time.Duration
+	// Zone is the reason for the availability zone of the target.
+	Zone ZoneReason
 }
 
 // Result classifies the end of an attempt by what it shows of the target's health.
@@ -126,6 +128,7 @@
 	// is true once it has listed the gateways, whether there are others or not.
 	listed        map[string]time.Duration
 	membersListed bool
+	zones         zoneRouter
 }
 
 // New returns a Balancer for the gateway with the name in the availability zone.
@@ -174,6 +177,7 @@
 	b.targets, b.services = next, services
 	b.departed.prune(now)
 	b.indexKeys()
+	b.zones.invalidate()
 }
 
 // indexKeys updates byKey.
@@ -190,6 +194,7 @@
 // Choose selects the target for a request and counts the request as in flight there.
 func (b *Balancer) Choose(now time.Duration, r Request) (Choice, Refusal) {
 	sample, refusal := b.sample(now, &r)
+	b.recordArrival(now, &r, refusal)
 	var best *targetState
 	bestCost := 0.0
 	for _, s := range sample {
@@ -200,7 +205,7 @@
 	if best == nil {
 		return Choice{}, refusal
 	}
-	c := Choice{Target: best.Target, Load: best.load(now, b), ReportAge: best.reportAge(now)}
+	c := Choice{Target: best.Target, Load: best.load(now, b), ReportAge: best.reportAge(now), Zone: b.zoneReason(best)}
 	best.recordStart(now)
 	return c, NotRefused
 }
@@ -210,26 +215,44 @@
 // targets, they would all choose the one that appears least loaded.
 const sampleSize = 5
 
-// sample draws up to sampleSize usable targets with equal probability. If there are none,
-// it returns the reason.
+// sample draws up to sampleSize usable targets with equal probability, from those of the zone that
+// is chosen for the request if any of them is usable. If there are none, it returns the reason.
 func (b *Balancer) sample(now time.Duration, r *Request) ([]*targetState, Refusal) {
 	refusal := NoTarget
-	drawn := make([]*targetState, 0, sampleSize)
-	usableCount := 0
+	route := b.zoneRoute(now, r)
+	space := make([]*targetState, 2*sampleSize)
+	drawn, others := reservoir{targets: space[:0:sampleSize]}, reservoir{targets: space[sampleSize:sampleSize]}
 	for _, s := range b.services[r.Service] {
 		why := b.refusalFor(now, s, r)
 		if why != NotRefused {
 			refusal = max(refusal, why)
 			continue
 		}
-		usableCount++
-		if len(drawn) < sampleSize {
-			drawn = append(drawn, s)
-		} else if i := b.rng.IntN(usableCount); i < sampleSize {
-			drawn[i] = s
+		if !route.passesOver(s) {
+			drawn.add(b.rng, s)
+		} else if drawn.seen == 0 { // the others are not needed otherwise
+			others.add(b.rng, s)
 		}
 	}
-	return drawn, refusal
+	if drawn.seen == 0 {
+		return others.targets, refusal
+	}
+	return drawn.targets, refusal
+}
+
+// reservoir keeps a random sample of up to sampleSize targets.
+type reservoir struct {
+	targets []*targetState
+	seen    int
+}
+
+func (d *reservoir) add(rng *rand.Rand, s *targetState) {
+	d.seen++
+	if len(d.targets) < sampleSize {
+		d.targets = append(d.targets, s)
+	} else if i := rng.IntN(d.seen); i < sampleSize {
+		d.targets[i] = s
+	}
 }
 
 // refusalFor returns why a target can't get the request, or NotRefused if it can.
@@ -264,7 +287,7 @@
 	// failureCost is the cost at a failure rate of 1, in units of the target's slots.
 	failureCost = 2.0
 	// remoteZoneCost makes targets of the local availability zone preferred among
-	// equally loaded ones.
+	// equally loaded ones, unless there is a plan for the zones.
 	remoteZoneCost = 0.02
 	// jitter is the range of a random cost, so that processes which see the same loads
 	// choose different targets.
@@ -275,10 +298,7 @@
 // of another availability zone and of a slow group, and jitter.
 func (b *Balancer) cost(now time.Duration, s *targetState, r *Request) float64 {
 	slots := float64(max(1, s.Slots))
-	cost := float64(s.load(now, b))/slots + failureCost*s.failureRate(now) + jitter*b.rng.Float64()
-	if s.AvailabilityZone != b.zone {
-		cost += remoteZoneCost
-	}
+	cost := float64(s.load(now, b))/slots + failureCost*s.failureRate(now) + jitter*b.rng.Float64() + b.zoneCost(s)
 	if g := b.groupOf(s); g != nil {
 		cost += g.slownessCost(now, r.EventGap)
 	}
@@ -300,6 +320,7 @@
 		}
 	}
 	s.recordResult(now, result)
+	b.recordCompletion(now, s, result)
 	if s.removed && s.inFlight == 0 {
 		delete(b.targets, id)
 		b.depart(now, s)
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -41,6 +41,10 @@
 	// leaving is true once the target has said in an answer that it leaves. It gets no more work
 	// in this lifetime.
 	leaving bool
+	// passedOver is true if failures or a slow group keep the target from being preferred, and
+	// zoneIndex is the index of its zone, both as of its service's last plan.
+	passedOver bool
+	zoneIndex  int32
 	// pausedUntil is the time until which the target has asked this process for no requests.
 	pausedUntil time.Duration
 	// inFlight counts this process's requests at the target.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -29,6 +29,27 @@
 	Memory int `yaml:"memory"`
 	// Limits bound retries, cold targets and the graceful stop.
 	Limits GatewayLimits `yaml:"limits"`
+	// ZoneRouting configures which requests are sent to other availability zones.
+	ZoneRouting ZoneRouting `yaml:"zone_routing"`
+}
+
+// ZoneRouting configures the routing between availability zones.
+type ZoneRouting struct {
+	// Enabled makes the gateways predict whether a request is served sooner in another zone, and
+	// send as many there as balances the zones. Otherwise a target of another zone costs 0.02 of
+	// its load. Default false.
+	Enabled bool `yaml:"enabled"`
+	// CostMs is the time in milliseconds that operators would accept to keep a request in its
+	// zone, in addition to the delay of the network. Default 2, range 0 to 60000.
+	CostMs float64 `yaml:"cost_ms"`
+}
+
+// DefaultZoneRouting returns the routing between zones of a gateway whose settings specify none.
+func DefaultZoneRouting() ZoneRouting { return ZoneRouting{CostMs: 2} }
+
+// Cost returns CostMs as a duration.
+func (z ZoneRouting) Cost() time.Duration {
+	return time.Duration(z.CostMs * float64(time.Millisecond))
 }
 
 // GatewayLimits are the limits of a gateway. Those of repeats and cold targets apply to the
@@ -67,7 +88,7 @@
 
 // LoadGateway reads and checks the gateway settings at path. The error is an *Error.
 func LoadGateway(path string) (*Gateway, error) {
-	g := &Gateway{Limits: DefaultGatewayLimits(), StoreHistory: defaultStoreHistory}
+	g := &Gateway{Limits: DefaultGatewayLimits(), StoreHistory: defaultStoreHistory, ZoneRouting: DefaultZoneRouting()}
 	if err := load(path, g); err != nil {
 		return nil, err
 	}
@@ -84,6 +105,7 @@
 	c.address("store_address", g.StoreAddress)
 	checkRange(c, "store_history", g.StoreHistory, time.Second, time.Hour)
 	checkRange(c, "memory", g.Memory, 16, 65536)
+	checkRange(c, "zone_routing.cost_ms", g.ZoneRouting.CostMs, 0, 60000)
 	l := &g.Limits
 	checkRange(c, "limits.retry_ratio", l.RetryRatio, 0, 1)
 	checkRange(c, "limits.retry_slack", l.RetrySlack, 0, 100000)
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -43,6 +43,11 @@
 	assert.Equal(t, g.Limits, GatewayLimits{
 		RetryRatio: 0.2, RetrySlack: 94, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5, DrainTimeout: 3 * time.Second, StopTimeout: 8 * time.Second,
 	})
+	assert.Equal(t, g.ZoneRouting, ZoneRouting{CostMs: 2})
+	g, err = LoadGateway(writeFile(t, gatewayText+"zone_routing:\n  enabled: true\n  cost_ms: 0.5\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, g.ZoneRouting, ZoneRouting{Enabled: true, CostMs: 0.5})
+	assert.Equal(t, g.ZoneRouting.Cost(), 500*time.Microsecond)
 	_, err = LoadMapper(writeFile(t, mapperText))
 	assert.NilError(t, err)
 }
@@ -60,6 +65,9 @@
 		{"name: gw-1", "nome: gw-1", "unknown field nome"},
 		{"store_address: 10.9.0.1:8000", "store_address:", "store_address"},
 		{"limits:", "limits: [", ""},
+		{"limits:", "zone_routing:\n  cost_ms: -1\nlimits:", "zone_routing.cost_ms"},
+		{"limits:", "zone_routing:\n  cost_ms: .nan\nlimits:", "zone_routing.cost_ms"},
+		{"limits:", "zone_routing:\n  enabled: maybe\nlimits:", "enabled"},
 	} {
 		_, err := LoadGateway(writeFile(t, strings.Replace(gatewayText, c.from, c.to, 1)))
 		assert.ErrorContains(t, err, c.want)
