--- a/internal/zonerouting/zonerouting.go
+++ b/internal/zonerouting/zonerouting.go
@@ -14,6 +14,9 @@
 	startRatio = 0.9
 	// levelSteps is the number of bisections for the predicted time at which the zones are balanced.
 	levelSteps = 40
+	// maxExcess bounds the predicted wait, in service times: a zone may report hardly any slots, and
+	// the wait would overflow.
+	maxExcess = 1000.0
 )
 
 // Zone is an availability zone as seen for one service.
@@ -123,7 +126,7 @@
 // one at its least loaded target, or the one that its demand leads to, whichever is longer. With
 // the first alone, sending would stop once it has shortened the local wait.
 func (in *Input) wait(z *Zone) time.Duration {
-	excess := max(0, z.Excess, in.work(z)/z.Slots-1)
+	excess := min(max(0, z.Excess, in.work(z)/z.Slots-1), maxExcess)
 	return time.Duration(excess * float64(in.ServiceTime))
 }
 
--- a/internal/zonerouting/zonerouting_test.go
+++ b/internal/zonerouting/zonerouting_test.go
@@ -99,6 +99,8 @@
 	assert.Equal(t, p.Pick(math.Nextafter(1, 0)), 1)
 	in.Others[0].Demand, in.Others[1].Demand = 200, 200
 	assert.Equal(t, Compute(in).Shares[0].Fraction, 0.5)
+	in.Others[0].Slots = 1e-30 // must not overflow to a negative wait
+	assert.Assert(t, Compute(in).Shares[0].Time > time.Second)
 	in.Others = nil
 	assert.Assert(t, !Compute(in).Valid)
 }
