--- a/internal/gateway/datagram_fuzz_test.go
+++ b/internal/gateway/datagram_fuzz_test.go
@@ -52,6 +52,7 @@
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		l := newPeerLink(newIdleGateway())
+		l.g.setZoneSettings(settings.ZoneRouting{Enabled: true}, nil)
 		stopped, stop := context.WithCancel(t.Context())
 		stop()
 		l.store = &fleet.Follower{Self: fleet.Gateway{Name: "g"}, OnEvent: func(fleet.Event) {}}
