--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -118,6 +118,14 @@
 	// StepTime is the time of a token step without requests, and StepTimePerRequest the time
 	// that each request that is generating output adds to it. They are zero if unknown.
 	StepTime, StepTimePerRequest time.Duration
+	// Delays are the delays of the network between availability zones, as far as they are known.
+	Delays []ZoneDelay
+}
+
+// ZoneDelay is the time that a message takes from one availability zone to another.
+type ZoneDelay struct {
+	From, To string
+	Delay    time.Duration
 }
 
 // Limits bound what a client may send.
--- a/internal/gateway/datagram_fuzz_test.go
+++ b/internal/gateway/datagram_fuzz_test.go
@@ -32,6 +32,7 @@
 		{Sender: "p", Zone: "z", SentUs: 1 << 62, Demand: make(demand, 100)},
 		{Sender: "p", Zone: "z", Relay: &signedRelay{Message: message, MAC: relayMAC(testPeerKey, message)}},
 		{Sender: "p", Zone: "z", Relay: &signedRelay{Message: message}, RelayOnly: true},
+		{Sender: "p", Zone: "y", ZoneLoads: []zoneLoad{{Slots: -1, Load: float32(math.NaN()), Demand: float32(math.Inf(1))}}},
 		{Report: &hint.Report{Group: "g", Epoch: -1, Open: true}},
 	}
 }
@@ -53,6 +54,7 @@
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		l := newPeerLink(newIdleGateway())
+		l.g.setZoneSettings(settings.ZoneRouting{Enabled: true}, nil)
 		stopped, stop := context.WithCancel(t.Context())
 		stop()
 		l.store = &fleet.Follower{Self: fleet.Gateway{Name: "g"}, OnEvent: func(fleet.Event) {}}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -78,6 +78,9 @@
 		Service: x.service, Tried: x.tried, AvoidGroup: x.avoidGroup, Urgent: x.attempts > 0,
 		EventGap: x.route.EventGap, Priority: x.level, Admitted: x.admitted,
 	})
+	if c.Zone != placement.ZoneUnplanned {
+		g.zoneCounters.inc(c.Target.AvailabilityZone, c.Zone)
+	}
 	g.mu.Unlock()
 	g.recordChoice(x, c, refusal)
 	return c, refusal
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,6 +53,9 @@
 	// SentUs is the time since the sender's start, in microseconds, if it has services with levels.
 	// Messages may arrive late, twice or in another order.
 	SentUs int64 `cbor:"31,keyasint,omitempty"`
+	// ZoneLoads is what the sender knows of its availability zone, at most 32 entries. It is empty
+	// if routing between zones is not enabled.
+	ZoneLoads []zoneLoad `cbor:"30,keyasint,omitempty"`
 	// Report is set instead of the other fields in a mapper's datagram.
 	Report *hint.Report `cbor:"21,keyasint,omitempty"`
 }
@@ -273,9 +276,12 @@
 	if l.g.balancer.HasLevels() {
 		sentUs = l.g.now().Microseconds()
 	}
+	zoneLoads := l.g.balancer.ZoneLoads(l.g.now())
 	l.g.mu.Unlock()
-	m := workMessage{Sender: l.g.opts.Settings.Name, Zone: l.g.opts.Settings.AvailabilityZone, Work: work, Evidence: evidence, SentUs: sentUs}
-	m.Demand = newDemand(reports)
+	m := workMessage{
+		Sender: l.g.opts.Settings.Name, Zone: l.g.opts.Settings.AvailabilityZone, Work: work, Evidence: evidence, SentUs: sentUs,
+		Demand: newDemand(reports), ZoneLoads: newZoneLoads(zoneLoads),
+	}
 	for _, limit := range limits {
 		m.Limits = append(m.Limits, newPeerLimit(limit))
 	}
@@ -330,6 +336,7 @@
 	l.g.mu.Lock()
 	l.handleWork(m)
 	l.handleLimits(m)
+	l.g.balancer.HandleZoneLoads(l.g.now(), m.Sender, m.Zone, decodeZoneLoads(m.ZoneLoads))
 	l.g.mu.Unlock()
 	l.g.mergeEvidence(m.Evidence)
 	l.observeRead(m.Read)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -93,6 +93,8 @@
 	// service has no levels or the request was admitted before. It is also set if the request
 	// is refused as Full.
 	Level *priority.Check
+	// Zone is the reason for the availability zone of the target.
+	Zone ZoneReason
 }
 
 // Result classifies the end of an attempt by what it shows of the target's health.
@@ -148,6 +150,7 @@
 	levels       map[string]*serviceLevels
 	contactAt    time.Duration
 	demandBuffer priority.Levels
+	zones        zoneRouter
 }
 
 // New returns a Balancer for the gateway with the name in the availability zone.
@@ -197,6 +200,7 @@
 	b.targets, b.services = next, services
 	b.departed.prune(now)
 	b.indexKeys()
+	b.zones.invalidate()
 }
 
 // indexKeys updates byKey.
@@ -226,6 +230,7 @@
 		}
 		levels.meter.RecordAdmission(now, r.Priority)
 	}
+	b.recordArrival(now, &r, refusal)
 	var best *targetState
 	bestCost := 0.0
 	for _, s := range sample {
@@ -236,7 +241,9 @@
 	if best == nil {
 		return Choice{}, refusal
 	}
-	c := Choice{Target: best.Target, Load: best.load(now, b), ReportAge: best.reportAge(now), Level: check}
+	c := Choice{
+		Target: best.Target, Load: best.load(now, b), ReportAge: best.reportAge(now), Level: check, Zone: b.zoneReason(best),
+	}
 	best.recordStart(now)
 	b.addInFlight(best, 1)
 	return c, NotRefused
@@ -247,33 +254,52 @@
 // targets, they would all choose the one that appears least loaded.
 const sampleSize = 5
 
-// sample draws up to sampleSize usable targets with equal probability. If there are none,
-// it returns the reason. sum, if not nil, becomes the sum over the targets that could get work.
+// sample draws up to sampleSize usable targets with equal probability, from those of the zone that
+// is chosen for the request if any of them is usable. If there are none, it returns the reason. sum,
+// if not nil, becomes the sum over the targets that could get work.
 func (b *Balancer) sample(now time.Duration, r *Request, sum *serviceSum) ([]*targetState, Refusal) {
 	refusal := NoTarget
-	drawn := make([]*targetState, 0, sampleSize)
-	usableCount := 0
+	route := b.zoneRoute(now, r)
+	space := make([]*targetState, 2*sampleSize)
+	drawn, others := reservoir{targets: space[:0:sampleSize]}, reservoir{targets: space[sampleSize:sampleSize]}
 	for _, s := range b.services[r.Service] {
 		why := b.refusalFor(now, s, r, sum)
 		if why != NotRefused {
 			refusal = max(refusal, why)
 			continue
 		}
-		usableCount++
-		if len(drawn) < sampleSize {
-			drawn = append(drawn, s)
-		} else if i := b.rng.IntN(usableCount); i < sampleSize {
-			drawn[i] = s
+		if !route.passesOver(s) {
+			drawn.add(b.rng, s)
+		} else if drawn.seen == 0 { // the others are not needed otherwise
+			others.add(b.rng, s)
 		}
 	}
-	return drawn, refusal
+	if drawn.seen == 0 {
+		return others.targets, refusal
+	}
+	return drawn.targets, refusal
+}
+
+// reservoir keeps a random sample of up to sampleSize targets.
+type reservoir struct {
+	targets []*targetState
+	seen    int
+}
+
+func (d *reservoir) add(rng *rand.Rand, s *targetState) {
+	d.seen++
+	if len(d.targets) < sampleSize {
+		d.targets = append(d.targets, s)
+	} else if i := rng.IntN(d.seen); i < sampleSize {
+		d.targets[i] = s
+	}
 }
 
 const (
 	// failureCost is the cost at a failure rate of 1, in units of the target's slots.
 	failureCost = 2.0
 	// remoteZoneCost makes targets of the local availability zone preferred among
-	// equally loaded ones.
+	// equally loaded ones, unless there is a plan for the zones.
 	remoteZoneCost = 0.02
 	// jitter is the range of a random cost, so that processes which see the same loads
 	// choose different targets.
@@ -284,10 +310,7 @@
 // of another availability zone and of a slow group, and jitter.
 func (b *Balancer) cost(now time.Duration, s *targetState, r *Request) float64 {
 	slots := float64(max(1, s.Slots))
-	cost := float64(s.load(now, b))/slots + failureCost*s.failureRate(now) + jitter*b.rng.Float64()
-	if s.AvailabilityZone != b.zone {
-		cost += remoteZoneCost
-	}
+	cost := float64(s.load(now, b))/slots + failureCost*s.failureRate(now) + jitter*b.rng.Float64() + b.zoneCost(s)
 	if g := b.groupOf(s); g != nil {
 		cost += g.slownessCost(now, r.EventGap)
 	}
@@ -314,6 +337,7 @@
 		l.meter.RecordCompletion(now)
 	}
 	b.addInFlight(s, s.inFlight-before)
+	b.recordCompletion(now, s, result)
 	if s.removed && s.inFlight == 0 {
 		delete(b.targets, id)
 		b.depart(now, s)
