--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RACE_PACKAGES = ./internal/... ./platform/...
 SOAK_FLAGS ?= -first 1 -last 2 -length 6s
 
-.PHONY: build test lint unit race scenario soak demo bench fmt
+.PHONY: build test lint unit race scenario soak callers demo bench fmt
 
 build:
 	go build -o bin/ ./cmd/...
@@ -28,6 +28,10 @@
 soak: build
 	./scripts/gotest -count=1 -tags soak -timeout 30m ./test/soak -args $(SOAK_FLAGS)
 
+# Misbehaving callers against the real gateway, one kind after the other.
+callers: build
+	./scripts/gotest -count=1 -tags callers -timeout 20m ./test/callers
+
 demo: build
 	./scripts/demo $(DEPLOYMENT)
 
