gateway: bound the memory and connections that callers take

Cause: gnet kept all bytes of an incomplete request and of requests behind one that is being handled, without a bound. Each piece that arrived was copied together with all earlier ones and parsed from its start. Bodies were read although the head determined the answer. With ReusePort unset, gnet accepts on a goroutine of its own, and ends when accept fails for want of descriptors.

Change: - http1.RequestReader reads a request from pieces at a cost proportional to their size; ParseRequest is based on it. At most 256 header fields and 64 trailer fields (431), lines of chunked bodies of at most 256 bytes. - internal/callerbuf accounts for the bytes held for callers and selects who is cut off: of the callers with the most bytes, the one without progress for the longest time. The gateway takes all bytes out of gnet's buffer at once, cuts callers off above `callers.buffer_bytes`, and refuses requests if only requests that are being handled are left. - Requests without a route, key or configuration are answered from the head. A check at the start refuses an address in use. - The admin and ready addresses close connections that do not read an answer within 5 s: 64 of them blocked the address for good. - Counter `callers_cut_off`, gauge `caller_bytes`, log line `caller-cut-off`, documentation; `make test` calls `make callers`. - gnet has no way to pause the reading of a connection. Pipelined bytes are therefore kept up to one request of the largest size, within the budget, instead of 64 KiB; above that the connection is closed after its answer.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 build:
 	go build -o bin/ ./cmd/...
 
-test: lint unit race scenario soak
+test: lint unit race scenario soak callers
 
 lint:
 	./scripts/lint
--- /dev/null
+++ b/internal/gateway/caller_conn.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/callerbuf"
+	"github.com/gentiantrail/gentiantrail/internal/http1"
+)
+
+const (
+	// minPipelined is the smallest number of bytes behind a request that are kept while it is
+	// handled; one more request of the largest size is kept in any case.
+	minPipelined = 64 << 10
+	// lingerTime and lingerBytes bound what is read and dropped of a request that has been
+	// refused before its end. Closing a connection with unread bytes resets it, and the caller
+	// might lose the answer.
+	lingerTime  = 2 * time.Second
+	lingerBytes = 8 << 20
+)
+
+// callerConn is one connection of a caller. Its fields except waiting and account are owned by
+// the event loop.
+type callerConn struct {
+	s    *server
+	conn gnet.Conn
+	// account is the bytes held for the connection.
+	account *account
+	// reader holds the part of the next request that has arrived.
+	reader http1.RequestReader
+	// pipelined contains the bytes that arrived while a request is being handled.
+	pipelined []byte
+	// busy is true while a request is being handled, and out writes its response.
+	busy bool
+	out  *connWriter
+	// waiting describes the connection's wait for its caller; nil while a request is
+	// being handled.
+	waiting atomic.Pointer[wait]
+	// headChecked is true once the head of the request that arrives has been found acceptable.
+	headChecked bool
+	// discarding is true once bytes of the caller are dropped: the connection is closed
+	// after the response.
+	discarding bool
+	// discarded is the number of bytes dropped since the response.
+	discarded int
+	// closing is true once no further request is read, and closed once the connection has
+	// been closed.
+	closing, closed bool
+}
+
+// wait describes a connection's wait for bytes from its caller.
+type wait struct {
+	since time.Time
+	// partial is true if a part of a request has been received.
+	partial bool
+	// lingering is true if the connection waits for its caller to read a refusal.
+	lingering bool
+}
+
+// expire closes the connection if its wait is still overdue.
+func (cc *callerConn) expire() {
+	w := cc.waiting.Load()
+	if cc.closed || w == nil || !cc.s.overdue(w, time.Now()) || cc.closing && !w.lingering {
+		return
+	}
+	if w.partial {
+		cc.reject(apierr.New(apierr.KindSlowRequest, ""))
+		return
+	}
+	cc.closing = true
+	_ = cc.conn.Close()
+}
+
+// read takes all bytes that have arrived, so that gnet keeps none.
+func (cc *callerConn) read() gnet.Action {
+	n := cc.conn.InboundBuffered()
+	if n == 0 {
+		return gnet.None
+	}
+	buf, err := cc.conn.Peek(n)
+	if err != nil {
+		return gnet.Close
+	}
+	cc.take(buf)
+	if cc.closed {
+		return gnet.None
+	}
+	if _, err := cc.conn.Discard(n); err != nil || cc.closing && cc.discarded > lingerBytes {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// take reads requests from buf, which belongs to the connection, and keeps the bytes behind the
+// one that is handled.
+func (cc *callerConn) take(buf []byte) {
+	buf = cc.takeRequest(buf)
+	if len(buf) == 0 {
+		return
+	}
+	if cc.closing || cc.discarding {
+		cc.discarded += len(buf)
+		return
+	}
+	if len(cc.pipelined)+len(buf) > cc.maxPipelined() {
+		cc.s.budget.recordCut(callerbuf.Pipelined.String(), int64(len(cc.pipelined)+len(buf)), cc.conn.RemoteAddr())
+		cc.cutOff(callerbuf.Pipelined)
+		return
+	}
+	cc.pipelined = append(cc.pipelined, buf...)
+	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(cap(cc.pipelined)))
+	cc.s.budget.relieve()
+}
+
+// takePipelined reads the next request from the bytes that arrived during the last one.
+func (cc *callerConn) takePipelined() {
+	if len(cc.pipelined) == 0 {
+		return
+	}
+	cc.pipelined = cc.takeRequest(cc.pipelined)
+	if len(cc.pipelined) == 0 || cc.closing || cc.discarding {
+		cc.pipelined = nil
+	}
+	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(cap(cc.pipelined)))
+}
+
+// maxPipelined returns the number of bytes that are kept while a request is handled.
+func (cc *callerConn) maxPipelined() int {
+	l := parseLimits(cc.s.g.view.Load())
+	return max(minPipelined, l.Header+l.Body)
+}
+
+// takeRequest reads the next request from buf and returns the bytes behind it. If the request is
+// complete, its handling starts.
+func (cc *callerConn) takeRequest(buf []byte) []byte {
+	if cc.busy || cc.closing || cc.discarding {
+		return buf
+	}
+	v := cc.s.g.view.Load()
+	n, err := cc.reader.Read(buf, parseLimits(v))
+	if err != nil {
+		cc.reject(apierr.Wrap(parseErrorKind(err), "", err))
+		return nil
+	}
+	if req := cc.reader.Complete(); req != nil {
+		cc.startRequest(req, v)
+		return buf[n:]
+	}
+	cc.awaitMore(v)
+	return buf[n:]
+}
+
+// awaitMore records that a part of a request has been received. Once its head is known, it answers
+// a request that no body makes acceptable, or sends 100 Continue if the caller expects it.
+func (cc *callerConn) awaitMore(v *view) {
+	if w := cc.waiting.Load(); w == nil || !w.partial {
+		cc.waiting.Store(&wait{since: time.Now(), partial: true})
+	}
+	if head := cc.reader.Head(); head != nil && !cc.headChecked {
+		cc.headChecked = true
+		if cc.s.g.refusedByHead(head, v) {
+			head.KeepAlive, head.Body = false, nil
+			cc.discarding = true
+			cc.startRequest(head, v)
+			return
+		}
+		if head.AwaitsContinue() {
+			cc.send([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}
+	}
+	cc.s.budget.set(cc.account, callerbuf.Incomplete, cc.reader.Held())
+	cc.s.budget.relieve()
+}
+
+// refusedByHead reports whether the head of a request alone determines that it is refused.
+func (g *Gateway) refusedByHead(req *http1.Request, v *view) bool {
+	x := &exchange{req: req, view: v}
+	return findRoute(g, x) != nil || identify(g, x) != nil
+}
+
+func (cc *callerConn) startRequest(req *http1.Request, v *view) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cc.busy, cc.headChecked, cc.reader = true, false, http1.RequestReader{}
+	cc.waiting.Store(nil)
+	g, budget := cc.s.g, cc.s.budget
+	budget.set(cc.account, callerbuf.Incomplete, 0)
+	handled := budget.handled(cc, req.Held())
+	g.inFlight.Add(1)
+	x := &exchange{ctx: ctx, req: req, view: v, arrived: time.Now()}
+	cc.out = &connWriter{cc: cc, cancel: cancel, done: sync.OnceFunc(func() {
+		x.releaseAnswers()
+		budget.close(handled)
+		g.inFlight.Add(-1)
+	})}
+	x.out = cc.out
+	x.noRoom = !budget.relieve()
+	go g.handle(x)
+}
+
+// reject sends an error response to bytes that are not an acceptable request, or to a
+// request that took too long to arrive, and closes the connection.
+func (cc *callerConn) reject(err *apierr.Error) {
+	cc.s.g.requestMetrics.Count(err.Kind)
+	cc.s.g.opts.Logger.Info().Str("event", "request-rejected").Str("kind", err.Answer().Name).
+		Str("peer", cc.conn.RemoteAddr().String()).Str("detail", err.Error()).Msg("")
+	cc.refuse(err)
+}
+
+// refuse sends an error response to a request that has not arrived completely, and closes the
+// connection.
+func (cc *callerConn) refuse(err *apierr.Error) {
+	var fields http1.Header
+	name := cc.s.g.opts.Headers.Attempt
+	if head := cc.reader.Head(); head != nil {
+		if id, ok := head.Header.Lookup(name); ok {
+			fields = http1.Header{{Name: name, Value: id}}
+		}
+	}
+	cc.send(errorAnswer(err, fields))
+	cc.linger()
+}
+
+// linger closes the connection once its caller has had the time to read the last response.
+func (cc *callerConn) linger() {
+	if cc.closed || cc.closing {
+		return
+	}
+	cc.closing = true
+	cc.dropInput()
+	cc.waiting.Store(&wait{since: time.Now(), lingering: true})
+	if cc.conn.OutboundBuffered() > 0 || unix.Shutdown(cc.conn.Fd(), unix.SHUT_WR) != nil {
+		_ = cc.conn.Close()
+	}
+}
+
+// dropInput releases the bytes that have arrived.
+func (cc *callerConn) dropInput() {
+	cc.reader, cc.pipelined = http1.RequestReader{}, nil
+	cc.s.budget.set(cc.account, callerbuf.Incomplete, 0)
+	cc.s.budget.set(cc.account, callerbuf.Pipelined, 0)
+}
+
+// cutOff releases the bytes held for the caller in a part. It refuses a request that is incomplete,
+// reads no further request behind one that is being handled, and breaks off a response that the
+// caller does not accept.
+func (cc *callerConn) cutOff(part callerbuf.Part) {
+	switch part {
+	case callerbuf.Incomplete:
+		cc.refuse(apierr.New(apierr.KindOverloaded, ""))
+	case callerbuf.Pipelined:
+		cc.discarding = true
+	default:
+		cc.s.budget.close(cc.account)
+		if cc.out != nil {
+			cc.out.abort()
+		}
+	}
+	cc.dropInput()
+}
+
+// send writes from the event loop.
+func (cc *callerConn) send(b []byte) {
+	if _, err := cc.conn.Write(b); err != nil {
+		cc.closing = true
+		_ = cc.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/gateway/caller_conn_test.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/gentiantrail/gentiantrail/internal/callerbuf"
+	"github.com/gentiantrail/gentiantrail/internal/settings"
+)
+
+// limitCallers sets the budget of bytes held for callers and the number of their connections once
+// no caller is connected.
+func (gw *testGateway) limitCallers(bytes int64, conns int) *testGateway {
+	gw.t.Helper()
+	gw.waitUntil("no caller is connected", func() bool {
+		gw.g.server.mu.Lock()
+		defer gw.g.server.mu.Unlock()
+		return len(gw.g.server.conns) == 0
+	})
+	b := gw.g.server.budget
+	b.mu.Lock()
+	b.budget = callerbuf.New[*callerConn](bytes)
+	b.mu.Unlock()
+	gw.g.server.mu.Lock()
+	gw.g.server.maxConns = conns
+	gw.g.server.mu.Unlock()
+	return gw
+}
+
+// waitUntil waits until the condition is true.
+func (gw *testGateway) waitUntil(condition string, done func() bool) {
+	gw.t.Helper()
+	poll.WaitOn(gw.t, func(poll.LogT) poll.Result {
+		if done() {
+			return poll.Success()
+		}
+		return poll.Continue("not yet: %s", condition)
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// held returns the number of bytes held for callers.
+func (gw *testGateway) held() int64 {
+	b := gw.g.server.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Used()
+}
+
+// post returns the head of a request with a valid key and a body of n bytes.
+func post(path string, n int, more ...string) string {
+	lines := get(path, append(more, "Content-Length: "+strconv.Itoa(n))...)
+	return strings.Replace(strings.Join(lines, "\r\n"), "GET", "POST", 1) + "\r\n\r\n"
+}
+
+// readAnswer reads one answer with its body.
+func readAnswer(t *testing.T, br *bufio.Reader) (int, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(br, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(body)
+}
+
+// echo answers with the body of the request.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("T-Sign", "signed")
+	_, _ = w.Write(body)
+}
+
+// Guards against legal requests that are served differently because they arrive in pieces, expect
+// 100 Continue, or follow each other without a wait.
+func TestLegalRequestsAreServed(t *testing.T) {
+	gw := newTestGateway(t, echo).waitReady()
+	largest := strings.Repeat("x", 1<<16)
+	chunked := strings.Replace(post("/once/", 3), "Content-Length: 3", "Transfer-Encoding: chunked", 1) + "1\r\na\r\n2;x=y\r\nbc\r\n0\r\nT: r\r\n\r\n"
+	three := post("/once/", 1<<16) + largest + chunked + post("/once/", 0)
+
+	c := gw.write("")
+	br := bufio.NewReader(c)
+	for range 2 {
+		for piece := three; len(piece) > 0; {
+			n := min(len(piece), 777)
+			_, err := io.WriteString(c, piece[:n])
+			assert.NilError(t, err)
+			piece = piece[n:]
+		}
+		for _, want := range []string{largest, "abc", ""} {
+			status, body := readAnswer(t, br)
+			assert.Equal(t, status, 200)
+			assert.Assert(t, body == want, "%d bytes", len(body))
+		}
+	}
+
+	_, err := io.WriteString(c, post("/once/", 2, "Expect: 100-continue"))
+	assert.NilError(t, err)
+	status, _ := readAnswer(t, br)
+	assert.Equal(t, status, 100)
+	_, err = io.WriteString(c, "ok")
+	assert.NilError(t, err)
+	status, body := readAnswer(t, br)
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "ok")
+	gw.waitUntil("all bytes are released", func() bool { return gw.held() == 0 })
+}
+
+// Guards against bodies that are read although their head determines the answer, and against an
+// answer that its caller can't read because it is still sending.
+func TestHeadDeterminesTheAnswer(t *testing.T) {
+	gw := newTestGateway(t, echo).waitReady()
+	for name, tc := range map[string]struct {
+		head string
+		want int
+	}{
+		"no route": {post("/nowhere/", 1<<16), 404},
+		"no key":   {strings.Replace(post("/once/", 1<<16), "Bearer key", "Bearer other", 1), 401},
+		"too long": {post("/once/", 1<<22), 413},
+	} {
+		c := gw.write(tc.head)
+		for range 63 { // the answer arrives during these writes
+			_, err := io.WriteString(c, strings.Repeat("x", 1<<10))
+			assert.NilError(t, err, name)
+			time.Sleep(time.Millisecond)
+		}
+		br := bufio.NewReader(c)
+		status, body := readAnswer(t, br)
+		assert.Equal(t, status, tc.want, name)
+		assert.Assert(t, strings.Contains(body, `"outcome":"not-run"`), body)
+		_, err := br.ReadByte()
+		assert.ErrorIs(t, err, io.EOF, name)
+	}
+	assert.Equal(t, len(gw.targets[0].requests()), 0)
+}
+
+// Guards against callers whose unfinished bodies use up the memory: the ones that stand still are
+// refused, and a whole request among them is served.
+func TestUnfinishedBodiesAreCutOff(t *testing.T) {
+	const budget = 1 << 20
+	gw := newTestGateway(t, echo).waitReady().limitCallers(budget, 1000)
+	const size = 1 << 16
+	var callers []net.Conn
+	for range 2 * budget / size {
+		callers = append(callers, gw.write(post("/once/", size)+strings.Repeat("x", size-1)))
+	}
+	status, _ := readAnswer(t, bufio.NewReader(gw.write(post("/once/", size)+strings.Repeat("x", size))))
+	assert.Equal(t, status, 200)
+	gw.waitUntil("the budget is kept to", func() bool { return gw.held() <= budget })
+	refused, waiting := 0, 0
+	for _, c := range callers {
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+		br := bufio.NewReader(c)
+		if _, err := br.Peek(1); err != nil {
+			var timeout net.Error
+			assert.Assert(t, errors.As(err, &timeout) && timeout.Timeout(), "%v", err)
+			waiting++
+			continue
+		}
+		status, body := readAnswer(t, br)
+		assert.Equal(t, status, 503)
+		assert.Assert(t, strings.Contains(body, `"kind":"overloaded"`) && strings.Contains(body, `"outcome":"not-run"`), body)
+		refused++
+	}
+	assert.Assert(t, refused > 0 && waiting > 0, "%d refused, %d waiting", refused, waiting)
+	_, logged := gw.logs.find("caller-cut-off", "reason=incomplete")
+	assert.Assert(t, logged)
+}
+
+// Guards against a caller that does not read its answers and keeps their memory.
+func TestUnreadAnswersAreCutOff(t *testing.T) {
+	const budget = 1 << 20
+	gw := newTestGateway(t, respond(200, strings.Repeat("x", 6<<20))).waitReady().limitCallers(budget, 1000)
+	c := gw.write("")
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+	_, err := io.WriteString(c, strings.Join(get("/once/"), "\r\n")+"\r\n\r\n")
+	assert.NilError(t, err)
+	gw.waitForLog("caller-cut-off", "reason=unsent")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	assert.Assert(t, err != nil, "an answer that was broken off looks complete")
+}
+
+// Guards against requests behind one that is being handled that use up the memory. The request
+// itself is answered.
+func TestPipelinedBytesAreCutOff(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(300 * time.Millisecond)
+		echo(w, r)
+	}
+	gw := newTestGateway(t, slow).waitReady()
+	many := strings.Repeat(strings.Join(get("/once/"), "\r\n")+"\r\n\r\n", 4000)
+	c := gw.write("")
+	go func() { _, _ = io.WriteString(c, many) }()
+	br := bufio.NewReader(c)
+	status, _ := readAnswer(t, br)
+	assert.Equal(t, status, 200)
+	_, err := http.ReadResponse(br, nil)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(gw.targets[0].requests()), 1)
+	_, logged := gw.logs.find("caller-cut-off", "reason=pipelined")
+	assert.Assert(t, logged)
+}
+
+// Guards against two gateways that share an address and its callers.
+func TestAddressOfAnotherGatewayIsInUse(t *testing.T) {
+	gw := newTestGateway(t, echo).waitReady()
+	other := New(Options{
+		Settings: &settings.Gateway{Listen: gw.addr, Limits: settings.DefaultGatewayLimits()},
+		Logger:   &log.Logger{Level: log.PanicLevel}, Metrics: tally.NoopScope,
+	})
+	assert.ErrorIs(t, other.Serve(t.Context()), syscall.EADDRINUSE)
+}
+
+// Guards against connections that use up the descriptors.
+func TestConnectionsAboveTheLimitAreRefused(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "x")).waitReady().limitCallers(0, 2)
+	first, second := gw.write(""), gw.write("")
+	status, body := readAnswer(t, bufio.NewReader(gw.write("")))
+	assert.Equal(t, status, 503)
+	assert.Assert(t, strings.Contains(body, `"outcome":"not-run"`), body)
+	for _, c := range []net.Conn{first, second} {
+		_, err := io.WriteString(c, strings.Join(get("/safe/"), "\r\n")+"\r\n\r\n")
+		assert.NilError(t, err)
+		status, _ := readAnswer(t, bufio.NewReader(c))
+		assert.Equal(t, status, 200)
+	}
+}
+
+func TestDefaultNumberOfConnections(t *testing.T) {
+	assert.Equal(t, maxCallers(&settings.Gateway{Callers: settings.GatewayCallers{MaxConnections: 7}}), 7)
+	assert.Assert(t, maxCallers(&settings.Gateway{Memory: 152}) <= 152<<20/callerMemory)
+}
--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -36,11 +36,29 @@
 		b = http1.AppendFields(b, http1.Header{{Name: headerRetryAfter, Value: secondsText(after)}})
 	}
 	b = g.appendConnection(b, x)
-	body, jsonErr := json.Marshal(errorBody{Kind: row.Name, Message: row.Text, Outcome: row.Outcome.String()})
-	if jsonErr != nil {
-		g.opts.Logger.Error().Str("event", "answer-encode").Err(jsonErr).Msg("")
+	x.out.write(http1.AppendLengthAndBody(b, errorJSON(row)))
+}
+
+// errorJSON returns the body of an error response.
+func errorJSON(row apierr.Answer) []byte {
+	body, err := json.Marshal(errorBody{Kind: row.Name, Message: row.Text, Outcome: row.Outcome.String()})
+	if err != nil {
+		panic(err) // three strings can always be encoded
+	}
+	return body
+}
+
+// errorAnswer returns the error response to a request that is not handled, with the fields, after
+// which the connection is closed.
+func errorAnswer(err *apierr.Error, fields http1.Header) []byte {
+	row := err.Answer()
+	b := http1.AppendStatus(nil, row.Status, "")
+	b = append(b, "Content-Type: application/json\r\nConnection: close\r\n"...)
+	b = http1.AppendFields(b, fields)
+	if row.RetryAfter > 0 {
+		b = http1.AppendFields(b, http1.Header{{Name: headerRetryAfter, Value: secondsText(jittered(row.RetryAfter))}})
 	}
-	x.out.write(http1.AppendLengthAndBody(b, body))
+	return http1.AppendLengthAndBody(b, errorJSON(row))
 }
 
 // Times after which refused callers should retry.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -25,6 +25,9 @@
 	// or the route's timeout, whichever comes first.
 	deadline time.Time
 
+	// noRoom is true if the process held too many bytes for callers when the request arrived.
+	noRoom bool
+
 	organisation *fleet.Organisation
 	route        *fleet.Route
 	service      string
--- a/internal/gateway/filter_admit.go
+++ b/internal/gateway/filter_admit.go
@@ -6,7 +6,7 @@
 const maxInFlight = 1024
 
 // admit counts the request for its service's retry budget. It refuses the request if the
-// process has too many in flight, or if it arrived so late in a stop that it might not
+// process has too many in flight or holds too many bytes, or if it arrived so late in a stop that it might not
 // complete before the process ends.
 func admit(g *Gateway, x *exchange) *apierr.Error {
 	if g.timeSinceStop() > stopIdleTime {
@@ -15,6 +15,9 @@
 	if g.inFlight.Load() > maxInFlight {
 		return apierr.New(apierr.KindOverloaded, "too many requests in flight")
 	}
+	if x.noRoom {
+		return apierr.New(apierr.KindOverloaded, "the memory for callers' requests is used up")
+	}
 	g.countRequest(x.service)
 	return nil
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -35,7 +35,7 @@
 
 // testGateway is a gateway with fake targets.
 type testGateway struct {
-	t       *testing.T
+	t       testing.TB
 	g       *Gateway
 	records *fakeRecords
 	store   *fakeStore
@@ -99,7 +99,7 @@
 	return append([]*http.Request(nil), f.seen...)
 }
 
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	t.Helper()
 	addr, err := testaddr.Free()
 	assert.NilError(t, err)
@@ -108,7 +108,7 @@
 
 // startServer starts a server on an address that no outgoing connection gets, so that another one can
 // listen there after its end.
-func startServer(t *testing.T, addr string, h http.Handler) *httptest.Server {
+func startServer(t testing.TB, addr string, h http.Handler) *httptest.Server {
 	t.Helper()
 	ln, err := net.Listen("tcp4", addr)
 	assert.NilError(t, err)
@@ -140,21 +140,21 @@
 }
 
 // newTestGateway starts a gateway with one target for each handler.
-func newTestGateway(t *testing.T, handlers ...http.HandlerFunc) *testGateway {
+func newTestGateway(t testing.TB, handlers ...http.HandlerFunc) *testGateway {
 	t.Helper()
 	return newTestGatewayWith(t, []fleet.Change{{Name: "main", Config: testConfig(1)}}, handlers...)
 }
 
 // newTestGatewayWith is like newTestGateway with the given configuration in the store; nil
 // means that there is none.
-func newTestGatewayWith(t *testing.T, config []fleet.Change, handlers ...http.HandlerFunc) *testGateway {
+func newTestGatewayWith(t testing.TB, config []fleet.Change, handlers ...http.HandlerFunc) *testGateway {
 	t.Helper()
 	return newTestGatewayWithRecords(t, newFakeRecords(), config, handlers...)
 }
 
 // newTestGatewayWithRecords is like newTestGatewayWith with the given records of the quarantine in
 // the store.
-func newTestGatewayWithRecords(t *testing.T, records *fakeRecords, config []fleet.Change, handlers ...http.HandlerFunc) *testGateway {
+func newTestGatewayWithRecords(t testing.TB, records *fakeRecords, config []fleet.Change, handlers ...http.HandlerFunc) *testGateway {
 	t.Helper()
 	gw := &testGateway{t: t, addr: freePort(t), logs: &logBuffer{}, records: records, store: &fakeStore{
 		revision: 1, changes: map[fleet.Topic][]fleet.Change{}, content: map[fleet.Topic][]fleet.Change{},
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,10 @@
 	// invalidStatements counts header fields about a target's state that can't be decoded.
 	invalidStatements tally.Counter
 	firstEvent        tally.Histogram
+	// callersCutOff counts the callers that were cut off, by reason.
+	callersCutOff map[string]tally.Counter
+	// callerBytes is the number of bytes held for callers.
+	callerBytes tally.Gauge
 	// readAges contains the time since the last answer of the store to a list or a watch of
 	// each watched topic, in seconds.
 	readAges [fleet.TopicGateways]tally.Gauge
@@ -37,6 +41,11 @@
 		recordFailures:    s.Counter("quarantine_record_failures"),
 		invalidStatements: s.Counter("invalid_target_statements"),
 		firstEvent:        s.Histogram("first_event", observe.LatencyBuckets),
+		callersCutOff:     make(map[string]tally.Counter),
+		callerBytes:       s.Gauge("caller_bytes"),
+	}
+	for _, reason := range cutReasons {
+		c.callersCutOff[reason] = s.Tagged(map[string]string{"reason": reason}).Counter("callers_cut_off")
 	}
 	for t := range fleet.TopicGateways {
 		c.readAges[t] = s.Tagged(map[string]string{"topic": t.String()}).Gauge("store_read_age_seconds")
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -45,10 +45,16 @@
 	// mu guards conns, since ticks do not run on the event loop.
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
+	// maxConns bounds the number of conns.
+	maxConns int
+	budget   *callerBudget
 }
 
 func newServer(g *Gateway) *server {
-	return &server{g: g, booted: make(chan struct{}), conns: make(map[*callerConn]struct{})}
+	return &server{
+		g: g, booted: make(chan struct{}), conns: make(map[*callerConn]struct{}),
+		maxConns: maxCallers(g.opts.Settings), budget: newCallerBudget(g),
+	}
 }
 
 // Serve accepts callers' connections until ctx ends.
@@ -63,12 +69,28 @@
 		default:
 		}
 	}()
+	if err := checkUnused(g.opts.Settings.Listen); err != nil {
+		return err
+	}
+	// With ReusePort the one event loop accepts connections itself and refuses those above the
+	// limit one by one. Otherwise another goroutine accepts a crowd faster than the loop refuses
+	// it, until descriptors run out, and gnet ends.
 	return gnet.Run(g.server, "tcp4://"+g.opts.Settings.Listen,
-		gnet.WithMulticore(false), gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
+		gnet.WithMulticore(false), gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true), gnet.WithReusePort(true),
 		gnet.WithTicker(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(gnetLogger{g.opts.Logger}))
 }
 
+// checkUnused returns an error if another process listens on addr: with ReusePort two gateways
+// could share it.
+func checkUnused(addr string) error {
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	return ln.Close()
+}
+
 // OnBoot implements gnet.EventHandler.
 func (s *server) OnBoot(e gnet.Engine) gnet.Action {
 	s.engine = e
@@ -76,34 +98,14 @@
 	return gnet.None
 }
 
-// callerConn is one connection of a caller. Its fields except waiting are owned by the
-// event loop.
-type callerConn struct {
-	s    *server
-	conn gnet.Conn
-	// busy is true while a request is being handled; further bytes stay buffered.
-	busy bool
-	// waiting describes the connection's wait for its caller; nil while a request is
-	// being handled.
-	waiting atomic.Pointer[wait]
-	// continued is true once 100 Continue has been sent for the current request.
-	continued bool
-	// closing is true once no further request is read, and closed once the connection has
-	// been closed.
-	closing, closed bool
-	cancel          context.CancelFunc
-}
-
-// wait describes a connection's wait for bytes from its caller.
-type wait struct {
-	since time.Time
-	// partial is true if a part of a request has been received.
-	partial bool
-}
-
-// OnOpen implements gnet.EventHandler.
+// OnOpen implements gnet.EventHandler. It refuses connections above the limit.
 func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	cc := &callerConn{s: s, conn: c}
+	if !s.add(cc) {
+		s.budget.recordCut(reasonConnections, 0, c.RemoteAddr())
+		return errorAnswer(apierr.New(apierr.KindOverloaded, ""), nil), gnet.Close
+	}
+	cc.account = s.budget.open(cc)
 	cc.waiting.Store(&wait{since: time.Now()})
 	c.SetContext(cc)
 	// gnet's option for keep-alive would hide a failure to listen behind an error of
@@ -111,10 +113,18 @@
 	if err := c.SetKeepAlive(true, callerKeepAlive, callerProbeInterval, callerProbes); err != nil {
 		s.g.opts.Logger.Debug().Str("event", "keepalive").Err(err).Msg("the caller has disconnected already")
 	}
+	return nil, gnet.None
+}
+
+// add records a connection and reports whether there was room for it.
+func (s *server) add(cc *callerConn) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.maxConns {
+		return false
+	}
 	s.conns[cc] = struct{}{}
-	s.mu.Unlock()
-	return nil, gnet.None
+	return true
 }
 
 // OnClose implements gnet.EventHandler. It cancels the request in progress.
@@ -124,8 +134,10 @@
 		delete(s.conns, cc)
 		s.mu.Unlock()
 		cc.closing, cc.closed = true, true
-		if cc.cancel != nil {
-			cc.cancel()
+		cc.dropInput()
+		s.budget.close(cc.account)
+		if cc.out != nil {
+			cc.out.cancel()
 		}
 	}
 	return gnet.None
@@ -144,6 +156,7 @@
 // slow and idle callers.
 func (s *server) OnTick() (time.Duration, gnet.Action) {
 	now := time.Now()
+	s.budget.report()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for cc := range s.conns {
@@ -165,101 +178,15 @@
 	if v := s.g.view.Load(); v.index != nil {
 		header, idle = v.index.Config.Limits.HeaderTimeout, v.index.Config.Limits.IdleTimeout
 	}
-	if w.partial {
+	switch {
+	case w.lingering:
+		return now.Sub(w.since) > lingerTime
+	case w.partial:
 		return now.Sub(w.since) > header
 	}
 	return now.Sub(w.since) > idle || s.g.timeSinceStop() > stopIdleTime
 }
 
-// expire closes the connection if its wait is still overdue.
-func (cc *callerConn) expire() {
-	w := cc.waiting.Load()
-	if cc.closing || w == nil || !cc.s.overdue(w, time.Now()) {
-		return
-	}
-	if w.partial {
-		cc.reject(apierr.New(apierr.KindSlowRequest, ""))
-		return
-	}
-	cc.closing = true
-	_ = cc.conn.Close()
-}
-
-// read starts handling the next request if it has arrived completely.
-func (cc *callerConn) read() gnet.Action {
-	if cc.busy || cc.closing {
-		return gnet.None
-	}
-	buf, err := cc.conn.Peek(-1)
-	if err != nil || len(buf) == 0 {
-		return gnet.None
-	}
-	g := cc.s.g
-	v := g.view.Load()
-	req, n, err := http1.ParseRequest(buf, parseLimits(v))
-	if err != nil {
-		cc.reject(apierr.Wrap(parseErrorKind(err), "", err))
-		return gnet.None
-	}
-	if n == 0 {
-		cc.awaitMore(buf)
-		return gnet.None
-	}
-	if _, err := cc.conn.Discard(n); err != nil {
-		return gnet.Close
-	}
-	cc.startRequest(req, v)
-	return gnet.None
-}
-
-// awaitMore records that a part of a request has been received, and sends 100 Continue if
-// the caller expects it.
-func (cc *callerConn) awaitMore(buf []byte) {
-	if w := cc.waiting.Load(); w == nil || !w.partial {
-		cc.waiting.Store(&wait{since: time.Now(), partial: true})
-	}
-	if !cc.continued && http1.AwaitsContinue(buf) {
-		cc.continued = true
-		cc.send([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-	}
-}
-
-func (cc *callerConn) startRequest(req *http1.Request, v *view) {
-	ctx, cancel := context.WithCancel(context.Background())
-	cc.busy, cc.cancel, cc.continued = true, cancel, false
-	cc.waiting.Store(nil)
-	g := cc.s.g
-	g.inFlight.Add(1)
-	x := &exchange{ctx: ctx, req: req, view: v, arrived: time.Now()}
-	x.out = &connWriter{cc: cc, cancel: cancel, done: sync.OnceFunc(func() {
-		x.releaseAnswers()
-		g.inFlight.Add(-1)
-	})}
-	go g.handle(x)
-}
-
-// reject sends an error response to bytes that are not an acceptable request, or to a
-// request that took too long to arrive, and closes the connection.
-func (cc *callerConn) reject(err *apierr.Error) {
-	cc.closing = true
-	row := err.Answer()
-	cc.s.g.requestMetrics.Count(err.Kind)
-	cc.s.g.opts.Logger.Info().Str("event", "request-rejected").Str("kind", row.Name).
-		Str("peer", cc.conn.RemoteAddr().String()).Str("detail", err.Error()).Msg("")
-	b := http1.AppendStatus(nil, row.Status, "")
-	b = append(b, "Connection: close\r\n"...)
-	cc.send(http1.AppendLengthAndBody(b, nil))
-	_ = cc.conn.Close()
-}
-
-// send writes from the event loop.
-func (cc *callerConn) send(b []byte) {
-	if _, err := cc.conn.Write(b); err != nil {
-		cc.closing = true
-		_ = cc.conn.Close()
-	}
-}
-
 func parseLimits(v *view) http1.Limits {
 	if v.index == nil {
 		return http1.Limits{Header: defaultHeaderBytes, Body: defaultBodyBytes}
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -35,7 +35,9 @@
 	// done is called once the response has been sent, or can't be sent any more.
 	done    func()
 	pending atomic.Int64
-	aborted atomic.Bool
+	// buffered is the number of bytes that the event loop has not been able to send.
+	buffered atomic.Int64
+	aborted  atomic.Bool
 }
 
 // write implements responder.
@@ -48,8 +50,14 @@
 		w.abort()
 		return
 	}
-	err := w.cc.conn.AsyncWrite(b, func(gnet.Conn, error) error {
+	w.cc.s.budget.setUnsent(w)
+	err := w.cc.conn.AsyncWrite(b, func(c gnet.Conn, err error) error {
 		w.pending.Add(-size)
+		if err == nil {
+			w.buffered.Store(int64(c.OutboundBuffered()))
+			w.cc.s.budget.setUnsent(w)
+			w.cc.s.budget.relieve()
+		}
 		return nil
 	})
 	if err != nil {
@@ -95,6 +103,7 @@
 	case w.cc.conn.OutboundBuffered() == 0:
 		w.end(keepAlive)
 	default:
+		w.cc.s.budget.refreshUnsent(w.cc)
 		time.AfterFunc(sendPollInterval, func() {
 			err := w.cc.conn.Wake(func(gnet.Conn, error) error {
 				w.endWhenSent(keepAlive, deadline)
@@ -113,16 +122,20 @@
 func (w *connWriter) end(keepAlive bool) {
 	cc := w.cc
 	w.cancel()
-	cc.busy, cc.cancel = false, nil
+	w.buffered.Store(0)
+	cc.s.budget.setUnsent(w)
+	cc.busy, cc.out = false, nil
 	cc.waiting.Store(&wait{since: time.Now()})
 	w.done()
-	if !keepAlive {
+	switch {
+	case cc.closed:
+	case cc.discarding:
+		cc.linger()
+	case !keepAlive:
 		cc.closing = true
 		_ = cc.conn.Close() // fails only if the connection is closed already
-		return
-	}
-	if cc.conn.InboundBuffered() > 0 {
-		cc.read()
+	default:
+		cc.takePipelined()
 	}
 }
 
--- a/internal/http1/error.go
+++ b/internal/http1/error.go
@@ -22,7 +22,7 @@
 // TooLargeError means that a part of a message exceeds its limit.
 type TooLargeError struct {
 	Part Part
-	// Limit is in bytes.
+	// Limit is in bytes, or a number of fields.
 	Limit int
 }
 
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -111,8 +111,16 @@
 }
 
 func TestAwaitsContinue(t *testing.T) {
-	assert.Assert(t, AwaitsContinue([]byte("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")))
-	assert.Assert(t, !AwaitsContinue([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n")))
+	for text, want := range map[string]bool{
+		"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n": true,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n":                         false,
+	} {
+		var r RequestReader
+		_, err := r.Read([]byte(text), limits)
+		assert.NilError(t, err)
+		assert.Assert(t, r.Complete() == nil)
+		assert.Equal(t, r.Head().AwaitsContinue(), want, text)
+	}
 }
 
 func FuzzParseRequest(f *testing.F) {
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -33,51 +33,12 @@
 // ParseRequest parses one request at the start of buf and returns the number of bytes that
 // it takes. Zero means that the request is incomplete.
 func ParseRequest(buf []byte, limits Limits) (*Request, int, error) {
-	end := bytes.Index(buf, headEnd)
-	if end < 0 {
-		if len(buf) > limits.Header {
-			return nil, 0, &TooLargeError{Part: PartHeader, Limit: limits.Header}
-		}
-		return nil, 0, nil
-	}
-	if end > limits.Header {
-		return nil, 0, &TooLargeError{Part: PartHeader, Limit: limits.Header}
-	}
-	r, err := parseRequestHead(buf[:end])
-	if err != nil {
+	var r RequestReader
+	n, err := r.Read(buf, limits)
+	if err != nil || r.Complete() == nil {
 		return nil, 0, err
 	}
-	framing, err := parseFraming(r.Header)
-	if err != nil {
-		return nil, 0, err
-	}
-	rest := buf[end+len(headEnd):]
-	consumed, err := r.readBody(rest, framing, limits.Body)
-	if err != nil || consumed < 0 {
-		return nil, 0, err
-	}
-	return r, end + len(headEnd) + consumed, nil
-}
-
-// readBody reads the body at the start of rest. It returns the number of bytes that the
-// body takes, or -1 if it is incomplete.
-func (r *Request) readBody(rest []byte, f framing, limit int) (int, error) {
-	r.HasBody = f.chunked || f.length >= 0
-	switch {
-	case f.chunked:
-		body, consumed, err := decodeChunked(rest, limit)
-		r.Body = body
-		return consumed, err
-	case f.length > int64(limit):
-		return -1, &TooLargeError{Part: PartBody, Limit: limit}
-	case f.length > int64(len(rest)):
-		return -1, nil
-	case f.length > 0:
-		r.Body = bytes.Clone(rest[:f.length])
-		return int(f.length), nil
-	default:
-		return 0, nil
-	}
+	return r.Complete(), n, nil
 }
 
 func parseRequestHead(head []byte) (*Request, error) {
@@ -92,6 +53,9 @@
 	if !validTarget(parts[1]) {
 		return nil, &SyntaxError{Reason: "the request target is not a path"}
 	}
+	if bytes.Count(block, []byte("\r\n")) >= maxRequestFields {
+		return nil, &TooLargeError{Part: PartHeader, Limit: maxRequestFields}
+	}
 	h, err := parseFields(block)
 	if err != nil {
 		return nil, err
@@ -127,13 +91,8 @@
 	return nil
 }
 
-// AwaitsContinue reports whether buf starts with a complete head that asks for an interim
-// answer (100 Continue) before the client sends the body.
-func AwaitsContinue(buf []byte) bool {
-	end := bytes.Index(buf, headEnd)
-	if end < 0 {
-		return false
-	}
-	r, err := parseRequestHead(buf[:end])
-	return err == nil && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+// AwaitsContinue reports whether the client sends the body only after an interim answer (100
+// Continue).
+func (r *Request) AwaitsContinue() bool {
+	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
--- a/internal/observe/admin.go
+++ b/internal/observe/admin.go
@@ -15,8 +15,11 @@
 
 const (
 	adminReadTimeout = 5 * time.Second
-	adminMaxBody     = 4 << 10 // bytes
-	adminConcurrency = 64
+	// adminWriteTimeout bounds the time that a caller may take to read an answer: one that stops
+	// reading occupies one of adminConcurrency places.
+	adminWriteTimeout = 5 * time.Second
+	adminMaxBody      = 4 << 10 // bytes
+	adminConcurrency  = 64
 )
 
 // AdminConfig contains the data sources and options of an Admin server.
@@ -56,6 +59,7 @@
 		Handler:            a.handle,
 		Name:               "gentiantrail",
 		ReadTimeout:        adminReadTimeout,
+		WriteTimeout:       adminWriteTimeout,
 		MaxRequestBodySize: adminMaxBody,
 		Concurrency:        adminConcurrency,
 		CloseOnShutdown:    true,
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/config"
 )
 
 // Gateway contains the settings of gentiantrail-gateway.
@@ -29,8 +31,25 @@
 	Memory int `yaml:"memory"`
 	// Limits bound retries, cold targets and the graceful stop.
 	Limits GatewayLimits `yaml:"limits"`
+	// Callers bounds the resources that callers may use. Changes apply at the next start.
+	Callers GatewayCallers `yaml:"callers"`
+}
+
+// GatewayCallers bounds the resources that the callers of a gateway may use.
+type GatewayCallers struct {
+	// BufferBytes is the memory for requests that arrive or are handled and for answers that
+	// callers have not accepted; above it, callers are cut off. It should be at least three times
+	// the largest body. Default: a quarter of Memory, at least 16MiB; range 1MiB to 64GiB.
+	BufferBytes config.Size `yaml:"buffer_bytes"`
+	// MaxConnections is the largest number of callers' connections. Default: three quarters of
+	// the process's descriptor limit minus 200, at least 64, and at most one for each 16KiB of
+	// Memory; range 1 to 1048576.
+	MaxConnections int `yaml:"max_connections"`
 }
 
+// minCallerBuffer is the smallest default of GatewayCallers.BufferBytes.
+const minCallerBuffer = 16 * config.MiB
+
 // GatewayLimits are the limits of a gateway. Those of repeats and cold targets apply to the
 // whole fleet, and each gateway applies its share of them.
 type GatewayLimits struct {
@@ -84,6 +103,7 @@
 	c.address("store_address", g.StoreAddress)
 	checkRange(c, "store_history", g.StoreHistory, time.Second, time.Hour)
 	checkRange(c, "memory", g.Memory, 16, 65536)
+	g.Callers.check(c, g.Memory)
 	l := &g.Limits
 	checkRange(c, "limits.retry_ratio", l.RetryRatio, 0, 1)
 	checkRange(c, "limits.retry_slack", l.RetrySlack, 0, 100000)
@@ -93,3 +113,15 @@
 	checkRange(c, "limits.drain_timeout", l.DrainTimeout, 100*time.Millisecond, 10*time.Minute)
 	checkRange(c, "limits.stop_timeout", l.StopTimeout, time.Second, time.Hour)
 }
+
+// check sets the default of BufferBytes and checks the values. MaxConnections stays 0 if it is not
+// given, since its default depends on the process.
+func (l *GatewayCallers) check(c *checker, memory int) {
+	if l.BufferBytes == 0 {
+		l.BufferBytes = max(minCallerBuffer, config.Size(memory)*config.MiB/4)
+	}
+	checkRange(c, "callers.buffer_bytes", l.BufferBytes, config.MiB, 65536*config.MiB)
+	if l.MaxConnections != 0 {
+		checkRange(c, "callers.max_connections", l.MaxConnections, 1, 1<<20)
+	}
+}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/config"
 )
 
 const gatewayText = `name: gw-1
@@ -43,10 +45,25 @@
 	assert.Equal(t, g.Limits, GatewayLimits{
 		RetryRatio: 0.2, RetrySlack: 94, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5, DrainTimeout: 3 * time.Second, StopTimeout: 8 * time.Second,
 	})
+	assert.Equal(t, g.Callers, GatewayCallers{BufferBytes: 71 * config.MiB})
 	_, err = LoadMapper(writeFile(t, mapperText))
 	assert.NilError(t, err)
 }
 
+func TestGatewayCallers(t *testing.T) {
+	g, err := LoadGateway(writeFile(t, gatewayText+"callers:\n  buffer_bytes: 20MiB\n  max_connections: 300\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, g.Callers, GatewayCallers{BufferBytes: 20 * config.MiB, MaxConnections: 300})
+	g, err = LoadGateway(writeFile(t, strings.Replace(gatewayText, "memory: 284", "memory: 16", 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, g.Callers.BufferBytes, 16*config.MiB)
+	for _, field := range []string{"buffer_bytes: 1KiB", "buffer_bytes: many", "max_connections: -1", "max_connections: 2000000"} {
+		_, err := LoadGateway(writeFile(t, gatewayText+"callers:\n  "+field+"\n"))
+		name, _, _ := strings.Cut(field, ":")
+		assert.ErrorContains(t, err, name)
+	}
+}
+
 // The error for an invalid file fits on one line, names the field and says what to write
 // instead.
 func TestInvalidGatewayAndMapperSettingsAreRejected(t *testing.T) {
