gateway: copy bodies that arrive in pieces at most once

Cause: the buffer of a body grew by doubling from its first piece, so a body of 60 KiB was copied several times. Each change of the bytes held took the budget's lock once more to see that nothing is exceeded. While a caller with unread answers was selected, the choice among equal ones could change from one look to the next.

Change: the buffer of a body of known length grows to four times the bytes that have arrived. An atomic flag says whether the budget is exceeded. The caller that was selected is cut off unless its unsent bytes have become fewer.

--- a/internal/gateway/caller_budget.go
+++ b/internal/gateway/caller_budget.go
@@ -4,6 +4,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,6 +44,8 @@
 	// mu guards budget: answers are written by the goroutines of requests.
 	mu     sync.Mutex
 	budget *callerbuf.Budget[*callerConn]
+	// exceeded is true while more bytes are held than the budget allows.
+	exceeded atomic.Bool
 	// cutSecond is the second since the start in which cutLines log lines were written. They are
 	// owned by the event loop.
 	cutSecond int64
@@ -79,12 +82,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budget.Close(a)
+	b.exceeded.Store(b.budget.Exceeded())
 }
 
 func (b *callerBudget) set(a *account, p callerbuf.Part, n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budget.Set(a, p, n, b.g.now())
+	b.exceeded.Store(b.budget.Exceeded())
 }
 
 // setUnsent accounts for the bytes of an answer that the caller has not accepted.
@@ -92,14 +97,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budget.Set(w.cc.account, callerbuf.Unsent, w.pending.Load()+w.buffered.Load(), b.g.now())
+	b.exceeded.Store(b.budget.Exceeded())
 }
 
-// refreshUnsent does the same with the number of bytes that are left now. It runs on the event loop.
-func (b *callerBudget) refreshUnsent(cc *callerConn) {
-	if cc.out != nil && !cc.closed {
-		cc.out.buffered.Store(int64(cc.conn.OutboundBuffered()))
-		b.setUnsent(cc.out)
+// refreshUnsent does the same with the number of bytes that are left now, and reports whether they
+// have become fewer. It runs on the event loop.
+func (b *callerBudget) refreshUnsent(cc *callerConn) bool {
+	if cc.out == nil || cc.closed {
+		return false
 	}
+	left := int64(cc.conn.OutboundBuffered())
+	fewer := left < cc.out.buffered.Swap(left)
+	b.setUnsent(cc.out)
+	return fewer
 }
 
 // handled opens an account for a request that is about to be handled.
@@ -112,20 +122,18 @@
 // relieve cuts callers off until the bytes held are within the budget, and reports whether they are.
 // It runs on the event loop.
 func (b *callerBudget) relieve() bool {
-	for {
+	for b.exceeded.Load() {
 		victim, part, bytes := b.victim()
 		if victim == nil {
 			return bytes == 0
 		}
-		if part == callerbuf.Unsent {
-			b.refreshUnsent(victim)
-			if again, _, _ := b.victim(); again != victim {
-				continue
-			}
+		if part == callerbuf.Unsent && b.refreshUnsent(victim) {
+			continue
 		}
 		b.recordCut(part.String(), bytes, victim.conn.RemoteAddr())
 		victim.cutOff(part)
 	}
+	return true
 }
 
 // victim returns the connection to cut off, or nil, and the bytes of its largest part. Without a
--- a/internal/http1/request_reader.go
+++ b/internal/http1/request_reader.go
@@ -13,6 +13,10 @@
 	maxTrailerFields = 64
 	// minBodyBuffer is the size in bytes with which the buffer of a longer body begins.
 	minBodyBuffer = 4 << 10
+	// lengthGrowth bounds the buffer of a body of known length, as a multiple of the bytes that
+	// have arrived: a body of some pieces is copied at most once, and a caller that sends little
+	// causes no large buffer.
+	lengthGrowth = 4
 )
 
 // readState is the part of a request that the next bytes belong to.
@@ -63,13 +67,13 @@
 	case readHeadLines:
 		return r.readHead(buf, limits)
 	case readLength:
-		n := r.readData(buf)
+		n := r.readData(buf, limits.Body)
 		if r.remaining == 0 {
 			r.state = readComplete
 		}
 		return n, nil
 	case readChunkData:
-		n := r.readData(buf)
+		n := r.readData(buf, limits.Body)
 		if r.remaining == 0 {
 			r.state = readChunkEnd
 		}
@@ -155,14 +159,14 @@
 	return nil
 }
 
-// readData appends bytes to the body.
-func (r *RequestReader) readData(buf []byte) int {
+// readData appends bytes to the body, which has at most limit bytes.
+func (r *RequestReader) readData(buf []byte, limit int) int {
 	n := int(min(r.remaining, int64(len(buf))))
 	body := r.req.Body
 	if need := len(body) + n; need > cap(body) {
-		size := max(need, 2*cap(body), minBodyBuffer)
+		size := min(max(need, 2*cap(body), minBodyBuffer), max(need, limit))
 		if r.state == readLength {
-			size = min(size, len(body)+int(r.remaining))
+			size = min(max(lengthGrowth*need, minBodyBuffer), len(body)+int(r.remaining))
 		}
 		body = append(make([]byte, 0, size), body...)
 	}
