placement: mend what the review of levels and zones found

A level that is served below its minimum share is checked with the largest headroom: with none, requests of more important levels kept it out. The headroom applies to later attempts too, is relative to the service's limit, and is applied before a gateway's part is cut to an integer, so that a gateway without requests gets one. Requests refused for their level count as demand of their zone, and the capacity of a zone follows the pass-time model. Levels that can't exist and admissions beyond twice the arrivals are ignored in messages of other gateways; the most important levels are told first. An attempt that was never sent is no completion.

Measured: tests of internal/priority and internal/placement pass; the load tests have the same bounds. Not mended: a gateway that is cut off for more than 10 s takes the whole limit again; late reports of a zone's load replace newer ones where no service has levels.

--- a/internal/placement/group_share.go
+++ b/internal/placement/group_share.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		seen[s.group] = true
-		share := GroupShare{Group: s.group, Share: g.model.share(now), Load: g.loads.meanRunning(), InFlight: g.inFlight, Part: g.loads.part}
+		share := GroupShare{Group: s.group, Share: g.model.share(now), Load: g.loads.meanRunning(), InFlight: g.inFlight, Part: int(g.loads.part + g.loads.rounding)}
 		if g.model.recent(now) {
 			share.LongestGap = g.model.longestGap()
 		}
--- a/internal/placement/load_meter.go
+++ b/internal/placement/load_meter.go
@@ -40,8 +40,8 @@
 type loadMeter struct {
 	samples []loadSample
 	// part and urgentPart are this gateway's parts of the requests that the group gets, for
-	// urgent requests too, as of the newest sample.
-	part, urgentPart int
+	// urgent requests too, as of the newest sample. rounding is added before a fraction is cut off.
+	part, urgentPart, rounding float64
 }
 
 // due reports whether a sample must be added.
@@ -101,9 +101,9 @@
 		}
 	}
 	g.loads.add(sample)
-	share, rounding := g.model.share(now), roundingOf(now, TargetKey(b.name+" "+name))
-	g.loads.part = int(g.loads.partOf(share) + rounding)
-	g.loads.urgentPart = int(g.loads.partOf(share+urgentShare) + rounding)
+	share := g.model.share(now)
+	g.loads.part, g.loads.urgentPart = g.loads.partOf(share), g.loads.partOf(share+urgentShare)
+	g.loads.rounding = roundingOf(now, TargetKey(b.name+" "+name))
 }
 
 // dividingGateways returns the number of gateways, this one included, with idleWeight for those
@@ -125,7 +125,7 @@
 	if r.Urgent {
 		part = g.loads.urgentPart
 	}
-	return float64(g.inFlight) < float64(part)*(1+r.headroom)
+	return g.inFlight < max(1, int(part*(1+r.headroom)+g.loads.rounding))
 }
 
 // roundingOf returns the number in [0, 1) that is added to a limit before its fraction is cut off.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -218,11 +218,14 @@
 func (b *Balancer) Choose(now time.Duration, r Request) (Choice, Refusal) {
 	levels := b.levels[r.Service]
 	var sum *serviceSum
-	if levels != nil && !r.Admitted {
-		sum = &serviceSum{}
-		r.headroom = b.demand(now, levels).Headroom(r.Priority, 1)
+	if levels != nil {
+		r.headroom = b.headroom(now, levels, r.Priority)
+		if !r.Admitted {
+			sum = &serviceSum{}
+		}
 	}
 	sample, refusal := b.sample(now, &r, sum)
+	b.recordArrival(now, &r, refusal)
 	var check *priority.Check
 	if sum != nil && (len(sample) > 0 || refusal == Full) {
 		if check = b.checkLevel(now, levels, &r, sum); len(sample) == 0 || !check.Admitted() {
@@ -230,7 +233,6 @@
 		}
 		levels.meter.RecordAdmission(now, r.Priority)
 	}
-	b.recordArrival(now, &r, refusal)
 	var best *targetState
 	bestCost := 0.0
 	for _, s := range sample {
@@ -333,7 +335,7 @@
 	}
 	before := s.inFlight
 	s.recordResult(now, result)
-	if l := b.levels[s.Service]; l != nil && (result == Answered || result == Failed || result == Inconclusive) {
+	if l := b.levels[s.Service]; l != nil && (result == Answered || result == Failed) {
 		l.meter.RecordCompletion(now)
 	}
 	b.addInFlight(s, s.inFlight-before)
--- a/internal/placement/priority.go
+++ b/internal/placement/priority.go
@@ -22,6 +22,8 @@
 type serviceLevels struct {
 	key   uint32
 	meter priority.Meter
+	// limit is the work limit at the last check.
+	limit float64
 }
 
 // serviceSum contains the sums over the targets of a service that could get work: its load, this
@@ -72,6 +74,7 @@
 // checkLevel checks a request against the part of its service that its level may use.
 func (b *Balancer) checkLevel(now time.Duration, l *serviceLevels, r *Request, sum *serviceSum) *priority.Check {
 	load, limit := float64(sum.load), sum.limit
+	l.limit = limit
 	if b.isCutOff(now) {
 		load, limit = float64(sum.own), limit/float64(len(b.members)+1)
 	}
@@ -79,6 +82,12 @@
 	return &c
 }
 
+// headroom returns the headroom of a level as a fraction of the limit.
+func (b *Balancer) headroom(now time.Duration, l *serviceLevels, level int) float64 {
+	limit := max(1, l.limit)
+	return priority.NewCheck(b.demand(now, l), level, 0, limit).Headroom / limit
+}
+
 // isCutOff reports whether nothing was heard for contactTimeout although other gateways are known.
 func (b *Balancer) isCutOff(now time.Duration) bool {
 	b.updateMembers(now)
@@ -131,7 +140,7 @@
 	b.peers[peer] = p
 }
 
-// DemandToTell returns this gateway's demand for the other gateways, largest first.
+// DemandToTell returns this gateway's demand for the other gateways, the most important levels first.
 func (b *Balancer) DemandToTell(now time.Duration) []priority.Report {
 	if now < rateWarmup {
 		return nil
@@ -145,7 +154,7 @@
 			reports = append(reports, priority.Report{Service: l.key, Priority: level.Priority, Rates: level.Rates})
 		}
 	}
-	slices.SortFunc(reports, func(a, b priority.Report) int { return cmp.Compare(b.Arrivals, a.Arrivals) })
+	slices.SortFunc(reports, func(a, b priority.Report) int { return cmp.Compare(a.Priority, b.Priority) })
 	return reports[:min(len(reports), priority.MaxReports)]
 }
 
@@ -159,7 +168,7 @@
 	Reserve  float64
 }
 
-// Reserves returns the reserve of each level that has had requests recently.
+// Reserves returns the reserve of each level of which this process has had requests recently.
 func (b *Balancer) Reserves(now time.Duration) []LevelReserve {
 	var reserves []LevelReserve
 	for name, l := range b.levels {
@@ -168,7 +177,7 @@
 			b.refusalFor(now, s, &Request{}, &sum)
 		}
 		demand := b.demand(now, l)
-		for _, level := range demand {
+		for _, level := range l.meter.Levels(now) {
 			c := priority.NewCheck(demand, level.Priority, 0, sum.limit)
 			reserves = append(reserves, LevelReserve{Service: name, Priority: level.Priority, Reserve: c.Reserve})
 		}
--- a/internal/placement/zone_plan.go
+++ b/internal/placement/zone_plan.go
@@ -105,7 +105,7 @@
 		}
 		slots, load := float64(max(1, t.Slots)), float64(t.load(now, b))
 		if g != nil {
-			slots *= min(1, g.share())
+			slots *= min(1, b.workShare(now, t, g, false))
 		}
 		z.Slots += slots
 		z.Load += load
--- a/internal/priority/level.go
+++ b/internal/priority/level.go
@@ -5,6 +5,9 @@
 // maxPriority is the largest priority that a level tells apart; larger ones count as equal.
 const maxPriority = 255
 
+// maxLevel is the highest level.
+var maxLevel = LevelOf(maxPriority, maxPriority, true)
+
 // LevelOf returns the level of a request; a lower level is more important. priority is the priority
 // of the organisation, or that of the route if the organisation has none. Requests of the same
 // priority are ordered by that of their route. Callers that return after a refusal are behind new
--- a/internal/priority/priority.go
+++ b/internal/priority/priority.go
@@ -122,14 +122,16 @@
 	// Headroom is the part above the limit that the level may use.
 	Headroom float64
 	// Deprived is true if the level's admitted share is below its minimum, so that there is
-	// no reserve.
+	// no reserve and the largest headroom: it competes with the most important level.
 	Deprived bool
 }
 
 // NewCheck returns the check of a request of a service with the given demand.
 func NewCheck(demand Levels, priority int, load, limit float64) Check {
 	c := Check{Priority: priority, Load: load, Limit: limit, Deprived: demand.Deprived(priority)}
-	if !c.Deprived {
+	if c.Deprived {
+		c.Headroom = MaxHeadroomShare * limit
+	} else {
 		c.Reserve, c.Headroom = demand.Reserve(priority, limit), demand.Headroom(priority, limit)
 	}
 	return c
--- a/internal/priority/report.go
+++ b/internal/priority/report.go
@@ -24,10 +24,10 @@
 	Rates
 }
 
-// valid reports whether the rates are usable.
-func (r Rates) valid() bool {
+// valid reports whether the level exists and the rates are usable.
+func (r *Report) valid() bool {
 	usable := func(rate float64) bool { return rate >= 0 && rate <= maxReportedRate } // false for NaN
-	return usable(r.Arrivals) && usable(r.Admissions)
+	return r.Priority >= 0 && r.Priority <= maxLevel && usable(r.Arrivals) && usable(r.Admissions)
 }
 
 // ValidReports returns the usable entries among the first MaxReports.
@@ -35,6 +35,9 @@
 	valid := make([]Report, 0, min(len(reports), MaxReports))
 	for _, r := range reports[:min(len(reports), MaxReports)] {
 		if r.valid() {
+			// More admissions than arrivals would make all other levels seem to be starved. They lag
+			// the arrivals, so that they are higher for a moment after a burst.
+			r.Admissions = min(r.Admissions, 2*r.Arrivals)
 			valid = append(valid, r)
 		}
 	}
