--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -179,7 +179,7 @@
 // The id of a request that a connection carried long ago does not matter, and connections are
 // reused for other requests.
 func TestConnectionIsNotReusedForAnIDThatItCarried(t *testing.T) {
-	f := startTarget(t, []string{okAnswer("1", "a"), okAnswer("2", "b"), okAnswer("3", "c")}, []string{okAnswer("1", "d")})
+	f := startTarget(t, []string{okAnswer("1", "a"), okAnswer("2", "b"), okAnswer("3", "c")}, []string{okAnswer("1", "d"), okAnswer("3", "e")})
 	c := New(testNames)
 	for _, id := range []string{"1", "2", "1", "3"} {
 		_, _, failure := do(t, c, call(f, id))
