gateway: cut nobody off for a request that does not fit anyway

Bytes of handled requests count towards the budget, but no cut frees them. Once they exceeded it, every caller with removable bytes was cut off and the new request was refused all the same.

Before: an unfinished request of a few bytes got 503 in TestRequestWithoutRoomCutsNobodyOff. After: it is served, tests pass.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -199,7 +199,10 @@
 		g.inFlight.Add(-1)
 	})}
 	x.out = cc.out
-	x.noRoom = !budget.relieve()
+	if x.noRoom = !budget.relieve(); x.noRoom {
+		req.Body = nil
+		budget.close(handled)
+	}
 	go g.handle(x)
 }
 
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -216,6 +216,22 @@
 	assert.Assert(t, logged)
 }
 
+// Guards against callers that are cut off for a request that does not fit in any case.
+func TestRequestWithoutRoomCutsNobodyOff(t *testing.T) {
+	gw := newTestGateway(t, echo).waitReady().limitCallers(1<<16, 1000)
+	small := gw.write(post("/once/", 2) + "o")
+	gw.waitUntil("the small request has arrived", func() bool { return gw.held() > 0 })
+	const size = 50 << 10 // within the budget once, but not twice
+	status, body := readAnswer(t, bufio.NewReader(gw.write(post("/once/", size)+strings.Repeat("x", size))))
+	assert.Equal(t, status, 503)
+	assert.Assert(t, strings.Contains(body, `"outcome":"not-run"`), body)
+	_, err := io.WriteString(small, "k")
+	assert.NilError(t, err)
+	status, body = readAnswer(t, bufio.NewReader(small))
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "ok")
+}
+
 // Guards against two gateways that share an address and its callers.
 func TestAddressOfAnotherGatewayIsInUse(t *testing.T) {
 	gw := newTestGateway(t, echo).waitReady()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,6 +27,7 @@
 	deadline time.Time
 
 	// noRoom is true if the process held too many bytes for callers when the request arrived.
+	// Its body has been released.
 	noRoom bool
 
 	organisation *fleet.Organisation
@@ -81,7 +82,7 @@
 type filter func(g *Gateway, x *exchange) *apierr.Error
 
 // filters are the steps before the dispatch, in their order.
-var filters = []filter{findRoute, identify, readPrompt, setDeadline, screen, admit}
+var filters = []filter{findRoute, identify, requireRoom, readPrompt, setDeadline, screen, admit}
 
 // handle serves one request; it runs on a goroutine of its own.
 func (g *Gateway) handle(x *exchange) {
--- a/internal/gateway/filter_admit.go
+++ b/internal/gateway/filter_admit.go
@@ -5,9 +5,18 @@
 // maxInFlight bounds the requests in flight, since each may hold a body and buffers.
 const maxInFlight = 1024
 
+// requireRoom refuses the request if the process holds too many bytes for callers. It precedes the
+// filters that read the body, because such a request's body has been released.
+func requireRoom(_ *Gateway, x *exchange) *apierr.Error {
+	if x.noRoom {
+		return apierr.New(apierr.KindOverloaded, "the memory for callers' requests is used up")
+	}
+	return nil
+}
+
 // admit counts the request for its service's retry budget and its level. It refuses the request if
-// the process has too many in flight or holds too many bytes, or if it arrived so late in a stop that it might not
-// complete before the process ends.
+// the process has too many in flight, or if it arrived so late in a stop that it might not complete
+// before the process ends.
 func admit(g *Gateway, x *exchange) *apierr.Error {
 	if g.timeSinceStop() > stopIdleTime {
 		return apierr.New(apierr.KindDraining, g.opts.Settings.Name)
@@ -15,9 +24,6 @@
 	if g.inFlight.Load() > maxInFlight {
 		return apierr.New(apierr.KindOverloaded, "too many requests in flight")
 	}
-	if x.noRoom {
-		return apierr.New(apierr.KindOverloaded, "the memory for callers' requests is used up")
-	}
 	x.setLevel()
 	g.countRequest(x)
 	return nil
