gateway: cut callers off only for bytes they were offered

Bytes of an answer counted as unsent before the event loop had offered them to the kernel, so a large relayed answer made its caller the preferred victim even if it read at full speed. Such bytes are now a part of their own, Queued, which is counted like handled requests and makes nobody a victim.

Before: TestOnlyOfferedBytesAreCutOff got a victim with 900 pending bytes and no unsent ones. After: it passes, as do the other callers' tests.

--- a/internal/callerbuf/budget.go
+++ b/internal/callerbuf/budget.go
@@ -13,16 +13,19 @@
 	Incomplete Part = iota
 	// Pipelined are bytes behind the request that is being handled.
 	Pipelined
-	// Unsent are bytes of answers that the caller has not accepted.
+	// Unsent are bytes of answers that have been offered to the caller and that it has not accepted.
 	Unsent
 	// Handled is a request that is being handled. It does not make its caller a victim.
 	Handled
+	// Queued are bytes of answers that have not been offered to the caller. They do not make it a
+	// victim either, since it may read promptly.
+	Queued
 	partCount
 )
 
 // String returns the name of the part in logs and metrics.
 func (p Part) String() string {
-	return [partCount]string{"incomplete", "pipelined", "unsent", "handled"}[p]
+	return [partCount]string{"incomplete", "pipelined", "unsent", "handled", "queued"}[p]
 }
 
 // sizeClass is the ratio below which two callers count as holding the same number of bytes, so that
@@ -80,12 +83,13 @@
 }
 
 // Set states the number of bytes held for a part of an account. A change for a part of the request
-// is progress of the caller, and so is a decrease of unsent bytes. Closed accounts hold nothing.
+// is progress of the caller, and so is a decrease of unsent bytes; queued bytes depend on the process
+// alone. Closed accounts hold nothing.
 func (b *Budget[O]) Set(a *Account[O], p Part, n int64, now time.Duration) {
 	if _, open := b.accounts[a]; !open || n == a.held[p] {
 		return
 	}
-	if p != Unsent || n < a.held[p] {
+	if p != Queued && (p != Unsent || n < a.held[p]) {
 		a.progress = now
 	}
 	b.used += n - a.held[p]
--- a/internal/gateway/caller_budget.go
+++ b/internal/gateway/caller_budget.go
@@ -92,11 +92,12 @@
 	b.exceeded.Store(b.budget.Exceeded())
 }
 
-// setUnsent accounts for the bytes of an answer that the caller has not accepted.
+// setUnsent accounts for the bytes of an answer that wait for the event loop or for the caller.
 func (b *callerBudget) setUnsent(w *connWriter) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget.Set(w.cc.account, callerbuf.Unsent, w.pending.Load()+w.buffered.Load(), b.g.now())
+	b.budget.Set(w.cc.account, callerbuf.Queued, w.pending.Load(), b.g.now())
+	b.budget.Set(w.cc.account, callerbuf.Unsent, w.buffered.Load(), b.g.now())
 	b.exceeded.Store(b.budget.Exceeded())
 }
 
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -232,6 +232,30 @@
 	assert.Equal(t, body, "ok")
 }
 
+// Guards against callers that are cut off for bytes which they have not been offered.
+func TestOnlyOfferedBytesAreCutOff(t *testing.T) {
+	gw := newTestGateway(t, echo).waitReady().limitCallers(1000, 1000)
+	b := gw.g.server.budget
+	cc := &callerConn{s: gw.g.server}
+	cc.account = b.open(cc)
+	w := &connWriter{cc: cc}
+	for _, pending := range []int64{900, 2000} { // with an excess of others' and of its own bytes
+		other := b.handled(cc, 100)
+		w.pending.Store(pending)
+		b.setUnsent(w)
+		victim, _, _ := b.victim()
+		assert.Assert(t, victim == nil, "%d pending bytes", pending)
+		b.close(other)
+	}
+	w.pending.Store(0)
+	w.buffered.Store(2000)
+	b.setUnsent(w)
+	victim, part, _ := b.victim()
+	assert.Equal(t, victim, cc)
+	assert.Equal(t, part, callerbuf.Unsent)
+	b.close(cc.account)
+}
+
 // Guards against two gateways that share an address and its callers.
 func TestAddressOfAnotherGatewayIsInUse(t *testing.T) {
 	gw := newTestGateway(t, echo).waitReady()
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -33,7 +33,8 @@
 	cc     *callerConn
 	cancel context.CancelFunc
 	// done is called once the response has been sent, or can't be sent any more.
-	done    func()
+	done func()
+	// pending is the number of bytes that have not reached the event loop.
 	pending atomic.Int64
 	// buffered is the number of bytes that the event loop has not been able to send.
 	buffered atomic.Int64
