gateway: count a pipelined request once when its handling starts

The bytes behind a request were released only after the next request had been counted as handled, with twice its size. The sum could exceed the budget for a moment, and relieve dropped the requests behind it. They are now released as soon as the next request has been read.

Before: TestPipelinedRequestCountsOnce got EOF instead of the third answer. After: it passes, as do the other callers' tests.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -113,8 +113,7 @@
 		cc.cutOff(callerbuf.Pipelined)
 		return
 	}
-	cc.pipelined = append(cc.pipelined, buf...)
-	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(cap(cc.pipelined)))
+	cc.setPipelined(append(cc.pipelined, buf...))
 	cc.s.budget.relieve()
 }
 
@@ -123,11 +122,19 @@
 	if len(cc.pipelined) == 0 {
 		return
 	}
-	cc.pipelined = cc.takeRequest(cc.pipelined)
-	if len(cc.pipelined) == 0 || cc.closing || cc.discarding {
-		cc.pipelined = nil
+	cc.takeRequest(cc.pipelined)
+	if cc.closing || cc.discarding {
+		cc.setPipelined(nil)
 	}
-	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(cap(cc.pipelined)))
+}
+
+// setPipelined replaces the bytes behind a request, and accounts for them.
+func (cc *callerConn) setPipelined(rest []byte) {
+	if len(rest) == 0 {
+		rest = nil
+	}
+	cc.pipelined = rest
+	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(cap(rest)))
 }
 
 // maxPipelined returns the number of bytes that are kept while a request is handled.
@@ -148,6 +155,10 @@
 		cc.reject(apierr.Wrap(parseErrorKind(err), "", err))
 		return nil
 	}
+	if len(cc.pipelined) > 0 { // buf is cc.pipelined
+		// The bytes that were read are released first, since they count for the request from here on.
+		cc.setPipelined(buf[n:])
+	}
 	if req := cc.reader.Complete(); req != nil {
 		cc.startRequest(req, v)
 		return buf[n:]
@@ -244,9 +255,9 @@
 
 // dropInput releases the bytes that have arrived.
 func (cc *callerConn) dropInput() {
-	cc.reader, cc.pipelined = http1.RequestReader{}, nil
+	cc.reader = http1.RequestReader{}
 	cc.s.budget.set(cc.account, callerbuf.Incomplete, 0)
-	cc.s.budget.set(cc.account, callerbuf.Pipelined, 0)
+	cc.setPipelined(nil)
 }
 
 // cutOff releases the bytes held for the caller in a part. It refuses a request that is incomplete,
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -256,6 +256,25 @@
 	b.close(cc.account)
 }
 
+// Guards against pipelined requests that are dropped because one of them counts twice when its
+// handling starts.
+func TestPipelinedRequestCountsOnce(t *testing.T) {
+	const size = 48 << 10
+	release := make(chan struct{})
+	gw := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		respond(200, "x")(w, r)
+	}).waitReady().limitCallers(140<<10, 1000) // less than the size once behind a request and twice as handled
+	c := gw.write(post("/once/", 0) + post("/once/", size) + strings.Repeat("x", size) + post("/once/", 0))
+	gw.waitUntil("all bytes have arrived", func() bool { return gw.held() > size })
+	close(release)
+	br := bufio.NewReader(c)
+	for range 3 {
+		status, _ := readAnswer(t, br)
+		assert.Equal(t, status, 200)
+	}
+}
+
 // Guards against two gateways that share an address and its callers.
 func TestAddressOfAnotherGatewayIsInUse(t *testing.T) {
 	gw := newTestGateway(t, echo).waitReady()
