gateway: count the whole array behind pipelined bytes

The rest behind a request was a sub-slice of the array that also held the requests before it, and only the sub-slice's capacity was counted. The whole array counts now, and the rest is copied once it takes less than half of it.

Before: TestWholeArrayOfPipelinedBytesCounts saw 57251 bytes counted of an array of 73728. After: it passes, as do the other callers' tests.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,8 @@
 	reader http1.RequestReader
 	// pipelined contains the bytes that arrived while a request is being handled.
 	pipelined []byte
+	// pipelinedArray is the capacity of the whole array that pipelined is the end of.
+	pipelinedArray int
 	// busy is true while a request is being handled, and out writes its response.
 	busy bool
 	out  *connWriter
@@ -113,7 +116,7 @@
 		cc.cutOff(callerbuf.Pipelined)
 		return
 	}
-	cc.setPipelined(append(cc.pipelined, buf...))
+	cc.appendPipelined(buf)
 	cc.s.budget.relieve()
 }
 
@@ -124,17 +127,38 @@
 	}
 	cc.takeRequest(cc.pipelined)
 	if cc.closing || cc.discarding {
-		cc.setPipelined(nil)
+		cc.setPipelined(nil, 0)
 	}
 }
 
-// setPipelined replaces the bytes behind a request, and accounts for them.
-func (cc *callerConn) setPipelined(rest []byte) {
-	if len(rest) == 0 {
-		rest = nil
+// releasePipelined releases the first n bytes behind a request. The rest is copied once it takes
+// less than half of its array, so that the cost of copies is proportional to the bytes released.
+func (cc *callerConn) releasePipelined(n int) {
+	rest, array := cc.pipelined[n:], cc.pipelinedArray
+	switch {
+	case len(rest) == 0:
+		rest, array = nil, 0
+	case 2*len(rest) < array:
+		rest = bytes.Clone(rest)
+		array = cap(rest)
 	}
-	cc.pipelined = rest
-	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(cap(rest)))
+	cc.setPipelined(rest, array)
+}
+
+// appendPipelined keeps a copy of buf behind a request.
+func (cc *callerConn) appendPipelined(buf []byte) {
+	all, array := append(cc.pipelined, buf...), cc.pipelinedArray
+	if cap(all) != cap(cc.pipelined) { // append has allocated a new array
+		array = cap(all)
+	}
+	cc.setPipelined(all, array)
+}
+
+// setPipelined replaces the bytes behind a request, and accounts for the whole array that holds
+// them.
+func (cc *callerConn) setPipelined(b []byte, array int) {
+	cc.pipelined, cc.pipelinedArray = b, array
+	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(array))
 }
 
 // maxPipelined returns the number of bytes that are kept while a request is handled.
@@ -157,7 +181,7 @@
 	}
 	if len(cc.pipelined) > 0 { // buf is cc.pipelined
 		// The bytes that were read are released first, since they count for the request from here on.
-		cc.setPipelined(buf[n:])
+		cc.releasePipelined(n)
 	}
 	if req := cc.reader.Complete(); req != nil {
 		cc.startRequest(req, v)
@@ -257,7 +281,7 @@
 func (cc *callerConn) dropInput() {
 	cc.reader = http1.RequestReader{}
 	cc.s.budget.set(cc.account, callerbuf.Incomplete, 0)
-	cc.setPipelined(nil)
+	cc.setPipelined(nil, 0)
 }
 
 // cutOff releases the bytes held for the caller in a part. It refuses a request that is incomplete,
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -275,6 +275,37 @@
 	}
 }
 
+// Guards against memory behind a request that is held but not counted, or held for a small rest.
+func TestWholeArrayOfPipelinedBytesCounts(t *testing.T) {
+	const first, second = 16 << 10, 48 << 10
+	release := make(chan struct{})
+	gw := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		respond(200, "x")(w, r)
+	}).waitReady()
+	br := bufio.NewReader(gw.write(post("/once/", 0) + post("/once/", first) + strings.Repeat("x", first) +
+		post("/once/", second) + strings.Repeat("x", second) + post("/once/", 0)))
+	gw.waitUntil("all bytes have arrived", func() bool { return gw.held() > first+second })
+	var counted []int64
+	for i := range 4 {
+		gw.waitUntil("the request is handled", func() bool { return len(gw.targets[0].requests()) > i })
+		gw.g.server.mu.Lock()
+		for cc := range gw.g.server.conns {
+			gw.g.server.budget.mu.Lock()
+			counted = append(counted, cc.account.Held(callerbuf.Pipelined))
+			gw.g.server.budget.mu.Unlock()
+		}
+		gw.g.server.mu.Unlock()
+		release <- struct{}{}
+		status, _ := readAnswer(t, br)
+		assert.Equal(t, status, 200)
+	}
+	assert.Equal(t, len(counted), 4)
+	assert.Equal(t, counted[1], counted[0]) // the rest is more than half of the array
+	assert.Assert(t, counted[2] > 0 && counted[2] < first, "%d", counted[2])
+	assert.Equal(t, counted[3], int64(0))
+}
+
 // Guards against two gateways that share an address and its callers.
 func TestAddressOfAnotherGatewayIsInUse(t *testing.T) {
 	gw := newTestGateway(t, echo).waitReady()
