gateway: allow for the framing of a pipelined request

The bound for bytes behind a request was the limits of head and body, without the blank line and the framing of chunks. One legal request of the largest size was dropped without any overload.

Before: TestLargestPipelinedRequestIsServed was cut off for a body with a length. After: it and the other callers' tests pass.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// minPipelined is the smallest number of bytes behind a request that are kept while it is
-	// handled; one more request of the largest size is kept in any case.
-	minPipelined = 64 << 10
+	// framingBytes and framingShare allow for the framing of a pipelined request: a number of bytes,
+	// and a fraction of the largest body. Chunks of at least 64 bytes without extensions fit.
+	framingBytes, framingShare = 64 << 10, 8
 	// lingerTime and lingerBytes bound what is read and dropped of a request that has been
 	// refused before its end. Closing a connection with unread bytes resets it, and the caller
 	// might lose the answer.
@@ -161,10 +161,11 @@
 	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(array))
 }
 
-// maxPipelined returns the number of bytes that are kept while a request is handled.
+// maxPipelined returns the number of bytes that are kept while a request is handled: one more request
+// of the largest size with its framing.
 func (cc *callerConn) maxPipelined() int {
 	l := parseLimits(cc.s.g.view.Load())
-	return max(minPipelined, l.Header+l.Body)
+	return l.Header + l.Body + l.Body/framingShare + framingBytes
 }
 
 // takeRequest reads the next request from buf and returns the bytes behind it. If the request is
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -306,6 +306,39 @@
 	assert.Equal(t, counted[3], int64(0))
 }
 
+// Guards against a single pipelined request within the limits that is dropped for its framing.
+func TestLargestPipelinedRequestIsServed(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	gw := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		respond(200, "x")(w, r)
+	}).waitReady()
+	limits := parseLimits(gw.g.view.Load())
+	const chunk = 64
+	head := post("/once/", limits.Body, "X: ")
+	chunkedHead := strings.Replace(head, "Content-Length: "+strconv.Itoa(limits.Body), "Transfer-Encoding: chunked", 1)
+	for name, parts := range map[string][2]string{
+		"length": {head, strings.Repeat("x", limits.Body)},
+		"chunks": {chunkedHead, strings.Repeat("40\r\n"+strings.Repeat("x", chunk)+"\r\n", limits.Body/chunk) + "0\r\n\r\n"},
+	} {
+		pad := strings.Repeat("x", limits.Header+len("\r\n\r\n")-len(parts[0]))
+		br := bufio.NewReader(gw.write(post("/once/", 0) + strings.Replace(parts[0], "X: ", "X: "+pad, 1) + parts[1]))
+		gw.waitUntil("all bytes have arrived", func() bool {
+			_, cut := gw.logs.find("caller-cut-off")
+			return cut || gw.held() >= int64(limits.Header+len(parts[1]))
+		})
+		_, cut := gw.logs.find("caller-cut-off")
+		assert.Assert(t, !cut, name)
+		for range 2 {
+			release <- struct{}{}
+			status, _ := readAnswer(t, br)
+			assert.Equal(t, status, 200, name)
+		}
+		gw.waitUntil("all bytes are released", func() bool { return gw.held() == 0 })
+	}
+}
+
 // Guards against two gateways that share an address and its callers.
 func TestAddressOfAnotherGatewayIsInUse(t *testing.T) {
 	gw := newTestGateway(t, echo).waitReady()
