http1: give trailer lines the limit of the head

A trailer line above 256 bytes got 400, although a trailer may have as many bytes as the head. The limit of 256 bytes now applies to the size lines of chunks alone; a longer trailer line than the head's limit gets 431.

Before: TestTrailerLineHasTheLimitOfTheHead got a syntax error for a line of 1000 bytes with a limit of 1000. After: it and the callers' tests pass.

--- a/internal/http1/request_reader.go
+++ b/internal/http1/request_reader.go
@@ -177,7 +177,7 @@
 
 // readChunkLine reads a line of a chunked body that is not data.
 func (r *RequestReader) readChunkLine(buf []byte, limits Limits) (int, error) {
-	line, n, err := r.readLine(buf)
+	line, n, err := r.readLine(buf, limits)
 	if err != nil || line == nil {
 		return n, err
 	}
@@ -198,13 +198,16 @@
 
 // readLine reads up to the end of a line and returns it without its CRLF, or nil if it is
 // incomplete. The line is valid until the next use of pending.
-func (r *RequestReader) readLine(buf []byte) (line []byte, n int, err error) {
-	limit := r.maxLine()
+func (r *RequestReader) readLine(buf []byte, limits Limits) (line []byte, n int, err error) {
+	limit := r.maxLine(limits)
 	part := buf[:min(len(buf), limit+2-min(limit+1, len(r.pending)))]
 	end := bytes.IndexByte(part, '\n')
 	if end < 0 {
 		r.pending = append(r.pending, part...)
 		if len(r.pending) > limit+1 || r.state == readChunkEnd && len(r.pending) > 0 && r.pending[0] != '\r' {
+			if r.state == readTrailer {
+				return nil, 0, &TooLargeError{Part: PartHeader, Limit: limits.Header}
+			}
 			return nil, 0, r.badLine()
 		}
 		return nil, len(part), nil
@@ -221,11 +224,16 @@
 }
 
 // maxLine returns the largest size in bytes of the line that comes next, without its CRLF.
-func (r *RequestReader) maxLine() int {
-	if r.state == readChunkEnd {
+// A trailer may have as many bytes as the head.
+func (r *RequestReader) maxLine(limits Limits) int {
+	switch r.state {
+	case readChunkEnd:
 		return 0
+	case readTrailer:
+		return limits.Header
+	default:
+		return maxChunkLine
 	}
-	return maxChunkLine
 }
 
 func (r *RequestReader) badLine() error {
--- a/internal/http1/request_reader_test.go
+++ b/internal/http1/request_reader_test.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// Guards against trailer lines that are refused although the trailer is no larger than a head may be.
+func TestTrailerLineHasTheLimitOfTheHead(t *testing.T) {
+	l := Limits{Header: 1000, Body: 64}
+	const chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+	_, n, err := ParseRequest([]byte(chunked+"a:"+strings.Repeat("x", l.Header-2)+"\r\n\r\n"), l)
+	assert.NilError(t, err)
+	assert.Assert(t, n > 0)
+	for _, excess := range []int{1, 100} {
+		_, _, err = ParseRequest([]byte(chunked+"a:"+strings.Repeat("x", l.Header-2+excess)+"\r\n\r\n"), l)
+		var tooLarge *TooLargeError
+		assert.Assert(t, errors.As(err, &tooLarge) && tooLarge.Part == PartHeader, "%v", err)
+	}
+}
+
 // Guards against a body that is read anew with each of its pieces: the memory that is allocated
 // for a body of single bytes stays within a small multiple of its size.
 func TestCostOfSmallPieces(t *testing.T) {
