--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -15,9 +16,9 @@
 )
 
 const (
-	// minPipelined is the smallest number of bytes behind a request that are kept while it is
-	// handled; one more request of the largest size is kept in any case.
-	minPipelined = 64 << 10
+	// framingBytes and framingShare allow for the framing of a pipelined request: a number of bytes,
+	// and a fraction of the largest body. Chunks of at least 64 bytes without extensions fit.
+	framingBytes, framingShare = 64 << 10, 8
 	// lingerTime and lingerBytes bound what is read and dropped of a request that has been
 	// refused before its end. Closing a connection with unread bytes resets it, and the caller
 	// might lose the answer.
@@ -36,6 +37,8 @@
 	reader http1.RequestReader
 	// pipelined contains the bytes that arrived while a request is being handled.
 	pipelined []byte
+	// pipelinedArray is the capacity of the whole array that pipelined is the end of.
+	pipelinedArray int
 	// busy is true while a request is being handled, and out writes its response.
 	busy bool
 	out  *connWriter
@@ -113,8 +116,7 @@
 		cc.cutOff(callerbuf.Pipelined)
 		return
 	}
-	cc.pipelined = append(cc.pipelined, buf...)
-	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(cap(cc.pipelined)))
+	cc.appendPipelined(buf)
 	cc.s.budget.relieve()
 }
 
@@ -123,17 +125,47 @@
 	if len(cc.pipelined) == 0 {
 		return
 	}
-	cc.pipelined = cc.takeRequest(cc.pipelined)
-	if len(cc.pipelined) == 0 || cc.closing || cc.discarding {
-		cc.pipelined = nil
+	cc.takeRequest(cc.pipelined)
+	if cc.closing || cc.discarding {
+		cc.setPipelined(nil, 0)
+	}
+}
+
+// releasePipelined releases the first n bytes behind a request. The rest is copied once it takes
+// less than half of its array, so that the cost of copies is proportional to the bytes released.
+func (cc *callerConn) releasePipelined(n int) {
+	rest, array := cc.pipelined[n:], cc.pipelinedArray
+	switch {
+	case len(rest) == 0:
+		rest, array = nil, 0
+	case 2*len(rest) < array:
+		rest = bytes.Clone(rest)
+		array = cap(rest)
+	}
+	cc.setPipelined(rest, array)
+}
+
+// appendPipelined keeps a copy of buf behind a request.
+func (cc *callerConn) appendPipelined(buf []byte) {
+	all, array := append(cc.pipelined, buf...), cc.pipelinedArray
+	if cap(all) != cap(cc.pipelined) { // append has allocated a new array
+		array = cap(all)
 	}
-	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(cap(cc.pipelined)))
+	cc.setPipelined(all, array)
+}
+
+// setPipelined replaces the bytes behind a request, and accounts for the whole array that holds
+// them.
+func (cc *callerConn) setPipelined(b []byte, array int) {
+	cc.pipelined, cc.pipelinedArray = b, array
+	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(array))
 }
 
-// maxPipelined returns the number of bytes that are kept while a request is handled.
+// maxPipelined returns the number of bytes that are kept while a request is handled: one more request
+// of the largest size with its framing.
 func (cc *callerConn) maxPipelined() int {
 	l := parseLimits(cc.s.g.view.Load())
-	return max(minPipelined, l.Header+l.Body)
+	return l.Header + l.Body + l.Body/framingShare + framingBytes
 }
 
 // takeRequest reads the next request from buf and returns the bytes behind it. If the request is
@@ -148,6 +180,10 @@
 		cc.reject(apierr.Wrap(parseErrorKind(err), "", err))
 		return nil
 	}
+	if len(cc.pipelined) > 0 { // buf is cc.pipelined
+		// The bytes that were read are released first, since they count for the request from here on.
+		cc.releasePipelined(n)
+	}
 	if req := cc.reader.Complete(); req != nil {
 		cc.startRequest(req, v)
 		return buf[n:]
@@ -199,7 +235,10 @@
 		g.inFlight.Add(-1)
 	})}
 	x.out = cc.out
-	x.noRoom = !budget.relieve()
+	if x.noRoom = !budget.relieve(); x.noRoom {
+		req.Body = nil
+		budget.close(handled)
+	}
 	go g.handle(x)
 }
 
@@ -241,9 +280,9 @@
 
 // dropInput releases the bytes that have arrived.
 func (cc *callerConn) dropInput() {
-	cc.reader, cc.pipelined = http1.RequestReader{}, nil
+	cc.reader = http1.RequestReader{}
 	cc.s.budget.set(cc.account, callerbuf.Incomplete, 0)
-	cc.s.budget.set(cc.account, callerbuf.Pipelined, 0)
+	cc.setPipelined(nil, 0)
 }
 
 // cutOff releases the bytes held for the caller in a part. It refuses a request that is incomplete,
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -216,6 +216,129 @@
 	assert.Assert(t, logged)
 }
 
+// Guards against callers that are cut off for a request that does not fit in any case.
+func TestRequestWithoutRoomCutsNobodyOff(t *testing.T) {
+	gw := newTestGateway(t, echo).waitReady().limitCallers(1<<16, 1000)
+	small := gw.write(post("/once/", 2) + "o")
+	gw.waitUntil("the small request has arrived", func() bool { return gw.held() > 0 })
+	const size = 50 << 10 // within the budget once, but not twice
+	status, body := readAnswer(t, bufio.NewReader(gw.write(post("/once/", size)+strings.Repeat("x", size))))
+	assert.Equal(t, status, 503)
+	assert.Assert(t, strings.Contains(body, `"outcome":"not-run"`), body)
+	_, err := io.WriteString(small, "k")
+	assert.NilError(t, err)
+	status, body = readAnswer(t, bufio.NewReader(small))
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "ok")
+}
+
+// Guards against callers that are cut off for bytes which they have not been offered.
+func TestOnlyOfferedBytesAreCutOff(t *testing.T) {
+	gw := newTestGateway(t, echo).waitReady().limitCallers(1000, 1000)
+	b := gw.g.server.budget
+	cc := &callerConn{s: gw.g.server}
+	cc.account = b.open(cc)
+	w := &connWriter{cc: cc}
+	for _, pending := range []int64{900, 2000} { // with an excess of others' and of its own bytes
+		other := b.handled(cc, 100)
+		w.pending.Store(pending)
+		b.setUnsent(w)
+		victim, _, _ := b.victim()
+		assert.Assert(t, victim == nil, "%d pending bytes", pending)
+		b.close(other)
+	}
+	w.pending.Store(0)
+	w.buffered.Store(2000)
+	b.setUnsent(w)
+	victim, part, _ := b.victim()
+	assert.Equal(t, victim, cc)
+	assert.Equal(t, part, callerbuf.Unsent)
+	b.close(cc.account)
+}
+
+// Guards against pipelined requests that are dropped because one of them counts twice when its
+// handling starts.
+func TestPipelinedRequestCountsOnce(t *testing.T) {
+	const size = 48 << 10
+	release := make(chan struct{})
+	gw := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		respond(200, "x")(w, r)
+	}).waitReady().limitCallers(140<<10, 1000) // less than the size once behind a request and twice as handled
+	c := gw.write(post("/once/", 0) + post("/once/", size) + strings.Repeat("x", size) + post("/once/", 0))
+	gw.waitUntil("all bytes have arrived", func() bool { return gw.held() > size })
+	close(release)
+	br := bufio.NewReader(c)
+	for range 3 {
+		status, _ := readAnswer(t, br)
+		assert.Equal(t, status, 200)
+	}
+}
+
+// Guards against memory behind a request that is held but not counted, or held for a small rest.
+func TestWholeArrayOfPipelinedBytesCounts(t *testing.T) {
+	const first, second = 16 << 10, 48 << 10
+	release := make(chan struct{})
+	gw := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		respond(200, "x")(w, r)
+	}).waitReady()
+	br := bufio.NewReader(gw.write(post("/once/", 0) + post("/once/", first) + strings.Repeat("x", first) +
+		post("/once/", second) + strings.Repeat("x", second) + post("/once/", 0)))
+	gw.waitUntil("all bytes have arrived", func() bool { return gw.held() > first+second })
+	var counted []int64
+	for i := range 4 {
+		gw.waitUntil("the request is handled", func() bool { return len(gw.targets[0].requests()) > i })
+		gw.g.server.mu.Lock()
+		for cc := range gw.g.server.conns {
+			gw.g.server.budget.mu.Lock()
+			counted = append(counted, cc.account.Held(callerbuf.Pipelined))
+			gw.g.server.budget.mu.Unlock()
+		}
+		gw.g.server.mu.Unlock()
+		release <- struct{}{}
+		status, _ := readAnswer(t, br)
+		assert.Equal(t, status, 200)
+	}
+	assert.Equal(t, len(counted), 4)
+	assert.Equal(t, counted[1], counted[0]) // the rest is more than half of the array
+	assert.Assert(t, counted[2] > 0 && counted[2] < first, "%d", counted[2])
+	assert.Equal(t, counted[3], int64(0))
+}
+
+// Guards against a single pipelined request within the limits that is dropped for its framing.
+func TestLargestPipelinedRequestIsServed(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	gw := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		respond(200, "x")(w, r)
+	}).waitReady()
+	limits := parseLimits(gw.g.view.Load())
+	const chunk = 64
+	head := post("/once/", limits.Body, "X: ")
+	chunkedHead := strings.Replace(head, "Content-Length: "+strconv.Itoa(limits.Body), "Transfer-Encoding: chunked", 1)
+	for name, parts := range map[string][2]string{
+		"length": {head, strings.Repeat("x", limits.Body)},
+		"chunks": {chunkedHead, strings.Repeat("40\r\n"+strings.Repeat("x", chunk)+"\r\n", limits.Body/chunk) + "0\r\n\r\n"},
+	} {
+		pad := strings.Repeat("x", limits.Header+len("\r\n\r\n")-len(parts[0]))
+		br := bufio.NewReader(gw.write(post("/once/", 0) + strings.Replace(parts[0], "X: ", "X: "+pad, 1) + parts[1]))
+		gw.waitUntil("all bytes have arrived", func() bool {
+			_, cut := gw.logs.find("caller-cut-off")
+			return cut || gw.held() >= int64(limits.Header+len(parts[1]))
+		})
+		_, cut := gw.logs.find("caller-cut-off")
+		assert.Assert(t, !cut, name)
+		for range 2 {
+			release <- struct{}{}
+			status, _ := readAnswer(t, br)
+			assert.Equal(t, status, 200, name)
+		}
+		gw.waitUntil("all bytes are released", func() bool { return gw.held() == 0 })
+	}
+}
+
 // Guards against two gateways that share an address and its callers.
 func TestAddressOfAnotherGatewayIsInUse(t *testing.T) {
 	gw := newTestGateway(t, echo).waitReady()
