--- a/internal/callerbuf/budget.go
+++ b/internal/callerbuf/budget.go
@@ -103,8 +103,9 @@
 func (b *Budget[O]) Exceeded() bool { return b.limit > 0 && b.used > b.limit }
 
 // Victim returns the account to cut off and the part that takes most of it, or nil if no cut frees
-// bytes, or if the bytes that no cut frees exceed the budget by themselves. It is the account with the most removable bytes; of those with about as many, it is the one
-// whose last progress is the longest ago.
+// bytes, or if the bytes that no cut frees exceed the budget by themselves. It is the account with
+// the most removable bytes; of those with about as many, it is the one whose last progress is the
+// longest ago.
 func (b *Budget[O]) Victim() (*Account[O], Part) {
 	var most, sum int64
 	for a := range b.accounts {
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -286,6 +286,11 @@
 	br := bufio.NewReader(gw.write(post("/once/", 0) + post("/once/", first) + strings.Repeat("x", first) +
 		post("/once/", second) + strings.Repeat("x", second) + post("/once/", 0)))
 	gw.waitUntil("all bytes have arrived", func() bool { return gw.held() > first+second })
+	gw.waitUntil("the connections of waitReady are closed", func() bool {
+		gw.g.server.mu.Lock()
+		defer gw.g.server.mu.Unlock()
+		return len(gw.g.server.conns) == 1
+	})
 	var counted []int64
 	for i := range 4 {
 		gw.waitUntil("the request is handled", func() bool { return len(gw.targets[0].requests()) > i })
