--- a/internal/priority/priority.go
+++ b/internal/priority/priority.go
@@ -70,8 +70,7 @@
 }
 
 // Reserve returns the part of the limit that is kept free for the levels that are more
-// important than the priority. For a returning request it is the reserve of the next more
-// important level.
+// important than the priority.
 func (l Levels) Reserve(priority int, limit float64) float64 {
 	arrivals := 0.0
 	for _, level := range l {
