gateway: log decisions on repeats and pauses of the process

Each decision now is a line 'repeat' with these inputs, a pause is a line 'paused' and counts in process_pauses, and the state dump lists the retry budgets.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -86,6 +86,7 @@
 	follower.Run(ctx)
 	go g.records.run(ctx)
 	go c.peers.run(ctx)
+	go g.detectPauses(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -217,7 +217,7 @@
 		return true
 	case a.x.attemptsUsed():
 		return false
-	case !a.g.takeRepeat(a.x.service):
+	case !a.g.takeRepeat(a.x):
 		a.g.count.overBudget.Inc(1)
 		return false
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
 	"github.com/gentiantrail/gentiantrail/internal/observe"
+	"github.com/gentiantrail/gentiantrail/internal/pause"
 	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 	"github.com/gentiantrail/gentiantrail/internal/retry"
@@ -96,6 +97,7 @@
 	mu         sync.Mutex
 	balancer   *placement.Balancer
 	budgets    map[string]*retry.Window
+	pauses     *pause.Detector
 	quarantine *quarantine.Tracker
 	// zoneCounters count the requests that are sent to each availability zone.
 	zoneCounters *zoneCounters
@@ -154,6 +156,7 @@
 		levelMetrics:   levelMetrics{scope: opts.Metrics},
 		balancer:       placement.New(opts.Settings.Name, opts.Settings.AvailabilityZone, rng),
 		budgets:        make(map[string]*retry.Window),
+		pauses:         pause.NewDetector(pauseThreshold),
 		quarantine:     quarantine.New(rng),
 		zoneCounters:   newZoneCounters(opts.Metrics, opts.Settings.AvailabilityZone),
 		unanswered:     make(map[*attempt]struct{}),
@@ -184,31 +187,3 @@
 		return nil
 	}
 }
-
-// takeRepeat takes one repeat from a service's retry budget, and returns false if there
-// is none left.
-func (g *Gateway) takeRepeat(service string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget(service).Take(g.now())
-}
-
-// countRequest adds a caller's request to its service's retry budget and to the demand of its level.
-func (g *Gateway) countRequest(x *exchange) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budget(x.service).RecordRequest(g.now())
-	if x.leveled {
-		g.balancer.RecordArrival(g.now(), x.service, x.level)
-	}
-}
-
-// budget returns a service's retry budget; g.mu must be held.
-func (g *Gateway) budget(service string) *retry.Window {
-	w := g.budgets[service]
-	if w == nil {
-		w = retry.NewWindow(g.view.Load().shares.retries)
-		g.budgets[service] = w
-	}
-	return w
-}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -8,6 +8,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/priority"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
+	"github.com/gentiantrail/gentiantrail/internal/retry"
 )
 
 // logRequest writes the log line of a finished exchange, the only one if no attempt
@@ -86,6 +87,18 @@
 		Int64("last_event", x.lastEvent).Str("avoided_group", x.avoidGroup).Str("detail", err.Error()).Msg("")
 }
 
+// logRepeat writes the log line of a decision on a repeat, with what the service's retry budget counted
+// before it and the time since the process's start.
+func (g *Gateway) logRepeat(x *exchange, status retry.WindowStatus, granted bool, age time.Duration) {
+	outcome := "granted"
+	if !granted {
+		outcome = "denied"
+	}
+	g.opts.Logger.Info().Str("event", "repeat").Str("request", x.id).Str("service", x.service).Str("outcome", outcome).
+		Float64("requests", status.Requests).Float64("repeats", status.Repeats).Float64("allowed", status.Allowed).
+		Int("gateways", g.view.Load().shares.gateways).Int64("age_ms", age.Milliseconds()).Msg("")
+}
+
 // logSilence writes the log line of a target that is silent although it has requests.
 func (g *Gateway) logSilence(target string, unheard time.Duration) {
 	g.opts.Logger.Info().Str("event", "belief").Str("topic", "targets").Str("subject", target).
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,7 +13,7 @@
 	overBudget, peerErrors, refused    tally.Counter
 	storeFailures                      tally.Counter
 	quarantined, crashes               tally.Counter
-	recordFailures                     tally.Counter
+	recordFailures, pauses             tally.Counter
 	// invalidStatements counts header fields about a target's state that can't be decoded.
 	invalidStatements tally.Counter
 	firstEvent        tally.Histogram
@@ -39,6 +39,7 @@
 		quarantined:       s.Counter("requests_quarantined"),
 		crashes:           s.Counter("target_crashes"),
 		recordFailures:    s.Counter("quarantine_record_failures"),
+		pauses:            s.Counter("process_pauses"),
 		invalidStatements: s.Counter("invalid_target_statements"),
 		firstEvent:        s.Histogram("first_event", observe.LatencyBuckets),
 		callersCutOff:     make(map[string]tally.Counter),
--- /dev/null
+++ b/internal/gateway/pauses.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// beatInterval is the interval at which the gateway records that it runs.
+	beatInterval = 100 * time.Millisecond
+	// pauseThreshold is the least time without a record that counts as a pause of the process.
+	pauseThreshold = 300 * time.Millisecond
+)
+
+// detectPauses records that the gateway runs, and logs pauses, until ctx ends.
+func (g *Gateway) detectPauses(ctx context.Context) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.mu.Lock()
+			now := g.now()
+			paused := g.pauses.Beat(now)
+			g.mu.Unlock()
+			g.logPause(paused)
+		}
+	}
+}
+
+// logPause writes the log line of a pause of the process.
+func (g *Gateway) logPause(paused time.Duration) {
+	if paused == 0 {
+		return
+	}
+	g.count.pauses.Inc(1)
+	g.opts.Logger.Warn().Str("event", "paused").Int64("paused_ms", paused.Milliseconds()).Msg("")
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
+	"github.com/gentiantrail/gentiantrail/internal/retry"
 )
 
 // State is the state dump of a gateway.
@@ -19,6 +20,8 @@
 	Targets       []TargetState `json:"targets"`
 	// Groups contains the lock-step groups whose share of work is set by a model.
 	Groups []GroupState `json:"groups,omitempty"`
+	// RetryBudgets contains what the retry budget of each service counts.
+	RetryBudgets map[string]retry.WindowStatus `json:"retry_budgets,omitempty"`
 	// Quarantine contains the requests and parts of prompts that targets are suspected to crash on.
 	Quarantine []quarantine.Status `json:"quarantine,omitempty"`
 	// Zones contains the routing between availability zones, by service and zone.
@@ -64,6 +67,10 @@
 		}
 		s.Targets = append(s.Targets, ts)
 	}
+	s.RetryBudgets = make(map[string]retry.WindowStatus, len(g.budgets))
+	for service, w := range g.budgets {
+		s.RetryBudgets[service] = w.Status(g.now())
+	}
 	s.Groups = groupStates(g.balancer.GroupShares(g.now()))
 	s.Zones = g.balancer.ZoneStatus(g.now())
 	s.Quarantine = g.quarantine.Status(g.now())
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,50 @@
+// Package pause detects that a process stood still, because it or its machine was stopped or got no
+// processor time.
+package pause
+
+import "time"
+
+// Detector records the times at which a process was seen running. It reads no clock and is not safe
+// for concurrent use.
+type Detector struct {
+	// threshold is the time between two beats from which they enclose a pause.
+	threshold time.Duration
+	lastBeat  time.Duration
+	// from and to enclose the last pause. Both are zero if there was none.
+	from, to time.Duration
+}
+
+// NewDetector returns a detector for a process that starts at time zero. Pauses shorter than threshold
+// are not detected.
+func NewDetector(threshold time.Duration) *Detector { return &Detector{threshold: threshold} }
+
+// Beat records that the process runs. It returns the time for which the process stood still before, or
+// zero.
+func (d *Detector) Beat(now time.Duration) time.Duration {
+	silent := now - d.lastBeat
+	if silent >= d.threshold {
+		d.from, d.to = d.earliestArrival(d.lastBeat), now
+	}
+	d.lastBeat = max(now, d.lastBeat)
+	if silent < d.threshold {
+		return 0
+	}
+	return silent
+}
+
+// EarliestArrival returns the earliest time at which bytes that the process reads at now may have been
+// sent to it, apart from the time of the network and pauses below the threshold. Bytes that were lost in
+// a pause arrive up to its length after it, since senders double the time between retransmissions.
+func (d *Detector) EarliestArrival(now time.Duration) time.Duration {
+	if now-d.lastBeat >= d.threshold {
+		return d.earliestArrival(d.lastBeat)
+	}
+	return d.earliestArrival(now)
+}
+
+func (d *Detector) earliestArrival(now time.Duration) time.Duration {
+	if d.to > 0 && now-d.to <= d.to-d.from {
+		return d.from
+	}
+	return now
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -53,15 +53,31 @@
 	return true
 }
 
-// Remaining returns the number of repeats that the budget allows at now.
-func (w *Window) Remaining(now time.Duration) float64 {
+// WindowStatus is what a Window counts at one time.
+type WindowStatus struct {
+	// Requests and Repeats are the numbers that count in the window.
+	Requests float64 `json:"requests"`
+	Repeats  float64 `json:"repeats"`
+	// Allowed is the number of repeats that the window allows, those that count included.
+	Allowed float64 `json:"allowed"`
+}
+
+// Status returns what the window counts at now.
+func (w *Window) Status(now time.Duration) WindowStatus {
 	w.advance(now)
-	requests, repeats := 0.0, 0.0
+	var s WindowStatus
 	for i := range windowBuckets {
-		requests += w.requests[i]
-		repeats += w.repeats[i]
+		s.Requests += w.requests[i]
+		s.Repeats += w.repeats[i]
 	}
-	return w.limits.Ratio*requests + w.limits.Slack - repeats
+	s.Allowed = w.limits.Ratio*s.Requests + w.limits.Slack
+	return s
+}
+
+// Remaining returns the number of repeats that the budget allows at now.
+func (w *Window) Remaining(now time.Duration) float64 {
+	s := w.Status(now)
+	return s.Allowed - s.Repeats
 }
 
 // advance clears the buckets that have become too old. The oldest bucket that is still
