--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -12,7 +12,7 @@
 	pauseThreshold = 300 * time.Millisecond
 )
 
-// detectPauses records that the gateway runs, and logs pauses, until ctx ends.
+// detectPauses records until ctx ends that the gateway runs.
 func (g *Gateway) detectPauses(ctx context.Context) {
 	ticker := time.NewTicker(beatInterval)
 	defer ticker.Stop()
@@ -21,15 +21,19 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			g.mu.Lock()
-			now := g.now()
-			paused := g.pauses.Beat(now)
-			g.mu.Unlock()
-			g.logPause(paused)
+			g.recordBeat()
 		}
 	}
 }
 
+// recordBeat records that the gateway runs, and logs a pause before that.
+func (g *Gateway) recordBeat() {
+	g.mu.Lock()
+	paused := g.pauses.Beat(g.now())
+	g.mu.Unlock()
+	g.logPause(paused)
+}
+
 // logPause writes the log line of a pause of the process.
 func (g *Gateway) logPause(paused time.Duration) {
 	if paused == 0 {
