retry: count requests for less and repeats for more than the window

Callers saw more repeats than the fleet may send in ten seconds on 16 gateways whose targets failed, without any trouble of the gateways: 919 of 918 and 924 of 919. The window had 20 buckets of a nineteenth of the span and counted all of them for both sides, up to 10.53 s of requests; the logs show 3,661 requests where callers sent 3,456. The part of the slack that nobody uses hid it on small fleets.

A request now counts while it is certainly in every window that a repeat taken now may arrive in, also if it was sent MaxDelay before it was recorded and the repeat arrives MaxDelay after it was taken; a repeat counts for a span and MaxDelay. TestNoWindowExceedsItsBudget allowed for the longer window; it now has delays instead and compares equal windows (it fails on the code before).

Tried first: the span without MaxDelay once; the test found a window with 18 repeats for 59 requests, 16 allowed, as both delays add up.

--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// windowBuckets is the number of buckets that a Window's span is divided into.
-const windowBuckets = 20
+const (
+	// windowBuckets is the number of buckets of a Window.
+	windowBuckets = 64
+	// MaxDelay is the longest time that a request takes from its caller to the process, or a repeat
+	// from the process to a target, unless the process or a link stands still.
+	MaxDelay = 500 * time.Millisecond
+)
 
 // WindowLimits bound the repeats within any time window.
 type WindowLimits struct {
@@ -16,7 +21,8 @@
 }
 
 // Window limits the repeats in every time span to a share of the requests in the same span,
-// plus a slack. It reads no clock and is not safe for concurrent use.
+// plus a slack, for whoever sees requests up to MaxDelay earlier and repeats up to MaxDelay
+// later than the process. It reads no clock and is not safe for concurrent use.
 type Window struct {
 	limits   WindowLimits
 	requests [windowBuckets]float64
@@ -40,7 +46,7 @@
 // RecordRequest counts one request of a caller.
 func (w *Window) RecordRequest(now time.Duration) {
 	w.advance(now)
-	w.requests[w.newestBucket%windowBuckets]++
+	w.requests[index(w.newestBucket)]++
 }
 
 // Take counts a repeat and returns true if the budget allows it.
@@ -49,7 +55,7 @@
 	if w.Remaining(now) < 1 {
 		return false
 	}
-	w.repeats[w.newestBucket%windowBuckets]++
+	w.repeats[index(w.newestBucket)]++
 	return true
 }
 
@@ -62,13 +68,18 @@
 	Allowed float64 `json:"allowed"`
 }
 
-// Status returns what the window counts at now.
+// Status returns what the window counts at now: repeats of at least the span and MaxDelay, and
+// requests of at most the span without twice MaxDelay, since a repeat that is taken now may end a
+// window MaxDelay later, and a request may have been sent MaxDelay before it was recorded.
 func (w *Window) Status(now time.Duration) WindowStatus {
 	w.advance(now)
 	var s WindowStatus
-	for i := range windowBuckets {
-		s.Requests += w.requests[i]
-		s.Repeats += w.repeats[i]
+	oldest := w.bucketOf(now-w.limits.Span+2*MaxDelay) + 1
+	for b := w.newestBucket - windowBuckets + 1; b <= w.newestBucket; b++ {
+		s.Repeats += w.repeats[index(b)]
+		if b >= oldest {
+			s.Requests += w.requests[index(b)]
+		}
 	}
 	s.Allowed = w.limits.Ratio*s.Requests + w.limits.Slack
 	return s
@@ -81,15 +92,24 @@
 }
 
 // advance clears the buckets that have become too old. The oldest bucket that is still
-// counted began up to a whole span ago, so that nothing within a window is left out.
+// counted began at least a span and MaxDelay ago.
 func (w *Window) advance(now time.Duration) {
-	width := w.limits.Span / (windowBuckets - 1)
-	if width <= 0 {
-		return
-	}
-	bucket := int64(now / width)
+	bucket := w.bucketOf(now)
 	for b := max(w.newestBucket+1, bucket-windowBuckets+1); b <= bucket; b++ {
-		w.requests[b%windowBuckets], w.repeats[b%windowBuckets] = 0, 0
+		w.requests[index(b)], w.repeats[index(b)] = 0, 0
 	}
 	w.newestBucket = max(w.newestBucket, bucket)
 }
+
+// bucketOf returns the number of the bucket that contains a time, which may be negative.
+func (w *Window) bucketOf(at time.Duration) int64 {
+	width := (w.limits.Span + MaxDelay) / (windowBuckets - 1)
+	bucket := int64(at / width)
+	if at%width < 0 {
+		bucket--
+	}
+	return bucket
+}
+
+// index returns the place of a bucket, whose number may be negative.
+func index(bucket int64) int64 { return (bucket%windowBuckets + windowBuckets) % windowBuckets }
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -10,8 +10,10 @@
 
 var windowLimits = WindowLimits{Ratio: 0.2, Slack: 5, Span: 10 * time.Second}
 
-// TestNoWindowExceedsItsBudget simulates requests and repeats, and compares the repeats in
-// every window that ends at a repeat with the requests in the same window.
+// TestNoWindowExceedsItsBudget guards against requests that count for longer than the window, and
+// repeats that count for less: it compares the repeats in every window that ends at a repeat with the
+// requests in the same window. Callers send requests up to MaxDelay earlier than they are recorded, and
+// repeats arrive up to MaxDelay after they are taken.
 func TestNoWindowExceedsItsBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := NewWindow(windowLimits)
@@ -19,28 +21,30 @@
 		var requests, repeats []time.Duration
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond
+			delay := time.Duration(rapid.Float64Range(0, 1).Draw(t, "delay") * float64(MaxDelay))
 			if rapid.Bool().Draw(t, "request") {
 				w.RecordRequest(now)
-				requests = append(requests, now)
+				requests = append(requests, now-delay)
 				continue
 			}
-			if !w.Take(now) {
-				continue
+			if w.Take(now) {
+				repeats = append(repeats, now+delay)
 			}
-			repeats = append(repeats, now)
-			repeated := countWithin(repeats, now, windowLimits.Span)
-			// The counted span may be one bucket longer than the window.
-			requested := countWithin(requests, now, windowLimits.Span+windowLimits.Span/(windowBuckets-1))
+		}
+		for _, end := range repeats {
+			repeated := countWithin(repeats, end, windowLimits.Span)
+			requested := countWithin(requests, end, windowLimits.Span)
 			assert.Assert(t, float64(repeated) <= windowLimits.Ratio*float64(requested)+windowLimits.Slack,
 				"%d repeats for %d requests", repeated, requested)
 		}
 	})
 }
 
-func countWithin(times []time.Duration, now, span time.Duration) int {
+// countWithin returns how many of the times are in the span that ends at end.
+func countWithin(times []time.Duration, end, span time.Duration) int {
 	n := 0
 	for _, t := range times {
-		if now-t < span {
+		if age := end - t; age >= 0 && age < span {
 			n++
 		}
 	}
