retry: a new process takes nothing for unspent

After a kill of all gateways, or of one after the other, callers' repeats exceeded what the fleet may send in ten seconds: 437 of 380 after one kill, 496 of 379 after five on 7 gateways. The budget lived in the process, which started with its whole part of the slack and with the ratio of requests that only itself had counted, while what the process before it had sent was still in the window.

Half of the ratio now is earned request by request, and at most the part of the slack is kept; this starts at zero in each process, so that the sum over any restarts in a window is bounded. The other half is a window, which a process uses once it has run for a whole one. Settings with another span no longer empty the window either.

The gateway's test harness sets a larger ratio, since its tests need repeats for the first request of a process and check other rules than the budget.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -200,8 +200,8 @@
 	defer g.mu.Unlock()
 	g.balancer.SetTargets(g.now(), targets)
 	g.balancer.SetLevels(v.leveled)
-	for _, w := range g.budgets {
-		w.SetLimits(v.shares.retries)
+	for _, b := range g.budgets {
+		b.SetLimits(g.now(), v.shares.retries)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,7 @@
 
 	mu         sync.Mutex
 	balancer   *placement.Balancer
-	budgets    map[string]*retry.Window
+	budgets    map[string]*retry.FleetBudget
 	pauses     *pause.Detector
 	quarantine *quarantine.Tracker
 	// zoneCounters count the requests that are sent to each availability zone.
@@ -155,7 +155,7 @@
 		count:          newCounters(opts.Metrics),
 		levelMetrics:   levelMetrics{scope: opts.Metrics},
 		balancer:       placement.New(opts.Settings.Name, opts.Settings.AvailabilityZone, rng),
-		budgets:        make(map[string]*retry.Window),
+		budgets:        make(map[string]*retry.FleetBudget),
 		pauses:         pause.NewDetector(pauseThreshold),
 		quarantine:     quarantine.New(rng),
 		zoneCounters:   newZoneCounters(opts.Metrics, opts.Settings.AvailabilityZone),
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -176,6 +176,7 @@
 	}
 	limits := settings.DefaultGatewayLimits()
 	limits.RetrySlack = 2000 // divided among the assumed number of gateways
+	limits.RetryRatio = 10   // the first request of a process earns the repeats that it needs
 	gw.g = New(Options{
 		Settings: &settings.Gateway{
 			Name: "g", AvailabilityZone: "z", Listen: gw.addr, PeerAddress: freePort(t), Limits: limits,
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -89,13 +89,14 @@
 
 // logRepeat writes the log line of a decision on a repeat, with what the service's retry budget counted
 // before it and the time since the process's start.
-func (g *Gateway) logRepeat(x *exchange, status retry.WindowStatus, granted bool, age time.Duration) {
+func (g *Gateway) logRepeat(x *exchange, status retry.FleetStatus, granted bool, age time.Duration) {
 	outcome := "granted"
 	if !granted {
 		outcome = "denied"
 	}
 	g.opts.Logger.Info().Str("event", "repeat").Str("request", x.id).Str("service", x.service).Str("outcome", outcome).
 		Float64("requests", status.Requests).Float64("repeats", status.Repeats).Float64("allowed", status.Allowed).
+		Float64("earned", status.Earned).Bool("window_known", status.WindowKnown).
 		Int("gateways", g.view.Load().shares.gateways).Int64("age_ms", age.Milliseconds()).Msg("")
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -100,7 +100,7 @@
 	}
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
-	return a.g.budget(x.service).Remaining(a.g.now()) >= 1 && a.g.balancer.HasOtherTarget(a.g.now(), x.service, x.tried)
+	return a.g.budget(x.service).Allows(a.g.now()) && a.g.balancer.HasOtherTarget(a.g.now(), x.service, x.tried)
 }
 
 // answerHead returns the head of a target's response without the fields for its framing.
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -6,9 +6,9 @@
 // there is none left.
 func (g *Gateway) takeRepeat(x *exchange) bool {
 	g.mu.Lock()
-	w, now := g.budget(x.service), g.now()
-	status := w.Status(now)
-	granted := w.Take(now)
+	b, now := g.budget(x.service), g.now()
+	status := b.Status(now)
+	granted := b.Take(now)
 	g.mu.Unlock()
 	g.logRepeat(x, status, granted, now)
 	return granted
@@ -24,12 +24,13 @@
 	}
 }
 
-// budget returns a service's retry budget; g.mu must be held.
-func (g *Gateway) budget(service string) *retry.Window {
-	w := g.budgets[service]
-	if w == nil {
-		w = retry.NewWindow(g.view.Load().shares.retries)
-		g.budgets[service] = w
+// budget returns a service's retry budget; g.mu must be held. One that is made now is known from the
+// start of the process on, as the process has sent no repeat to the service before.
+func (g *Gateway) budget(service string) *retry.FleetBudget {
+	b := g.budgets[service]
+	if b == nil {
+		b = retry.NewFleetBudget(g.view.Load().shares.retries)
+		g.budgets[service] = b
 	}
-	return w
+	return b
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -21,7 +21,7 @@
 	// Groups contains the lock-step groups whose share of work is set by a model.
 	Groups []GroupState `json:"groups,omitempty"`
 	// RetryBudgets contains what the retry budget of each service counts.
-	RetryBudgets map[string]retry.WindowStatus `json:"retry_budgets,omitempty"`
+	RetryBudgets map[string]retry.FleetStatus `json:"retry_budgets,omitempty"`
 	// Quarantine contains the requests and parts of prompts that targets are suspected to crash on.
 	Quarantine []quarantine.Status `json:"quarantine,omitempty"`
 	// Zones contains the routing between availability zones, by service and zone.
@@ -67,9 +67,9 @@
 		}
 		s.Targets = append(s.Targets, ts)
 	}
-	s.RetryBudgets = make(map[string]retry.WindowStatus, len(g.budgets))
-	for service, w := range g.budgets {
-		s.RetryBudgets[service] = w.Status(g.now())
+	s.RetryBudgets = make(map[string]retry.FleetStatus, len(g.budgets))
+	for service, b := range g.budgets {
+		s.RetryBudgets[service] = b.Status(g.now())
 	}
 	s.Groups = groupStates(g.balancer.GroupShares(g.now()))
 	s.Zones = g.balancer.ZoneStatus(g.now())
--- /dev/null
+++ b/internal/retry/fleet.go
@@ -0,0 +1,86 @@
+package retry
+
+import "time"
+
+// earnedShare is the fraction of the ratio by which requests earn repeats at once. The rest of the
+// ratio is available only to processes that have seen a whole window, which can use it for many
+// repeats at the same time, for example when a lock-step group with all its streams fails.
+const earnedShare = 0.5
+
+// FleetBudget is one process's part of the limits on the repeats of all processes of a fleet. The
+// limits hold for the fleet however often its processes restart, as a new process takes nothing for
+// unspent that the process before it may have spent:
+//
+//   - The repeats that requests earn start at zero, and at most the process's part of the slack is kept.
+//     In any span, all processes together then use at most what they kept at its begin and what its
+//     requests earn.
+//   - A Window without slack counts the other repeats. It allows none until the process has run for a
+//     whole window, when the repeats of the process before it are in no window with its own.
+//
+// It reads no clock and is not safe for concurrent use.
+type FleetBudget struct {
+	earned Budget
+	window *Window
+	span   time.Duration
+	// since is the time from which the window is known.
+	since time.Duration
+}
+
+// NewFleetBudget returns the budget of a process that starts at time zero. The slack in limits is the
+// process's part.
+func NewFleetBudget(limits WindowLimits) *FleetBudget {
+	b := &FleetBudget{window: NewWindow(WindowLimits{}), span: limits.Span}
+	b.apply(limits)
+	return b
+}
+
+// SetLimits changes the limits at now. If the span changes, the window is not known until a new one has
+// passed.
+func (b *FleetBudget) SetLimits(now time.Duration, limits WindowLimits) {
+	if limits.Span != b.span {
+		b.span, b.since = limits.Span, now
+	}
+	b.apply(limits)
+}
+
+func (b *FleetBudget) apply(limits WindowLimits) {
+	// Requests of up to the span and twice MaxDelay earn what is used within a span.
+	earnedRatio := limits.Ratio * earnedShare * float64(limits.Span) / float64(limits.Span+2*MaxDelay)
+	b.earned.ratio, b.earned.burst = earnedRatio, limits.Slack
+	b.earned.tokens = min(b.earned.tokens, limits.Slack)
+	b.window.SetLimits(WindowLimits{Ratio: limits.Ratio * (1 - earnedShare), Span: limits.Span})
+}
+
+// RecordRequest counts one request of a caller.
+func (b *FleetBudget) RecordRequest(now time.Duration) {
+	b.earned.earn()
+	b.window.RecordRequest(now)
+}
+
+// Allows reports whether Take would return true.
+func (b *FleetBudget) Allows(now time.Duration) bool {
+	return b.earned.tokens >= 1 || b.windowKnown(now) && b.window.Remaining(now) >= 1
+}
+
+// Take counts a repeat and returns true if the budget allows it.
+func (b *FleetBudget) Take(now time.Duration) bool {
+	return b.earned.Take() || b.windowKnown(now) && b.window.Take(now)
+}
+
+// windowKnown reports whether all repeats that may arrive in a window with one that is taken now are
+// known or earned.
+func (b *FleetBudget) windowKnown(now time.Duration) bool { return now-b.since >= b.span+MaxDelay }
+
+// FleetStatus is what a FleetBudget counts at one time.
+type FleetStatus struct {
+	WindowStatus
+	// Earned is the number of repeats that requests have earned and that are not used.
+	Earned float64 `json:"earned"`
+	// WindowKnown is true once the process has run for a whole window.
+	WindowKnown bool `json:"window_known"`
+}
+
+// Status returns what the budget counts at now.
+func (b *FleetBudget) Status(now time.Duration) FleetStatus {
+	return FleetStatus{WindowStatus: b.window.Status(now), Earned: b.earned.tokens, WindowKnown: b.windowKnown(now)}
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -33,7 +33,9 @@
 }
 
 // RecordSuccess adds the tokens for one successful request.
-func (b *Budget) RecordSuccess() { b.tokens = min(b.tokens+b.ratio, b.burst) }
+func (b *Budget) RecordSuccess() { b.earn() }
+
+func (b *Budget) earn() { b.tokens = min(b.tokens+b.ratio, b.burst) }
 
 // Take uses one token; it returns false if there is none.
 func (b *Budget) Take() bool {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -77,8 +77,8 @@
 	// RetryRatio is the number of repeats that all gateways together may send to a service
 	// for each request. Default 0.1, range 0 to 1.
 	RetryRatio float64 `yaml:"retry_ratio"`
-	// RetrySlack is the number of repeats allowed in addition to the ratio. Default 20,
-	// range 0 to 100000.
+	// RetrySlack is the number of repeats allowed in addition to the ratio. Each gateway keeps up to
+	// its share of it, so that one per gateway or more is needed. Default 20, range 0 to 100000.
 	RetrySlack int `yaml:"retry_slack"`
 	// RetryWindow is the time over which repeats are counted. Default 10s, range 1s to 10m.
 	RetryWindow time.Duration `yaml:"retry_window"`
