gateway: requests count from when callers sent them, repeats until they arrive

Callers saw more repeats than the fleet may send after gateways had stood still, without a restart: 391 of 382 and 396 of 385 with pauses of 3 s. A process that goes on reads what callers sent in the meantime at once, and counted it as new: 1,675 requests where callers had sent 1,474. Those that were sent before a window then allowed repeats in it. A repeat that was decided before a pause and sent after it counted too early in the same way.

The process now detects that it stood still, and a request counts from the beginning of the pause if it may have been sent then; a request whose first byte is older than its last one, or that waited behind another one on its connection, counts from its first byte. It earns nothing if that is longer ago than MaxDelay. A repeat counts from when it is taken until a span after it was sent; one that was not sent after all is returned.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -37,6 +37,8 @@
 	reader http1.RequestReader
 	// pipelined contains the bytes that arrived while a request is being handled.
 	pipelined []byte
+	// firstByte is when the first of the bytes was read that belong to no request yet, or zero.
+	firstByte time.Time
 	// pipelinedArray is the capacity of the whole array that pipelined is the end of.
 	pipelinedArray int
 	// busy is true while a request is being handled, and out writes its response.
@@ -103,6 +105,7 @@
 // take reads requests from buf, which belongs to the connection, and keeps the bytes behind the
 // one that is handled.
 func (cc *callerConn) take(buf []byte) {
+	cc.recordFirstByte()
 	buf = cc.takeRequest(buf)
 	if len(buf) == 0 {
 		return
@@ -120,6 +123,12 @@
 	cc.s.budget.relieve()
 }
 
+func (cc *callerConn) recordFirstByte() {
+	if cc.firstByte.IsZero() {
+		cc.firstByte = time.Now()
+	}
+}
+
 // takePipelined reads the next request from the bytes that arrived during the last one.
 func (cc *callerConn) takePipelined() {
 	if len(cc.pipelined) == 0 {
@@ -147,6 +156,7 @@
 
 // appendPipelined keeps a copy of buf behind a request.
 func (cc *callerConn) appendPipelined(buf []byte) {
+	cc.recordFirstByte()
 	all, array := append(cc.pipelined, buf...), cc.pipelinedArray
 	if cap(all) != cap(cc.pipelined) { // append has allocated a new array
 		array = cap(all)
@@ -228,7 +238,10 @@
 	budget.set(cc.account, callerbuf.Incomplete, 0)
 	handled := budget.handled(cc, req.Held())
 	g.inFlight.Add(1)
-	x := &exchange{ctx: ctx, req: req, view: v, arrived: time.Now()}
+	x := &exchange{ctx: ctx, req: req, view: v, arrived: time.Now(), firstByte: cc.firstByte}
+	if len(cc.pipelined) == 0 {
+		cc.firstByte = time.Time{}
+	}
 	cc.out = &connWriter{cc: cc, cancel: cancel, done: sync.OnceFunc(func() {
 		x.releaseAnswers()
 		budget.close(handled)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -198,8 +198,10 @@
 	answer, failure := a.g.client.Do(a.ctx, a.call())
 	stop()
 	if failure != nil {
+		a.g.recordRepeatSent(a.x, failure.SentAt)
 		return a.handleFailure(failure)
 	}
+	a.g.recordRepeatSent(a.x, answer.SentAt)
 	a.answerBegun = true
 	if answer.Status != 421 {
 		a.x.countTarget()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
 	"github.com/gentiantrail/gentiantrail/internal/http1"
 	"github.com/gentiantrail/gentiantrail/internal/priority"
+	"github.com/gentiantrail/gentiantrail/internal/retry"
 )
 
 // exchange is one request of a caller with the state of its processing.
@@ -22,6 +23,8 @@
 	id string
 	// arrived is the time at which the whole request had been read.
 	arrived time.Time
+	// firstByte is the earliest time at which a byte of the request may have been read.
+	firstByte time.Time
 	// deadline is the time at which the complete response is due: the caller's deadline
 	// or the route's timeout, whichever comes first.
 	deadline time.Time
@@ -53,6 +56,9 @@
 
 	// attempts is the number of targets that the request was sent to. Only countTarget changes it.
 	attempts int
+	// unsentRepeat is a repeat that was taken from the retry budget and has not been sent; nil if there
+	// is none.
+	unsentRepeat *retry.Repeat
 	// tried contains the ids of targets that refused or failed the request.
 	tried []string
 	// mayHaveRun is the error of the first failed attempt that may have run, or nil.
@@ -87,6 +93,7 @@
 // handle serves one request; it runs on a goroutine of its own.
 func (g *Gateway) handle(x *exchange) {
 	err := g.serve(x)
+	g.returnRepeat(x)
 	if x.trial && x.attempts == 0 {
 		g.returnTrial(x)
 	}
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/gentiantrail/gentiantrail/internal/retry"
+import (
+	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/retry"
+)
 
 // takeRepeat takes one repeat of the request from its service's retry budget, and returns false if
 // there is none left.
@@ -8,17 +12,43 @@
 	g.mu.Lock()
 	b, now := g.budget(x.service), g.now()
 	status := b.Status(now)
-	granted := b.Take(now)
+	repeat, granted := b.Take(now)
 	g.mu.Unlock()
+	if granted {
+		x.unsentRepeat = &repeat
+	}
 	g.logRepeat(x, status, granted, now)
 	return granted
 }
 
+// recordRepeatSent records when the request's repeat was sent, if one was taken. Sent is zero if no byte
+// was: then it may still be sent to another target.
+func (g *Gateway) recordRepeatSent(x *exchange, sent time.Time) {
+	if x.unsentRepeat == nil || sent.IsZero() {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(x.service).RecordSent(g.now(), sent.Sub(g.start), *x.unsentRepeat)
+	x.unsentRepeat = nil
+}
+
+// returnRepeat returns a repeat of the request that was taken and not sent.
+func (g *Gateway) returnRepeat(x *exchange) {
+	if x.unsentRepeat == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(x.service).Return(*x.unsentRepeat)
+	x.unsentRepeat = nil
+}
+
 // countRequest adds a caller's request to its service's retry budget and to the demand of its level.
 func (g *Gateway) countRequest(x *exchange) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budget(x.service).RecordRequest(g.now())
+	g.budget(x.service).RecordRequest(g.now(), g.pauses.EarliestArrival(x.firstByte.Sub(g.start)))
 	if x.leveled {
 		g.balancer.RecordArrival(g.now(), x.service, x.level)
 	}
--- a/internal/gateway/retry_fleet_test.go
+++ b/internal/gateway/retry_fleet_test.go
@@ -191,14 +191,17 @@
 
 // serve sends a request to a target, and once more if that fails and the budget allows it.
 func (f *retryFleet) serve(s *fleetSlot) {
-	g, x := s.c.g, &exchange{service: "s"}
+	g, x := s.c.g, &exchange{service: "s", firstByte: time.Now()}
 	g.countRequest(x)
 	if f.now() < failuresFrom || f.rng.Float64() > f.failing {
 		return
 	}
 	f.after(s, 20*time.Millisecond, func() {
 		if g.takeRepeat(x) {
-			f.after(s, 10*time.Millisecond, func() { f.arrived = append(f.arrived, f.now()) })
+			f.after(s, 10*time.Millisecond, func() {
+				f.arrived = append(f.arrived, f.now())
+				g.recordRepeatSent(x, time.Now())
+			})
 		}
 	})
 }
@@ -318,15 +321,21 @@
 
 // TestPausesDoNotExceedTheRetryBudget guards against counting requests as new that waited for a
 // process which stood still, and repeats as old that were decided before that and sent afterwards.
-func TestPausesDoNotExceedTheRetryBudget(t *testing.T) {
+func TestPausesDoNotExceedTheRetryBudget(t *testing.T) { testPauses(t, 3*time.Second) }
+
+// TestLongPausesDoNotExceedTheRetryBudget guards against the same in pauses of a large part of a window.
+func TestLongPausesDoNotExceedTheRetryBudget(t *testing.T) { testPauses(t, 7*time.Second) }
+
+func testPauses(t *testing.T, length time.Duration) {
+	t.Helper()
 	testRetryFleet(t, func(f *retryFleet) {
-		for _, at := range []time.Duration{7, 14} {
-			f.runUntil(failuresFrom + at*time.Second)
+		for _, at := range []time.Duration{0, length + 3*time.Second} {
+			f.runUntil(failuresFrom + 4*time.Second + at)
 			for _, s := range f.slots[:(9*len(f.slots)+9)/10] {
-				f.freeze(s, 3*time.Second)
+				f.freeze(s, length)
 			}
 		}
-		f.runUntil(50 * time.Second)
+		f.runUntil(54 * time.Second)
 	})
 }
 
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -32,19 +32,20 @@
 	return silent
 }
 
-// EarliestArrival returns the earliest time at which bytes that the process reads at now may have been
-// sent to it, apart from the time of the network and pauses below the threshold. Bytes that were lost in
-// a pause arrive up to its length after it, since senders double the time between retransmissions.
-func (d *Detector) EarliestArrival(now time.Duration) time.Duration {
-	if now-d.lastBeat >= d.threshold {
+// EarliestArrival returns the earliest time at which bytes that the process has read at the given time
+// may have been sent to it, apart from the time of the network and pauses below the threshold. Bytes that
+// were lost in a pause arrive up to its length after it, since senders double the time between
+// retransmissions.
+func (d *Detector) EarliestArrival(read time.Duration) time.Duration {
+	if read-d.lastBeat >= d.threshold {
 		return d.earliestArrival(d.lastBeat)
 	}
-	return d.earliestArrival(now)
+	return d.earliestArrival(read)
 }
 
-func (d *Detector) earliestArrival(now time.Duration) time.Duration {
-	if d.to > 0 && now-d.to <= d.to-d.from {
-		return d.from
+func (d *Detector) earliestArrival(read time.Duration) time.Duration {
+	if d.to > 0 && read-d.to <= d.to-d.from {
+		return min(read, d.from)
 	}
-	return now
+	return read
 }
--- a/internal/retry/fleet.go
+++ b/internal/retry/fleet.go
@@ -17,6 +17,9 @@
 //   - A Window without slack counts the other repeats. It allows none until the process has run for a
 //     whole window, when the repeats of the process before it are in no window with its own.
 //
+// Requests count from the earliest time at which they may have been sent, and repeats until the latest
+// time at which they may arrive, so that a process that stood still uses no more than others.
+//
 // It reads no clock and is not safe for concurrent use.
 type FleetBudget struct {
 	earned Budget
@@ -51,10 +54,20 @@
 	b.window.SetLimits(WindowLimits{Ratio: limits.Ratio * (1 - earnedShare), Span: limits.Span})
 }
 
-// RecordRequest counts one request of a caller.
-func (b *FleetBudget) RecordRequest(now time.Duration) {
-	b.earned.earn()
-	b.window.RecordRequest(now)
+// RecordRequest counts one request of a caller, which was sent at sent or later. A request that may
+// have been sent before a window began earns nothing in it.
+func (b *FleetBudget) RecordRequest(now, sent time.Duration) {
+	if now-sent <= MaxDelay {
+		b.earned.earn()
+	}
+	b.window.RecordRequest(now, sent)
+}
+
+// Repeat is a repeat that was taken from a FleetBudget and has not been sent yet.
+type Repeat struct {
+	taken time.Duration
+	// earned is true if the repeat was earned, and false if it counts in the window.
+	earned bool
 }
 
 // Allows reports whether Take would return true.
@@ -62,9 +75,32 @@
 	return b.earned.tokens >= 1 || b.windowKnown(now) && b.window.Remaining(now) >= 1
 }
 
-// Take counts a repeat and returns true if the budget allows it.
-func (b *FleetBudget) Take(now time.Duration) bool {
-	return b.earned.Take() || b.windowKnown(now) && b.window.Take(now)
+// Take counts a repeat and returns true if the budget allows it. RecordSent or Return must follow.
+func (b *FleetBudget) Take(now time.Duration) (Repeat, bool) {
+	if b.earned.Take() {
+		return Repeat{taken: now, earned: true}, true
+	}
+	return Repeat{taken: now}, b.windowKnown(now) && b.window.Take(now)
+}
+
+// RecordSent records that a repeat was sent at sent. An earned one that was delayed counts twice, as it
+// may arrive in a window that the requests which earned it are not in.
+func (b *FleetBudget) RecordSent(now, sent time.Duration, r Repeat) {
+	switch {
+	case !r.earned:
+		b.window.RecordSent(now, sent)
+	case sent-r.taken > MaxDelay:
+		b.earned.tokens--
+	}
+}
+
+// Return returns a repeat that will not be sent.
+func (b *FleetBudget) Return(r Repeat) {
+	if r.earned {
+		b.earned.tokens = min(b.earned.tokens+1, b.earned.burst)
+		return
+	}
+	b.window.Return()
 }
 
 // windowKnown reports whether all repeats that may arrive in a window with one that is taken now are
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -10,10 +10,14 @@
 // repeatsAt returns how many repeats the budget allows at now, and takes them.
 func repeatsAt(b *FleetBudget, now time.Duration) int {
 	n := 0
-	for b.Take(now) {
+	for {
+		r, granted := b.Take(now)
+		if !granted {
+			return n
+		}
+		b.RecordSent(now, now, r)
 		n++
 	}
-	return n
 }
 
 // TestNewProcessTakesOnlyWhatItsRequestsEarn guards against a process that uses in its first window what
@@ -24,7 +28,7 @@
 	repeats := 0
 	for i := range 100 {
 		now := time.Duration(i) * 100 * time.Millisecond
-		b.RecordRequest(now)
+		b.RecordRequest(now, now)
 		repeats += repeatsAt(b, now)
 	}
 	assert.Assert(t, repeats > 0 && float64(repeats) <= earnedShare*windowLimits.Ratio*100, "%d repeats", repeats)
@@ -38,7 +42,8 @@
 	b := NewFleetBudget(windowLimits)
 	reload := 20 * time.Second
 	for i := range 200 {
-		b.RecordRequest(time.Duration(i) * 100 * time.Millisecond)
+		now := time.Duration(i) * 100 * time.Millisecond
+		b.RecordRequest(now, now)
 	}
 	assert.Assert(t, repeatsAt(b, reload) > 0)
 	longer := windowLimits
@@ -54,10 +59,43 @@
 func TestSmallerPartLimitsWhatIsKept(t *testing.T) {
 	b := NewFleetBudget(windowLimits)
 	for range 100 {
-		b.RecordRequest(0)
+		b.RecordRequest(0, 0)
 	}
 	smaller := windowLimits
 	smaller.Slack = 2
 	b.SetLimits(0, smaller)
 	assert.Equal(t, repeatsAt(b, 0), 2)
 }
+
+// TestDelayedRepeatCountsFromWhenItIsSent guards against a repeat that was decided before the process
+// stood still, and that arrives in a window for which it does not count.
+func TestDelayedRepeatCountsFromWhenItIsSent(t *testing.T) {
+	w := NewWindow(windowLimits)
+	for range 5 {
+		assert.Assert(t, w.Take(0))
+	}
+	assert.Assert(t, !w.Take(30*time.Second), "unsent repeats count")
+	for range 5 {
+		w.RecordSent(30*time.Second, 29*time.Second)
+	}
+	assert.Assert(t, !w.Take(39*time.Second))
+	assert.Assert(t, w.Take(41*time.Second))
+	w.Return()
+	assert.Equal(t, w.Status(41*time.Second).Repeats, 0.0)
+
+	b := NewFleetBudget(windowLimits)
+	for range 30 {
+		b.RecordRequest(0, 0)
+	}
+	earned := b.Status(0).Earned
+	r, granted := b.Take(0)
+	assert.Assert(t, granted)
+	b.RecordSent(3*time.Second, 3*time.Second, r)
+	assert.Equal(t, b.Status(0).Earned, earned-2)
+	r, granted = b.Take(0)
+	assert.Assert(t, !granted || earned-2 >= 1)
+	if granted {
+		b.Return(r)
+	}
+	assert.Equal(t, b.Status(0).Earned, earned-2)
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -29,6 +29,8 @@
 	repeats  [windowBuckets]float64
 	// newestBucket is the number of the bucket that contains the current time.
 	newestBucket int64
+	// unsent is the number of repeats that were taken and are not sent yet.
+	unsent float64
 }
 
 // NewWindow returns an empty window.
@@ -40,25 +42,39 @@
 		w.limits = limits
 		return
 	}
-	*w = Window{limits: limits}
+	*w = Window{limits: limits, unsent: w.unsent}
 }
 
-// RecordRequest counts one request of a caller.
-func (w *Window) RecordRequest(now time.Duration) {
-	w.advance(now)
-	w.requests[index(w.newestBucket)]++
-}
+// RecordRequest counts one request of a caller, which was sent at sent or later.
+func (w *Window) RecordRequest(now, sent time.Duration) { w.count(&w.requests, now, sent) }
 
-// Take counts a repeat and returns true if the budget allows it.
+// Take counts a repeat and returns true if the budget allows it. RecordSent or Return must follow.
 func (w *Window) Take(now time.Duration) bool {
-	w.advance(now)
 	if w.Remaining(now) < 1 {
 		return false
 	}
-	w.repeats[index(w.newestBucket)]++
+	w.unsent++
 	return true
 }
 
+// RecordSent records that a repeat, which counts since it was taken, was sent at sent. It counts for
+// the span from then on, however long it was delayed.
+func (w *Window) RecordSent(now, sent time.Duration) {
+	w.unsent--
+	w.count(&w.repeats, now, sent)
+}
+
+// Return returns a repeat that was taken and will not be sent.
+func (w *Window) Return() { w.unsent-- }
+
+// count adds one to the bucket of a time unless that is too old to count.
+func (w *Window) count(buckets *[windowBuckets]float64, now, at time.Duration) {
+	w.advance(now)
+	if b := min(w.bucketOf(at), w.newestBucket); b > w.newestBucket-windowBuckets {
+		buckets[index(b)]++
+	}
+}
+
 // WindowStatus is what a Window counts at one time.
 type WindowStatus struct {
 	// Requests and Repeats are the numbers that count in the window.
@@ -73,7 +89,7 @@
 // window MaxDelay later, and a request may have been sent MaxDelay before it was recorded.
 func (w *Window) Status(now time.Duration) WindowStatus {
 	w.advance(now)
-	var s WindowStatus
+	s := WindowStatus{Repeats: w.unsent}
 	oldest := w.bucketOf(now-w.limits.Span+2*MaxDelay) + 1
 	for b := w.newestBucket - windowBuckets + 1; b <= w.newestBucket; b++ {
 		s.Repeats += w.repeats[index(b)]
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -23,11 +23,12 @@
 			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond
 			delay := time.Duration(rapid.Float64Range(0, 1).Draw(t, "delay") * float64(MaxDelay))
 			if rapid.Bool().Draw(t, "request") {
-				w.RecordRequest(now)
+				w.RecordRequest(now, now)
 				requests = append(requests, now-delay)
 				continue
 			}
 			if w.Take(now) {
+				w.RecordSent(now, now)
 				repeats = append(repeats, now+delay)
 			}
 		}
@@ -55,6 +56,7 @@
 	w := NewWindow(windowLimits)
 	for range 5 {
 		assert.Assert(t, w.Take(0))
+		w.RecordSent(0, 0)
 	}
 	assert.Assert(t, !w.Take(time.Second))
 	assert.Assert(t, w.Take(11*time.Second))
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -16,6 +16,8 @@
 // Answer is the answer of a target. The caller must end it with Finish, Discard or Abort.
 type Answer struct {
 	*http1.Response
+	// SentAt is when the request was written, or its first part.
+	SentAt time.Time
 
 	client *Client
 	conn   *conn
@@ -32,8 +34,10 @@
 	wire := http1.AppendRequest(nil, call.Request)
 	if len(wire) <= maxInlineWrite {
 		_, err := a.conn.Write(wire)
+		a.SentAt = time.Now()
 		return err
 	}
+	a.SentAt = time.Now()
 	a.writeResult = make(chan error, 1)
 	go func() {
 		_, err := a.conn.Write(wire)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -131,11 +131,11 @@
 	a := &Answer{client: c, conn: cn, stop: stop}
 	if err := a.send(&call); err != nil {
 		a.Abort()
-		return nil, &Failure{Stage: StageSent, Cause: err}
+		return nil, &Failure{Stage: StageSent, SentAt: a.SentAt, Cause: err}
 	}
 	if err := a.receive(&call); err != nil {
 		a.Abort()
-		return nil, &Failure{Stage: StageSent, Reused: cn.served > 0, Cause: err}
+		return nil, &Failure{Stage: StageSent, SentAt: a.SentAt, Reused: cn.served > 0, Cause: err}
 	}
 	return a, nil
 }
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -1,5 +1,7 @@
 package upstream
 
+import "time"
+
 // Stage is the stage at which a call failed.
 type Stage uint8
 
@@ -15,6 +17,8 @@
 // Failure is the error of a call that got no answer.
 type Failure struct {
 	Stage Stage
+	// SentAt is when the request was written, or its first part; zero if no byte was.
+	SentAt time.Time
 	// Reused is true if the connection had served another request before.
 	Reused bool
 	Cause  error
