--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -261,6 +261,9 @@
 
 	s = newTestEntry(t)
 	sent.Store(0)
+	for range 11 { // a new entry has no repeats yet
+		s.entry.recordSuccess()
+	}
 	s.addAgent("agent-a", dropLink)
 	s.addAgent("agent-bb", dropLink)
 	s.call("GET", "/svc/x")
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -9,9 +9,9 @@
 )
 
 // Budget is a token bucket that successful requests fill. Over any long period, the repeats
-// are at most the ratio times the successful requests, plus the burst. When all requests
-// fail, the bucket empties, so that retries cannot prolong a fault. It is not safe for
-// concurrent use.
+// are at most the ratio times the successful requests, plus the burst, also if the process
+// restarts in it. When all requests fail, the bucket empties, so that retries cannot prolong
+// a fault. It is not safe for concurrent use.
 type Budget struct {
 	ratio  float64
 	burst  float64
@@ -27,10 +27,9 @@
 	maxAttempts = 6
 )
 
-// NewBudget returns a full budget.
-func NewBudget(ratio, burst float64) *Budget {
-	return &Budget{ratio: ratio, burst: burst, tokens: burst}
-}
+// NewBudget returns an empty budget: the process before this one may have used all that a full
+// one allows.
+func NewBudget(ratio, burst float64) *Budget { return &Budget{ratio: ratio, burst: burst} }
 
 // RecordSuccess adds the tokens for one successful request.
 func (b *Budget) RecordSuccess() { b.earn() }
