placement: a new process sends cold targets nothing in its first second

For its first second a process sends nothing to targets whose entry says that they are cold. Targets that are listed as warm get requests at once, so that a kill or a planned restart of gateways alone costs callers nothing.

TestColdTargetsAfterGatewaysAreKilled and TestNewGatewayUsesWarmTargetsAtOnce fail on the code before.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -208,7 +208,7 @@
 func (g *Gateway) placementTarget(v *view, t fleet.Target, evacuated bool) placement.Target {
 	p := placement.Target{
 		ID: t.ID, Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone,
-		Lifetime: t.Lifetime, Slots: t.Slots, Accepting: t.State == fleet.TargetReady && !evacuated,
+		Lifetime: t.Lifetime, Slots: t.Slots, Cold: t.ColdRemaining > 0, Accepting: t.State == fleet.TargetReady && !evacuated,
 	}
 	if v.index == nil {
 		return p
--- a/internal/placement/members.go
+++ b/internal/placement/members.go
@@ -68,6 +68,10 @@
 	return 0
 }
 
+// startsUnknown reports whether the process before this one may have used its share of the requests
+// that a cold target may get within startSpan.
+func startsUnknown(now time.Duration, s *targetState) bool { return s.Cold && now < startSpan }
+
 // AddMembers adds the gateways that the store lists. They share the limits of targets until
 // memberTimeout has passed, and after that if they send messages.
 func (b *Balancer) AddMembers(now time.Duration, names []string) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,6 +24,8 @@
 	// StartRate bounds the requests that all gateways together send the target in any second;
 	// zero means no bound.
 	StartRate int
+	// Cold is true if the target said in its entry that it is cold.
+	Cold bool
 	// MaxConns bounds this process's connections to the target; zero means no bound.
 	MaxConns int
 	// Lockstep is true if the target runs its passes together with others of its service,
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -24,7 +24,7 @@
 	if sum != nil && now >= s.pausedUntil {
 		sum.add(s, load, share*float64(s.Slots))
 	}
-	if s.StartRate > 0 && s.startsWithin(now, startSpan) >= b.startShare(now, s) {
+	if s.StartRate > 0 && (startsUnknown(now, s) || s.startsWithin(now, startSpan) >= b.startShare(now, s)) {
 		return Full
 	}
 	if now < s.pausedUntil || !b.withinLimit(now, s) {
--- a/internal/placement/starts_test.go
+++ b/internal/placement/starts_test.go
@@ -39,7 +39,7 @@
 func newStartFleet(gateways, targets int) *startFleet {
 	f := &startFleet{rng: rand.New(rand.NewPCG(7, 8)), targets: engineTargets(targets, 1000), starts: map[string][]time.Duration{}}
 	for i := range f.targets {
-		f.targets[i].StartRate = startRate
+		f.targets[i].StartRate, f.targets[i].Cold = startRate, true
 	}
 	for range gateways {
 		f.addGateway(0)
@@ -48,10 +48,13 @@
 }
 
 func (f *startFleet) addGateway(now time.Duration) {
-	name := fmt.Sprint("g", len(f.gateways))
+	f.gateways = append(f.gateways, f.newGateway(now, fmt.Sprint("g", len(f.gateways))))
+}
+
+func (f *startFleet) newGateway(now time.Duration, name string) *startGateway {
 	b := New(name, "a", rand.New(rand.NewPCG(f.rng.Uint64(), 1)))
 	b.SetTargets(0, f.targets)
-	f.gateways = append(f.gateways, &startGateway{b: b, name: name, started: now, listedAt: now + startListTime})
+	return &startGateway{b: b, name: name, started: now, listedAt: now + startListTime}
 }
 
 // run offers each gateway perSecond requests until the time end.
@@ -140,3 +143,39 @@
 	f.run(4*time.Second, 8*time.Second, 10)
 	assert.Assert(t, f.most() <= startBound, "a target got %d requests in a second, %d are allowed", f.most(), startBound)
 }
+
+// TestColdTargetsAfterGatewaysAreKilled guards against a process that uses a share of a second in which
+// the process before it has used it: gateways are killed at the same moment and return within a second.
+func TestColdTargetsAfterGatewaysAreKilled(t *testing.T) {
+	for _, tc := range []struct{ gateways, killed, targets int }{{1, 1, 2}, {5, 3, 2}, {7, 7, 16}, {149, 149, 192}} {
+		for _, back := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond} {
+			f := newStartFleet(tc.gateways, tc.targets)
+			const kill = 3 * time.Second
+			perSecond := max(150, 2*tc.targets*startRate/tc.gateways)
+			f.run(0, kill, perSecond)
+			killed := f.gateways[:tc.killed]
+			f.gateways = f.gateways[tc.killed:]
+			f.run(kill, kill+back, perSecond)
+			for _, g := range killed {
+				f.gateways = append(f.gateways, f.newGateway(kill+back, g.name))
+			}
+			f.run(kill+back, kill+3*time.Second, perSecond)
+			assert.Assert(t, f.most() <= startBound, "%d of %d gateways killed for %v: a target got %d requests in a second, %d are allowed",
+				tc.killed, tc.gateways, back, f.most(), startBound)
+		}
+	}
+}
+
+// TestNewGatewayUsesWarmTargetsAtOnce guards against a restart that leaves callers without a target.
+func TestNewGatewayUsesWarmTargetsAtOnce(t *testing.T) {
+	targets := engineTargets(2, 1000)
+	targets[0].StartRate, targets[1].StartRate = startRate, startRate
+	targets[0].Cold = true
+	b := newBalancer(targets)
+	b.AddMembers(0, nil)
+	for range 5 {
+		c, refusal := b.Choose(0, Request{Service: "s"})
+		assert.Equal(t, refusal, NotRefused)
+		assert.Equal(t, c.Target.ID, "t1")
+	}
+}
