http1: a chunk's size line without end ends its answer

Other operators reported a target that sent bytes that were no answer, without end.

The reader of a chunked body passed bufio.ErrBufferFull on. The reader of events, which has a buffer of its own, took it for a long line of its own and read on. A line that is too long now is the syntax error that it is on other paths. No other reader of a body returns that error.

TestTargetsThatSendWithoutEnd fails on the code before with this form only. TestBytesWithoutEndAreNoAnswer had the form, with a reader that has no buffer.

--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -212,18 +212,24 @@
 	return err
 }
 
-// readLine reads a line and returns it without its CRLF.
+// readLine reads a line and returns it without its CRLF. It does not return bufio.ErrBufferFull, which
+// a reader of the body with a buffer of its own would take for its own.
 func (c *chunkedReader) readLine() ([]byte, error) {
 	line, err := c.r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return nil, errChunkLine
+	}
 	if err != nil {
 		return nil, err
 	}
 	if len(line) > maxChunkLine || !bytes.HasSuffix(line, []byte("\r\n")) {
-		return nil, &SyntaxError{Reason: "a line of a chunked body is too long or does not end with CRLF"}
+		return nil, errChunkLine
 	}
 	return line[:len(line)-2], nil
 }
 
+var errChunkLine = &SyntaxError{Reason: "a line of a chunked body is too long or does not end with CRLF"}
+
 func unexpectedEnd(err error) error {
 	if errors.Is(err, io.EOF) {
 		return ErrUnexpectedEnd
