retry: a process that has run for a window has the whole slack

Once the window is known, what requests have not earned of the part is added. The process has then had no more than one that kept all of it at its start, and what the process before it used is in no window with that.

TestSlackIsAvailableAfterAWindow fails on the code before.

--- a/internal/gateway/retry_fleet_test.go
+++ b/internal/gateway/retry_fleet_test.go
@@ -285,6 +285,27 @@
 // before it has spent: all gateways are killed once.
 func TestRestartsDoNotRenewTheRetryBudget(t *testing.T) { testKills(t, 1) }
 
+// TestIdleFleetKeepsItsRetryBudget guards against the slack that a process adds to what its requests have
+// earned, when the first requests come and again after a kill of all gateways.
+func TestIdleFleetKeepsItsRetryBudget(t *testing.T) {
+	testRetryFleet(t, func(f *retryFleet) {
+		rate := f.rate
+		f.rate = 0
+		f.runUntil(failuresFrom)
+		f.rate = rate
+		f.runUntil(failuresFrom + 2*time.Second)
+		assert.Assert(f.t, len(f.arrived) > f.limits.RetrySlack/3, "%d repeats, the slack is %d", len(f.arrived), f.limits.RetrySlack)
+		for _, kill := range []time.Duration{3, 15} {
+			f.runUntil(failuresFrom + kill*time.Second)
+			for _, s := range f.slots {
+				f.kill(s)
+				f.startProcess(s)
+			}
+		}
+		f.runUntil(50 * time.Second)
+	})
+}
+
 // TestRestartsInSeriesDoNotRenewTheRetryBudget guards against the same if all gateways are killed every
 // two seconds.
 func TestRestartsInSeriesDoNotRenewTheRetryBudget(t *testing.T) { testKills(t, 5) }
--- a/internal/retry/fleet.go
+++ b/internal/retry/fleet.go
@@ -13,7 +13,8 @@
 //
 //   - The repeats that requests earn start at zero, and at most the process's part of the slack is kept.
 //     In any span, all processes together then use at most what they kept at its begin and what its
-//     requests earn.
+//     requests earn. Once the window is known, what was not earned yet of the part of the slack is added:
+//     a new process then has had no more than one that kept all of it at its start.
 //   - A Window without slack counts the other repeats. It allows none until the process has run for a
 //     whole window, when the repeats of the process before it are in no window with its own.
 //
@@ -23,8 +24,12 @@
 // It reads no clock and is not safe for concurrent use.
 type FleetBudget struct {
 	earned Budget
-	window *Window
-	span   time.Duration
+	// earnedInAll is the number of repeats that requests have earned, kept or not, until slackAdded.
+	earnedInAll float64
+	// slackAdded is true once the part of the slack was added that had not been earned.
+	slackAdded bool
+	window     *Window
+	span       time.Duration
 	// since is the time from which the window is known.
 	since time.Duration
 }
@@ -57,12 +62,23 @@
 // RecordRequest counts one request of a caller, which was sent at sent or later. A request that may
 // have been sent before a window began earns nothing in it.
 func (b *FleetBudget) RecordRequest(now, sent time.Duration) {
+	b.addSlack(now)
 	if now-sent <= MaxDelay {
 		b.earned.earn()
+		b.earnedInAll += b.earned.ratio
 	}
 	b.window.RecordRequest(now, sent)
 }
 
+// addSlack adds the part of the slack that requests have not earned, once the window is known.
+func (b *FleetBudget) addSlack(now time.Duration) {
+	if b.slackAdded || !b.windowKnown(now) {
+		return
+	}
+	b.slackAdded = true
+	b.earned.tokens = min(b.earned.burst, b.earned.tokens+max(0, b.earned.burst-b.earnedInAll))
+}
+
 // Repeat is a repeat that was taken from a FleetBudget and has not been sent yet.
 type Repeat struct {
 	taken time.Duration
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -36,6 +36,24 @@
 	assert.Assert(t, b.Allows(windowLimits.Span+MaxDelay), "the window is known")
 }
 
+// TestSlackIsAvailableAfterAWindow guards against a service with few requests that never gets the slack,
+// and against one that gets it twice.
+func TestSlackIsAvailableAfterAWindow(t *testing.T) {
+	const known = 11 * time.Second
+	for requests, want := range map[int]int{0: 5, 20: 5, 200: 0} {
+		b := NewFleetBudget(windowLimits)
+		for range requests {
+			b.RecordRequest(0, 0)
+			repeatsAt(b, 0)
+		}
+		b.RecordRequest(known, known)
+		got := repeatsAt(b, known)
+		earned := int(float64(requests) * b.earned.ratio)
+		assert.Assert(t, got >= want-earned && got <= max(0, int(windowLimits.Slack)-earned)+1, "%d requests: %d repeats", requests, got)
+		assert.Equal(t, repeatsAt(b, known), 0)
+	}
+}
+
 // TestChangedSpanDoesNotRenewTheBudget guards against reloaded settings that make a budget forget its
 // repeats.
 func TestChangedSpanDoesNotRenewTheBudget(t *testing.T) {
