--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -8,7 +8,8 @@
 const (
 	// beatInterval is the interval at which the gateway records that it runs.
 	beatInterval = 100 * time.Millisecond
-	// pauseThreshold is the least time without a record that counts as a pause of the process.
+	// pauseThreshold is the least time without a record that counts as a pause of the process. It is
+	// shorter than retry.MaxDelay, which allows for delays that are not detected.
 	pauseThreshold = 300 * time.Millisecond
 )
 
--- a/internal/retry/fleet.go
+++ b/internal/retry/fleet.go
@@ -24,9 +24,9 @@
 // It reads no clock and is not safe for concurrent use.
 type FleetBudget struct {
 	earned Budget
-	// earnedInAll is the number of repeats that requests have earned, kept or not, until slackAdded.
+	// earnedInAll is the number of repeats that requests have earned, kept or not.
 	earnedInAll float64
-	// slackAdded is true once the part of the slack was added that had not been earned.
+	// slackAdded is true once addSlack has added to earned.
 	slackAdded bool
 	window     *Window
 	span       time.Duration
@@ -52,7 +52,7 @@
 }
 
 func (b *FleetBudget) apply(limits WindowLimits) {
-	// Requests of up to the span and twice MaxDelay earn what is used within a span.
+	// The repeats that arrive within a span may be earned by the requests of a span and twice MaxDelay.
 	earnedRatio := limits.Ratio * earnedShare * float64(limits.Span) / float64(limits.Span+2*MaxDelay)
 	b.earned.ratio, b.earned.burst = earnedRatio, limits.Slack
 	b.earned.tokens = min(b.earned.tokens, limits.Slack)
