observe: write all queued lines when a log is closed

The last lines of a process were lost if more than 16 KiB were queued: the writer took one batch and returned. These are the lines of the end of a stop.

--- a/internal/observe/bounded.go
+++ b/internal/observe/bounded.go
@@ -34,8 +34,7 @@
 // Dropped returns the number of lines that were not written.
 func (l *BoundedLogger) Dropped() int64 { return l.writer.dropped.Load() }
 
-// Close writes the queued lines and stops the logger. Queued lines beyond the first
-// batchBytes bytes may be lost.
+// Close writes the queued lines and stops the logger.
 func (l *BoundedLogger) Close() error {
 	l.writer.stopOnce.Do(func() { close(l.writer.stopped) })
 	<-l.writer.done
@@ -83,7 +82,9 @@
 		case line := <-b.lines:
 			b.flush(line)
 		case <-b.stopped:
-			b.flush(nil)
+			for len(b.lines) > 0 {
+				b.flush(nil)
+			}
 			return
 		}
 	}
--- a/internal/observe/bounded_test.go
+++ b/internal/observe/bounded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -44,13 +45,28 @@
 	return w.b.Write(p)
 }
 
+// heldBuffer is a buffer whose first write waits until it is released.
+type heldBuffer struct {
+	lockedBuffer
+	release chan struct{}
+}
+
+func (w *heldBuffer) Write(p []byte) (int, error) {
+	<-w.release
+	return w.lockedBuffer.Write(p)
+}
+
+// TestBoundedLoggerCloseWritesQueuedLines guards against the loss of a process's last lines, when more
+// than one batch is queued at its end.
 func TestBoundedLoggerCloseWritesQueuedLines(t *testing.T) {
-	var w lockedBuffer
+	const lines = maxLinesPerSecond / 2
+	w := heldBuffer{release: make(chan struct{})}
 	l := NewBoundedLogger(&w, "info", "p", "i")
-	for range 100 {
-		l.Info().Str("event", "x").Msg("")
+	for range lines {
+		l.Info().Str("event", "x").Str("detail", strings.Repeat("x", 20*batchBytes/lines)).Msg("")
 	}
+	time.AfterFunc(100*time.Millisecond, func() { close(w.release) }) // during Close
 	assert.NilError(t, l.Close())
-	assert.Equal(t, bytes.Count(w.b.Bytes(), []byte("\n")), 100)
+	assert.Equal(t, bytes.Count(w.b.Bytes(), []byte("\n")), lines)
 	assert.NilError(t, l.Close()) // a second Close has no effect
 }
