gateway: log requests that a stop leaves unfinished

New lines: unfinished, stop-waits, closed-unanswered, reasons queued and send-timeout of caller-cut-off; stop_ms in request, signal_age_ms in stopping, dropped_lines in stopped. No change of logic.

--- a/internal/daemon/telemetry.go
+++ b/internal/daemon/telemetry.go
@@ -32,6 +32,6 @@
 
 // Close logs the end of the program and writes the buffered lines.
 func (t Telemetry) Close() error {
-	t.Logger.Info().Str("event", "stopped").Msg("")
+	t.Logger.Info().Str("event", "stopped").Int64("dropped_lines", t.Logger.Dropped()).Msg("")
 	return t.Logger.Close()
 }
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -246,8 +246,10 @@
 		x.releaseAnswers()
 		budget.close(handled)
 		g.inFlight.Add(-1)
+		g.requests.remove(x)
 	})}
 	x.out = cc.out
+	g.requests.add(x)
 	if x.noRoom = !budget.relieve(); x.noRoom {
 		req.Body = nil
 		budget.close(handled)
@@ -255,6 +257,16 @@
 	go g.handle(x)
 }
 
+// logUnanswered writes a log line if the connection is closed although bytes have been read that belong to
+// requests behind the last response.
+func (cc *callerConn) logUnanswered() {
+	if len(cc.pipelined) == 0 {
+		return
+	}
+	cc.s.g.opts.Logger.Warn().Str("event", "closed-unanswered").Int("bytes", len(cc.pipelined)).
+		Int64("stop_ms", cc.s.g.timeSinceStop().Milliseconds()).Str("peer", cc.conn.RemoteAddr().String()).Msg("")
+}
+
 // reject sends an error response to bytes that are not an acceptable request, or to a
 // request that took too long to arrive, and closes the connection.
 func (cc *callerConn) reject(err *apierr.Error) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -320,5 +320,5 @@
 	}
 	c.stopping = true
 	c.publish()
-	c.g.opts.Logger.Info().Str("event", "stopping").Int64("requests", c.g.inFlight.Load()).Msg("")
+	c.g.logStopping()
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -181,6 +181,7 @@
 func (g *Gateway) newAttempt(x *exchange, c placement.Choice) *attempt {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	x.target = c.Target.ID
+	x.progress.update(func(p *progress) { p.target, p.attempts = x.target, x.attempts+1 })
 	return &attempt{g: g, x: x, target: c.Target, ctx: ctx, cancel: cancel, sent: g.now()}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -81,6 +81,8 @@
 	answers []*meteredAnswer
 	// status is the HTTP status that was sent to the caller; 0 if none was.
 	status int
+	// progress is the part of the state that other goroutines read.
+	progress progress
 }
 
 // filter is one step before the dispatch. A non-nil error ends the exchange with the
@@ -101,6 +103,7 @@
 		g.writeError(x, err)
 	}
 	g.logRequest(x, err)
+	x.progress.update(func(p *progress) { p.handled = true })
 	x.out.finish(x.req.KeepAlive && !g.view.Load().stopping)
 }
 
@@ -110,6 +113,7 @@
 			return err
 		}
 	}
+	x.progress.update(func(p *progress) { p.id, p.route = x.id, x.route.Name })
 	return g.dispatch(x)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,8 +114,9 @@
 	// evidenceChanged triggers a message to the other gateways at once.
 	evidenceChanged chan struct{}
 
-	// inFlight counts the requests whose responses have not been sent yet.
+	// inFlight counts the requests whose responses have not been sent yet, and requests contains them.
 	inFlight atomic.Int64
+	requests *requestTable
 	// stoppedAt is the time at which the stop began, or nil.
 	stoppedAt atomic.Pointer[time.Time]
 	server    *server
@@ -163,6 +164,7 @@
 
 		answeredRequests: newAnsweredRequests(),
 		evidenceChanged:  make(chan struct{}, 1),
+		requests:         newRequestTable(),
 	}
 	g.view.Store(&view{})
 	g.server = newServer(g)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -43,12 +43,26 @@
 	if kind == apierr.KindQuarantined {
 		line = line.Str("fingerprint", x.fingerprint()).Str("parts", strings.Join(x.sharedParts, ","))
 	}
+	if stop := g.timeSinceStop(); stop > 0 {
+		line = line.Int64("stop_ms", stop.Milliseconds())
+	}
 	if err != nil {
 		line = line.Str("detail", err.Error())
 	}
 	line.Msg("")
 }
 
+// logStopping writes the log line of a stop that begins, with the longest time that may have passed since
+// the signal, apart from delays that are not detected as pauses of the process.
+func (g *Gateway) logStopping() {
+	g.mu.Lock()
+	now := g.now()
+	signalled := g.pauses.EarliestArrival(now)
+	g.mu.Unlock()
+	g.opts.Logger.Info().Str("event", "stopping").Int64("requests", g.inFlight.Load()).
+		Int64("signal_age_ms", (now - signalled).Milliseconds()).Msg("")
+}
+
 // logAttempt writes the log line of a failed attempt with the inputs that decided its
 // target and the parts of its prompt that other requests may have too, and the request's
 // fingerprint unless it has certainly not run.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -11,6 +11,9 @@
 	// stopPollInterval is the interval at which a stop checks whether all requests have
 	// ended.
 	stopPollInterval = 100 * time.Millisecond
+	// stopLogInterval is the interval of the log lines of a stop that waits, which show how far it has
+	// come if the process is killed.
+	stopLogInterval = time.Second
 	// stopMargin is the part of the stop timeout that is reserved for the end of the
 	// process.
 	stopMargin = 700 * time.Millisecond
@@ -33,12 +36,19 @@
 	g.stoppedAt.Store(&now)
 	g.post(ctx, stopRequested{})
 	limit := g.opts.Settings.Limits.StopTimeout - stopMargin
+	nextLine := stopLogInterval
 	for g.timeSinceStop() < limit {
 		if g.timeSinceStop() > stopIdleTime+sweepInterval && g.inFlight.Load() == 0 {
 			break
 		}
+		if g.timeSinceStop() >= nextLine {
+			nextLine += stopLogInterval
+			g.opts.Logger.Info().Str("event", "stop-waits").Int64("requests", g.inFlight.Load()).
+				Int64("stop_ms", g.timeSinceStop().Milliseconds()).Msg("")
+		}
 		time.Sleep(stopPollInterval)
 	}
+	g.logUnfinished()
 	g.opts.Logger.Info().Str("event", "stop-ends").Int64("requests", g.inFlight.Load()).
 		Int64("took_ms", g.timeSinceStop().Milliseconds()).Msg("")
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -80,3 +80,28 @@
 		return poll.Success()
 	}, poll.WithTimeout(2*time.Second))
 }
+
+// Guards against requests that end with their process and leave no trace: each must be named in the log.
+func TestStopNamesTheRequestsThatItLeavesUnfinished(t *testing.T) {
+	gw := newTestGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		streamEvents(2, 0)(w, r)
+		<-r.Context().Done()
+	}).waitReady()
+	gw.g.opts.Settings.Limits.StopTimeout = stopMargin + stopLogInterval + 2*stopPollInterval
+	c := gw.send(get("/stream/")...)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	events := make([]byte, len(eventsUpTo(2)))
+	_, err = io.ReadFull(resp.Body, events)
+	assert.NilError(t, err)
+	gw.g.Stop(t.Context())
+	for _, want := range [][]string{
+		{"event=stopping", "requests=1", "signal_age_ms="},
+		{"event=stop-waits", "requests=1"},
+		{"event=unfinished", "request=a1", "route=stream", "target=t0", "attempts=1", "handled=false", "last_event=2", "last_event_ms_ago="},
+		{"event=stop-ends", "requests=1"},
+	} {
+		_, found := gw.logs.find(want...)
+		assert.Check(t, found, "no line with %v", want)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -151,6 +151,7 @@
 	if ev.HasID {
 		x.lastEvent, x.hasEvent = ev.ID, true
 	}
+	x.progress.update(func(p *progress) { p.lastEvent, p.lastEventAt = x.lastEvent, x.lastEventAt })
 }
 
 // recordGap updates the longest time between two events.
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -47,7 +47,8 @@
 		return
 	}
 	size := int64(len(b))
-	if w.pending.Add(size) > maxUnsentBytes {
+	if held := w.pending.Add(size); held > maxUnsentBytes {
+		w.logCut(reasonQueued, held)
 		w.abort()
 		return
 	}
@@ -99,7 +100,10 @@
 // deadline. It runs on the event loop.
 func (w *connWriter) endWhenSent(keepAlive bool, deadline time.Time) {
 	switch {
-	case w.cc.closed || time.Now().After(deadline):
+	case w.cc.closed:
+		w.end(false)
+	case time.Now().After(deadline):
+		w.logCut(reasonSendTimeout, int64(w.cc.conn.OutboundBuffered()))
 		w.end(false)
 	case w.cc.conn.OutboundBuffered() == 0:
 		w.end(keepAlive)
@@ -118,6 +122,18 @@
 	}
 }
 
+// Reasons for which a response is broken off, beside those of the budget of the bytes held for callers.
+const (
+	reasonQueued      = "queued"
+	reasonSendTimeout = "send-timeout"
+)
+
+// logCut writes the log line of a response that is broken off because its caller does not read it.
+func (w *connWriter) logCut(reason string, bytes int64) {
+	w.cc.s.g.opts.Logger.Warn().Str("event", "caller-cut-off").Str("reason", reason).Int64("bytes", bytes).
+		Str("peer", w.cc.conn.RemoteAddr().String()).Msg("")
+}
+
 // end makes the connection ready for the next request, or closes it. It runs on the event
 // loop.
 func (w *connWriter) end(keepAlive bool) {
@@ -133,6 +149,7 @@
 	case cc.discarding:
 		cc.linger()
 	case !keepAlive:
+		cc.logUnanswered()
 		cc.closing = true
 		_ = cc.conn.Close() // fails only if the connection is closed already
 	default:
