gateway: a hedge that is not sent keeps its repeat

A repeat that was taken for a second target that can't be reached was dropped when another one was taken: it counted as sent. Repeats belong to attempts now, and one that is not sent goes to the next attempt. The simulation of a fleet records its repeats through an attempt, as the gateway does.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/placement"
+	"github.com/gentiantrail/gentiantrail/internal/retry"
 	"github.com/gentiantrail/gentiantrail/internal/upstream"
 )
 
@@ -35,6 +36,8 @@
 	// answer is the target's answer once its head has arrived, and body counts the bytes of its body.
 	answer *upstream.Answer
 	body   *meteredAnswer
+	// repeat was taken from the retry budget for the attempt; nil if none was, or once it is recorded.
+	repeat *retry.Repeat
 	// unsent is true if no byte of the request was sent to the target.
 	unsent bool
 	// answerBegun is true once the head of the response has arrived.
@@ -86,6 +89,7 @@
 		g: g, x: x, target: c.Target, ctx: ctx, cancel: cancel, sent: g.now(), call: g.callTo(x, c.Target), resumes: x.headSent,
 		steps: make(chan step), released: make(chan struct{}), body: g.answers.open(nil), // set once the head has arrived
 	}
+	a.repeat, x.unsentRepeat = x.unsentRepeat, nil
 	x.answers = append(x.answers, a.body)
 	x.countTarget()
 	x.live++
@@ -196,10 +200,10 @@
 func (a *attempt) handle(s step) *ending {
 	switch {
 	case s.failure != nil:
-		a.g.recordRepeatSent(a.x, s.failure.SentAt)
+		a.recordRepeatSent(s.failure.SentAt)
 		return a.handleFailure(s.failure)
 	case s.answer != nil:
-		a.g.recordRepeatSent(a.x, s.answer.SentAt)
+		a.recordRepeatSent(s.answer.SentAt)
 		a.answer, a.answerBegun = s.answer, true
 		if s.answer.Status == 421 {
 			a.x.uncountTarget()
@@ -236,7 +240,7 @@
 		a.answer.Abort()
 	} else {
 		// Whether the request was sent is not known yet, so that it counts as sent.
-		a.g.recordRepeatSent(a.x, time.Now())
+		a.recordRepeatSent(time.Now())
 	}
 	a.x.markTried(a.target.ID)
 	a.recordGivenUp()
@@ -256,6 +260,8 @@
 		return true
 	case a.x.attemptsUsed():
 		return false
+	case a.x.unsentRepeat != nil:
+		return true
 	case !a.g.takeRepeat(a.x):
 		a.g.count.overBudget.Inc(1)
 		return false
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,7 +60,7 @@
 	attempts int
 	// live is the number of attempts that have not ended.
 	live int
-	// unsentRepeat is a repeat that was taken from the retry budget and has not been sent; nil if there
+	// unsentRepeat is a repeat that was taken from the retry budget and belongs to no attempt; nil if there
 	// is none.
 	unsentRepeat *retry.Repeat
 	// tried contains the ids of targets that refused or failed the request, or make no progress with it.
--- a/internal/gateway/kept_run_test.go
+++ b/internal/gateway/kept_run_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/retry"
 )
 
 // standstill is how long the first run of a request makes no progress: longer than the longest stall
@@ -166,6 +167,35 @@
 	}
 }
 
+// TestHedgeThatIsNotSentUsesNoRepeat guards against repeats that are lost from the retry budget when the
+// second target can't be reached.
+func TestHedgeThatIsNotSentUsesNoRepeat(t *testing.T) {
+	reached := make(chan int, 1)
+	var handlers []http.HandlerFunc
+	for i := range 3 {
+		handlers = append(handlers, func(w http.ResponseWriter, r *http.Request) {
+			reached <- i
+			pausingStream(3, 6)(w, r)
+		})
+	}
+	gw := newTestGatewayWith(t, patientConfig(), handlers...).waitReady()
+	c := gw.call("unreachable", "/stream/")
+	first := <-reached
+	for i, target := range gw.targets {
+		if i != first {
+			target.crash()
+		}
+	}
+	c.expect(eventsUpTo(6))
+	gw.waitForLog("event=hedge", "outcome=failed")
+	gw.g.mu.Lock()
+	defer gw.g.mu.Unlock()
+	limits := gw.g.view.Load().shares.retries
+	fresh := retry.NewFleetBudget(limits)
+	fresh.RecordRequest(gw.g.now(), gw.g.now())
+	assert.Equal(t, gw.g.budget("s").Status(gw.g.now()).Earned, fresh.Status(gw.g.now()).Earned)
+}
+
 // TestSlowIdempotentRequestIsNotEndedWithoutAnotherAnswer guards against a gateway that ends a request
 // which may run more than once because its answer is late, and then gets no answer elsewhere.
 func TestSlowIdempotentRequestIsNotEndedWithoutAnotherAnswer(t *testing.T) {
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -21,23 +21,29 @@
 	return granted
 }
 
-// budgetAllows reports whether takeRepeat would return true.
+// budgetAllows reports whether a repeat of the request may be sent.
 func (g *Gateway) budgetAllows(x *exchange) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget(x.service).Allows(g.now())
+	return x.unsentRepeat != nil || g.budget(x.service).Allows(g.now())
 }
 
-// recordRepeatSent records when the request's repeat was sent, if one was taken. Sent is zero if no byte
-// was: then it may still be sent to another target.
-func (g *Gateway) recordRepeatSent(x *exchange, sent time.Time) {
-	if x.unsentRepeat == nil || sent.IsZero() {
+// recordRepeatSent records when the attempt was sent, if it is a repeat. Sent is zero if no byte
+// was: then the repeat may still be sent to another target.
+func (a *attempt) recordRepeatSent(sent time.Time) {
+	if a.repeat == nil {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budget(x.service).RecordSent(g.now(), sent.Sub(g.start), *x.unsentRepeat)
-	x.unsentRepeat = nil
+	repeat := *a.repeat
+	a.repeat = nil
+	if sent.IsZero() {
+		a.g.returnRepeat(a.x) // of another attempt that was not sent either
+		a.x.unsentRepeat = &repeat
+		return
+	}
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	a.g.budget(a.x.service).RecordSent(a.g.now(), sent.Sub(a.g.start), repeat)
 }
 
 // returnRepeat returns a repeat of the request that was taken and not sent.
--- a/internal/gateway/retry_fleet_sim_test.go
+++ b/internal/gateway/retry_fleet_sim_test.go
@@ -199,7 +199,7 @@
 		if g.takeRepeat(x) {
 			f.after(s, 10*time.Millisecond, func() {
 				f.arrived = append(f.arrived, f.now())
-				g.recordRepeatSent(x, time.Now())
+				(&attempt{g: g, x: x, repeat: x.unsentRepeat}).recordRepeatSent(time.Now())
 			})
 		}
 	})
