gateway: a quarantined hedge leaves the first run alone

A hedge that was cancelled since targets crash on its request ended the request, and with it a first run that had begun: its caller's stream was broken off. Only its caller's end and its deadline end a request now, whichever attempt shows them. TestQuarantineOfASecondRunLeavesTheFirst failed before.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -183,7 +183,7 @@
 // quarantinedEnding returns the ending of an attempt that was cancelled since targets crash on its request.
 func (x *exchange) quarantinedEnding(a *attempt, cause error) *ending {
 	end := x.recordIndeterminate(apierr.Wrap(apierr.KindTargetFailed, a.target.ID, cause))
-	end.again, end.final = false, true
+	end.again = false
 	return end
 }
 
