gateway: a stalled request stays ready for another run

A stream whose second target refused it, or whose budget was empty at the first check, was then checked by its group's progress only, and waited for a silent target without a group until its deadline. The check now follows the attempt that is waited for: once its own silence shows that it makes no progress, every poll tries again, and an attempt that is left alone is judged by its own times.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,6 +36,8 @@
 	// answer is the target's answer once its head has arrived, and body counts the bytes of its body.
 	answer *upstream.Answer
 	body   *meteredAnswer
+	// headAt is when the head arrived, as the time since the gateway's start.
+	headAt time.Duration
 	// repeat was taken from the retry budget for the attempt; nil if none was, or once it is recorded.
 	repeat *retry.Repeat
 	// unsent is true if no byte of the request was sent to the target.
@@ -204,7 +206,7 @@
 		return a.handleFailure(s.failure)
 	case s.answer != nil:
 		a.recordRepeatSent(s.answer.SentAt)
-		a.answer, a.answerBegun = s.answer, true
+		a.answer, a.answerBegun, a.headAt = s.answer, true, a.g.now()
 		if s.answer.Status == 421 {
 			a.x.uncountTarget()
 		}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -35,8 +35,9 @@
 	// check fires when the current attempt has made no progress for too long. It is stopped while there is
 	// a hedge, and in requests that can't have one.
 	check *time.Timer
-	// overdue is true once check has fired since the current attempt's last progress.
-	overdue bool
+	// needsStall is true while the current attempt's own silence does not show that it makes no progress,
+	// since its answer has not begun.
+	needsStall bool
 	// refusedHedge is true once the log has a line on the lack of a hedge since the last progress.
 	refusedHedge bool
 }
@@ -46,7 +47,7 @@
 func (g *Gateway) follow(x *exchange, first *attempt) (err *apierr.Error, again bool, last *attempt) {
 	r := &run{g: g, x: x, current: first, check: time.NewTimer(time.Hour)}
 	defer r.check.Stop()
-	r.awaitAnswer()
+	r.await()
 	for {
 		var from *attempt
 		var s step
@@ -92,7 +93,6 @@
 	}
 	r.logHedge(r.outcome(a, hedgeFailed, hedgeAlone), end.err)
 	r.keep(other)
-	r.rearm(stallPollInterval)
 	return nil
 }
 
@@ -124,14 +124,16 @@
 // recordProgress handles a step after which its attempt goes on.
 func (r *run) recordProgress(a *attempt, s step) {
 	switch {
-	case s.answer != nil && a == r.current && r.hedge == nil:
-		r.awaitBody()
-	case s.event == nil || s.event.Comment && r.hedge != nil:
 	case r.hedge == nil:
-		r.awaitNext(a)
+		r.await()
+	case s.event == nil || s.event.Comment:
+		return
 	default:
 		r.settle(a)
 	}
+	if s.event != nil {
+		r.refusedHedge, a.stallRecorded = false, false
+	}
 }
 
 // settle ends the attempt beside one that goes on.
@@ -139,53 +141,46 @@
 	r.logHedge(r.outcome(a, hedgeGoesOn, hedgeNotNeeded), nil)
 	r.other(a).giveUp(placement.Inconclusive)
 	r.keep(a)
-	r.awaitNext(a)
 }
 
 // keep makes an attempt the only one.
 func (r *run) keep(a *attempt) {
 	r.current, r.hedge = a, nil
 	r.x.setTarget(a.target.ID)
+	r.await()
 }
 
-// awaitAnswer sets the check for the wait for the head of an answer.
-func (r *run) awaitAnswer() {
-	route := r.x.route
+// await sets the check for the wait for the next sign of progress of the only attempt.
+func (r *run) await() {
+	a, route := r.current, r.x.route
+	r.needsStall = false
 	switch {
-	case route.Repeat == fleet.Resumable:
-		r.overdue = true
-		r.rearm(stallPollInterval)
-	case route.Repeat == fleet.Idempotent && route.Objective > 0:
-		r.overdue = true
-		r.rearm(time.Duration(hedgeShare * float64(route.Objective)))
-	default:
+	case route.Repeat == fleet.Idempotent && route.Objective > 0 && a.answer == nil:
+		r.rearm(time.Duration(hedgeShare*float64(route.Objective)) - (r.g.now() - a.sent))
+	case route.Repeat != fleet.Resumable:
 		r.check.Stop()
-	}
-}
-
-// awaitBody sets the check for the wait for the first event, or stops it for other answers.
-func (r *run) awaitBody() {
-	if r.current.contentOf(r.current.answer) != contentEvents {
+	case a.answer == nil:
+		r.needsStall = true
+		r.rearm(0)
+	case a.contentOf(a.answer) != contentEvents:
 		r.check.Stop()
-		return
+	case !a.active:
+		r.rearm(initialStallTimeout - (r.g.now() - a.headAt))
+	default:
+		r.rearm(a.nextStallTimeout - time.Since(a.lastRead))
 	}
-	r.overdue = false
-	r.rearm(initialStallTimeout)
 }
 
-// awaitNext sets the check for the wait for the next event.
-func (r *run) awaitNext(a *attempt) {
-	r.overdue, r.refusedHedge, a.stallRecorded = false, false, false
-	r.rearm(a.nextStallTimeout)
-}
-
-// rearm sets the check if the request may have a hedge.
+// rearm sets the check to d from now, or to the next poll if that is over, if the request may have a hedge.
 func (r *run) rearm(d time.Duration) {
 	x := r.x
 	if !x.route.Repeat.Repeatable() || x.attemptsUsed() || x.headSent && !x.hasEvent {
 		r.check.Stop()
 		return
 	}
+	if d <= 0 {
+		d = stallPollInterval
+	}
 	r.check.Reset(d)
 }
 
@@ -195,9 +190,8 @@
 	if r.isLate() {
 		r.startHedge()
 	}
-	r.overdue = true
 	if r.hedge == nil {
-		r.rearm(stallPollInterval)
+		r.rearm(0)
 	}
 }
 
@@ -211,9 +205,9 @@
 		return r.g.balancer.HasOtherTarget(r.g.now(), r.x.service, append(r.x.tried[:len(r.x.tried):len(r.x.tried)], a.target.ID))
 	}
 	stalled, alternative := a.stallState()
-	// The first check of an answer that has begun comes after its own stall timeout, so that it does not
-	// depend on the group's other streams.
-	return alternative && (stalled || !r.overdue)
+	// The checks of an answer that has begun come after its own stall timeout, so that they do not depend on
+	// the group's other streams.
+	return alternative && (stalled || !r.needsStall)
 }
 
 // startHedge sends the request to a second target, if the limits of repeats allow it and one is chosen.
@@ -262,6 +256,6 @@
 	r.g.count.resumes.Inc(1)
 	r.g.logResume(x, end.err)
 	r.current = r.g.startAttempt(x, choice)
-	r.awaitAnswer()
+	r.await()
 	return nil
 }
