gateway: only targets that failed a request are excluded for it

A target whose run was not needed counted as tried, and the first target did so before there was a second one, so that a stream that broke later had no target left. Targets of attempts that are at work are excluded while they last, and the group of a stalled attempt may be used again once the attempt goes on.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
@@ -94,7 +95,7 @@
 	a.repeat, x.unsentRepeat = x.unsentRepeat, nil
 	x.answers = append(x.answers, a.body)
 	x.countTarget()
-	x.live++
+	x.live = append(x.live, c.Target.ID)
 	x.setTarget(c.Target.ID)
 	a.deadline = time.AfterFunc(x.remaining(), func() { cancel(errDeadline) })
 	a.trackUnanswered()
@@ -226,7 +227,7 @@
 // release ends the attempt's use of its target and its goroutine. The attempt is not used afterwards.
 func (a *attempt) release() {
 	close(a.released)
-	a.x.live--
+	a.x.live = slices.DeleteFunc(a.x.live, func(id string) bool { return id == a.target.ID })
 	a.deadline.Stop()
 	a.cancel(nil)
 	a.untrackUnanswered()
@@ -244,7 +245,6 @@
 		// Whether the request was sent is not known yet, so that it counts as sent.
 		a.recordRepeatSent(time.Now())
 	}
-	a.x.markTried(a.target.ID)
 	a.recordGivenUp()
 	a.reportResult(result)
 	a.release()
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -65,7 +65,7 @@
 func (g *Gateway) choose(x *exchange) (placement.Choice, placement.Refusal) {
 	g.mu.Lock()
 	c, refusal := g.balancer.Choose(g.now(), placement.Request{
-		Service: x.service, Tried: x.tried, AvoidGroup: x.avoidGroup, Urgent: x.attempts > 0,
+		Service: x.service, Tried: x.excluded(), AvoidGroup: x.avoidGroup, Urgent: x.attempts > 0,
 		EventGap: x.route.EventGap, Priority: x.level, Admitted: x.admitted,
 	})
 	if c.Zone != placement.ZoneUnplanned {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -58,12 +58,12 @@
 	// attempts is the number of targets that the request was sent to. Only countTarget and uncountTarget
 	// change it.
 	attempts int
-	// live is the number of attempts that have not ended.
-	live int
+	// live contains the ids of the targets of attempts that have not ended.
+	live []string
 	// unsentRepeat is a repeat that was taken from the retry budget and belongs to no attempt; nil if there
 	// is none.
 	unsentRepeat *retry.Repeat
-	// tried contains the ids of targets that refused or failed the request, or make no progress with it.
+	// tried contains the ids of targets that refused or failed the request, or had to be given up.
 	tried []string
 	// mayHaveRun is the error of the first failed attempt that may have run, or nil.
 	mayHaveRun *apierr.Error
@@ -135,13 +135,16 @@
 // is not the target.
 func (x *exchange) uncountTarget() { x.attempts-- }
 
-// markTried records that a target has refused or failed the request, or makes no progress with it.
+// markTried records that a target has refused or failed the request, or had to be given up.
 func (x *exchange) markTried(id string) {
 	if !slices.Contains(x.tried, id) {
 		x.tried = append(x.tried, id)
 	}
 }
 
+// excluded returns the ids of targets that the request is not sent to.
+func (x *exchange) excluded() []string { return slices.Concat(x.tried, x.live) }
+
 // setTarget sets the target that the request waits for.
 func (x *exchange) setTarget(id string) {
 	x.target = id
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -132,14 +132,26 @@
 		r.settle(a)
 	}
 	if s.event != nil {
-		r.refusedHedge, a.stallRecorded = false, false
+		r.refusedHedge = false
+		r.endStall(a)
+	}
+}
+
+// endStall lets the request use the group of an attempt again that goes on after a stall.
+func (r *run) endStall(a *attempt) {
+	if a.stallRecorded {
+		a.stallRecorded, r.x.avoidGroup = false, ""
 	}
 }
 
 // settle ends the attempt beside one that goes on.
 func (r *run) settle(a *attempt) {
 	r.logHedge(r.outcome(a, hedgeGoesOn, hedgeNotNeeded), nil)
-	r.other(a).giveUp(placement.Inconclusive)
+	loser := r.other(a)
+	if loser == r.current {
+		r.x.markTried(loser.target.ID)
+	}
+	loser.giveUp(placement.Inconclusive)
 	r.keep(a)
 }
 
@@ -202,7 +214,7 @@
 	if r.x.route.Repeat == fleet.Idempotent {
 		r.g.mu.Lock()
 		defer r.g.mu.Unlock()
-		return r.g.balancer.HasOtherTarget(r.g.now(), r.x.service, append(r.x.tried[:len(r.x.tried):len(r.x.tried)], a.target.ID))
+		return r.g.balancer.HasOtherTarget(r.g.now(), r.x.service, r.x.excluded())
 	}
 	stalled, alternative := a.stallState()
 	// The checks of an answer that has begun come after its own stall timeout, so that they do not depend on
@@ -216,7 +228,6 @@
 	if r.g.checkQuarantine(x) != nil {
 		return
 	}
-	x.markTried(a.target.ID)
 	if x.route.Repeat == fleet.Resumable && !a.stallRecorded {
 		a.stallRecorded = true
 		a.recordStall()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -47,14 +47,14 @@
 		return x.recordIndeterminate(apierr.Wrap(apierr.KindTruncated, a.target.ID, err))
 	}
 	answer.Finish()
-	if answer.NotExecuted() && x.live > 1 {
+	if answer.NotExecuted() && len(x.live) > 1 {
 		a.reportResult(placement.Refused)
 		return &ending{err: apierr.New(apierr.KindOverloaded, a.target.ID+" refused with status "+strconv.Itoa(answer.Status)), again: true}
 	}
 	if answer.Status >= 500 {
 		a.reportResult(placement.Failed)
 		x.markTried(a.target.ID)
-		if x.live > 1 || a.mayRepeat() {
+		if len(x.live) > 1 || a.mayRepeat() {
 			return x.recordIndeterminate(apierr.New(apierr.KindTargetFailed, a.target.ID+" answered with status "+strconv.Itoa(answer.Status)))
 		}
 	} else {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,7 +43,7 @@
 	if a.g.now()-a.began >= answeredAfter {
 		a.recordAnswer()
 	}
-	if ev.Comment && a.x.live > 1 {
+	if ev.Comment && len(a.x.live) > 1 {
 		return nil // it tells nothing on which of the attempts goes on
 	}
 	a.progressed = a.progressed || !ev.Comment
