gateway: what is recorded of two runs names the right one

If the caller left, the first target of an idempotent request counted as failed when its second run ended first. The request line named the target of a run that was not needed, and attempt-failed the load at the first choice. A request that ended by its caller or its time was logged as goes-on or not-needed; it has the outcome ended now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,6 +22,8 @@
 	g      *Gateway
 	x      *exchange
 	target placement.Target
+	// choice tells why the target was chosen.
+	choice placement.Choice
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// call is sent to the target.
@@ -89,7 +91,7 @@
 func (g *Gateway) startAttempt(x *exchange, c placement.Choice) *attempt {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{
-		g: g, x: x, target: c.Target, ctx: ctx, cancel: cancel, sent: g.now(), call: g.callTo(x, c.Target), resumes: x.headSent,
+		g: g, x: x, target: c.Target, choice: c, ctx: ctx, cancel: cancel, sent: g.now(), call: g.callTo(x, c.Target), resumes: x.headSent,
 		steps: make(chan step), released: make(chan struct{}), body: g.answers.open(nil), // set once the head has arrived
 	}
 	a.repeat, x.unsentRepeat = x.unsentRepeat, nil
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -45,7 +45,7 @@
 		if err == nil || x.headSent {
 			return err
 		}
-		g.logAttempt(x, choice, last.answerBegun, err)
+		g.logAttempt(last, err)
 		if !again {
 			return err
 		}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -12,7 +12,8 @@
 // second target too.
 const hedgeShare = 0.6
 
-// Outcomes of hedges in the log and the metrics. The first attempt has failed if the hedge is alone.
+// Outcomes of hedges in the log and the metrics. The first attempt has failed if the hedge is alone. The request
+// has ended if its caller has left or its time is up.
 const (
 	hedgeStarted   = "started"
 	hedgeRefused   = "refused"
@@ -20,9 +21,10 @@
 	hedgeNotNeeded = "not-needed"
 	hedgeFailed    = "failed"
 	hedgeAlone     = "alone"
+	hedgeEnded     = "ended"
 )
 
-var hedgeOutcomes = []string{hedgeStarted, hedgeRefused, hedgeGoesOn, hedgeNotNeeded, hedgeFailed, hedgeAlone}
+var hedgeOutcomes = []string{hedgeStarted, hedgeRefused, hedgeGoesOn, hedgeNotNeeded, hedgeFailed, hedgeAlone, hedgeEnded}
 
 // run serves a request with one attempt at a time, and with a second one, the hedge, while the first makes
 // no progress. Neither is ended for the other before that has gone on: a stream with its next event, another
@@ -86,9 +88,14 @@
 	switch {
 	case other == nil:
 		return r.resume(a, end)
-	case end.err == nil || end.final:
-		r.logHedge(r.outcome(a, hedgeGoesOn, hedgeNotNeeded), end.err)
+	case end.final:
+		r.logHedge(hedgeEnded, end.err)
+		other.giveUp(placement.Inconclusive)
+		return end
+	case end.err == nil:
+		r.logHedge(r.outcome(a, hedgeGoesOn, hedgeNotNeeded), nil)
 		other.giveUp(r.resultOfOther(a))
+		r.x.setTarget(a.target.ID)
 		return end
 	}
 	r.logHedge(r.outcome(a, hedgeFailed, hedgeAlone), end.err)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
-	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/priority"
 	"github.com/gentiantrail/gentiantrail/internal/quarantine"
 	"github.com/gentiantrail/gentiantrail/internal/retry"
@@ -66,11 +65,12 @@
 // logAttempt writes the log line of a failed attempt with the inputs that decided its
 // target and the parts of its prompt that other requests may have too, and the request's
 // fingerprint unless it has certainly not run.
-func (g *Gateway) logAttempt(x *exchange, c placement.Choice, answerBegun bool, err *apierr.Error) {
+func (g *Gateway) logAttempt(a *attempt, err *apierr.Error) {
+	x, c := a.x, a.choice
 	line := g.opts.Logger.Info().Str("event", "attempt-failed").Str("request", x.id).Str("target", c.Target.ID).
 		Int("attempt", x.attempts).Int("load", c.Load).Int("slots", c.Target.Slots).
 		Int64("report_age_ms", c.ReportAge.Milliseconds()).Str("kind", err.Kind.String()).
-		Bool("answer_begun", answerBegun).Str("parts", strings.Join(x.sharedParts, ","))
+		Bool("answer_begun", a.answerBegun).Str("parts", strings.Join(x.sharedParts, ","))
 	if err.Answer().Outcome != apierr.OutcomeNotRun {
 		line = line.Str("fingerprint", x.fingerprint())
 	}
@@ -103,7 +103,8 @@
 
 // logHedge writes the log line of a change of the request's hedge: "started", "goes-on" (its answer is relayed,
 // and the first attempt is given up), "not-needed" (the first attempt has gone on), "failed" (the first one is
-// waited for) or "alone" (the first attempt has failed, and the hedge is waited for).
+// waited for), "alone" (the first attempt has failed, and the hedge is waited for) or "ended" (its caller has left
+// or its time is up).
 func (r *run) logHedge(outcome string, err *apierr.Error) {
 	x := r.x
 	r.g.count.hedges[outcome].Inc(1)
