upstream: a target may read a long body late

Callers saw sound requests end after 1.5 to 1.7 s, also streams that had begun: their target had not read the rest of a long body. The user timeout of a connection, which finds peers that are cut off, counts while the peer's machine has no room for more, too. Requests that are written beside the reading of their answer (over 16 KiB) have none until the connection is kept; their deadline bounds them, and a target that is cut off is found by its silence.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -29,7 +29,8 @@
 }
 
 // send writes the request. A large request is written concurrently with reading the
-// answer, since a target may answer before it has read the body.
+// answer, since a target may answer before it has read the body. It has no user timeout, which
+// would also count while the target's machine has no room for more of the body.
 func (a *Answer) send(call *Call) error {
 	wire := http1.AppendRequest(nil, call.Request)
 	if len(wire) <= maxInlineWrite {
@@ -38,6 +39,9 @@
 		return err
 	}
 	a.SentAt = time.Now()
+	if err := a.conn.setUserTimeout(0); err != nil {
+		return err
+	}
 	a.writeResult = make(chan error, 1)
 	go func() {
 		_, err := a.conn.Write(wire)
@@ -115,6 +119,10 @@
 		return
 	}
 	a.conn.served++
+	if a.writeResult != nil && a.conn.setUserTimeout(userTimeout) != nil {
+		a.client.closeConn(a.conn)
+		return
+	}
 	if a.conn.idleFor = idleTime(a.Header); a.conn.idleFor <= 0 {
 		a.client.closeConn(a.conn)
 		return
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -189,6 +189,15 @@
 	}
 }
 
+// setUserTimeout changes the time for which sent data may stay unacknowledged.
+func (cn *conn) setUserTimeout(d time.Duration) error {
+	tcp, ok := cn.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	return sockopt.SetUserTimeout(tcp, d)
+}
+
 // reset closes the connection with a reset, so that bytes which the target has not
 // acknowledged yet, for example behind a partition, are not sent again.
 func (cn *conn) reset() {
