gateway: bytes passed on do not count as held for an answer

Streams were broken off when the bytes of all answers in progress reached 48 MiB, although most of them had been passed on to the callers long before. An event's bytes now count until it is passed on; what waits for a caller is bounded by the budget of callers.

--- a/internal/gateway/answer_meter.go
+++ b/internal/gateway/answer_meter.go
@@ -17,11 +17,13 @@
 // without end can't exhaust the process's memory.
 type answerMeter struct{ total atomic.Int64 }
 
-// meteredAnswer is the body of an answer. Its bytes count until it is released.
+// meteredAnswer is the body of an answer. Its bytes count until they are passed on or it is released.
 type meteredAnswer struct {
 	meter *answerMeter
 	body  io.Reader
-	read  atomic.Int64
+	// read is the number of bytes that were read, and held the number of those that count.
+	read int64
+	held atomic.Int64
 }
 
 func (m *answerMeter) open(body io.Reader) *meteredAnswer {
@@ -31,7 +33,7 @@
 // Read implements io.Reader. It returns errTooLong if the answer exceeds maxAnswerBytes, or all
 // answers together exceed maxTotalAnswerBytes.
 func (a *meteredAnswer) Read(p []byte) (int, error) {
-	room := maxAnswerBytes - a.read.Load()
+	room := maxAnswerBytes - a.read
 	if room <= 0 {
 		return 0, errTooLong
 	}
@@ -42,10 +44,17 @@
 		return 0, errTooLong
 	}
 	n, err := a.body.Read(p)
-	a.read.Add(int64(n))
+	a.read += int64(n)
+	a.held.Add(int64(n))
 	a.meter.total.Add(int64(n) - reserved)
 	return n, err
 }
 
+// passOn ends the counting of n bytes, which are on their way to the caller.
+func (a *meteredAnswer) passOn(n int) {
+	a.held.Add(-int64(n))
+	a.meter.total.Add(-int64(n))
+}
+
 // release ends the counting of the answer's bytes.
-func (a *meteredAnswer) release() { a.meter.total.Add(-a.read.Swap(0)) }
+func (a *meteredAnswer) release() { a.meter.total.Add(-a.held.Swap(0)) }
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -206,3 +208,28 @@
 	gw.call("line", "/safe/").expect("first")
 	gw.waitForLog("event=request", "target="+<-answered)
 }
+
+// TestRelayedEventsDoNotCountAsHeld guards against streams that are broken off because the bytes of others, which
+// their callers have got, use up the bound on the answers in progress.
+func TestRelayedEventsDoNotCountAsHeld(t *testing.T) {
+	const events, size = 70, 100 << 10 // less than the bound of one answer
+	const streams = maxTotalAnswerBytes/(events*size) + 2
+	h := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Sign", "signed")
+		for id := 1; id <= events; id++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, strings.Repeat("x", size))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(30 * time.Millisecond)
+		}
+	}
+	gw := newTestGatewayWith(t, patientConfig(), h, h, h, h).waitReady()
+	var callers sync.WaitGroup
+	for range streams {
+		callers.Go(func() {
+			_, _, body, whole := gw.do(get("/stream/")...)
+			assert.Check(t, whole, "cut off after %d bytes", len(body))
+		})
+	}
+	callers.Wait()
+	gw.expectIdle()
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -94,6 +94,7 @@
 		a.g.count.firstEvent.RecordDuration(x.firstEvent)
 	}
 	x.out.write(http1.AppendChunk(b, ev.Bytes))
+	a.body.passOn(len(ev.Bytes))
 	x.recordGap()
 	if ev.HasID {
 		x.lastEvent, x.hasEvent = ev.ID, true
