gateway: second runs cost the request's goroutine and its metrics less

Read in review: a failed hedge had its target checked for up to 150 ms on the goroutine that passes the first run's events on; requests_quarantined grew with each poll of a stalled request; a stream that could not be sent to other targets had lost its bound of four tries. The check comes later now, polls do not count, and the bound is back.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -58,19 +58,24 @@
 // checkQuarantine refuses a request that was admitted before it, or a part of its prompt, was
 // quarantined.
 func (g *Gateway) checkQuarantine(x *exchange) *apierr.Error {
-	if !g.suspecting.Load() {
-		return nil
-	}
-	subjects := x.subjects()
-	g.mu.Lock()
-	wait, refused := g.quarantine.Refuses(g.now(), subjects)
-	g.mu.Unlock()
+	wait, refused := g.quarantineWait(x)
 	if !refused {
 		return nil
 	}
 	return g.quarantineError(quarantine.Quarantined, wait)
 }
 
+// quarantineWait returns whether the request is quarantined, and until when.
+func (g *Gateway) quarantineWait(x *exchange) (wait time.Duration, refused bool) {
+	if !g.suspecting.Load() {
+		return 0, false
+	}
+	subjects := x.subjects()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.Refuses(g.now(), subjects)
+}
+
 // quarantineError returns the error of a request that may be sent again after wait.
 func (g *Gateway) quarantineError(verdict quarantine.Verdict, wait time.Duration) *apierr.Error {
 	g.count.quarantined.Inc(1)
@@ -149,6 +154,10 @@
 // recordEnd handles a connection that the target ended, and reports whether the target is known to
 // have ended too. A target that does not answer is checked again.
 func (a *attempt) recordEnd() (targetEnded bool) {
+	if len(a.x.live) > 1 {
+		a.checkEndedLater() // the check may take a while, and the other attempt may have events
+		return false
+	}
 	result := a.checkEnded()
 	if result == upstream.Unanswered {
 		a.checkEndedLater()
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -40,6 +40,8 @@
 	// needsStall is true while the current attempt's own silence does not show that it makes no progress,
 	// since its answer has not begun.
 	needsStall bool
+	// resumed is the number of attempts that were made since the response's only one had ended.
+	resumed int
 	// refusedHedge is true once the log has a line on the lack of a hedge since the last progress.
 	refusedHedge bool
 }
@@ -232,7 +234,8 @@
 // startHedge sends the request to a second target, if the limits of repeats allow it and one is chosen.
 func (r *run) startHedge() {
 	x, a := r.x, r.current
-	if r.g.checkQuarantine(x) != nil {
+	if _, refused := r.g.quarantineWait(x); refused {
+		r.logNoHedge("quarantine")
 		return
 	}
 	if x.route.Repeat == fleet.Resumable && !a.stallRecorded {
@@ -264,13 +267,17 @@
 	if end.err == nil || end.final || !x.headSent {
 		return end
 	}
-	if !end.again || x.route.Repeat != fleet.Resumable || !x.hasEvent || r.g.checkQuarantine(x) != nil || !a.takeAnother() {
+	if !end.again || x.route.Repeat != fleet.Resumable || !x.hasEvent || r.resumed >= maxTries {
+		return end
+	}
+	if r.g.checkQuarantine(x) != nil || !a.takeAnother() {
 		return end
 	}
 	choice, refusal := r.g.choose(x)
 	if refusal != placement.NotRefused {
 		return end
 	}
+	r.resumed++
 	r.g.count.resumes.Inc(1)
 	r.g.logResume(x, end.err)
 	r.current = r.g.startAttempt(x, choice)
