gateway: answer what has been read behind an answer in a stop

Callers that had sent a request ahead got no answer to it when the gateway stopped: the connection was closed behind an answer whose head, sent before the stop, had not announced that.

Cause: whether a connection is kept was decided again at the end of the answer. Now only its head decides. The connection becomes idle otherwise, the next answer on it says "Connection: close", and idle connections end as before.

Two gaps at the end of a stop are closed with it, as it may now come while such a connection is open: between a request and the one read behind it nothing was in flight, and a request that was partly read was not waited for.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -233,11 +233,11 @@
 func (cc *callerConn) startRequest(req *http1.Request, v *view) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cc.busy, cc.headChecked, cc.reader = true, false, http1.RequestReader{}
-	cc.waiting.Store(nil)
 	g, budget := cc.s.g, cc.s.budget
+	g.inFlight.Add(1)
+	cc.waiting.Store(nil)
 	budget.set(cc.account, callerbuf.Incomplete, 0)
 	handled := budget.handled(cc, req.Held())
-	g.inFlight.Add(1)
 	x := &exchange{ctx: ctx, req: req, view: v, arrived: time.Now(), firstByte: cc.firstByte}
 	if len(cc.pipelined) == 0 {
 		cc.firstByte = time.Time{}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -108,7 +108,7 @@
 	}
 	g.logRequest(x, err)
 	x.progress.update(func(p *progress) { p.handled = true })
-	x.out.finish(x.req.KeepAlive && !g.view.Load().stopping)
+	x.out.finish(x.req.KeepAlive) // false if the response has announced the close
 }
 
 func (g *Gateway) serve(x *exchange) *apierr.Error {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -170,6 +170,18 @@
 	return sweepInterval, gnet.None
 }
 
+// partlyRead reports whether a part of a request has been read on any connection.
+func (s *server) partlyRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for cc := range s.conns {
+		if w := cc.waiting.Load(); w != nil && w.partial {
+			return true
+		}
+	}
+	return false
+}
+
 // overdue reports whether a wait has exceeded its timeout: the header timeout from the first
 // part of a request until the whole request has arrived, or else the idle timeout. During a
 // stop, idle connections are overdue after stopIdleTime.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -29,8 +29,8 @@
 }
 
 // Stop makes Ready fail at once and goes on serving requests that still arrive. It returns
-// when nothing is in flight and callers have had time to move to other gateways, or at the
-// stop timeout.
+// when no request is in flight or partly read and callers have had time to move to other gateways,
+// or at the stop timeout.
 func (g *Gateway) Stop(ctx context.Context) {
 	now := time.Now()
 	g.stoppedAt.Store(&now)
@@ -38,7 +38,7 @@
 	limit := g.opts.Settings.Limits.StopTimeout - stopMargin
 	nextLine := stopLogInterval
 	for g.timeSinceStop() < limit {
-		if g.timeSinceStop() > stopIdleTime+sweepInterval && g.inFlight.Load() == 0 {
+		if g.timeSinceStop() > stopIdleTime+sweepInterval && g.nothingRead() {
 			break
 		}
 		if g.timeSinceStop() >= nextLine {
@@ -53,6 +53,12 @@
 		Int64("took_ms", g.timeSinceStop().Milliseconds()).Msg("")
 }
 
+// nothingRead reports whether no request is in flight or partly read. The number in flight is checked on both
+// sides, since a request that is partly read may become one that is in flight, and be followed by another.
+func (g *Gateway) nothingRead() bool {
+	return g.inFlight.Load() == 0 && !g.server.partlyRead() && g.inFlight.Load() == 0
+}
+
 // Reload applies the limits and the routing between zones of changed settings.
 func (g *Gateway) Reload(ctx context.Context, s *settings.Gateway) {
 	r := settingsReloaded{limits: s.Limits, zones: s.ZoneRouting, done: make(chan struct{})}
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -17,7 +17,7 @@
 	// abort closes the connection, so that the response can't appear complete.
 	abort()
 	// finish ends the response. Once it has been sent, the connection is closed unless
-	// keepAlive is true.
+	// keepAlive is true, which it must be if the response has not announced the close.
 	finish(keepAlive bool)
 }
 
@@ -138,6 +138,9 @@
 // loop.
 func (w *connWriter) end(keepAlive bool) {
 	cc := w.cc
+	// A stop must not end between this request and one that has been read behind it.
+	cc.s.g.inFlight.Add(1)
+	defer cc.s.g.inFlight.Add(-1)
 	w.cancel()
 	w.buffered.Store(0)
 	cc.s.budget.setUnsent(w)
