gateway: count a stop from the time its signal may have been sent

A process that had stood still took requests for 3 s from when it noticed SIGTERM, and could be killed at the end of its grace period with requests in flight that it believed to have time for, and without its last log lines.

A stop now counts from the earliest time at which the signal may have been sent (pause.EarliestSignal; EarliestArrival allows for retransmitted bytes and would let a stop end seconds too early after a pause that was over). Requests are taken for 3 s less the 0.3 s of a delay that is no detected pause. The end of the stop comes 0.5 s before the kill instead of 0.7 s: the same 0.3 s, and 0.2 s for the last log lines; the loop waits for the rest exactly instead of in steps of 0.1 s. An answer that is cut at the end is lost by the kill too, so more time for it is better than more certainty of the lines. The time for which callers may still find the process counts from when it has begun to fail its readiness. Line stopping has refuses_in_ms and ends_in_ms; stop_ms counts from the signal.

New: TestEarliestSignal and its like.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -264,7 +264,7 @@
 		return
 	}
 	cc.s.g.opts.Logger.Warn().Str("event", "closed-unanswered").Int("bytes", len(cc.pipelined)).
-		Int64("stop_ms", cc.s.g.timeSinceStop().Milliseconds()).Str("peer", cc.conn.RemoteAddr().String()).Msg("")
+		Int64("stop_ms", cc.s.g.timeSinceSignal().Milliseconds()).Str("peer", cc.conn.RemoteAddr().String()).Msg("")
 }
 
 // reject sends an error response to bytes that are not an acceptable request, or to a
--- a/internal/gateway/filter_admit.go
+++ b/internal/gateway/filter_admit.go
@@ -18,7 +18,7 @@
 // the process has too many in flight, or if it arrived so late in a stop that it might not complete
 // before the process ends.
 func admit(g *Gateway, x *exchange) *apierr.Error {
-	if g.timeSinceStop() > stopIdleTime {
+	if g.timeSinceSignal() > admissionTime {
 		return apierr.New(apierr.KindDraining, g.opts.Settings.Name)
 	}
 	if g.inFlight.Load() > maxInFlight {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,8 +117,8 @@
 	// inFlight counts the requests whose responses have not been sent yet, and requests contains them.
 	inFlight atomic.Int64
 	requests *requestTable
-	// stoppedAt is the time at which the stop began, or nil.
-	stoppedAt atomic.Pointer[time.Time]
+	// stopTimes are the times of the stop signal, or nil.
+	stopTimes atomic.Pointer[stopTimes]
 	server    *server
 }
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -43,7 +43,7 @@
 	if kind == apierr.KindQuarantined {
 		line = line.Str("fingerprint", x.fingerprint()).Str("parts", strings.Join(x.sharedParts, ","))
 	}
-	if stop := g.timeSinceStop(); stop > 0 {
+	if stop := g.timeSinceSignal(); stop > 0 {
 		line = line.Int64("stop_ms", stop.Milliseconds())
 	}
 	if err != nil {
@@ -52,15 +52,15 @@
 	line.Msg("")
 }
 
-// logStopping writes the log line of a stop that begins, with the longest time that may have passed since
-// the signal, apart from delays that are not detected as pauses of the process.
+// logStopping writes the log line of a stop that begins, with the longest time that may have passed until the
+// signal was noticed, apart from delays that are not detected as pauses of the process, and the times that are
+// left until requests are refused and until the stop ends.
 func (g *Gateway) logStopping() {
-	g.mu.Lock()
-	now := g.now()
-	signalled := g.pauses.EarliestArrival(now)
-	g.mu.Unlock()
+	times := g.stopTimes.Load()
 	g.opts.Logger.Info().Str("event", "stopping").Int64("requests", g.inFlight.Load()).
-		Int64("signal_age_ms", (now - signalled).Milliseconds()).Msg("")
+		Int64("signal_age_ms", times.noticed.Sub(times.signalled).Milliseconds()).
+		Int64("refuses_in_ms", max(0, admissionTime-g.timeSinceSignal()).Milliseconds()).
+		Int64("ends_in_ms", max(0, g.timeToStop()).Milliseconds()).Msg("")
 }
 
 // logAttempt writes the log line of a failed attempt with the inputs that decided its
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -18,8 +18,8 @@
 	sweepInterval = 500 * time.Millisecond
 	// maxUnsentBytes bounds the bytes buffered for a caller that doesn't read.
 	maxUnsentBytes = 16 << 20
-	// stopIdleTime is how long after the stop signal an idle connection of a caller stays
-	// open: the load balancer in front needs two readiness checks to detect the stop.
+	// stopIdleTime is how long after the stop signal callers may still come: the load balancer in
+	// front needs two readiness checks to detect the stop.
 	stopIdleTime = 3 * time.Second
 	// callerKeepAlive is the idle time after which TCP keep-alive probes are sent on a
 	// caller's connection. It is closed after callerProbes unanswered probes at
@@ -184,7 +184,7 @@
 
 // overdue reports whether a wait has exceeded its timeout: the header timeout from the first
 // part of a request until the whole request has arrived, or else the idle timeout. During a
-// stop, idle connections are overdue after stopIdleTime.
+// stop, idle connections are overdue after admissionTime.
 func (s *server) overdue(w *wait, now time.Time) bool {
 	header, idle := defaultHeaderTimeout, defaultIdleTimeout
 	if v := s.g.view.Load(); v.index != nil {
@@ -196,7 +196,7 @@
 	case w.partial:
 		return now.Sub(w.since) > header
 	}
-	return now.Sub(w.since) > idle || s.g.timeSinceStop() > stopIdleTime
+	return now.Sub(w.since) > idle || s.g.timeSinceSignal() > admissionTime
 }
 
 func parseLimits(v *view) http1.Limits {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -14,43 +14,74 @@
 	// stopLogInterval is the interval of the log lines of a stop that waits, which show how far it has
 	// come if the process is killed.
 	stopLogInterval = time.Second
-	// stopMargin is the part of the stop timeout that is reserved for the end of the
-	// process.
-	stopMargin = 700 * time.Millisecond
+	// admissionTime is how long after the signal requests are taken in a stop. It is shorter than
+	// stopIdleTime by the delays that are not detected as pauses.
+	admissionTime = stopIdleTime - pauseThreshold
+	// exitTime is the time that the process takes to write its last log lines and to end.
+	exitTime = 200 * time.Millisecond
+	// stopMargin is the part of the stop timeout that is reserved for the end of the process, and for
+	// delays of the signal that are not detected as pauses.
+	stopMargin = pauseThreshold + exitTime
 )
 
-// timeSinceStop returns the time since the stop began, or zero if it has not begun.
-func (g *Gateway) timeSinceStop() time.Duration {
-	at := g.stoppedAt.Load()
-	if at == nil {
+// stopTimes are the times of the signal that began a stop.
+type stopTimes struct {
+	// noticed is when the process noticed the signal.
+	noticed time.Time
+	// signalled is the earliest time at which the signal may have been sent, apart from delays below
+	// pauseThreshold.
+	signalled time.Time
+}
+
+// beginStop records the times of a signal that is noticed now.
+func (g *Gateway) beginStop() *stopTimes {
+	noticed := time.Now()
+	g.mu.Lock()
+	signalled := g.pauses.EarliestSignal(noticed.Sub(g.start))
+	g.mu.Unlock()
+	s := &stopTimes{noticed: noticed, signalled: g.start.Add(signalled)}
+	g.stopTimes.Store(s)
+	return s
+}
+
+// timeSinceSignal returns the longest time that may have passed since the stop signal was sent, apart from
+// delays below pauseThreshold, or zero if no stop has begun.
+func (g *Gateway) timeSinceSignal() time.Duration {
+	s := g.stopTimes.Load()
+	if s == nil {
 		return 0
 	}
-	return time.Since(*at)
+	return time.Since(s.signalled)
+}
+
+// timeToStop returns the time that is left until the process ends whatever is in flight.
+func (g *Gateway) timeToStop() time.Duration {
+	return g.opts.Settings.Limits.StopTimeout - stopMargin - g.timeSinceSignal()
 }
 
 // Stop makes Ready fail at once and goes on serving requests that still arrive. It returns
 // when no request is in flight or partly read and callers have had time to move to other gateways,
-// or at the stop timeout.
+// or at the stop timeout. That counts from the signal, so that the process ends before it is killed; callers'
+// time counts from when Ready has begun to fail.
 func (g *Gateway) Stop(ctx context.Context) {
-	now := time.Now()
-	g.stoppedAt.Store(&now)
+	times := g.beginStop()
 	g.post(ctx, stopRequested{})
-	limit := g.opts.Settings.Limits.StopTimeout - stopMargin
 	nextLine := stopLogInterval
-	for g.timeSinceStop() < limit {
-		if g.timeSinceStop() > stopIdleTime+sweepInterval && g.nothingRead() {
+	for g.timeToStop() > 0 {
+		failing := time.Since(times.noticed)
+		if failing > stopIdleTime+sweepInterval && g.nothingRead() {
 			break
 		}
-		if g.timeSinceStop() >= nextLine {
+		if failing >= nextLine {
 			nextLine += stopLogInterval
 			g.opts.Logger.Info().Str("event", "stop-waits").Int64("requests", g.inFlight.Load()).
-				Int64("stop_ms", g.timeSinceStop().Milliseconds()).Msg("")
+				Int64("stop_ms", g.timeSinceSignal().Milliseconds()).Msg("")
 		}
-		time.Sleep(stopPollInterval)
+		time.Sleep(min(stopPollInterval, g.timeToStop()))
 	}
 	g.logUnfinished()
 	g.opts.Logger.Info().Str("event", "stop-ends").Int64("requests", g.inFlight.Load()).
-		Int64("took_ms", g.timeSinceStop().Milliseconds()).Msg("")
+		Int64("took_ms", time.Since(times.noticed).Milliseconds()).Msg("")
 }
 
 // nothingRead reports whether no request is in flight or partly read. The number in flight is checked on both
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -12,6 +12,9 @@
 	lastBeat  time.Duration
 	// from and to enclose the last pause. Both are zero if there was none.
 	from, to time.Duration
+	// signalFrom is the earliest time at which a signal may have been sent that was noticed at the end of
+	// the last pause.
+	signalFrom time.Duration
 }
 
 // NewDetector returns a detector for a process that starts at time zero. Pauses shorter than threshold
@@ -23,6 +26,7 @@
 func (d *Detector) Beat(now time.Duration) time.Duration {
 	silent := now - d.lastBeat
 	if silent >= d.threshold {
+		d.signalFrom = d.EarliestSignal(d.lastBeat)
 		d.from, d.to = d.earliestArrival(d.lastBeat), now
 	}
 	d.lastBeat = max(now, d.lastBeat)
@@ -43,6 +47,20 @@
 	return d.earliestArrival(read)
 }
 
+// EarliestSignal returns the earliest time at which a signal that the process notices at the given time may
+// have been sent to it, apart from delays below the threshold. Other than bytes, a signal is never sent
+// again: one that is noticed later than the threshold after a pause was sent after the pause.
+func (d *Detector) EarliestSignal(noticed time.Duration) time.Duration {
+	switch {
+	case noticed-d.lastBeat >= d.threshold:
+		return d.EarliestSignal(d.lastBeat)
+	case d.to > 0 && noticed-d.to < d.threshold:
+		return d.signalFrom
+	default:
+		return noticed
+	}
+}
+
 func (d *Detector) earliestArrival(read time.Duration) time.Duration {
 	if d.to > 0 && read-d.to <= d.to-d.from {
 		return min(read, d.from)
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -64,3 +64,30 @@
 		}
 	})
 }
+
+// TestEarliestSignal guards against a signal that counts as younger than it may be, or as sent before a pause
+// that had ended when it came.
+func TestEarliestSignal(t *testing.T) {
+	d := running(time.Second)
+	assert.Equal(t, d.EarliestSignal(1200*time.Millisecond), 1200*time.Millisecond)
+	assert.Equal(t, d.EarliestSignal(4*time.Second), time.Second, "noticed before the first beat")
+	d.Beat(4 * time.Second)
+	assert.Equal(t, d.EarliestSignal(4100*time.Millisecond), time.Second, "noticed just after the pause")
+	for at := 4100 * time.Millisecond; at < 4500*time.Millisecond; at += 100 * time.Millisecond {
+		d.Beat(at)
+	}
+	assert.Equal(t, d.EarliestSignal(4500*time.Millisecond), 4500*time.Millisecond, "noticed later")
+}
+
+// TestEarliestSignalOfSeveralPauses guards against a signal that is noticed only after the second of two pauses.
+func TestEarliestSignalOfSeveralPauses(t *testing.T) {
+	d := running(time.Second)
+	d.Beat(3 * time.Second)
+	d.Beat(3100 * time.Millisecond)
+	assert.Equal(t, d.EarliestSignal(5*time.Second), time.Second, "not noticed between the pauses")
+	d.Beat(5 * time.Second)
+	assert.Equal(t, d.EarliestSignal(5100*time.Millisecond), time.Second, "not noticed between the pauses")
+	d.Beat(5200 * time.Millisecond)
+	d.Beat(5400 * time.Millisecond)
+	assert.Equal(t, d.EarliestSignal(7*time.Second), 5400*time.Millisecond, "the process ran between the pauses")
+}
