gateway: refuse requests that a stop has no time for

In a stop a request was taken although answers of its route take longer than what was left until the process ends: it reached a target and was cut off.

Routes of which nothing is known are served as before, and nothing changes outside a stop.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -107,6 +107,7 @@
 		g.writeError(x, err)
 	}
 	g.logRequest(x, err)
+	g.recordAnswerTime(x, err)
 	x.progress.update(func(p *progress) { p.handled = true })
 	x.out.finish(x.req.KeepAlive) // false if the response has announced the close
 }
--- a/internal/gateway/filter_admit.go
+++ b/internal/gateway/filter_admit.go
@@ -16,11 +16,14 @@
 
 // admit counts the request for its service's retry budget and its level. It refuses the request if
 // the process has too many in flight, or if it arrived so late in a stop that it might not complete
-// before the process ends.
+// before the process ends, as its route's answers have shown or else by admissionTime.
 func admit(g *Gateway, x *exchange) *apierr.Error {
 	if g.timeSinceSignal() > admissionTime {
 		return apierr.New(apierr.KindDraining, g.opts.Settings.Name)
 	}
+	if err := g.requireTime(x); err != nil {
+		return err
+	}
 	if g.inFlight.Load() > maxInFlight {
 		return apierr.New(apierr.KindOverloaded, "too many requests in flight")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,7 @@
 	count          counters
 	levelMetrics   levelMetrics
 	answers        answerMeter
+	answerTimes    answerTimes
 
 	mu         sync.Mutex
 	balancer   *placement.Balancer
@@ -165,6 +166,7 @@
 		answeredRequests: newAnsweredRequests(),
 		evidenceChanged:  make(chan struct{}, 1),
 		requests:         newRequestTable(),
+		answerTimes:      newAnswerTimes(),
 	}
 	g.view.Store(&view{})
 	g.server = newServer(g)
