gateway: read what has arrived before closing an idle connection

A caller's request was reset if it reached the gateway just before the end of its idle connection, in a stop or otherwise: the event loop, when busy, closed the connection with the bytes unread. Between the decision and the end the loop could also read a request and drop it.

A connection with unread bytes is not idle any more, and the end is immediate.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -68,7 +68,7 @@
 	lingering bool
 }
 
-// expire closes the connection if its wait is still overdue.
+// expire closes the connection if its wait is still overdue. It runs on the event loop.
 func (cc *callerConn) expire() {
 	w := cc.waiting.Load()
 	if cc.closed || w == nil || !cc.s.overdue(w, time.Now()) || cc.closing && !w.lingering {
@@ -78,8 +78,11 @@
 		cc.reject(apierr.New(apierr.KindSlowRequest, ""))
 		return
 	}
+	if arrived, err := unix.IoctlGetInt(cc.conn.Fd(), unix.TIOCINQ); err == nil && arrived > 0 {
+		return // the event loop reads the next request as soon as it can
+	}
 	cc.closing = true
-	_ = cc.conn.Close()
+	_ = cc.conn.EventLoop().Close(cc.conn) // at once, so that nothing more is read; fails only if it is closed already
 }
 
 // read takes all bytes that have arrived, so that gnet keeps none.
