--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -68,7 +68,7 @@
 	lingering bool
 }
 
-// expire closes the connection if its wait is still overdue.
+// expire closes the connection if its wait is still overdue. It runs on the event loop.
 func (cc *callerConn) expire() {
 	w := cc.waiting.Load()
 	if cc.closed || w == nil || !cc.s.overdue(w, time.Now()) || cc.closing && !w.lingering {
@@ -78,8 +78,11 @@
 		cc.reject(apierr.New(apierr.KindSlowRequest, ""))
 		return
 	}
+	if arrived, err := unix.IoctlGetInt(cc.conn.Fd(), unix.TIOCINQ); err == nil && arrived > 0 {
+		return // the event loop reads the next request as soon as it can
+	}
 	cc.closing = true
-	_ = cc.conn.Close()
+	_ = cc.conn.EventLoop().Close(cc.conn) // at once, so that nothing more is read; fails only if it is closed already
 }
 
 // read takes all bytes that have arrived, so that gnet keeps none.
@@ -233,11 +236,11 @@
 func (cc *callerConn) startRequest(req *http1.Request, v *view) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cc.busy, cc.headChecked, cc.reader = true, false, http1.RequestReader{}
-	cc.waiting.Store(nil)
 	g, budget := cc.s.g, cc.s.budget
+	g.inFlight.Add(1)
+	cc.waiting.Store(nil)
 	budget.set(cc.account, callerbuf.Incomplete, 0)
 	handled := budget.handled(cc, req.Held())
-	g.inFlight.Add(1)
 	x := &exchange{ctx: ctx, req: req, view: v, arrived: time.Now(), firstByte: cc.firstByte}
 	if len(cc.pipelined) == 0 {
 		cc.firstByte = time.Time{}
@@ -264,7 +267,7 @@
 		return
 	}
 	cc.s.g.opts.Logger.Warn().Str("event", "closed-unanswered").Int("bytes", len(cc.pipelined)).
-		Int64("stop_ms", cc.s.g.timeSinceStop().Milliseconds()).Str("peer", cc.conn.RemoteAddr().String()).Msg("")
+		Int64("stop_ms", cc.s.g.timeSinceSignal().Milliseconds()).Str("peer", cc.conn.RemoteAddr().String()).Msg("")
 }
 
 // reject sends an error response to bytes that are not an acceptable request, or to a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,7 @@
 	count          counters
 	levelMetrics   levelMetrics
 	answers        answerMeter
+	answerTimes    answerTimes
 
 	mu         sync.Mutex
 	balancer   *placement.Balancer
@@ -117,8 +118,8 @@
 	// inFlight counts the requests whose responses have not been sent yet, and requests contains them.
 	inFlight atomic.Int64
 	requests *requestTable
-	// stoppedAt is the time at which the stop began, or nil.
-	stoppedAt atomic.Pointer[time.Time]
+	// stopTimes are the times of the stop signal, or nil.
+	stopTimes atomic.Pointer[stopTimes]
 	server    *server
 }
 
@@ -165,6 +166,7 @@
 		answeredRequests: newAnsweredRequests(),
 		evidenceChanged:  make(chan struct{}, 1),
 		requests:         newRequestTable(),
+		answerTimes:      newAnswerTimes(),
 	}
 	g.view.Store(&view{})
 	g.server = newServer(g)
