link: a node that closes ends its output and waits for its peers

Answers that an agent, or an entry that forwards, had sent before it ended were lost if the process at the other end was slow: the link was closed as soon as the socket had accepted the last frame. Whatever the peer sent from then on was answered with a reset, and what it had not read yet went with the connection.

Close now shuts down the sending side when everything is in the socket, and waits, within the time that its caller gives, until the peer has read to the end and closed the link. Meanwhile no new links are accepted. The event loops are stopped with a time of their own, so that a peer that reads nothing no longer turns a stop into a failure.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -8,6 +8,7 @@
 
 	"github.com/gobwas/ws"
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"github.com/gentiantrail/gentiantrail/internal/message"
 )
@@ -31,6 +32,7 @@
 	welcome     *message.Welcome
 	identity    message.Identity // constant once authenticated is true
 	closeCause  error            // why this side closes the link
+	outputEnded bool             // the peer reads the end of this side's output
 
 	authenticated atomic.Bool  // the handshake is complete
 	closed        atomic.Bool  // no more output is accepted
@@ -142,7 +144,7 @@
 	}
 }
 
-// connClosed reports whether the connection has ended; it runs on the event loop.
+// connClosed reports whether the connection has ended. The answer lasts only on the event loop.
 func (l *link) connClosed() bool {
 	select {
 	case <-l.ended:
@@ -152,6 +154,27 @@
 	}
 }
 
+// isOpen reports whether the link is authenticated and its connection has not ended.
+func (l *link) isOpen() bool { return l.authenticated.Load() && !l.connClosed() }
+
+// finishOutput ends the output of a link that accepts no more, once the socket has accepted
+// all of it. The peer closes the connection at the end of its input.
+func (l *link) finishOutput() {
+	if !l.isOpen() {
+		return
+	}
+	_ = l.execute(func() {
+		if l.connClosed() || l.outputEnded {
+			return
+		}
+		l.flush()
+		if l.connClosed() || l.conn.OutboundBuffered() > 0 {
+			return
+		}
+		l.outputEnded = unix.Shutdown(l.conn.Fd(), unix.SHUT_WR) == nil
+	})
+}
+
 // closeWith sends the queued output and closes the link; it may be called on any goroutine.
 func (l *link) closeWith(cause error) {
 	if l.closed.Swap(true) {
--- a/internal/link/engine.go
+++ b/internal/link/engine.go
@@ -36,6 +36,10 @@
 		l.closeCause = handshakeError("too many open handshakes", nil)
 		return nil, gnet.Close
 	}
+	if e.node.ctx.Err() != nil {
+		l.closeCause = ErrClosed
+		return nil, gnet.Close
+	}
 	if !dialled {
 		return nil, gnet.None
 	}
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,8 +15,12 @@
 	"github.com/gentiantrail/gentiantrail/internal/message"
 )
 
-// drainPollInterval is the interval at which Close checks whether all output has been sent.
-const drainPollInterval = 5 * time.Millisecond
+const (
+	// drainPollInterval is the interval at which Close checks whether all output has been sent.
+	drainPollInterval = 5 * time.Millisecond
+	// engineStopTimeout bounds the end of the event loops, which wait for nothing.
+	engineStopTimeout = time.Second
+)
 
 // Node accepts and dials the links of one process.
 type Node struct {
@@ -152,8 +157,9 @@
 	return infos
 }
 
-// Close stops dialling, sends the queued output until ctx ends, and closes all links.
-// Handler.Down is called for each. Further calls return the result of the first.
+// Close stops dialling, sends the queued output and waits until the peers have read it or
+// ctx ends, and closes all links. Handler.Down is called for each. Further calls return the
+// result of the first.
 func (n *Node) Close(ctx context.Context) error {
 	n.closeOnce.Do(func() { n.closeErr = n.close(ctx) })
 	return n.closeErr
@@ -163,6 +169,7 @@
 	n.cancel()
 	n.wg.Wait()
 	n.drain(ctx)
+	n.finish(ctx)
 	err := n.client.Stop()
 	n.mu.Lock()
 	server, serverResult := n.server, n.serverResult
@@ -170,7 +177,9 @@
 	if serverResult == nil {
 		return err
 	}
-	if stopErr := server.Stop(ctx); stopErr != nil {
+	stopCtx, cancel := context.WithTimeout(context.Background(), engineStopTimeout)
+	defer cancel()
+	if stopErr := server.Stop(stopCtx); stopErr != nil {
 		return stopErr
 	}
 	return <-serverResult
@@ -199,6 +208,28 @@
 	return false
 }
 
+// finish ends the output of all links and waits until the peers have closed them, which
+// they do when they have read everything, or until ctx ends. A connection that is closed
+// while the peer still sends is reset, and what the peer has not read is lost.
+func (n *Node) finish(ctx context.Context) {
+	links := n.snapshot()
+	for _, l := range links {
+		l.closed.Store(true)
+	}
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for slices.ContainsFunc(links, (*link).isOpen) {
+		for _, l := range links {
+			l.finishOutput()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // add registers an open connection. It returns false if more than MaxPending accepted
 // connections have not completed the handshake.
 func (n *Node) add(l *link) bool {
