entry, agent: the final frame of an answer has the request's time

Callers saw whole answers end as truncated at their deadline: the pieces of a body wait for room on the link until the deadline, but its final frame was dropped if the link's queue was full for a second, and nothing tells the receiver then that the answer is whole.

The final frame now waits until the request's deadline, and at least a second if that has passed.

--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -28,7 +29,7 @@
 )
 
 // fakeTarget counts runs. Requests to /drop lose their connection, those to /crash end the target,
-// and those to any other path but /free block until release is closed.
+// and those to any other path but /free and /stream block until release is closed.
 type fakeTarget struct {
 	addr    string
 	ln      net.Listener
@@ -55,6 +56,9 @@
 	f.mu.Unlock()
 	switch path {
 	case "/free":
+	case "/stream":
+		ctx.SetBodyStream(strings.NewReader("answer of /stream"), -1)
+		return
 	case "/crash":
 		_ = f.ln.Close()
 		_ = ctx.Conn().Close()
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -11,6 +11,10 @@
 	"github.com/gentiantrail/gentiantrail/internal/target"
 )
 
+// minFinalFrameTime is the least time in which the final frame of a run has to be queued on
+// the link; one that ends earlier than its deadline has the time until then.
+const minFinalFrameTime = time.Second
+
 // stage is one step of a run; a non-nil error ends the run and is sent to the entry.
 type stage func(a *Agent, r *run) *apierr.Error
 
@@ -101,7 +105,7 @@
 	if err != nil {
 		end = failureFrame(r.req.ID, err, *a.load.Load())
 	}
-	ctx, cancel := context.WithTimeout(a.baseCtx, time.Second)
+	ctx, cancel := context.WithTimeout(a.baseCtx, max(time.Until(r.deadline), minFinalFrameTime))
 	defer cancel()
 	_ = send(ctx, r.peer, end)
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -12,9 +12,9 @@
 	"github.com/gentiantrail/gentiantrail/internal/routing"
 )
 
-// finalFrameTimeout bounds the time until the final frame of a forward is queued on the
-// link.
-const finalFrameTimeout = time.Second
+// minFinalFrameTime is the least time in which the final frame of a forward has to be queued
+// on the link; one that ends earlier than its deadline has the time until then.
+const minFinalFrameTime = time.Second
 
 // forward is a request that a peer entry of another availability zone has passed on to
 // this entry.
@@ -229,7 +229,8 @@
 	if err != nil {
 		end.Failure = toFailure(err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), finalFrameTimeout)
+	timeout := max(f.exchange.remaining(time.Now()), minFinalFrameTime)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	_ = sendFrame(ctx, f.peer, end)
 }
