entry, agent: no lost credit, refusal or withdrawal on a full queue

Callers saw streams stand still and end as truncated at their deadline, and requests that an agent had refused, and which another target could have served, get no answer before the deadline's margin.

Cause: credit, refusals, withdrawals and their answers, and cancellations were sent once. If the link's queue was full at that moment, they were dropped, and nothing sends them again: credit that is lost is missing for the rest of the answer.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -138,7 +138,8 @@
 	c.agent.metrics.Count(err.Kind)
 	c.agent.opts.Logger.Info().Str("event", "refused").Str("request", j.req.RequestID).
 		Str("kind", err.Kind.String()).Str("detail", err.Detail).Msg("")
-	_ = j.peer.Send(failureFrame(j.req.ID, err, *c.agent.load.Load()))
+	frame := failureFrame(j.req.ID, err, *c.agent.load.Load())
+	link.SendSoon(j.peer, frame, max(time.Until(j.deadline), minFinalFrameTime))
 }
 
 // applyEffects starts and refuses other requests as the admission controller decided, and
--- a/internal/agent/full_queue_test.go
+++ b/internal/agent/full_queue_test.go
@@ -40,3 +40,19 @@
 	h.request(1, "/stream", nil)
 	assert.Equal(t, h.finalKind(1), apierr.KindNone)
 }
+
+// TestRefusalIsNotLostOnAFullQueue refuses a request while the link to the entry is full: the
+// entry must hear of it, since it could send the request to another target.
+func TestRefusalIsNotLostOnAFullQueue(t *testing.T) {
+	h := newHarness(t, 4)
+	h.entry = h.linkFull(2, 100*time.Millisecond)
+	h.request(1, "/free", func(r *message.Request) { r.Incarnation = incarnation + 1 })
+	assert.Equal(t, h.finalKind(1), apierr.KindStaleIncarnation)
+}
+
+// TestWithdrawalIsAnsweredOnAFullQueue withdraws a request while the link to the entry is full:
+// without the answer its caller would not be told that it did not run.
+func TestWithdrawalIsAnsweredOnAFullQueue(t *testing.T) {
+	h := newHarness(t, 4)
+	assert.Assert(t, h.withdraw(h.linkFull(2, 30*time.Millisecond), 1))
+}
--- a/internal/agent/withdraw.go
+++ b/internal/agent/withdraw.go
@@ -12,7 +12,7 @@
 func (c *control) handleWithdraw(p link.Peer, id uint64) {
 	key := jobID{sender: p.Identity().Incarnation, id: id}
 	notRun := c.withdrawJob(key)
-	_ = p.Send(&message.Withdrawn{ID: id, NotRun: notRun})
+	link.SendSoon(p, &message.Withdrawn{ID: id, NotRun: notRun}, minFinalFrameTime)
 }
 
 func (c *control) withdrawJob(key jobID) bool {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -117,7 +117,7 @@
 	a.closed = true
 	a.timer.Stop()
 	if !a.complete {
-		_ = a.call.peer.Send(&message.Cancel{ID: a.call.key.id})
+		a.call.send(&message.Cancel{ID: a.call.key.id})
 	}
 	err := a.err
 	if err == nil && !a.complete {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -25,6 +25,8 @@
 type call struct {
 	key  callKey
 	peer link.Peer
+	// deadline is when the answer is due.
+	deadline time.Time
 
 	mu          sync.Mutex
 	queue       []message.Message
@@ -107,10 +109,13 @@
 // grant lets the peer send n more body bytes.
 func (c *call) grant(n int) {
 	if n > 0 {
-		_ = c.peer.Send(&message.Credit{ID: c.key.id, Bytes: n})
+		c.send(&message.Credit{ID: c.key.id, Bytes: n})
 	}
 }
 
+// send sends m to the peer; while the link's queue is full, until the deadline.
+func (c *call) send(m message.Message) { link.SendSoon(c.peer, m, time.Until(c.deadline)) }
+
 // callTable finds the call that an incoming message belongs to.
 type callTable struct {
 	mu     sync.Mutex
@@ -120,15 +125,16 @@
 
 func newCallTable() *callTable { return &callTable{calls: make(map[callKey]*call)} }
 
-// open registers a new call on p.
-func (t *callTable) open(p link.Peer) *call {
+// open registers a new call on p, whose answer is due at the deadline.
+func (t *callTable) open(p link.Peer, deadline time.Time) *call {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.nextID++
 	c := &call{
-		key:  callKey{peer: p.Identity().Incarnation, id: t.nextID},
-		peer: p,
-		wake: make(chan struct{}, 1),
+		key:      callKey{peer: p.Identity().Incarnation, id: t.nextID},
+		peer:     p,
+		deadline: deadline,
+		wake:     make(chan struct{}, 1),
 	}
 	t.calls[c.key] = c
 	return c
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -108,7 +108,7 @@
 	if p == nil {
 		return nil, apierr.New(apierr.KindTargetUnreachable, x.target)
 	}
-	c := e.calls.open(p)
+	c := e.calls.open(p, x.deadline)
 	requests := choice.Requests()
 	requests.Begin()
 	if err := p.Send(attemptFrame(x, choice, c)); err != nil {
@@ -223,7 +223,7 @@
 func (w *headWaiter) sendWithdraw() {
 	if !w.withdrawn {
 		w.withdrawn = true
-		_ = w.call.peer.Send(&message.Withdraw{ID: w.call.key.id})
+		w.call.send(&message.Withdraw{ID: w.call.key.id})
 	}
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -88,17 +88,22 @@
 
 // addAgent links an agent to the entry and waits until requests can reach it.
 func (s *testEntry) addAgent(name string, f agentFunc) *linktest.Peer {
-	id := message.Identity{
-		Role: message.RoleAgent, Name: name, AvailabilityZone: testZone,
-		Pool: "pool", Incarnation: uint64(len(name)) + 100,
-	}
-	var p *linktest.Peer
-	p = linktest.NewPeer(id, func(m message.Message) error {
+	return s.addPeer(name, func(p *linktest.Peer, m message.Message) error {
 		if _, ok := m.(*message.Members); !ok {
 			go f(p, m)
 		}
 		return nil
 	})
+}
+
+// addPeer links an agent that takes, or refuses, each message on its sender's goroutine.
+func (s *testEntry) addPeer(name string, onSend func(*linktest.Peer, message.Message) error) *linktest.Peer {
+	id := message.Identity{
+		Role: message.RoleAgent, Name: name, AvailabilityZone: testZone,
+		Pool: "pool", Incarnation: uint64(len(name)) + 100,
+	}
+	var p *linktest.Peer
+	p = linktest.NewPeer(id, func(m message.Message) error { return onSend(p, m) })
 	s.entry.Up(p)
 	s.entry.Message(p, &message.Heartbeat{Load: warm})
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
