entry: a stop answers what it has read on kept connections

Callers with kept connections lost requests when an entry stopped: their connection was closed, without an answer and without notice, behind an answer that was sent during the stop, and at the end of the stop also in the middle of a request.

Cause: answers said `Connection: close` only once the last request in flight had ended. Then the HTTP library ended each connection behind the answer at hand, also if that one did not say so and a request had been sent behind it, and closed idle ones even if a request had just arrived. A request of which a part had been read had 5 s, less than the read timeout allows; after that the program exited with code 1 and without closing its links.

The entry now says `Connection: close` from the begin of the stop on, and ends connections itself: those without a request for 500 ms by ending their wait for one, so that a request that has been read is answered all the same. The others end behind their next answer. A request that is being read has the read timeout; if it comes too late, its answer is `draining`. sockopt.IsQuiet no longer waits for another reader of the connection.

--- a/cmd/gentiantrail-entry/main.go
+++ b/cmd/gentiantrail-entry/main.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/daemon"
 	"github.com/gentiantrail/gentiantrail/internal/entry"
@@ -63,14 +61,17 @@
 	}
 }
 
-// stop rejects new work and returns once every request in flight has been answered; it
-// fails if the stop timeout ends first.
-func stop(s *settings.Entry, p *daemon.Process, e *entry.Entry, server *fasthttp.Server) error {
+// stop rejects new work and returns once every request in flight, and every one that is being
+// read, has been answered; it fails if the stop timeout ends first.
+func stop(s *settings.Entry, p *daemon.Process, e *entry.Entry, server *entry.Server) error {
 	e.Stop()
 	if err := daemon.Await(e.Done(), s.Limits.StopTimeout); err != nil {
 		return err
 	}
-	if err := daemon.ShutdownServer(server); err != nil {
+	// A caller has the read timeout for the rest of its request, and then takes the answer.
+	ctx, cancel := context.WithTimeout(context.Background(), s.Limits.ReadTimeout+daemon.FlushTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
 		return err
 	}
 	return p.Close()
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/valyala/fasthttp"
 
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
@@ -16,8 +15,8 @@
 const (
 	// logLevel is the lowest level that is logged.
 	logLevel = "info"
-	// flushTimeout bounds the sending of the last frames and answers at a stop.
-	flushTimeout = 5 * time.Second
+	// FlushTimeout bounds the sending of the last frames and answers at a stop.
+	FlushTimeout = 5 * time.Second
 )
 
 // Process contains the parts that every daemon has: its identity, log, metrics, link
@@ -86,16 +85,9 @@
 	}
 }
 
-// ShutdownServer closes a server whose requests have all been answered.
-func ShutdownServer(s *fasthttp.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
-	defer cancel()
-	return s.ShutdownWithContext(ctx)
-}
-
 // Close sends the queued frames and closes the links, the admin server and the metrics.
 func (p *Process) Close() error {
-	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), FlushTimeout)
 	defer cancel()
 	err := p.Node.Close(ctx)
 	_ = p.admin.Close(ctx)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -60,6 +60,12 @@
 	ln    *fasthttputil.InmemoryListener
 }
 
+func testLimits() settings.EntryLimits {
+	limits := settings.DefaultEntryLimits()
+	limits.Header, limits.Body, limits.ReadTimeout = 4<<10, 2<<10, 300*time.Millisecond
+	return limits
+}
+
 func newTestEntry(t testing.TB) *testEntry {
 	t.Helper()
 	e := New(Options{
@@ -72,9 +78,7 @@
 	s := &testEntry{t: t, entry: e, ln: fasthttputil.NewInmemoryListener()}
 	go e.Run()
 	e.Configure(testConfig())
-	limits := settings.DefaultEntryLimits()
-	limits.Header, limits.Body, limits.ReadTimeout = 4<<10, 2<<10, 300*time.Millisecond
-	h := e.NewServer(limits)
+	h := e.NewServer(testLimits())
 	go func() { _ = h.Serve(s.ln) }()
 	t.Cleanup(func() {
 		_ = s.ln.Close()
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -14,7 +14,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
-	"github.com/gentiantrail/gentiantrail/internal/settings"
 )
 
 const (
@@ -31,22 +30,6 @@
 // callerFilters are the filters that a caller's request passes before its dispatch.
 var callerFilters = []filter{identify, classify, checkBodySize, setDeadline, prepareRequest, screen, admit}
 
-// NewServer returns the HTTP server for callers.
-func (e *Entry) NewServer(limits settings.EntryLimits) *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler:               e.Handle,
-		ErrorHandler:          e.handleReadError,
-		ReadBufferSize:        int(limits.Header),
-		MaxRequestBodySize:    int(limits.Body),
-		ReadTimeout:           limits.ReadTimeout,
-		IdleTimeout:           limits.IdleTimeout,
-		Concurrency:           limits.Connections,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		Logger:                discardLogger{},
-	}
-}
-
 // discardLogger drops fasthttp's own messages; requests that cannot be read are logged
 // as events.
 type discardLogger struct{}
@@ -54,8 +37,17 @@
 // Printf implements fasthttp.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
-// Handle serves one caller's request.
+// Handle serves one caller's request. In a stop, the answer says that the connection is
+// closed behind it.
 func (e *Entry) Handle(ctx *fasthttp.RequestCtx) {
+	e.serve(ctx)
+	if e.view.Load().stopping {
+		ctx.SetConnectionClose()
+	}
+}
+
+// serve answers one caller's request; the body of a long answer is read later.
+func (e *Entry) serve(ctx *fasthttp.RequestCtx) {
 	x := e.newExchange(ctx)
 	err := e.run(x, callerFilters)
 	x.header = nil
@@ -195,7 +187,11 @@
 func (e *Entry) handleReadError(ctx *fasthttp.RequestCtx, cause error) {
 	x := &exchange{arrived: time.Now(), view: e.view.Load()}
 	x.req.RequestID = newRequestID()
-	e.finishWithError(ctx, x, apierr.Wrap(readErrorKind(cause), "", cause))
+	kind := readErrorKind(cause)
+	if kind == apierr.KindSlowRequest && x.view.stopping {
+		kind = apierr.KindDraining
+	}
+	e.finishWithError(ctx, x, apierr.Wrap(kind, "", cause))
 	ctx.SetConnectionClose()
 }
 
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/gentiantrail/gentiantrail/internal/settings"
+	"github.com/gentiantrail/gentiantrail/internal/sockopt"
+)
+
+const (
+	// stopIdleTime is the time without a request after which Shutdown closes a caller's
+	// connection. Callers that send sooner are told with their answer.
+	stopIdleTime = 500 * time.Millisecond
+	// shutdownPollInterval is the interval at which Shutdown looks at the connections.
+	shutdownPollInterval = 20 * time.Millisecond
+)
+
+// Server accepts callers' connections. Once the entry is stopping, each answer says that the
+// connection is closed behind it.
+type Server struct {
+	http *fasthttp.Server
+
+	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
+	conns    map[net.Conn]callerConn
+}
+
+// callerConn is the state of a caller's connection.
+type callerConn struct {
+	// idleSince is when the last answer was sent or the connection was accepted; it is zero
+	// while a request is read or handled.
+	idleSince time.Time
+	// ending is true once the connection has been told to end for being idle.
+	ending bool
+}
+
+// NewServer returns the HTTP server for callers.
+func (e *Entry) NewServer(limits settings.EntryLimits) *Server {
+	s := &Server{conns: make(map[net.Conn]callerConn)}
+	s.http = &fasthttp.Server{
+		Handler:               e.Handle,
+		ErrorHandler:          e.handleReadError,
+		ReadBufferSize:        int(limits.Header),
+		MaxRequestBodySize:    int(limits.Body),
+		ReadTimeout:           limits.ReadTimeout,
+		IdleTimeout:           limits.IdleTimeout,
+		Concurrency:           limits.Connections,
+		NoDefaultServerHeader: true,
+		Logger:                discardLogger{},
+		ConnState:             s.recordState,
+	}
+	return s
+}
+
+// ListenAndServe accepts connections at addr until Shutdown; then it returns nil.
+func (s *Server) ListenAndServe(addr string) error {
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	return s.Serve(ln)
+}
+
+// Serve accepts connections from ln until Shutdown; then it returns nil.
+func (s *Server) Serve(ln net.Listener) error {
+	s.mu.Lock()
+	closed := s.closed
+	s.listener = ln
+	s.mu.Unlock()
+	if closed {
+		return ln.Close()
+	}
+	return s.http.Serve(ln)
+}
+
+// Shutdown accepts no more connections, and returns once every request that was read, also in
+// part, has been answered and the connections are closed. The entry must be stopping. It
+// returns ctx.Err() if ctx ends first, and the error of the listener's end.
+func (s *Server) Shutdown(ctx context.Context) error {
+	listenerErr := s.closeListener()
+	ticker := time.NewTicker(shutdownPollInterval)
+	defer ticker.Stop()
+	for s.endIdle() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), listenerErr)
+		case <-ticker.C:
+		}
+	}
+	return listenerErr
+}
+
+func (s *Server) closeListener() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.listener == nil {
+		return nil
+	}
+	return s.listener.Close()
+}
+
+// endIdle ends the connections that have been idle for stopIdleTime, and returns the number
+// of open ones. It ends their wait for a request instead of closing them: bytes that have
+// been read in the meantime are still handled.
+func (s *Server) endIdle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c, state := range s.conns {
+		if state.idleSince.IsZero() || now.Sub(state.idleSince) < stopIdleTime || !sockopt.IsQuiet(c) {
+			continue
+		}
+		state.ending = c.SetReadDeadline(now) == nil
+		s.conns[c] = state
+	}
+	return len(s.conns)
+}
+
+// recordState follows the state of a connection; the HTTP library calls it on the
+// connection's goroutine, before it sets deadlines of its own.
+func (s *Server) recordState(c net.Conn, state fasthttp.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case fasthttp.StateNew, fasthttp.StateIdle:
+		s.conns[c] = callerConn{idleSince: time.Now()}
+	case fasthttp.StateActive:
+		if s.conns[c].ending {
+			_ = c.SetReadDeadline(time.Now().Add(s.http.ReadTimeout))
+		}
+		s.conns[c] = callerConn{}
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(s.conns, c)
+	}
+}
--- a/internal/sockopt/idle.go
+++ b/internal/sockopt/idle.go
@@ -8,7 +8,7 @@
 )
 
 // IsQuiet reports whether a TCP connection is open and has no unread bytes. It is true for other
-// kinds of connections.
+// kinds of connections. Another goroutine may be reading from the connection.
 func IsQuiet(c net.Conn) bool {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
@@ -20,10 +20,9 @@
 	}
 	quiet := false
 	var probe [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		_, _, err := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = errors.Is(err, unix.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
