agent: refuse requests until the links are closed

Requests that reached an agent at the end of its stop got no answer, and their callers were told that they may have run.

Cause: the agent's control goroutine ended with its last request, and messages that came later were dropped. The links stay open after that, while the rank leaves its group and outcomes are recorded, for up to 5 s each. An entry that is late with its messages, or that has just linked and was not told that the agent leaves, still sends requests and withdrawals then.

Run now ends with Close, after the links; Done tells when the agent has stopped.

--- a/cmd/gentiantrail-agent/main.go
+++ b/cmd/gentiantrail-agent/main.go
@@ -69,6 +69,7 @@
 	groupCtx, leaveGroup := context.WithCancel(ctx)
 	defer leaveGroup()
 	go rank.run(groupCtx)
+	defer a.Close()
 	go a.Run()
 	go a.WatchHealth(ctx)
 	go claimService.Run(ctx)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,7 +71,9 @@
 	load    atomic.Pointer[message.Load]
 	baseCtx context.Context
 	cancel  context.CancelFunc
-	done    chan struct{}
+	// done is closed when the agent has stopped, closed when Run is to return.
+	done, closed chan struct{}
+	closeOnce    sync.Once
 	// metrics counts refused and finished requests; durations are measured from admission
 	// to the end of the run.
 	metrics    *observe.RequestMetrics
@@ -87,6 +90,7 @@
 		start:   time.Now(),
 		events:  make(chan event, eventQueueSize),
 		done:    make(chan struct{}),
+		closed:  make(chan struct{}),
 		metrics: observe.NewRequestMetrics(opts.Metrics, "runs", "run_duration"),
 	}
 	a.baseCtx, a.cancel = context.WithCancel(context.Background())
@@ -95,31 +99,41 @@
 	return a
 }
 
-// Run handles events until Stop has been called, no request waits or runs, and
-// minStopTime has passed.
+// Run handles events until Close. It closes Done's channel once Stop has been called, no
+// request waits or runs, and minStopTime has passed; until Close it refuses requests.
 func (a *Agent) Run() {
-	defer close(a.done)
 	defer a.cancel()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for !a.control.finished() {
+	for stopped := false; ; {
 		select {
 		case ev := <-a.events:
 			ev.apply(a.control)
 		case <-timer.C:
 			a.control.tick()
+		case <-a.closed:
+			return
+		}
+		if !stopped && a.control.finished() {
+			stopped = true
+			close(a.done)
 		}
 		timer.Reset(a.control.nextTick() - a.now())
 	}
 }
 
-// Stop makes the agent refuse new requests and announces that to the entries. Run returns
-// once all open requests have ended and minStopTime has passed.
+// Stop makes the agent refuse new requests and announces that to the entries. Done tells when
+// all open requests have ended and minStopTime has passed.
 func (a *Agent) Stop() { a.post(stopRequested{}) }
 
-// Done returns a channel that is closed when Run returns.
+// Done returns a channel that is closed when the agent has stopped. Its links may be closed
+// then.
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
+// Close ends Run, and the requests that are open. The links must be closed before, since
+// later messages are dropped.
+func (a *Agent) Close() { a.closeOnce.Do(func() { close(a.closed) }) }
+
 // Ready returns an error while the target is down or takes no new work.
 func (a *Agent) Ready() error {
 	load := a.load.Load()
@@ -132,12 +146,12 @@
 // Configure applies a configuration.
 func (a *Agent) Configure(x *config.Index) { a.post(configReceived{index: x}) }
 
-// post hands an event to the control goroutine and waits for room in the queue; once Run
-// has returned, the event may be dropped.
+// post hands an event to the control goroutine and waits for room in the queue; after Close,
+// the event may be dropped.
 func (a *Agent) post(ev event) {
 	select {
 	case a.events <- ev:
-	case <-a.done:
+	case <-a.closed:
 	}
 }
 
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -132,7 +132,7 @@
 		Metrics:  tally.NoopScope,
 	})
 	go h.agent.Run()
-	t.Cleanup(h.agent.Stop)
+	t.Cleanup(h.agent.Close)
 	h.agent.Configure(poolConfig(limit, false).Index())
 	h.agent.post(healthChecked{up: true, startID: 1})
 	h.entry = h.link(1)
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -72,14 +72,14 @@
 	return s
 }
 
-// State returns the agent's current state, or the zero State once Run has returned.
+// State returns the agent's current state, or the zero State after Close.
 func (a *Agent) State() State {
 	reply := make(chan State, 1)
 	a.post(stateRequested{reply: reply})
 	select {
 	case s := <-reply:
 		return s
-	case <-a.done:
+	case <-a.closed:
 		return State{}
 	}
 }
