entry, agent: a stop names what it leaves, and closes in order

When the stop timeout ended before the last request, the program exited at once: answers that were queued on links were not sent, an agent's recorded outcomes not flushed and its rank's lease not released, and no line said which requests were lost. Nor could a stop that still waits be told from a killed one.

An entry whose caller does not take its answer ends with closed-unanswered and code 3 instead of 1, and closes its links too.

--- a/cmd/gentiantrail-agent/main.go
+++ b/cmd/gentiantrail-agent/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/agent"
@@ -79,10 +80,7 @@
 	}
 	p.LogStart()
 	<-daemon.StopSignals()
-	a.Stop()
-	if err := daemon.Await(a.Done(), s.StopTimeout); err != nil {
-		return err
-	}
+	stopErr := p.Stop(a, s.StopTimeout)
 	leaveGroup()
 	<-rank.done
 	flushCtx, cancelFlush := context.WithTimeout(ctx, flushTimeout)
@@ -90,5 +88,5 @@
 	if err := claimService.Flush(flushCtx); err != nil {
 		p.Logger.Warn().Str("event", "outcomes-not-recorded").Str("detail", err.Error()).Msg("")
 	}
-	return p.Close()
+	return errors.Join(stopErr, p.Close())
 }
--- a/cmd/gentiantrail-entry/main.go
+++ b/cmd/gentiantrail-entry/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/daemon"
@@ -62,17 +63,19 @@
 }
 
 // stop rejects new work and returns once every request in flight, and every one that is being
-// read, has been answered; it fails if the stop timeout ends first.
+// read, has been answered; it fails if the stop timeout ends first, once what has been answered
+// is sent.
 func stop(s *settings.Entry, p *daemon.Process, e *entry.Entry, server *entry.Server) error {
-	e.Stop()
-	if err := daemon.Await(e.Done(), s.Limits.StopTimeout); err != nil {
-		return err
+	if err := p.Stop(e, s.Limits.StopTimeout); err != nil {
+		return errors.Join(err, p.Close())
 	}
 	// A caller has the read timeout for the rest of its request, and then takes the answer.
 	ctx, cancel := context.WithTimeout(context.Background(), s.Limits.ReadTimeout+daemon.FlushTimeout)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		return err
+	err := server.Shutdown(ctx)
+	if open := (*entry.OpenConnectionsError)(nil); errors.As(err, &open) {
+		p.Logger.Warn().Str("event", "closed-unanswered").Int("connections", open.Count).Msg("")
+		err = errors.Join(daemon.ErrStopTimeout, err)
 	}
-	return p.Close()
+	return errors.Join(err, p.Close())
 }
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -8,6 +8,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/link"
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/observe"
 )
 
 // event is a change of the control state; apply runs on the control goroutine only.
@@ -53,6 +54,7 @@
 	configReceived    struct{ index *config.Index }
 	stopRequested     struct{}
 	stateRequested    struct{ reply chan State }
+	jobsRequested     struct{ reply chan []observe.Unfinished }
 )
 
 func (ev linkOpened) apply(c *control) {
@@ -129,6 +131,8 @@
 
 func (ev stateRequested) apply(c *control) { ev.reply <- c.state() }
 
+func (ev jobsRequested) apply(c *control) { ev.reply <- c.unfinished() }
+
 // failureFrame returns the final frame of a request that failed with e.
 func failureFrame(id uint64, e *apierr.Error, load message.Load) *message.ResponseEnd {
 	return &message.ResponseEnd{
--- a/internal/agent/job.go
+++ b/internal/agent/job.go
@@ -65,6 +65,9 @@
 	return j
 }
 
+// arrived returns when the agent received the request.
+func (j *job) arrived() time.Time { return j.deadline.Add(-j.req.Timeout) }
+
 // tryStart moves the job to phaseStarted. It returns false if the job was withdrawn.
 func (j *job) tryStart() bool {
 	return j.phase.CompareAndSwap(int32(phasePending), int32(phaseStarted))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,12 +103,13 @@
 	switch {
 	case err == nil:
 		os.Exit(ExitOK)
-	case errors.Is(err, errStopTimeout):
+	case errors.Is(err, ErrStopTimeout):
 		Fail(ExitForced, err)
 	default:
 		Fail(ExitFailure, err)
 	}
 }
 
-// errStopTimeout means that requests were still in flight when the stop timeout ended.
-var errStopTimeout = errors.New("stop timeout: requests are still in flight")
+// ErrStopTimeout means that requests were still in flight when the stop timeout ended, or that
+// their callers had not taken the answers.
+var ErrStopTimeout = errors.New("stop timeout: requests are still in flight")
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -75,16 +75,6 @@
 	return p.admin.Listen(addr)
 }
 
-// Await waits until done is closed; it returns an error if the stop timeout ends first.
-func Await(done <-chan struct{}, timeout time.Duration) error {
-	select {
-	case <-done:
-		return nil
-	case <-time.After(timeout):
-		return errStopTimeout
-	}
-}
-
 // Close sends the queued frames and closes the links, the admin server and the metrics.
 func (p *Process) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), FlushTimeout)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -42,6 +42,7 @@
 		}
 		x.attempts++
 		x.target = choice.Name()
+		e.requests.record(x)
 		a, err := e.attempt(x, choice)
 		e.tryPost(dispatchFinished{name: x.target, answered: err == nil || !isUnanswered(err.Kind)})
 		if err == nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,7 +59,9 @@
 	view    atomic.Pointer[view]
 	calls   *callTable
 	limiter *limiter
-	done    chan struct{}
+	// requests contains the requests that hold a slot of limiter.
+	requests *requestTable
+	done     chan struct{}
 
 	forwards *forwardTable
 	suspects *suspects
@@ -80,6 +82,7 @@
 		events:   make(chan event, eventQueueSize),
 		calls:    newCallTable(),
 		limiter:  newLimiter(opts.MaxRequests),
+		requests: newRequestTable(),
 		done:     make(chan struct{}),
 		forwards: newForwardTable(),
 		suspects: newSuspects(),
--- a/internal/entry/filter_admit.go
+++ b/internal/entry/filter_admit.go
@@ -9,6 +9,7 @@
 		return err
 	}
 	x.holdsSlot = true
+	e.requests.record(x)
 	// The slot is acquired before the check, so that either the stop counts the request
 	// as in flight, or the request sees the stop.
 	if e.view.Load().stopping {
@@ -21,6 +22,7 @@
 func (e *Entry) releaseSlot(x *exchange) {
 	if x.holdsSlot {
 		x.holdsSlot = false
+		e.requests.remove(x)
 		e.limiter.release(x.organisation)
 	}
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -80,21 +80,36 @@
 	return s.http.Serve(ln)
 }
 
+// OpenConnectionsError means that callers had not sent the rest of a request, or not taken its
+// answer, when the time for that ended.
+type OpenConnectionsError struct {
+	// Count is the number of their connections.
+	Count int
+}
+
+// Error implements error.
+func (e *OpenConnectionsError) Error() string {
+	return strconv.Itoa(e.Count) + " connections of callers are still open"
+}
+
 // Shutdown accepts no more connections, and returns once every request that was read, also in
 // part, has been answered and the connections are closed. The entry must be stopping. It
-// returns ctx.Err() if ctx ends first, and the error of the listener's end.
+// returns an *OpenConnectionsError if ctx ends first, and the error of the listener's end.
 func (s *Server) Shutdown(ctx context.Context) error {
 	listenerErr := s.closeListener()
 	ticker := time.NewTicker(shutdownPollInterval)
 	defer ticker.Stop()
-	for s.endIdle() > 0 {
+	for {
+		open := s.endIdle()
+		if open == 0 {
+			return listenerErr
+		}
 		select {
 		case <-ctx.Done():
-			return errors.Join(ctx.Err(), listenerErr)
+			return &OpenConnectionsError{Count: open}
 		case <-ticker.C:
 		}
 	}
-	return listenerErr
 }
 
 func (s *Server) closeListener() error {
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -40,7 +42,7 @@
 // stoppable is an entry whose server is shut down by a test, in the order of the program.
 type stoppable struct {
 	*testEntry
-	shutdown func() error
+	shutdown func(context.Context) error
 	caller   net.Conn
 	answers  *bufio.Reader
 }
@@ -52,7 +54,7 @@
 	limits.ReadTimeout = readTimeout
 	server, ln := s.entry.NewServer(limits), newPipeListener()
 	go func() { _ = server.Serve(ln) }()
-	s.shutdown = func() error { return server.Shutdown(t.Context()) }
+	s.shutdown = server.Shutdown
 	var accepted net.Conn
 	s.caller, accepted = net.Pipe()
 	ln.conns <- accepted
@@ -66,7 +68,7 @@
 	s.entry.Stop()
 	<-s.entry.Done()
 	result := make(chan error, 1)
-	go func() { result <- s.shutdown() }()
+	go func() { result <- s.shutdown(s.t.Context()) }()
 	time.Sleep(5 * tickInterval) // the shutdown has begun
 	return result
 }
@@ -156,3 +158,17 @@
 	assert.ErrorIs(t, err, io.EOF)
 	assert.NilError(t, <-result)
 }
+
+// TestCallerThatTakesNoAnswerEndsTheStop stops an entry one of whose callers never reads its
+// answer: the stop must end with the time that it is given, and say so.
+func TestCallerThatTakesNoAnswerEndsTheStop(t *testing.T) {
+	s := newStoppable(t, time.Second)
+	s.send(withKey("GET /svc/x", "")) // no target: the answer is a refusal
+	s.entry.Stop()
+	<-s.entry.Done()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	var open *OpenConnectionsError
+	assert.Assert(t, errors.As(s.shutdown(ctx), &open))
+	assert.Equal(t, open.Count, 1)
+}
--- a/test/scenario/expect_test.go
+++ b/test/scenario/expect_test.go
@@ -27,6 +27,7 @@
 //	expect none LOAD VERDICT…              no request of the load has one of the verdicts
 //	expect runs MARK N                     the plain services ran the request exactly N times
 //	expect standing                        no engine has crashed from overload
+//	expect logged NAME TEXT                the process's log contains the text
 func (c *cluster) cmdExpect(args []string) (string, error) {
 	switch {
 	case len(args) == 1 && args[0] == "judged":
@@ -43,13 +44,23 @@
 		return "", c.expectNone(args[1], args[2:])
 	case len(args) == 3 && args[0] == "runs":
 		return "", c.expectRuns(args[1], args[2])
+	case len(args) == 3 && args[0] == "logged":
+		return "", c.expectLogged(args[1], args[2])
 	case len(args) == 1 && args[0] == "standing":
 		return "", c.expectStanding()
 	default:
-		return "", errors.New("usage: expect judged|progress|quiet|busy|share|none|runs|standing …")
+		return "", errors.New("usage: expect judged|progress|quiet|busy|share|none|runs|standing|logged …")
 	}
 }
 
+func (c *cluster) expectLogged(name, text string) error {
+	p, err := c.process(name)
+	if err != nil {
+		return err
+	}
+	return p.checkLogged(text)
+}
+
 // expectJudged compares every answer with the runs recorded by all plain services.
 func (c *cluster) expectJudged() (string, error) {
 	results := c.results.Results(time.Time{}, time.Time{})
--- a/test/scenario/fault_test.go
+++ b/test/scenario/fault_test.go
@@ -42,8 +42,12 @@
 func (c *cluster) cmdCrash(args []string) (string, error) { return c.forEach(args, (*process).kill) }
 
 // cmdTerminate stops processes with SIGTERM and requires exit code 0: terminate
-// [-bg] NAME…. With -bg it does not wait for them; the command terminated does.
+// [-bg|-forced] NAME…. With -bg it does not wait for them; the command terminated does. With
+// -forced it requires the exit code of a stop whose timeout ended.
 func (c *cluster) cmdTerminate(args []string) (string, error) {
+	if len(args) > 0 && args[0] == "-forced" {
+		return c.forEach(args[1:], (*process).stopForced)
+	}
 	if len(args) > 0 && args[0] == "-bg" {
 		return c.forEach(args[1:], func(p *process) error { return p.signal(syscall.SIGTERM) })
 	}
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -12,6 +12,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/gentiantrail/gentiantrail/internal/daemon"
 )
 
 // kind is the kind of a process. For stand-ins it is also their subcommand.
@@ -102,6 +104,28 @@
 	return p.waitStopped()
 }
 
+// stopForced sends SIGTERM and requires that the process exits with daemon.ExitForced.
+func (p *process) stopForced() error {
+	err := p.stop()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && exit.ExitCode() == daemon.ExitForced {
+		return nil
+	}
+	return fmt.Errorf("%s did not exit with code %d: %w", p.name, daemon.ExitForced, err)
+}
+
+// checkLogged requires that the process's log contains text.
+func (p *process) checkLogged(text string) error {
+	content, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return err
+	}
+	if !strings.Contains(string(content), text) {
+		return fmt.Errorf("%s did not log %q", p.name, text)
+	}
+	return nil
+}
+
 // waitStopped waits at most stopTimeout for the exit of the process and requires code 0.
 func (p *process) waitStopped() error {
 	select {
--- a/test/scenario/start_test.go
+++ b/test/scenario/start_test.go
@@ -29,8 +29,8 @@
 //	start platform
 //	start engine NAME ZONE [STAND-IN FLAG…]
 //	start plain NAME ZONE
-//	start entry NAME ZONE
-//	start agent NAME ZONE POOL TARGET
+//	start entry NAME ZONE [STOP-TIMEOUT]
+//	start agent NAME ZONE POOL TARGET [STOP-TIMEOUT]
 //	start group NAME ZONE RANKS [STAND-IN FLAG…]
 //	start zone ZONE [entries=N] [drafting=N] [permits=N] [STAND-IN FLAG…]
 func (c *cluster) cmdStart(args []string) (string, error) {
@@ -41,10 +41,10 @@
 		return "", c.startStandin(kindEngine, args[1], args[2], args[3:])
 	case len(args) == 3 && args[0] == "plain":
 		return "", c.startStandin(kindPlain, args[1], args[2], nil)
-	case len(args) == 3 && args[0] == "entry":
-		return "", c.startEntry(args[1], args[2])
-	case len(args) == 5 && args[0] == "agent":
-		return "", c.startAgent(args[1], args[2], args[3], args[4])
+	case (len(args) == 3 || len(args) == 4) && args[0] == "entry":
+		return "", c.startEntry(args[1], args[2], args[3:]...)
+	case (len(args) == 5 || len(args) == 6) && args[0] == "agent":
+		return "", c.startAgent(args[1], args[2], args[3], args[4], args[5:]...)
 	case len(args) >= 4 && args[0] == "group":
 		return "", c.startGroup(args[1], args[2], args[3], args[4:])
 	case len(args) >= 2 && args[0] == "zone":
@@ -147,7 +147,7 @@
 	return c.platformAddrByZone[zone], nil
 }
 
-func (c *cluster) startEntry(name, zone string) error {
+func (c *cluster) startEntry(name, zone string, stopTimeout ...string) error {
 	platform, err := c.platformAddrFor(zone)
 	if err != nil {
 		return err
@@ -172,6 +172,9 @@
 	settings := fmt.Sprintf("name: %s\navailability_zone: %s\nlisten: %s\nlink_address: %s\nadvertise: %s\n"+
 		"admin_address: %s\nplatform_address: %s\nlink_key: %s\n%s",
 		name, zone, listen, linkAddr, forwarded, admin, platform, linkKey, yamlList("peers", peers))
+	for _, d := range stopTimeout {
+		settings += "limits:\n  stop_timeout: " + d + "\n"
+	}
 	p := &process{
 		kind: kindEntry, name: name, zone: zone, program: "gentiantrail-entry",
 		serviceAddr: listen, linkAddr: linkAddr, advertiseAddr: forwarded, adminAddr: admin,
@@ -186,7 +189,7 @@
 	return nil
 }
 
-func (c *cluster) startAgent(name, zone, pool, target string) error {
+func (c *cluster) startAgent(name, zone, pool, target string, stopTimeout ...string) error {
 	platform, err := c.platformAddrFor(zone)
 	if err != nil {
 		return err
@@ -206,6 +209,9 @@
 	settings := fmt.Sprintf("name: %s\navailability_zone: %s\npool: %s\ntarget_address: %s\n"+
 		"admin_address: %s\nplatform_address: %s\nlink_key: %s\n%s",
 		name, zone, pool, t.serviceAddr, admin, platform, linkKey, yamlList("entries", entries))
+	for _, d := range stopTimeout {
+		settings += "stop_timeout: " + d + "\n"
+	}
 	p := &process{
 		kind: kindAgent, name: name, zone: zone, program: "gentiantrail-agent",
 		target: target, adminAddr: admin,
