entry: keep the link to an address that another entry has taken over

Requests that were forwarded over a sound link could be cut off, once, three hours after an entry's address had passed to an entry of another name.

Cause: whether a dialled address is in use was decided by the name of the entry that it was dialled for. With that name gone, dialling was stopped after dialExpiry, which closes the link, although the entry that has the address now was linked and answering.

An address now counts as linked if any linked entry has it.

TestDialsToTheAddressOfALiveLinkDoNotExpire failed before ("1 != 0" addresses stopped) and passes now.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -80,13 +80,16 @@
 	}
 }
 
-// expireDials stops dialling the addresses that have had no link for dialExpiry.
+// expireDials stops dialling the addresses that have had no link for dialExpiry. An address
+// may belong to another entry than the one that it was dialled for.
 func (c *control) expireDials(now time.Duration) {
+	for name, s := range c.peers {
+		if _, dialled := c.dials[s.identity.Address]; dialled && c.isLinked(name) {
+			c.dials[s.identity.Address] = dial{identity: s.identity, lastLinked: now}
+		}
+	}
 	for addr, d := range c.dials {
-		switch {
-		case c.isLinked(d.identity.Name) && c.peers[d.identity.Name].identity.Address == addr:
-			c.dials[addr] = dial{identity: d.identity, lastLinked: now}
-		case now-d.lastLinked >= dialExpiry:
+		if now-d.lastLinked >= dialExpiry {
 			delete(c.dials, addr)
 			c.entry.opts.StopDialling(addr)
 		}
--- a/internal/entry/members_test.go
+++ b/internal/entry/members_test.go
@@ -61,3 +61,24 @@
 	c.expireDials(dialExpiry + dialExpiry/4)
 	assert.DeepEqual(t, stopped, []string{"old:1"})
 }
+
+// TestDialsToTheAddressOfALiveLinkDoNotExpire gives the address of an entry to another one: the
+// dialled link to that one carries answers, and must not be closed after dialExpiry.
+func TestDialsToTheAddressOfALiveLinkDoNotExpire(t *testing.T) {
+	var stopped []string
+	c := benchControl(0, 0)
+	c.entry.opts.StopDialling = func(addr string) { stopped = append(stopped, addr) }
+	member := func(name string) message.Identity {
+		return message.Identity{
+			Role: message.RoleEntry, Name: name, AvailabilityZone: testZone, Incarnation: 1, Address: "same:1",
+		}
+	}
+	c.dialMissing([]message.Member{{Identity: member("before")}})
+	old := linktest.NewPeer(member("before"), ignore)
+	c.addPeerLink(old)
+	c.removeLink(old)
+	c.addPeerLink(linktest.NewPeer(member("after"), ignore))
+	c.expireDials(dialExpiry / 2)
+	c.expireDials(dialExpiry + dialExpiry/4)
+	assert.Equal(t, len(stopped), 0)
+}
