mapper: a stop ends in its time, and says how

A mapper that handled no events, for example while its engine did not answer, did not end its stop within 3 s: it waited for the answer to a question of its own and was killed, with the last lines of its log. No mapper wrote stop-ends, of which the description of the log says that only a killed process has none.

The time now bounds the whole stop, and stop-ends tells with map_change whether a change of the map was left.

TestStopOfABusyMapperEndsInItsTime failed before ("the stop took 1m0.02s", the test's own limit) and passes now, as does the package with the race detector.

--- a/internal/mapper/stop.go
+++ b/internal/mapper/stop.go
@@ -19,17 +19,28 @@
 // is not held by this process's rank, or after stopTimeout. Run must end only after that, since a
 // group that is held makes no passes.
 func (m *Mapper) Stop(ctx context.Context) {
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
 	m.post(ctx, func(_ context.Context, m *Mapper) { m.beginStop() })
-	for begin := time.Now(); time.Since(begin) < stopTimeout && ctx.Err() == nil; time.Sleep(stopPollInterval) {
-		reply := make(chan bool, 1)
-		m.post(ctx, func(_ context.Context, m *Mapper) { reply <- m.mayEnd() })
-		select {
-		case mayEnd := <-reply:
-			if mayEnd {
-				return
-			}
-		case <-ctx.Done():
-		}
+	ended := false
+	for ; !ended && ctx.Err() == nil; time.Sleep(stopPollInterval) {
+		ended = m.askMayEnd(ctx)
+	}
+	m.opts.Logger.Info().Str("event", "stop-ends").Bool("map_change", !ended).
+		Int64("took_ms", time.Since(begin).Milliseconds()).Msg("")
+}
+
+// askMayEnd returns the result of mayEnd, or false if ctx ends before the events that wait have
+// been handled.
+func (m *Mapper) askMayEnd(ctx context.Context) bool {
+	reply := make(chan bool, 1)
+	m.post(ctx, func(_ context.Context, m *Mapper) { reply <- m.mayEnd() })
+	select {
+	case mayEnd := <-reply:
+		return mayEnd
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/mapper/stop_test.go
+++ b/internal/mapper/stop_test.go
@@ -1,13 +1,18 @@
 package mapper
 
 import (
+	"bytes"
+	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/gentiantrail/gentiantrail/internal/mapswitch"
+	"github.com/gentiantrail/gentiantrail/internal/observe"
 )
 
 // held reports whether a rank holds the group.
@@ -41,3 +46,22 @@
 		})
 	}
 }
+
+// TestStopOfABusyMapperEndsInItsTime stops a mapper that handles no events, as while an engine does
+// not answer: the stop must end with its time, and say that it may have left a change behind.
+func TestStopOfABusyMapperEndsInItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		m := New(Options{
+			PeerAddress: "10.0.0.1:7340", Metrics: tally.NoopScope, Service: "s",
+			Engine: fakeEngine{newFakeGroup(1, 1, 1), 0}, DemandStore: emptyDemandStore{},
+			Logger: observe.NewLogger(&out, "info", "test", "m"),
+		})
+		begin := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		m.Stop(ctx)
+		assert.Assert(t, time.Since(begin) <= stopTimeout+stopPollInterval, "the stop took %v", time.Since(begin))
+		assert.Assert(t, strings.Contains(out.String(), "event=stop-ends map_change=true"), out.String())
+	})
+}
