--- a/cmd/gentiantrail-entry/main.go
+++ b/cmd/gentiantrail-entry/main.go
@@ -4,8 +4,7 @@
 
 import (
 	"context"
-
-	"github.com/valyala/fasthttp"
+	"errors"
 
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/daemon"
@@ -63,15 +62,20 @@
 	}
 }
 
-// stop rejects new work and returns once every request in flight has been answered; it
-// fails if the stop timeout ends first.
-func stop(s *settings.Entry, p *daemon.Process, e *entry.Entry, server *fasthttp.Server) error {
-	e.Stop()
-	if err := daemon.Await(e.Done(), s.Limits.StopTimeout); err != nil {
-		return err
+// stop rejects new work and returns once every request in flight, and every one that is being
+// read, has been answered; it fails if the stop timeout ends first, once what has been answered
+// is sent.
+func stop(s *settings.Entry, p *daemon.Process, e *entry.Entry, server *entry.Server) error {
+	if err := p.Stop(e, s.Limits.StopTimeout); err != nil {
+		return errors.Join(err, p.Close())
 	}
-	if err := daemon.ShutdownServer(server); err != nil {
-		return err
+	// A caller has the read timeout for the rest of its request, and then takes the answer.
+	ctx, cancel := context.WithTimeout(context.Background(), s.Limits.ReadTimeout+daemon.FlushTimeout)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	if open := (*entry.OpenConnectionsError)(nil); errors.As(err, &open) {
+		p.Logger.Warn().Str("event", "closed-unanswered").Int("connections", open.Count).Msg("")
+		err = errors.Join(daemon.ErrStopTimeout, err)
 	}
-	return p.Close()
+	return errors.Join(err, p.Close())
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -42,6 +42,7 @@
 		}
 		x.attempts++
 		x.target = choice.Name()
+		e.requests.record(x)
 		a, err := e.attempt(x, choice)
 		e.tryPost(dispatchFinished{name: x.target, answered: err == nil || !isUnanswered(err.Kind)})
 		if err == nil {
@@ -108,7 +109,7 @@
 	if p == nil {
 		return nil, apierr.New(apierr.KindTargetUnreachable, x.target)
 	}
-	c := e.calls.open(p)
+	c := e.calls.open(p, x.deadline)
 	requests := choice.Requests()
 	requests.Begin()
 	if err := p.Send(attemptFrame(x, choice, c)); err != nil {
@@ -223,7 +224,7 @@
 func (w *headWaiter) sendWithdraw() {
 	if !w.withdrawn {
 		w.withdrawn = true
-		_ = w.call.peer.Send(&message.Withdraw{ID: w.call.key.id})
+		w.call.send(&message.Withdraw{ID: w.call.key.id})
 	}
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -60,6 +60,12 @@
 	ln    *fasthttputil.InmemoryListener
 }
 
+func testLimits() settings.EntryLimits {
+	limits := settings.DefaultEntryLimits()
+	limits.Header, limits.Body, limits.ReadTimeout = 4<<10, 2<<10, 300*time.Millisecond
+	return limits
+}
+
 func newTestEntry(t testing.TB) *testEntry {
 	t.Helper()
 	e := New(Options{
@@ -72,9 +78,7 @@
 	s := &testEntry{t: t, entry: e, ln: fasthttputil.NewInmemoryListener()}
 	go e.Run()
 	e.Configure(testConfig())
-	limits := settings.DefaultEntryLimits()
-	limits.Header, limits.Body, limits.ReadTimeout = 4<<10, 2<<10, 300*time.Millisecond
-	h := e.NewServer(limits)
+	h := e.NewServer(testLimits())
 	go func() { _ = h.Serve(s.ln) }()
 	t.Cleanup(func() {
 		_ = s.ln.Close()
@@ -88,17 +92,22 @@
 
 // addAgent links an agent to the entry and waits until requests can reach it.
 func (s *testEntry) addAgent(name string, f agentFunc) *linktest.Peer {
-	id := message.Identity{
-		Role: message.RoleAgent, Name: name, AvailabilityZone: testZone,
-		Pool: "pool", Incarnation: uint64(len(name)) + 100,
-	}
-	var p *linktest.Peer
-	p = linktest.NewPeer(id, func(m message.Message) error {
+	return s.addPeer(name, func(p *linktest.Peer, m message.Message) error {
 		if _, ok := m.(*message.Members); !ok {
 			go f(p, m)
 		}
 		return nil
 	})
+}
+
+// addPeer links an agent that takes, or refuses, each message on its sender's goroutine.
+func (s *testEntry) addPeer(name string, onSend func(*linktest.Peer, message.Message) error) *linktest.Peer {
+	id := message.Identity{
+		Role: message.RoleAgent, Name: name, AvailabilityZone: testZone,
+		Pool: "pool", Incarnation: uint64(len(name)) + 100,
+	}
+	var p *linktest.Peer
+	p = linktest.NewPeer(id, func(m message.Message) error { return onSend(p, m) })
 	s.entry.Up(p)
 	s.entry.Message(p, &message.Heartbeat{Load: warm})
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
