gateway: answers go on in a stop that was noticed late

After a stop ended counted from the earliest time at which its signal may have been sent. If it was sent at the end of a pause, answers were cut up to the length of the pause before the kill, although their targets would have completed them; if it was sent at its begin, the kill cuts them anyway. The stop ends counted from when the signal was noticed now, and the lines on what it may leave unfinished are written before the earliest kill. Requests are refused by the earliest time, as before.

TestStopEndsBeforeTheKillAfterASignalThatWasNoticedLate asked for the early end. TestAnswersGoOnInAStopThatWasNoticedLate replaces it: it asks for the log lines before the kill, which was its reason, and for the whole answer. Without the change it fails with "the stop ended 991ms after the signal was noticed".

--- a/internal/gateway/answer_times.go
+++ b/internal/gateway/answer_times.go
@@ -61,7 +61,7 @@
 		return nil
 	}
 	usual, known := g.answerTimes.usual(g.now(), x.route.Name)
-	left := g.timeToStop()
+	left := g.timeToKill()
 	if !known || usual <= left || x.remaining() <= left {
 		return nil
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -54,20 +54,25 @@
 	return time.Since(s.signalled)
 }
 
-// timeToStop returns the time that is left until the process ends whatever is in flight.
-func (g *Gateway) timeToStop() time.Duration {
+// timeToKill returns the least time that is left until the process may be killed, less stopMargin.
+func (g *Gateway) timeToKill() time.Duration {
 	return g.opts.Settings.Limits.StopTimeout - stopMargin - g.timeSinceSignal()
 }
 
+// timeToEnd returns the time that is left until the process ends whatever is in flight. It counts from when the
+// signal was noticed: an answer that a kill may cut off goes on until then, as it may as well be whole before.
+func (s *stopTimes) timeToEnd(timeout time.Duration) time.Duration {
+	return timeout - stopMargin - time.Since(s.noticed)
+}
+
 // Stop makes Ready fail at once and goes on serving requests that still arrive. It returns
 // when no request is in flight or partly read and callers have had time to move to other gateways,
-// or at the stop timeout. That counts from the signal, so that the process ends before it is killed; callers'
-// time counts from when Ready has begun to fail.
+// or at the stop timeout. What it may leave unfinished is logged before the process may be killed.
 func (g *Gateway) Stop(ctx context.Context) {
-	times := g.beginStop()
+	times, timeout := g.beginStop(), g.opts.Settings.Limits.StopTimeout
 	g.post(ctx, stopRequested{})
-	nextLine := stopLogInterval
-	for g.timeToStop() > 0 {
+	nextLine, logged := stopLogInterval, false
+	for times.timeToEnd(timeout) > 0 {
 		failing := time.Since(times.noticed)
 		if failing > stopIdleTime+sweepInterval && g.nothingRead() {
 			break
@@ -77,9 +82,15 @@
 			g.opts.Logger.Info().Str("event", "stop-waits").Int64("requests", g.inFlight.Load()).
 				Int64("stop_ms", g.timeSinceSignal().Milliseconds()).Msg("")
 		}
-		time.Sleep(min(stopPollInterval, g.timeToStop()))
+		if g.timeToKill() <= 0 && !logged {
+			logged = true
+			g.logUnfinished()
+		}
+		time.Sleep(min(stopPollInterval, times.timeToEnd(timeout)))
+	}
+	if !logged {
+		g.logUnfinished()
 	}
-	g.logUnfinished()
 	g.opts.Logger.Info().Str("event", "stop-ends").Int64("requests", g.inFlight.Load()).
 		Int64("took_ms", time.Since(times.noticed).Milliseconds()).Msg("")
 }
