gateway: close a connection only after its caller has the answer

Callers that sent further bytes while they got an answer with "Connection: close", as all answers in a stop have, lost the end of that answer: the connection was closed as soon as the kernel had taken the last byte, and bytes that came after that reset it. What the kernel had not sent yet was dropped.

The connection is now shut down for writing and read until its caller ends it, for 2 s or until the caller's system has confirmed all bytes, as it was done behind refusals before. A stop waits for the confirmation.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -19,9 +19,10 @@
 	// framingBytes and framingShare allow for the framing of a pipelined request: a number of bytes,
 	// and a fraction of the largest body. Chunks of at least 64 bytes without extensions fit.
 	framingBytes, framingShare = 64 << 10, 8
-	// lingerTime and lingerBytes bound what is read and dropped of a request that has been
-	// refused before its end. Closing a connection with unread bytes resets it, and the caller
-	// might lose the answer.
+	// lingerTime and lingerBytes bound what is read and dropped behind the last response of a
+	// connection. The time is up to sendTimeout until the caller's system has all of the response.
+	// Closing a connection whose caller sends bytes resets it, and the caller might lose the
+	// response.
 	lingerTime  = 2 * time.Second
 	lingerBytes = 8 << 20
 )
@@ -71,7 +72,7 @@
 // expire closes the connection if its wait is still overdue. It runs on the event loop.
 func (cc *callerConn) expire() {
 	w := cc.waiting.Load()
-	if cc.closed || w == nil || !cc.s.overdue(w, time.Now()) || cc.closing && !w.lingering {
+	if cc.closed || w == nil || !cc.s.overdue(cc, w, time.Now()) || cc.closing && !w.lingering {
 		return
 	}
 	if w.partial {
@@ -306,6 +307,13 @@
 	}
 }
 
+// unacknowledged reports whether the caller's system has not confirmed all bytes of the last response. It is called
+// on the event loop or while server.mu is held, so that the descriptor is not closed meanwhile.
+func (cc *callerConn) unacknowledged() bool {
+	n, err := unix.IoctlGetInt(cc.conn.Fd(), unix.TIOCOUTQ)
+	return err == nil && n > 0
+}
+
 // dropInput releases the bytes that have arrived.
 func (cc *callerConn) dropInput() {
 	cc.reader = http1.RequestReader{}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -160,7 +160,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for cc := range s.conns {
-		if w := cc.waiting.Load(); w != nil && s.overdue(w, now) {
+		if w := cc.waiting.Load(); w != nil && s.overdue(cc, w, now) {
 			_ = cc.conn.Wake(func(gnet.Conn, error) error { // fails only if the connection is closed
 				cc.expire()
 				return nil
@@ -170,12 +170,13 @@
 	return sweepInterval, gnet.None
 }
 
-// partlyRead reports whether a part of a request has been read on any connection.
-func (s *server) partlyRead() bool {
+// unfinished reports whether a part of a request has been read on any connection, or a caller that is given
+// time to read the last response has not got all of it.
+func (s *server) unfinished() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for cc := range s.conns {
-		if w := cc.waiting.Load(); w != nil && w.partial {
+		if w := cc.waiting.Load(); w != nil && (w.partial || w.lingering && cc.unacknowledged()) {
 			return true
 		}
 	}
@@ -183,16 +184,17 @@
 }
 
 // overdue reports whether a wait has exceeded its timeout: the header timeout from the first
-// part of a request until the whole request has arrived, or else the idle timeout. During a
+// part of a request until the whole request has arrived, the time for which a caller may read its last response,
+// or else the idle timeout. During a
 // stop, idle connections are overdue after admissionTime.
-func (s *server) overdue(w *wait, now time.Time) bool {
+func (s *server) overdue(cc *callerConn, w *wait, now time.Time) bool {
 	header, idle := defaultHeaderTimeout, defaultIdleTimeout
 	if v := s.g.view.Load(); v.index != nil {
 		header, idle = v.index.Config.Limits.HeaderTimeout, v.index.Config.Limits.IdleTimeout
 	}
 	switch {
 	case w.lingering:
-		return now.Sub(w.since) > lingerTime
+		return now.Sub(w.since) > sendTimeout || now.Sub(w.since) > lingerTime && !cc.unacknowledged()
 	case w.partial:
 		return now.Sub(w.since) > header
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -95,10 +95,11 @@
 		Int64("took_ms", time.Since(times.noticed).Milliseconds()).Msg("")
 }
 
-// nothingRead reports whether no request is in flight or partly read. The number in flight is checked on both
-// sides, since a request that is partly read may become one that is in flight, and be followed by another.
+// nothingRead reports whether no request is in flight or partly read and no response is on its way. The
+// number in flight is checked on both sides, since a request that is partly read may become one that is in
+// flight, and be followed by another.
 func (g *Gateway) nothingRead() bool {
-	return g.inFlight.Load() == 0 && !g.server.partlyRead() && g.inFlight.Load() == 0
+	return g.inFlight.Load() == 0 && !g.server.unfinished() && g.inFlight.Load() == 0
 }
 
 // Reload applies the limits and the routing between zones of changed settings.
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -153,8 +153,7 @@
 		cc.linger()
 	case !keepAlive:
 		cc.logUnanswered()
-		cc.closing = true
-		_ = cc.conn.Close() // fails only if the connection is closed already
+		cc.linger()
 	default:
 		cc.takePipelined()
 	}
