--- a/cmd/gentiantrail-gateway/main.go
+++ b/cmd/gentiantrail-gateway/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/gentiantrail/gentiantrail/internal/daemon"
 	"github.com/gentiantrail/gentiantrail/internal/gateway"
@@ -47,7 +48,9 @@
 	case err := <-failed:
 		return err
 	case <-daemon.StopSignals():
-		g.Stop(ctx)
+	}
+	if whole := g.Stop(ctx); !whole {
+		return errors.Join(daemon.ErrStopTimeout, telemetry.Close())
 	}
 	return telemetry.Close()
 }
--- a/cmd/gentiantrail-gateway/main_test.go
+++ b/cmd/gentiantrail-gateway/main_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/gentiantrail/gentiantrail/internal/daemon"
 	"github.com/gentiantrail/gentiantrail/internal/testaddr"
 	"github.com/gentiantrail/gentiantrail/platform/platformtest"
 )
@@ -37,11 +41,19 @@
 	settingsPath, readyAddr string
 	logPath                 string
 	settingsText            string
+	addr                    string
+	store                   *platformtest.Store
 }
 
 // start runs a gateway with a store that contains a configuration and waits until the
 // gateway is ready.
 func start(t *testing.T) *process {
+	t.Helper()
+	return startWith(t, "")
+}
+
+// startWith is like start with more settings.
+func startWith(t *testing.T, settings string) *process {
 	t.Helper()
 	store, err := platformtest.NewStore()
 	assert.NilError(t, err)
@@ -56,8 +68,9 @@
 	dir := t.TempDir()
 	p := &process{
 		t: t, settingsPath: filepath.Join(dir, "settings.yaml"), logPath: filepath.Join(dir, "log"), readyAddr: addrs[1].(string),
+		addr: addrs[0].(string), store: store,
 		settingsText: fmt.Sprintf("name: gw\navailability_zone: a\nlisten: %s\nready_address: %s\nadmin_address: %s\npeer_address: %s\n", addrs...) +
-			"store_address: " + store.Addr() + "\nmemory: 256\n",
+			"store_address: " + store.Addr() + "\nmemory: 256\n" + settings,
 	}
 	p.writeSettings(p.settingsText)
 	log, err := os.Create(p.logPath)
@@ -135,3 +148,32 @@
 	assert.NilError(t, p.cmd.Wait())
 	assert.Equal(t, p.countLines("stopped"), 1)
 }
+
+// TestStopThatLeavesARequestUnfinishedExitsWithItsCode guards against a stop that counts as graceful although a
+// request was cut off at its end.
+func TestStopThatLeavesARequestUnfinishedExitsWithItsCode(t *testing.T) {
+	p := startWith(t, "limits:\n  stop_timeout: 2s\n") // less than the timeout of the route
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")   // a target that accepts connections and never answers
+	assert.NilError(t, err)
+	defer func() { _ = silent.Close() }()
+	p.store.Put("servers", "i-1", map[string]any{
+		"service": "desk", "address": silent.Addr().String(), "zone": "a", "version": "v1",
+		"concurrencySlots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+	})
+	request := "GET /once/x HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: a1\r\nAuthorization: Bearer key\r\n\r\n"
+	p.waitFor("a request is at the target", func() bool {
+		c, err := net.Dial("tcp4", p.addr)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = io.WriteString(c, request)
+		assert.NilError(t, err)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
+		_, err = c.Read(make([]byte, 1))
+		return errors.Is(err, os.ErrDeadlineExceeded) // others are refused at once
+	})
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	var exit *exec.ExitError
+	assert.Assert(t, errors.As(p.cmd.Wait(), &exit))
+	assert.Equal(t, exit.ExitCode(), daemon.ExitForced)
+	assert.Equal(t, p.countLines("unfinished"), 1)
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -67,8 +67,9 @@
 
 // Stop makes Ready fail at once and goes on serving requests that still arrive. It returns
 // when no request is in flight or partly read and callers have had time to move to other gateways,
-// or at the stop timeout. What it may leave unfinished is logged before the process may be killed.
-func (g *Gateway) Stop(ctx context.Context) {
+// or at the stop timeout. What it may leave unfinished is logged before the process may be killed. It reports
+// whether no request was in flight at its end.
+func (g *Gateway) Stop(ctx context.Context) (whole bool) {
 	times, timeout := g.beginStop(), g.opts.Settings.Limits.StopTimeout
 	g.post(ctx, stopRequested{})
 	nextLine, logged := stopLogInterval, false
@@ -91,8 +92,10 @@
 	if !logged {
 		g.logUnfinished()
 	}
-	g.opts.Logger.Info().Str("event", "stop-ends").Int64("requests", g.inFlight.Load()).
+	left := g.inFlight.Load()
+	g.opts.Logger.Info().Str("event", "stop-ends").Int64("requests", left).
 		Int64("took_ms", time.Since(times.noticed).Milliseconds()).Msg("")
+	return left == 0
 }
 
 // nothingRead reports whether no request is in flight or partly read and no response is on its way. The
