soak: require whole answers, also around planned stops

The soak required no whole answers, left the callers of a gateway out for 10 s after a SIGTERM, and its streams never paused. So it did not see that gateways broke off answers that targets would have completed.

A request that a target ran, and one that a gateway had read more than 0.2 s before its connection closed around a SIGTERM, needs a whole answer now. It is excused only by the recorded times of its own runs, of faults of their targets and of its gateway, and of signals; TestExcuses checks that. TestStops stops gateways in turn, while settings and configuration change and nothing else is disturbed. Callers send bodies in chunks, requests behind streams, and requests on new connections, until a process is gone. Seeds run two at a time.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= seri-kenanga
 BENCH_TIME ?= 1s
 RACE_PACKAGES = ./internal/... ./platform/...
-SOAK_FLAGS ?= -first 1 -last 2 -length 6s
+SOAK_FLAGS ?= -first 1 -last 2 -length 6s -stops 15s
 
 .PHONY: build test lint unit race scenario soak callers demo bench fmt
 
@@ -24,9 +24,9 @@
 scenario: build
 	./scripts/gotest -count=1 -tags scenario -timeout 20m ./test/scenario/...
 
-# A short soak run with fixed seeds; SOAK_FLAGS="-first 1 -last 50" runs more seeds.
+# A short soak run with fixed seeds, two at a time; SOAK_FLAGS="-first 1 -last 50" runs more seeds.
 soak: build
-	./scripts/gotest -count=1 -tags soak -timeout 30m ./test/soak -args $(SOAK_FLAGS)
+	./scripts/gotest -count=1 -tags soak -parallel 2 -timeout 90m ./test/soak -args $(SOAK_FLAGS)
 
 # Misbehaving callers against the real gateway, one kind after the other.
 callers: build
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -23,24 +23,34 @@
 	mu   sync.Mutex
 	runs map[string]int
 	// refused is the set of attempts answered with a status that says they were not run.
-	refused         map[string]bool
-	sent            map[string]bool
+	refused map[string]bool
+	sent    map[string]bool
+	// calls contains the requests without a whole answer so far.
+	calls map[string]*call
+	// ends counts the requests that have ended, by whether their gateway was in the window of a stop.
+	ends            map[bool]int
 	violations      []string
 	answersByStatus map[int]int
 }
 
 func newChecker(tb *testbed) *checker {
-	return &checker{testbed: tb, runs: map[string]int{}, refused: map[string]bool{}, sent: map[string]bool{}, answersByStatus: map[int]int{}}
+	return &checker{testbed: tb, runs: map[string]int{}, refused: map[string]bool{}, sent: map[string]bool{}, calls: map[string]*call{}, ends: map[bool]int{}, answersByStatus: map[int]int{}}
 }
 
 func (c *checker) addViolation(format string, args ...any) {
 	c.violations = append(c.violations, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
 }
 
-// recordRun records a run at a target and checks that it was allowed. Runs in an evacuated
+// recordRun records the begin or end of a run at a target and checks that it was allowed. Runs in an evacuated
 // zone, at a target that has left or with a revoked key are violations only while no fault
 // may have delayed the change.
 func (c *checker) recordRun(r platformtest.Run) {
+	c.mu.Lock()
+	c.recordCallRun(r)
+	c.mu.Unlock()
+	if !r.Ended.IsZero() {
+		return
+	}
 	c.testbed.mu.Lock()
 	now := time.Now()
 	undisturbed := now.After(c.testbed.storeFaultUntil) && now.After(c.testbed.networkFaultUntil)
--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -60,6 +60,7 @@
 	newID, oldID := fmt.Sprintf("i-%d-%d", i, tb.replacements), tb.targets[i].ID()
 	tb.replacedIDs = append(tb.replacedIDs, oldID)
 	tb.mu.Unlock()
+	tb.disturb(targetName(oldID), crashDowntime+timeoutSlack)
 	tb.proxies[i].refuse()
 	time.AfterFunc(crashDowntime, func() {
 		tb.targets[i].Restart(newID)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -42,10 +42,12 @@
 	case 4:
 		m := mode(1 + tb.rng.IntN(int(modeCount)-1))
 		tb.extendFaultWindow(&tb.networkFaultUntil, duration)
+		tb.disturb(targetName(tb.targets[i].ID()), duration+timeoutSlack)
 		tb.proxies[i].setMode(m)
 		return fmt.Sprintf("proxy of target %d in mode %d", i, m), duration, func() { tb.proxies[i].setMode(passThrough) }
 	case 5:
 		tb.extendFaultWindow(&tb.networkFaultUntil, 0)
+		tb.disturb(targetName(tb.targets[i].ID()), 0)
 		tb.proxies[i].reset()
 		return fmt.Sprintf("reset connections of target %d", i), 0, nil
 	case 6:
@@ -130,6 +132,7 @@
 	newID := fmt.Sprintf("i-%d-%d", i, tb.replacements)
 	tb.mu.Unlock()
 	oldID := tb.targets[i].ID()
+	tb.disturb(targetName(oldID), 0)
 	tb.targets[i].Restart(newID)
 	tb.announce(i)
 	tb.mu.Lock()
@@ -183,6 +186,7 @@
 	tb.faults = append(tb.faults, time.Now().Format("05.000 ")+id+" leaves without a notice")
 	tb.store.RemoveTarget(id)
 	time.Sleep(leaveTime)
+	tb.disturb(targetName(id), 0)
 	tb.targets[i].Restart(newID)
 	tb.announce(i)
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -25,6 +24,8 @@
 	firstSeed     = flag.Uint64("first", 1, "the first seed")
 	lastSeed      = flag.Uint64("last", 3, "the last seed")
 	faultDuration = flag.Duration("length", 8*time.Second, "time during which faults strike, for each seed")
+	stopDuration  = flag.Duration("stops", 10*time.Second, "time during which TestStops stops gateways in turn, for each seed")
+	gatewayBinary = flag.String("gateway", "../../bin/gentiantrail-gateway", "the gateway's program")
 	callerCount   = flag.Int("callers", 12, "callers of each seed")
 )
 
@@ -39,9 +40,16 @@
 	answerTimeout = 5 * time.Second
 )
 
+// requestPaths are paths on the routes that all versions of the configuration have.
+var requestPaths = []string{"/once/x", "/safe/x", "/stream/x"}
+
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	for seed := *firstSeed; seed <= *lastSeed; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, seed)
+		})
 	}
 }
 
@@ -50,25 +58,14 @@
 func runSeed(t *testing.T, seed uint64) {
 	tb := newTestbed(t, seed)
 	tb.awaitReady()
-	ctx, cancel := context.WithCancel(context.Background())
-	var load sync.WaitGroup
-	for i := range *callerCount {
-		load.Add(1)
-		go func() {
-			defer load.Done()
-			tb.runCaller(ctx, i)
-		}()
-	}
+	stopLoad := tb.startLoad()
 	stop := make(chan struct{})
-	load.Add(2)
+	var backups sync.WaitGroup
+	backups.Add(1)
 	go func() {
-		defer load.Done()
+		defer backups.Done()
 		tb.takeBackups(stop)
 	}()
-	go func() {
-		defer load.Done()
-		tb.probeConfig(stop)
-	}()
 	tb.injectFaults(*faultDuration)
 	tb.restoreAfterFaults()
 	tb.crashAfterFaults()
@@ -77,15 +74,58 @@
 	tb.leaveAfterReset()
 	time.Sleep(time.Until(faultsEnded.Add(recoveryTime)))
 	tb.checkStatedRate()
-	cancel()
 	close(stop)
-	load.Wait()
+	backups.Wait()
+	stopLoad()
+	tb.checkViolations()
+	t.Run("service", tb.checkService)
+}
+
+// startLoad starts all callers and returns a function that ends them.
+func (tb *testbed) startLoad() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	run := func(caller func()) {
+		load.Add(1)
+		go func() {
+			defer load.Done()
+			caller()
+		}()
+	}
+	for i := range *callerCount {
+		run(func() { tb.runCaller(ctx, i) })
+	}
+	for i, g := range tb.gateways {
+		name := fmt.Sprint("key-1-gw-", i)
+		run(func() { tb.runNewConns(ctx, g, name+"-new") })
+		for j := range 2 {
+			run(func() { tb.runSentAhead(ctx, g, fmt.Sprint(name, "-ahead-", j)) })
+		}
+	}
+	run(func() { tb.probeConfig(ctx.Done()) })
+	return func() {
+		cancel()
+		load.Wait()
+	}
+}
+
+// checkViolations fails the test if there are violations, in one subtest for each kind.
+func (tb *testbed) checkViolations() {
+	lost, unanswered := tb.checkAnswers()
 	tb.checker.mu.Lock()
 	violations, answers := tb.checker.violations, tb.checker.answersByStatus
 	tb.checker.mu.Unlock()
-	t.Logf("seed %d: %d faults, answers %v", seed, len(tb.faults), answers)
-	assert.Assert(t, len(violations) == 0, "%d violations:\n%s", len(violations), strings.Join(violations, "\n"))
-	tb.checkService()
+	tb.t.Logf("%d faults, answers %v", len(tb.faults), answers)
+	tb.expectNone("rules", violations)
+	tb.expectNone("lost", lost)
+	tb.expectNone("unanswered", unanswered)
+}
+
+// expectNone fails a subtest if there are violations.
+func (tb *testbed) expectNone(name string, violations []string) {
+	tb.t.Run(name, func(t *testing.T) {
+		assert.Assert(t, len(violations) == 0, "%d violations:\n%s", len(violations), strings.Join(violations, "\n"))
+	})
 }
 
 // injectFaults starts one fault after the other for duration and waits for the end of all.
@@ -156,9 +196,9 @@
 
 // checkService requires that every gateway answers at least 9 of 10 requests of each kind
 // with status 200.
-func (tb *testbed) checkService() {
+func (tb *testbed) checkService(t *testing.T) {
 	for i, g := range tb.gateways {
-		for _, path := range []string{"/once/x", "/safe/x", "/stream/x"} {
+		for _, path := range requestPaths {
 			served := 0
 			for n := range 10 {
 				conn, err := net.DialTimeout("tcp4", g.listenAddr, time.Second)
@@ -171,7 +211,7 @@
 					served++
 				}
 			}
-			assert.Assert(tb.t, served >= 9, "%s served %d of 10 requests on %s after all faults, want at least 9", g.name, served, path)
+			assert.Assert(t, served >= 9, "%s served %d of 10 requests on %s after all faults, want at least 9", g.name, served, path)
 		}
 	}
 }
@@ -216,7 +256,6 @@
 // runCaller sends requests until ctx is done. It reuses its connection as long as it lasts,
 // even to a gateway that is stopping.
 func (tb *testbed) runCaller(ctx context.Context, caller int) {
-	paths := []string{"/once/x", "/safe/x", "/stream/x"}
 	g := tb.gateways[caller%len(tb.gateways)]
 	var conn net.Conn
 	var br *bufio.Reader
@@ -230,7 +269,7 @@
 			conn, br = c, bufio.NewReader(c)
 		}
 		key := fmt.Sprintf("key-%d", 1+caller%2)
-		status, reusable := tb.sendRequest(conn, br, fmt.Sprintf("%s-%d-%d", key, caller, n), paths[(caller+n)%len(paths)], key, "route", fmt.Sprint("doc-", n%5))
+		status, reusable := tb.sendRequest(conn, br, fmt.Sprintf("%s-%d-%d", key, caller, n), requestPaths[(caller+n)%len(requestPaths)], key, "route", fmt.Sprint("doc-", n%5))
 		if !reusable {
 			_ = conn.Close()
 			conn = nil
@@ -243,23 +282,3 @@
 		_ = conn.Close()
 	}
 }
-
-// sendRequest sends one request, whose prompt has the given parts and one of its own, and
-// passes its answer to the checker. reusable is true if the connection can carry another request.
-func (tb *testbed) sendRequest(conn net.Conn, br *bufio.Reader, attempt, path, key string, parts ...string) (status int, reusable bool) {
-	names := &platform.Headers
-	_ = conn.SetDeadline(time.Now().Add(answerTimeout))
-	tb.checker.recordSent(attempt)
-	_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\n%s: 4000\r\n%s: %s:10\r\nAuthorization: Bearer %s\r\n\r\n",
-		path, names.Attempt, attempt, names.Deadline, names.Prompt, strings.Join(append(parts, attempt), ":40,"), key)
-	if err != nil {
-		return 0, false
-	}
-	resp, err := http.ReadResponse(br, nil)
-	if err != nil {
-		return 0, false
-	}
-	body, err := io.ReadAll(resp.Body)
-	tb.checker.recordAnswer(attempt, path, resp.StatusCode, resp.Header.Get(names.Signature), string(body), err == nil)
-	return resp.StatusCode, err == nil && !resp.Close
-}
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,8 +25,13 @@
 	gatewayCount  = 3
 	plainTargets  = 3
 	streamTargets = 3
+	// stopTimeout is the stop timeout of the gateways.
+	stopTimeout = 6 * time.Second
 )
 
+// pauseLength is the length of the pauses in the streams of targets.
+const pauseLength = 1800 * time.Millisecond
+
 // gatewayProcess is one gateway. Its addresses stay the same across restarts.
 type gatewayProcess struct {
 	name, listenAddr, readyAddr, settings, logPath string
@@ -37,6 +43,10 @@
 	restarting bool
 	// faultUntil is the time until which callers may see faults of this process.
 	faultUntil time.Time
+	// sigterms are the times of the first SIGTERM of each process, and stopping is true after that of the
+	// current one.
+	sigterms []time.Time
+	stopping bool
 }
 
 // testbed contains the processes and stand-ins of the run of one seed.
@@ -69,11 +79,14 @@
 	// backups are copies of the store's content of the last backupAge, oldest first.
 	backups []platformtest.Copy
 	faults  []string
+	// disturbed contains the times of the faults of gateways, by name, and of targets, by targetName.
+	disturbed map[string][]span
 	// crashes contains the number of targets that ended on each crashing request.
 	crashes          map[string]int
 	crashingRequests int
 
-	checker *checker
+	requestsSent atomic.Int64
+	checker      *checker
 }
 
 func freeAddr(t *testing.T) string {
@@ -84,7 +97,7 @@
 }
 
 func newTestbed(t *testing.T, seed uint64) *testbed {
-	tb := &testbed{t: t, leftAt: map[string]time.Time{}, crashes: map[string]int{}, rng: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir()}
+	tb := &testbed{t: t, leftAt: map[string]time.Time{}, disturbed: map[string][]span{}, crashes: map[string]int{}, rng: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir()}
 	tb.checker = newChecker(tb)
 	var err error
 	tb.store, err = platformtest.NewStore()
@@ -97,6 +110,7 @@
 		assert.NilError(t, err)
 		p, err := newProxy(target.Addr())
 		assert.NilError(t, err)
+		target.SetPauses(platformtest.Pauses{Seed: seed, EventPermille: 15, EndPermille: 30, Length: pauseLength})
 		target.OnCrash = func(name string) { tb.crashTarget(i, name) }
 		tb.targets, tb.proxies = append(tb.targets, target), append(tb.proxies, p)
 		tb.services = append(tb.services, map[bool]string{true: "desk", false: "drafts"}[i < plainTargets])
@@ -136,7 +150,7 @@
 	text := []string{
 		"name: " + g.name, "availability_zone: " + string(rune('a'+i%3)), "listen: " + g.listenAddr, "ready_address: " + g.readyAddr,
 		"admin_address: " + freeAddr(tb.t), "peer_address: " + freeAddr(tb.t), "store_address: " + tb.storeProxy.addr(), "memory: 256",
-		"limits:", "  retry_ratio: 0.2", "  retry_slack: 100", "  stop_timeout: 6s",
+		"limits:", "  retry_ratio: 0.2", "  retry_slack: 100", fmt.Sprint("  stop_timeout: ", stopTimeout),
 	}
 	assert.NilError(tb.t, os.WriteFile(g.settings, []byte(strings.Join(text, "\n")+"\n"), 0o600))
 	tb.start(g)
@@ -151,7 +165,9 @@
 	info, err := log.Stat()
 	assert.NilError(tb.t, err)
 	g.logOffset = info.Size()
-	g.cmd = exec.Command("../../bin/gentiantrail-gateway", "--settings", g.settings)
+	tb.endDisturbances(g)
+	g.stopping = false
+	g.cmd = exec.Command(*gatewayBinary, "--settings", g.settings)
 	g.cmd.Stdout, g.cmd.Stderr = log, log
 	assert.NilError(tb.t, g.cmd.Start())
 	g.exited = make(chan struct{})
@@ -165,7 +181,10 @@
 func (tb *testbed) signal(g *gatewayProcess, s syscall.Signal) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	_ = g.cmd.Process.Signal(s)
+	at := time.Now()
+	if err := g.cmd.Process.Signal(s); err == nil {
+		tb.recordSignal(g, s, at)
+	}
 }
 
 // awaitProgram waits until the process has written to its log, and reports whether it has.
@@ -200,7 +219,7 @@
 	if tb.t.Failed() {
 		tb.t.Logf("faults:\n%s", strings.Join(tb.faults, "\n"))
 		for _, g := range tb.gateways {
-			savedLog := filepath.Join(os.TempDir(), "gentiantrail-soak-"+g.name+".log")
+			savedLog := filepath.Join(os.TempDir(), "gentiantrail-soak-"+strings.ReplaceAll(tb.t.Name(), "/", "-")+"-"+g.name+".log")
 			if content, err := os.ReadFile(g.logPath); err == nil && os.WriteFile(savedLog, content, 0o600) == nil {
 				tb.t.Logf("log of %s: %s", g.name, savedLog)
 			}
