gateway: a stop announces no close while more may be read

Requests that callers had sent at once behind a stream got no answer if the stream's head was sent in a stop: the head announced the close of the connection, although another request had been read, or was read until the stream ended seconds later. Heads of streams announce no close for a stop now, nor do answers behind which bytes have been read; the connection is closed when it is idle, or by the answer to the last request.

TestRequestReadBehindAnAnswerThatBeginsInAStopIsAnswered failed before in three of three cases, and passes now.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -38,6 +38,8 @@
 	reader http1.RequestReader
 	// pipelined contains the bytes that arrived while a request is being handled.
 	pipelined []byte
+	// readAhead is true while pipelined has bytes.
+	readAhead atomic.Bool
 	// firstByte is when the first of the bytes was read that belong to no request yet, or zero.
 	firstByte time.Time
 	// pipelinedArray is the capacity of the whole array that pipelined is the end of.
@@ -172,6 +174,7 @@
 // them.
 func (cc *callerConn) setPipelined(b []byte, array int) {
 	cc.pipelined, cc.pipelinedArray = b, array
+	cc.readAhead.Store(len(b) > 0)
 	cc.s.budget.set(cc.account, callerbuf.Pipelined, int64(array))
 }
 
@@ -242,7 +245,7 @@
 	cc.waiting.Store(nil)
 	budget.set(cc.account, callerbuf.Incomplete, 0)
 	handled := budget.handled(cc, req.Held())
-	x := &exchange{ctx: ctx, req: req, view: v, arrived: time.Now(), firstByte: cc.firstByte}
+	x := &exchange{ctx: ctx, req: req, view: v, arrived: time.Now(), firstByte: cc.firstByte, readAhead: &cc.readAhead}
 	if len(cc.pipelined) == 0 {
 		cc.firstByte = time.Time{}
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
@@ -26,6 +27,8 @@
 	arrived time.Time
 	// firstByte is the earliest time at which a byte of the request may have been read.
 	firstByte time.Time
+	// readAhead is true while bytes have been read behind the request.
+	readAhead *atomic.Bool
 	// deadline is the time at which the complete response is due: the caller's deadline
 	// or the route's timeout, whichever comes first.
 	deadline time.Time
--- a/internal/gateway/kept_run_test.go
+++ b/internal/gateway/kept_run_test.go
@@ -273,3 +273,46 @@
 		}
 	}
 }
+
+// TestRequestReadBehindAnAnswerThatBeginsInAStopIsAnswered guards against an answer of a stop that announces the
+// close of its connection although another request has been read, or may be read before the answer ends.
+func TestRequestReadBehindAnAnswerThatBeginsInAStopIsAnswered(t *testing.T) {
+	for _, path := range []string{"/stream/", "/safe/slow"} {
+		for _, sentBehind := range []time.Duration{0, sweepInterval} {
+			if path != "/stream/" && sentBehind > 0 {
+				continue // its answer is sent at once, and announces the close
+			}
+			release := make(chan struct{})
+			gw := newTestGatewayWith(t, patientConfig(), func(w http.ResponseWriter, r *http.Request) {
+				switch r.URL.Path {
+				case "/stream/":
+					streamEvents(1, 0)(w, r)
+					<-release
+				case "/safe/slow":
+					<-release
+					respond(200, "slow")(w, r)
+				default:
+					respond(200, "x")(w, r)
+				}
+			}).waitReady()
+			go gw.g.Stop(t.Context())
+			gw.waitForLog("event=stopping")
+			request := func(path string) string { return strings.Join(get(path), "\r\n") + "\r\n\r\n" }
+			c := gw.send(get(path)...)
+			time.Sleep(sentBehind) // a stream's head has been sent by then
+			_, err := io.WriteString(c, request("/safe/"))
+			assert.NilError(t, err)
+			time.AfterFunc(sweepInterval, func() { close(release) })
+			br := bufio.NewReader(c)
+			for _, want := range []string{path, "/safe/"} {
+				resp, err := http.ReadResponse(br, nil)
+				if !assert.Check(t, err, "%s, %v: no answer to %s", path, sentBehind, want) {
+					break
+				}
+				_, err = io.Copy(io.Discard, resp.Body)
+				assert.Check(t, err)
+				assert.Check(t, resp.StatusCode == 200, "%s: status %d", want, resp.StatusCode)
+			}
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -110,13 +110,18 @@
 	})
 	b := http1.AppendStatus(make([]byte, 0, 512), answer.Status, answer.Reason)
 	b = http1.AppendFields(b, h)
+	if x.req.KeepAlive && x.route.Streaming && answer.Status == 200 {
+		// Requests may be read until the stream has ended, and a close that was announced would leave them
+		// without an answer.
+		return b
+	}
 	return g.appendConnection(b, x)
 }
 
 // appendConnection appends a Connection field if the connection will be closed after the
-// response.
+// response, which is sent at once. A stop closes no connection on which more has been read.
 func (g *Gateway) appendConnection(b []byte, x *exchange) []byte {
-	if x.req.KeepAlive && !g.view.Load().stopping {
+	if x.req.KeepAlive && (!g.view.Load().stopping || x.readAhead.Load()) {
 		return b
 	}
 	x.req.KeepAlive = false
