--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -70,6 +70,20 @@
 	return "", false
 }
 
+// decisions are the events whose lines tell why a request went where it did.
+var decisions = []string{"event=hedge", "event=repeat", "event=attempt-failed", "event=request", "event=stream-resumed"}
+
+// logDecisions writes the lines of decisions on requests to the log of the test.
+func (b *logBuffer) logDecisions(t testing.TB) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, line := range b.lines {
+		if slices.ContainsFunc(decisions, func(event string) bool { return strings.Contains(line, event) }) {
+			t.Log(strings.TrimSpace(line))
+		}
+	}
+}
+
 // fakeTarget is a target with a handler that the test provides.
 type fakeTarget struct {
 	id     string
@@ -196,6 +210,9 @@
 	t.Cleanup(func() {
 		cancel()
 		assert.NilError(t, <-served)
+		if t.Failed() {
+			gw.logs.logDecisions(t)
+		}
 	})
 	return gw
 }
