gateway: a test waits until all bytes behind a request have arrived

It took all bytes as arrived when more than 65536 were held, but copies of the request that is handled count too: 65536 is the array before the last bytes, of which there are more than that. It waits for room for every byte, and checks the same.

--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -275,6 +275,18 @@
 	}
 }
 
+// heldPipelined returns the number of bytes that count as held behind requests.
+func (gw *testGateway) heldPipelined() (sum int64) {
+	gw.g.server.mu.Lock()
+	defer gw.g.server.mu.Unlock()
+	for cc := range gw.g.server.conns { // those of waitReady may be open, but hold nothing
+		gw.g.server.budget.mu.Lock()
+		sum += cc.account.Held(callerbuf.Pipelined)
+		gw.g.server.budget.mu.Unlock()
+	}
+	return sum
+}
+
 // Guards against memory behind a request that is held but not counted, or held for a small rest.
 func TestWholeArrayOfPipelinedBytesCounts(t *testing.T) {
 	const first, second = 16 << 10, 48 << 10
@@ -283,21 +295,13 @@
 		<-release
 		respond(200, "x")(w, r)
 	}).waitReady()
-	br := bufio.NewReader(gw.write(post("/once/", 0) + post("/once/", first) + strings.Repeat("x", first) +
-		post("/once/", second) + strings.Repeat("x", second) + post("/once/", 0)))
-	gw.waitUntil("all bytes have arrived", func() bool { return gw.held() > first+second })
+	behind := post("/once/", first) + strings.Repeat("x", first) + post("/once/", second) + strings.Repeat("x", second) + post("/once/", 0)
+	br := bufio.NewReader(gw.write(post("/once/", 0) + behind))
+	gw.waitUntil("there is room for all bytes", func() bool { return gw.heldPipelined() >= int64(len(behind)) })
 	var counted []int64
 	for i := range 4 {
 		gw.waitUntil("the request is handled", func() bool { return len(gw.targets[0].requests()) > i })
-		gw.g.server.mu.Lock()
-		sum := int64(0) // connections of waitReady may be open, but hold nothing
-		for cc := range gw.g.server.conns {
-			gw.g.server.budget.mu.Lock()
-			sum += cc.account.Held(callerbuf.Pipelined)
-			gw.g.server.budget.mu.Unlock()
-		}
-		counted = append(counted, sum)
-		gw.g.server.mu.Unlock()
+		counted = append(counted, gw.heldPipelined())
 		release <- struct{}{}
 		status, _ := readAnswer(t, br)
 		assert.Equal(t, status, 200)
