--- a/cmd/gentiantrail-gateway/main_test.go
+++ b/cmd/gentiantrail-gateway/main_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/gentiantrail/gentiantrail/internal/daemon"
 	"github.com/gentiantrail/gentiantrail/internal/testaddr"
+	"github.com/gentiantrail/gentiantrail/platform"
 	"github.com/gentiantrail/gentiantrail/platform/platformtest"
 )
 
@@ -156,11 +157,11 @@
 	silent, err := net.Listen("tcp4", "127.0.0.1:0")   // a target that accepts connections and never answers
 	assert.NilError(t, err)
 	defer func() { _ = silent.Close() }()
-	p.store.Put("servers", "i-1", map[string]any{
-		"service": "desk", "address": silent.Addr().String(), "zone": "a", "version": "v1",
-		"concurrencySlots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-	})
-	request := "GET /once/x HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: a1\r\nAuthorization: Bearer key\r\n\r\n"
+	target, err := platformtest.NewTarget("i-1", "a", func(platformtest.Run) {})
+	assert.NilError(t, err)
+	defer target.Close()
+	p.store.PutTarget(target, "desk", silent.Addr().String())
+	request := "GET /once/x HTTP/1.1\r\nHost: soak.example\r\n" + platform.Headers.Attempt + ": a1\r\nAuthorization: Bearer key\r\n\r\n"
 	p.waitFor("a request is at the target", func() bool {
 		c, err := net.Dial("tcp4", p.addr)
 		assert.NilError(t, err)
