--- a/internal/gateway/kept_run_test.go
+++ b/internal/gateway/kept_run_test.go
@@ -172,22 +172,24 @@
 func TestHedgeThatIsNotSentUsesNoRepeat(t *testing.T) {
 	reached := make(chan int, 1)
 	var handlers []http.HandlerFunc
-	for i := range 3 {
+	for i := range 4 {
 		handlers = append(handlers, func(w http.ResponseWriter, r *http.Request) {
 			reached <- i
-			pausingStream(3, 6)(w, r)
+			time.Sleep(standstill)
+			respond(200, "first")(w, r)
 		})
 	}
 	gw := newTestGatewayWith(t, patientConfig(), handlers...).waitReady()
-	c := gw.call("unreachable", "/stream/")
+	c := gw.call("unreachable", "/safe/")
 	first := <-reached
 	for i, target := range gw.targets {
 		if i != first {
 			target.crash()
 		}
 	}
-	c.expect(eventsUpTo(6))
+	c.expect("first")
 	gw.waitForLog("event=hedge", "outcome=failed")
+	gw.waitForLog("event=request") // it follows the return of the repeat
 	gw.g.mu.Lock()
 	defer gw.g.mu.Unlock()
 	limits := gw.g.view.Load().shares.retries
