--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -165,8 +165,8 @@
 	return result == upstream.Refused
 }
 
-// checkEnded connects to the target to find out whether it has ended. If so, and if the request does not count as answered, the
-// request and the parts of its prompt come under suspicion.
+// checkEnded connects to the target to find out whether it has ended. If so, and if the request does not
+// count as answered, the request and the parts of its prompt come under suspicion.
 func (a *attempt) checkEnded() upstream.ProbeResult {
 	if a.answered {
 		return upstream.Connected
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -184,9 +184,9 @@
 }
 
 // overdue reports whether a wait has exceeded its timeout: the header timeout from the first
-// part of a request until the whole request has arrived, the time for which a caller may read its last response,
-// or else the idle timeout. During a
-// stop, idle connections are overdue after admissionTime.
+// part of a request until the whole request has arrived, the time for which a caller may read its
+// last response, or else the idle timeout. During a stop, idle connections are overdue after
+// admissionTime.
 func (s *server) overdue(cc *callerConn, w *wait, now time.Time) bool {
 	header, idle := defaultHeaderTimeout, defaultIdleTimeout
 	if v := s.g.view.Load(); v.index != nil {
