gateway: a start accepts no callers before it serves them

Callers that connected while a gateway started could be reset: the check whether its address is unused listened there for a moment, took their connections and closed them. The check now binds the address without listening.

The time between the check and the listening stays, in which another process may take the address; two gateways that start there at the same moment would share it, as before.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
 	"github.com/gentiantrail/gentiantrail/internal/http1"
@@ -82,13 +84,24 @@
 }
 
 // checkUnused returns an error if another process listens on addr: with ReusePort two gateways
-// could share it.
+// could share it. It does not listen itself, as callers that connect meanwhile would be reset.
 func checkUnused(addr string) error {
-	ln, err := net.Listen("tcp4", addr)
+	a, err := net.ResolveTCPAddr("tcp4", addr)
 	if err != nil {
 		return err
 	}
-	return ln.Close()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return os.NewSyscallError("socket", err)
+	}
+	defer func() { _ = unix.Close(fd) }()
+	// The address may have connections of a process before this one.
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return os.NewSyscallError("setsockopt", err)
+	}
+	bound := &unix.SockaddrInet4{Port: a.Port}
+	copy(bound.Addr[:], a.IP.To4())
+	return os.NewSyscallError("bind", unix.Bind(fd, bound))
 }
 
 // OnBoot implements gnet.EventHandler.
