gateway: tests send messages of other gateways once they are received

A gateway is ready for callers before its socket for messages is open, and the first message, sent before that, made the next write fail. Three tests sent messages so early; they now wait until the socket is open. What they require of the gateway is unchanged.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -244,6 +245,24 @@
 	return gw
 }
 
+// dialPeer returns a socket for messages of other gateways, once the gateway receives them: it is ready for callers
+// before.
+func (gw *testGateway) dialPeer() net.Conn {
+	gw.t.Helper()
+	conn, err := net.Dial("udp4", gw.g.opts.Settings.PeerAddress)
+	assert.NilError(gw.t, err)
+	gw.t.Cleanup(func() { assert.NilError(gw.t, conn.Close()) })
+	poll.WaitOn(gw.t, func(poll.LogT) poll.Result {
+		_, _ = conn.Write([]byte{0}) // not a message; the next read tells whether it was refused
+		assert.NilError(gw.t, conn.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+		if _, err := conn.Read(make([]byte, 1)); errors.Is(err, syscall.ECONNREFUSED) {
+			return poll.Continue("no socket for messages")
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+	return conn
+}
+
 // waitForRequest waits until the first target has received a request.
 func (gw *testGateway) waitForRequest() {
 	gw.t.Helper()
--- a/internal/gateway/peer_relay_test.go
+++ b/internal/gateway/peer_relay_test.go
@@ -54,9 +54,7 @@
 // applies what they pass on, but not what somebody without the key sends.
 func TestChangesOfAnotherGatewayAreApplied(t *testing.T) {
 	gw := newTestGateway(t, respond(200, "x")).waitReady()
-	conn, err := net.Dial("udp4", gw.g.opts.Settings.PeerAddress)
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, conn.Close()) }()
+	conn := gw.dialPeer()
 	peers := &relayPeers{t: t, conn: conn, last: fleet.Position{Revision: 1}}
 	relayed := func() bool {
 		_, ok := gw.logs.find("topic=store-watch", "subject=config", "outcome=relayed")
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -14,9 +13,7 @@
 // message says that there is a later change.
 func TestLaterChangeReadByAnotherGatewayRenewsTheWatch(t *testing.T) {
 	gw := newTestGateway(t, respond(200, "x")).waitReady()
-	conn, err := net.Dial("udp4", gw.g.opts.Settings.PeerAddress)
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, conn.Close()) }()
+	conn := gw.dialPeer()
 	message, err := cbor.Marshal(workMessage{Sender: "other", Read: []readPosition{{Revision: 1 << 20}}})
 	assert.NilError(t, err)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/gateway/subscribe_test.go
+++ b/internal/gateway/subscribe_test.go
@@ -65,9 +65,7 @@
 	}})
 	assert.Assert(t, waitForSubscription(t, mapper, func(m hint.Message) bool { return !m.Busy }))
 
-	conn, err := net.Dial("udp4", gw.g.opts.Settings.PeerAddress)
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, conn.Close()) }()
+	conn := gw.dialPeer()
 	for i := range hint.ManyGateways + 1 {
 		b, err := cbor.Marshal(workMessage{Sender: fmt.Sprint("p", i), Zone: "y"})
 		assert.NilError(t, err)
