--- a/internal/gateway/close_test.go
+++ b/internal/gateway/close_test.go
@@ -43,3 +43,22 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, 200)
 }
+
+// TestConnectionOfACallerThatComesLateInAStopStaysOpen guards against a connection that is closed as idle right after
+// it has been accepted, so that the request that its caller sends then has no answer.
+func TestConnectionOfACallerThatComesLateInAStopStaysOpen(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "x")).waitReady()
+	go gw.g.Stop(t.Context())
+	time.Sleep(admissionTime + 100*time.Millisecond)
+	gw.waitUntil("the connections of the check are closed", func() bool { return len(gw.connections()) == 0 })
+	c := gw.write("")
+	gw.waitUntil("the connection is open", func() bool { return len(gw.connections()) == 1 })
+	gw.g.server.OnTick()
+	time.Sleep(50 * time.Millisecond) // the event loop closes what is overdue
+	_, err := io.WriteString(c, strings.Join(get("/safe/"), "\r\n")+"\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Check(t, resp.Close)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -23,6 +23,9 @@
 	// stopIdleTime is how long after the stop signal callers may still come: the load balancer in
 	// front needs two readiness checks to detect the stop.
 	stopIdleTime = 3 * time.Second
+	// requestTime is how long a connection that has just been accepted, or whose answer has just been sent,
+	// stays open in a stop: its caller may be sending a request.
+	requestTime = 500 * time.Millisecond
 	// callerKeepAlive is the idle time after which TCP keep-alive probes are sent on a
 	// caller's connection. It is closed after callerProbes unanswered probes at
 	// callerProbeInterval.
@@ -199,7 +202,7 @@
 // overdue reports whether a wait has exceeded its timeout: the header timeout from the first
 // part of a request until the whole request has arrived, the time for which a caller may read its
 // last response, or else the idle timeout. During a stop, idle connections are overdue after
-// admissionTime.
+// admissionTime, once they have had requestTime.
 func (s *server) overdue(cc *callerConn, w *wait, now time.Time) bool {
 	header, idle := defaultHeaderTimeout, defaultIdleTimeout
 	if v := s.g.view.Load(); v.index != nil {
@@ -211,7 +214,7 @@
 	case w.partial:
 		return now.Sub(w.since) > header
 	}
-	return now.Sub(w.since) > idle || s.g.timeSinceSignal() > admissionTime
+	return now.Sub(w.since) > idle || now.Sub(w.since) > requestTime && s.g.timeSinceSignal() > admissionTime
 }
 
 func parseLimits(v *view) http1.Limits {
