gateway: close the sockets of callers before the process ends

Callers that connected or sent a request at the very end of a stop got no answer: the process wrote its last log lines and left its listener and connections to be closed by the system, which takes a second on a busy machine, or as long as nobody reads the log.

A stop now ends in one step: under the lock by which requests become requests in flight, it finds that none is, and lets later ones be refused as not run. Then the listener and the connections are closed, then the log.

--- a/cmd/gentiantrail-gateway/main.go
+++ b/cmd/gentiantrail-gateway/main.go
@@ -49,7 +49,10 @@
 		return err
 	case <-daemon.StopSignals():
 	}
-	if whole := g.Stop(ctx); !whole {
+	whole := g.Stop(ctx)
+	cancel()
+	g.WaitClosed()
+	if !whole {
 		return errors.Join(daemon.ErrStopTimeout, telemetry.Close())
 	}
 	return telemetry.Close()
--- a/cmd/gentiantrail-gateway/main_test.go
+++ b/cmd/gentiantrail-gateway/main_test.go
@@ -55,6 +55,12 @@
 
 // startWith is like start with more settings.
 func startWith(t *testing.T, settings string) *process {
+	t.Helper()
+	return startWithOutput(t, settings, nil)
+}
+
+// startWithOutput is like startWith with a file for the log, or nil for one of its own.
+func startWithOutput(t *testing.T, settings string, log *os.File) *process {
 	t.Helper()
 	store, err := platformtest.NewStore()
 	assert.NilError(t, err)
@@ -74,9 +80,11 @@
 			"store_address: " + store.Addr() + "\nmemory: 256\n" + settings,
 	}
 	p.writeSettings(p.settingsText)
-	log, err := os.Create(p.logPath)
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = log.Close() })
+	if log == nil {
+		log, err = os.Create(p.logPath)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = log.Close() })
+	}
 	p.cmd = exec.Command(os.Args[0], "--settings", p.settingsPath)
 	p.cmd.Env = append(os.Environ(), asProgram+"=1")
 	p.cmd.Stdout, p.cmd.Stderr = log, log
@@ -178,3 +186,33 @@
 	assert.Equal(t, exit.ExitCode(), daemon.ExitForced)
 	assert.Equal(t, p.countLines("unfinished"), 1)
 }
+
+// TestListenerIsClosedBeforeTheProcessEnds guards against callers who connect to a process that only waits for its
+// log to be read or for its own end, and get no answer when it is gone.
+func TestListenerIsClosedBeforeTheProcessEnds(t *testing.T) {
+	out, log, err := os.Pipe()
+	assert.NilError(t, err)
+	defer func() { _ = log.Close() }()
+	assert.NilError(t, log.SetWriteDeadline(time.Now().Add(200*time.Millisecond)))
+	_, err = log.Write(make([]byte, 1<<20)) // nobody reads the log, and the pipe is full
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	p := startWithOutput(t, "", log)
+	ended := make(chan error, 1)
+	go func() { ended <- p.cmd.Wait() }()
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	p.waitFor("the listener is closed", func() bool {
+		c, err := net.Dial("tcp4", p.addr)
+		if err != nil {
+			return true
+		}
+		_ = c.Close()
+		return false
+	})
+	select {
+	case <-ended:
+		t.Error("the listener was open until the end of the process")
+	default:
+	}
+	go func() { _, _ = io.Copy(io.Discard, out) }()
+	assert.NilError(t, <-ended)
+}
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -191,6 +191,8 @@
 	if cc.busy || cc.closing || cc.discarding {
 		return buf
 	}
+	cc.s.gate.Lock()
+	defer cc.s.gate.Unlock()
 	v := cc.s.g.view.Load()
 	n, err := cc.reader.Read(buf, parseLimits(v))
 	if err != nil {
@@ -202,6 +204,10 @@
 		cc.releasePipelined(n)
 	}
 	if req := cc.reader.Complete(); req != nil {
+		if cc.s.ending {
+			cc.reject(apierr.New(apierr.KindDraining, cc.s.g.opts.Settings.Name))
+			return nil
+		}
 		cc.startRequest(req, v)
 		return buf[n:]
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -53,17 +53,24 @@
 	// maxConns bounds the number of conns.
 	maxConns int
 	budget   *callerBudget
+	// gate guards ending, and the step from bytes that have been read to a request in flight.
+	gate sync.Mutex
+	// ending is true once no request is handled any more: those that still arrive are refused.
+	ending bool
+	// closed is closed once the listener and all connections are closed.
+	closed chan struct{}
 }
 
 func newServer(g *Gateway) *server {
 	return &server{
 		g: g, booted: make(chan struct{}), conns: make(map[*callerConn]struct{}),
-		maxConns: maxCallers(g.opts.Settings), budget: newCallerBudget(g),
+		maxConns: maxCallers(g.opts.Settings), budget: newCallerBudget(g), closed: make(chan struct{}),
 	}
 }
 
-// Serve accepts callers' connections until ctx ends.
+// Serve accepts callers' connections until ctx ends. It must be called only once.
 func (g *Gateway) Serve(ctx context.Context) error {
+	defer close(g.server.closed)
 	go func() {
 		<-ctx.Done()
 		select {
@@ -199,6 +206,22 @@
 	return false
 }
 
+// end makes the server refuse the requests that still arrive.
+func (s *server) end() {
+	s.gate.Lock()
+	defer s.gate.Unlock()
+	s.ending = true
+}
+
+// endIfIdle does the same if no request is in flight or partly read and no response is on its way, and reports
+// whether that is so.
+func (s *server) endIfIdle() bool {
+	s.gate.Lock()
+	defer s.gate.Unlock()
+	s.ending = s.ending || s.g.nothingRead()
+	return s.ending
+}
+
 // overdue reports whether a wait has exceeded its timeout: the header timeout from the first
 // part of a request until the whole request has arrived, the time for which a caller may read its
 // last response, or else the idle timeout. During a stop, idle connections are overdue after
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -67,15 +67,16 @@
 
 // Stop makes Ready fail at once and goes on serving requests that still arrive. It returns
 // when no request is in flight or partly read and callers have had time to move to other gateways,
-// or at the stop timeout. What it may leave unfinished is logged before the process may be killed. It reports
-// whether no request was in flight at its end.
+// or at the stop timeout. Requests that arrive from then on are refused; ending Serve closes their connections.
+// What Stop may leave unfinished is logged before the process may be killed. It reports whether no request was in
+// flight at its end.
 func (g *Gateway) Stop(ctx context.Context) (whole bool) {
 	times, timeout := g.beginStop(), g.opts.Settings.Limits.StopTimeout
 	g.post(ctx, stopRequested{})
 	nextLine, logged := stopLogInterval, false
 	for times.timeToEnd(timeout) > 0 {
 		failing := time.Since(times.noticed)
-		if failing > stopIdleTime+sweepInterval && g.nothingRead() {
+		if failing > stopIdleTime+sweepInterval && g.server.endIfIdle() {
 			break
 		}
 		if failing >= nextLine {
@@ -89,6 +90,7 @@
 		}
 		time.Sleep(min(stopPollInterval, times.timeToEnd(timeout)))
 	}
+	g.server.end()
 	if !logged {
 		g.logUnfinished()
 	}
@@ -98,6 +100,17 @@
 	return left == 0
 }
 
+// WaitClosed waits until Serve has closed the listener and the connections of callers, but not longer than until the
+// process may be killed. Sockets that the end of the process closes accept callers until then, which may take a
+// second on a busy machine, and nobody answers them.
+func (g *Gateway) WaitClosed() {
+	select {
+	case <-g.server.closed:
+	case <-time.After(max(exitTime, g.timeToKill())):
+		g.opts.Logger.Warn().Str("event", "not-closed").Int64("stop_ms", g.timeSinceSignal().Milliseconds()).Msg("")
+	}
+}
+
 // nothingRead reports whether no request is in flight or partly read and no response is on its way. The
 // number in flight is checked on both sides, since a request that is partly read may become one that is in
 // flight, and be followed by another.
--- a/internal/gateway/stop_read_test.go
+++ b/internal/gateway/stop_read_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -116,3 +117,21 @@
 	assert.Equal(t, resp.StatusCode, 200)
 	assert.Check(t, resp.Close)
 }
+
+// TestRequestsAfterTheEndOfAStopAreRefused guards against requests that are taken while the process ends, and are cut
+// off with it.
+func TestRequestsAfterTheEndOfAStopAreRefused(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "x")).waitReady()
+	kept := gw.write("")
+	gw.g.server.end()
+	for _, c := range []net.Conn{kept, gw.write("")} {
+		_, err := io.WriteString(c, strings.Join(get("/safe/"), "\r\n")+"\r\n\r\n")
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, 503)
+		assert.Equal(t, resp.Header.Get("T-Id"), "a1")
+		assert.Check(t, resp.Close)
+	}
+	assert.Equal(t, len(gw.targets[0].requests()), 0)
+}
