--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -284,7 +284,8 @@
 // request that took too long to arrive, and closes the connection.
 func (cc *callerConn) reject(err *apierr.Error) {
 	cc.s.g.requestMetrics.Count(err.Kind)
-	cc.s.g.opts.Logger.Info().Str("event", "request-rejected").Str("kind", err.Answer().Name).
+	id, _ := cc.attemptID()
+	cc.s.g.opts.Logger.Info().Str("event", "request-rejected").Str("request", id).Str("kind", err.Answer().Name).
 		Str("peer", cc.conn.RemoteAddr().String()).Str("detail", err.Error()).Msg("")
 	cc.refuse(err)
 }
@@ -293,16 +294,22 @@
 // connection.
 func (cc *callerConn) refuse(err *apierr.Error) {
 	var fields http1.Header
-	name := cc.s.g.opts.Headers.Attempt
-	if head := cc.reader.Head(); head != nil {
-		if id, ok := head.Header.Lookup(name); ok {
-			fields = http1.Header{{Name: name, Value: id}}
-		}
+	if id, ok := cc.attemptID(); ok {
+		fields = http1.Header{{Name: cc.s.g.opts.Headers.Attempt, Value: id}}
 	}
 	cc.send(errorAnswer(err, fields))
 	cc.linger()
 }
 
+// attemptID returns the id of the request that is arriving, if its head has arrived and has one.
+func (cc *callerConn) attemptID() (id string, ok bool) {
+	head := cc.reader.Head()
+	if head == nil {
+		return "", false
+	}
+	return head.Header.Lookup(cc.s.g.opts.Headers.Attempt)
+}
+
 // linger closes the connection once its caller has had the time to read the last response.
 func (cc *callerConn) linger() {
 	if cc.closed || cc.closing {
--- a/internal/gateway/stop_read_test.go
+++ b/internal/gateway/stop_read_test.go
@@ -133,5 +133,6 @@
 		assert.Equal(t, resp.Header.Get("T-Id"), "a1")
 		assert.Check(t, resp.Close)
 	}
+	gw.waitForLog("event=request-rejected", "request=a1", "kind=draining")
 	assert.Equal(t, len(gw.targets[0].requests()), 0)
 }
