gateway: refuse requests that are on their way at the end of a stop

A stop closed all connections as soon as no request was in flight: also those of callers who had connected, or got their last answer, less than half a second before, and those with bytes that the busy event loop had not read. Their requests got no answer: unexpected EOF, or a reset of a request sent 0.58 s before. At its end a stop now goes on refusing requests for half a second, and until nothing is left to read and no connection waits to be accepted, as long as the process has time.

Both tests failed before (unexpected EOF, connection reset by peer).

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -81,7 +81,7 @@
 		cc.reject(apierr.New(apierr.KindSlowRequest, ""))
 		return
 	}
-	if arrived, err := unix.IoctlGetInt(cc.conn.Fd(), unix.TIOCINQ); err == nil && arrived > 0 {
+	if cc.unread() {
 		return // the event loop reads the next request as soon as it can
 	}
 	cc.closing = true
@@ -323,8 +323,15 @@
 	}
 }
 
+// unread reports whether bytes have arrived that the event loop has not read. It is called on the event loop or
+// while server.mu is held, so that the descriptor is not closed meanwhile.
+func (cc *callerConn) unread() bool {
+	n, err := unix.IoctlGetInt(cc.conn.Fd(), unix.TIOCINQ)
+	return err == nil && n > 0
+}
+
 // unacknowledged reports whether the caller's system has not confirmed all bytes of the last response. It is called
-// on the event loop or while server.mu is held, so that the descriptor is not closed meanwhile.
+// like unread.
 func (cc *callerConn) unacknowledged() bool {
 	n, err := unix.IoctlGetInt(cc.conn.Fd(), unix.TIOCOUTQ)
 	return err == nil && n > 0
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -193,35 +193,6 @@
 	return sweepInterval, gnet.None
 }
 
-// unfinished reports whether a part of a request has been read on any connection, or a caller that is given
-// time to read the last response has not got all of it.
-func (s *server) unfinished() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for cc := range s.conns {
-		if w := cc.waiting.Load(); w != nil && (w.partial || w.lingering && cc.unacknowledged()) {
-			return true
-		}
-	}
-	return false
-}
-
-// end makes the server refuse the requests that still arrive.
-func (s *server) end() {
-	s.gate.Lock()
-	defer s.gate.Unlock()
-	s.ending = true
-}
-
-// endIfIdle does the same if no request is in flight or partly read and no response is on its way, and reports
-// whether that is so.
-func (s *server) endIfIdle() bool {
-	s.gate.Lock()
-	defer s.gate.Unlock()
-	s.ending = s.ending || s.g.nothingRead()
-	return s.ending
-}
-
 // overdue reports whether a wait has exceeded its timeout: the header timeout from the first
 // part of a request until the whole request has arrived, the time for which a caller may read its
 // last response, or else the idle timeout. During a stop, idle connections are overdue after
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -94,12 +94,22 @@
 	if !logged {
 		g.logUnfinished()
 	}
+	g.awaitQuiet()
 	left := g.inFlight.Load()
 	g.opts.Logger.Info().Str("event", "stop-ends").Int64("requests", left).
 		Int64("took_ms", time.Since(times.noticed).Milliseconds()).Msg("")
 	return left == 0
 }
 
+// awaitQuiet gives the event loop the time to refuse requests that are on their way: it waits for requestTime and
+// until nothing is left to read, but not longer than until the process may be killed.
+func (g *Gateway) awaitQuiet() {
+	ended := time.Now()
+	for g.timeToKill() > 0 && (time.Since(ended) < requestTime || !g.server.quiet()) {
+		time.Sleep(stopPollInterval / 5)
+	}
+}
+
 // WaitClosed waits until Serve has closed the listener and the connections of callers, but not longer than until the
 // process may be killed. Sockets that the end of the process closes accept callers until then, which may take a
 // second on a busy machine, and nobody answers them.
--- /dev/null
+++ b/internal/gateway/stop_end_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"gotest.tools/v3/assert"
+)
+
+// stopAndClose stops the gateway and closes its sockets, as its program does. The channel is closed after that; the
+// test does not end before.
+func (gw *testGateway) stopAndClose() <-chan struct{} {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		gw.g.Stop(context.Background())
+		_ = gw.g.server.engine.Stop(context.Background())
+	}()
+	gw.t.Cleanup(func() { <-closed })
+	return closed
+}
+
+// waitForEnd waits until the gateway refuses all requests.
+func (gw *testGateway) waitForEnd() {
+	gw.t.Helper()
+	gw.waitUntil("the stop is at its end", func() bool {
+		gw.g.server.gate.Lock()
+		defer gw.g.server.gate.Unlock()
+		return gw.g.server.ending
+	})
+}
+
+// expectRefusal sends a request and requires that it is refused as not run.
+func expectRefusal(t *testing.T, name string, c net.Conn) {
+	t.Helper()
+	_, err := io.WriteString(c, strings.Join(get("/safe/"), "\r\n")+"\r\n\r\n")
+	assert.NilError(t, err, name)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err, name)
+	assert.Equal(t, resp.StatusCode, 503, name)
+	assert.Check(t, resp.Close, name)
+}
+
+// TestRequestOnItsWayAtTheEndOfAStopIsRefused guards against a connection that is closed under a request of a caller
+// who has just connected, or whose last answer has just ended.
+func TestRequestOnItsWayAtTheEndOfAStopIsRefused(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "x")).waitReady()
+	gw.stopAndClose()
+	time.Sleep(stopIdleTime + sweepInterval - requestTime/5)
+	c := gw.write("")
+	gw.waitForEnd()
+	time.Sleep(requestTime / 5)
+	expectRefusal(t, "the caller who connected before the end", c)
+}
+
+// TestRequestThatABusyLoopHasNotReadAtTheEndOfAStopIsRefused guards against requests that are reset unread, since the
+// event loop was busy when its stop was asked for.
+func TestRequestThatABusyLoopHasNotReadAtTheEndOfAStopIsRefused(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "x")).waitReady()
+	gw.stopAndClose()
+	time.Sleep(stopIdleTime)
+	kept := gw.write("")
+	gw.waitUntil("the connection is open", func() bool { return len(gw.connections()) == 1 })
+	loop := gw.connections()[0].conn
+	gw.waitForEnd()
+	assert.NilError(t, loop.Wake(func(gnet.Conn, error) error {
+		time.Sleep(requestTime + 200*time.Millisecond)
+		return nil
+	}))
+	time.Sleep(20 * time.Millisecond)
+	fresh := gw.write("")
+	expectRefusal(t, "a kept connection", kept)
+	expectRefusal(t, "a connection that was not accepted yet", fresh)
+}
