gateway: an idle connection stays open until its caller has the last answer

The end of an answer on a kept connection could be lost in a stop, and at the idle timeout: once the answer had left the process its connection counted as idle, and closing it while its caller sent another request reset it. Idle connections now stay open, and a stop waits, until the caller's system has the answer, at most for sendTimeout, as with connections that are closed behind an answer.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -196,19 +196,23 @@
 // overdue reports whether a wait has exceeded its timeout: the header timeout from the first
 // part of a request until the whole request has arrived, the time for which a caller may read its
 // last response, or else the idle timeout. During a stop, idle connections are overdue after
-// admissionTime, once they have had requestTime.
+// admissionTime, once they have had requestTime. None is overdue as long as its caller may still get the end
+// of the last response, since a reset would lose it.
 func (s *server) overdue(cc *callerConn, w *wait, now time.Time) bool {
 	header, idle := defaultHeaderTimeout, defaultIdleTimeout
 	if v := s.g.view.Load(); v.index != nil {
 		header, idle = v.index.Config.Limits.HeaderTimeout, v.index.Config.Limits.IdleTimeout
 	}
+	waited := now.Sub(w.since)
 	switch {
-	case w.lingering:
-		return now.Sub(w.since) > sendTimeout || now.Sub(w.since) > lingerTime && !cc.unacknowledged()
 	case w.partial:
-		return now.Sub(w.since) > header
+		return waited > header
+	case waited <= sendTimeout && cc.unacknowledged():
+		return false
+	case w.lingering:
+		return waited > lingerTime
 	}
-	return now.Sub(w.since) > idle || now.Sub(w.since) > requestTime && s.g.timeSinceSignal() > admissionTime
+	return waited > idle || waited > requestTime && s.g.timeSinceSignal() > admissionTime
 }
 
 func parseLimits(v *view) http1.Limits {
--- a/internal/gateway/server_end.go
+++ b/internal/gateway/server_end.go
@@ -20,13 +20,13 @@
 	return s.ending
 }
 
-// unfinished reports whether a part of a request has been read on any connection, or a caller that is given
-// time to read the last response has not got all of it.
+// unfinished reports whether a part of a request has been read on any connection, or a caller has not got all of
+// the last response.
 func (s *server) unfinished() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for cc := range s.conns {
-		if w := cc.waiting.Load(); w != nil && (w.partial || w.lingering && cc.unacknowledged()) {
+		if w := cc.waiting.Load(); w != nil && (w.partial || cc.unacknowledged()) {
 			return true
 		}
 	}
--- a/internal/gateway/stop_end_test.go
+++ b/internal/gateway/stop_end_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -79,3 +80,32 @@
 	expectRefusal(t, "a kept connection", kept)
 	expectRefusal(t, "a connection that was not accepted yet", fresh)
 }
+
+// TestEndOfAnAnswerOnAKeptConnectionArrivesInAStop guards against the end of an answer that is reset with its idle
+// connection, while its caller reads it slowly.
+func TestEndOfAnAnswerOnAKeptConnectionArrivesInAStop(t *testing.T) {
+	const events, size = 12, 60 << 10
+	gw := newTestGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Sign", "signed")
+		for id := 1; id <= events; id++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, strings.Repeat("x", size))
+		}
+	}).waitReady()
+	closed := gw.stopAndClose()
+	c := gw.write("")
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
+	_, err := io.WriteString(c, strings.Join(get("/stream/"), "\r\n")+"\r\n\r\n")
+	assert.NilError(t, err)
+	select {
+	case <-closed:
+	case <-time.After(stopIdleTime + 2*sweepInterval + requestTime):
+	}
+	_, err = io.WriteString(c, strings.Join(get("/safe/"), "\r\n")+"\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Check(t, !resp.Close)
+	n, err := io.Copy(io.Discard, resp.Body)
+	assert.Check(t, err, "%d of about %d bytes have arrived", n, events*size)
+}
