gateway: a stop that cuts off a partly read request is not whole

A stop that ended at its timeout with a request partly read, or with an answer that its caller had not got, exited with code 0 and without a line about it.

--- a/internal/gateway/server_end.go
+++ b/internal/gateway/server_end.go
@@ -20,22 +20,23 @@
 	return s.ending
 }
 
-// unfinished reports whether a part of a request has been read on any connection, or a caller has not got all of
-// the last response.
-func (s *server) unfinished() bool {
+// unfinished returns the number of connections on which a part of a request has been read, or whose callers have
+// not got all of the last response.
+func (s *server) unfinished() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	n := 0
 	for cc := range s.conns {
 		if w := cc.waiting.Load(); w != nil && (w.partial || cc.unacknowledged()) {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // quiet reports whether nothing that callers have sent is left unread and no refusal is on its way.
 func (s *server) quiet() bool {
-	if s.unfinished() || s.waitingToBeAccepted() {
+	if s.unfinished() > 0 || s.waitingToBeAccepted() {
 		return false
 	}
 	s.mu.Lock()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -69,7 +69,7 @@
 // when no request is in flight or partly read and callers have had time to move to other gateways,
 // or at the stop timeout. Requests that arrive from then on are refused; ending Serve closes their connections.
 // What Stop may leave unfinished is logged before the process may be killed. It reports whether no request was in
-// flight at its end.
+// flight or partly read at its end, and all callers had got their answers.
 func (g *Gateway) Stop(ctx context.Context) (whole bool) {
 	times, timeout := g.beginStop(), g.opts.Settings.Limits.StopTimeout
 	g.post(ctx, stopRequested{})
@@ -95,10 +95,10 @@
 		g.logUnfinished()
 	}
 	g.awaitQuiet()
-	left := g.inFlight.Load()
-	g.opts.Logger.Info().Str("event", "stop-ends").Int64("requests", left).
+	left, unfinished := g.inFlight.Load(), g.server.unfinished()
+	g.opts.Logger.Info().Str("event", "stop-ends").Int64("requests", left).Int("connections", unfinished).
 		Int64("took_ms", time.Since(times.noticed).Milliseconds()).Msg("")
-	return left == 0
+	return left == 0 && unfinished == 0
 }
 
 // awaitQuiet gives the event loop the time to refuse requests that are on their way: it waits for requestTime and
@@ -125,7 +125,7 @@
 // number in flight is checked on both sides, since a request that is partly read may become one that is in
 // flight, and be followed by another.
 func (g *Gateway) nothingRead() bool {
-	return g.inFlight.Load() == 0 && !g.server.unfinished() && g.inFlight.Load() == 0
+	return g.inFlight.Load() == 0 && g.server.unfinished() == 0 && g.inFlight.Load() == 0
 }
 
 // Reload applies the limits and the routing between zones of changed settings.
--- a/internal/gateway/stop_end_test.go
+++ b/internal/gateway/stop_end_test.go
@@ -109,3 +109,15 @@
 	n, err := io.Copy(io.Discard, resp.Body)
 	assert.Check(t, err, "%d of about %d bytes have arrived", n, events*size)
 }
+
+// TestStopThatLeavesAPartOfARequestIsNotWhole guards against an exit code that hides a request which was cut off
+// before all of it had arrived.
+func TestStopThatLeavesAPartOfARequestIsNotWhole(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "x")).waitReady()
+	gw.g.opts.Settings.Limits.StopTimeout = 1200 * time.Millisecond
+	gw.write(post("/safe/", 1000) + "abc")
+	gw.waitUntil("a part has been read", func() bool { return gw.held() > 0 })
+	assert.Check(t, !gw.g.Stop(t.Context()))
+	_, found := gw.logs.find("event=stop-ends", "requests=0", "connections=1")
+	assert.Check(t, found)
+}
