gateway: refuse requests by their head at the end of a stop

At the end of a stop a request whose head alone determines the answer was still handled, so that the stop could count it as cut off, and a caller that expects 100 Continue was asked for a body that nobody reads. Both are refused now.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -223,6 +223,10 @@
 	}
 	if head := cc.reader.Head(); head != nil && !cc.headChecked {
 		cc.headChecked = true
+		if cc.s.ending {
+			cc.reject(apierr.New(apierr.KindDraining, cc.s.g.opts.Settings.Name))
+			return
+		}
 		if cc.s.g.refusedByHead(head, v) {
 			head.KeepAlive, head.Body = false, nil
 			cc.discarding = true
--- a/internal/gateway/stop_end_test.go
+++ b/internal/gateway/stop_end_test.go
@@ -121,3 +121,14 @@
 	_, found := gw.logs.find("event=stop-ends", "requests=0", "connections=1")
 	assert.Check(t, found)
 }
+
+// TestHeadsAfterTheEndOfAStopAreRefused guards against requests that are handled at the end of a stop since their
+// head alone determines the answer, and callers who are asked for a body that nobody reads.
+func TestHeadsAfterTheEndOfAStopAreRefused(t *testing.T) {
+	gw := newTestGateway(t, respond(200, "x")).waitReady()
+	gw.g.server.end()
+	for _, head := range []string{post("/nowhere/", 1000), post("/safe/", 1000, "Expect: 100-continue")} {
+		status, _ := readAnswer(t, bufio.NewReader(gw.write(head)))
+		assert.Equal(t, status, 503)
+	}
+}
