gateway: a listener that opens after its end was asked for is closed

By reading, found by the independent review: Serve gave up stopping the listener if its context ended before the listener was open. The window is too short to show: the new test passed on the code before in the review's 20 runs too.

--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -1,10 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"testing"
+	"time"
 
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/settings"
 )
 
 // TestCheckOfTheAddressAcceptsNoCallers guards against a gateway that resets callers at its start: the check whether
@@ -38,3 +44,24 @@
 	assert.NilError(t, <-checks)
 	assert.Equal(t, accepted, 0)
 }
+
+// TestServeEndsIfItsContextHasEndedBefore guards against a listener that stays open since its stop was asked for
+// before it had been opened.
+func TestServeEndsIfItsContextHasEndedBefore(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 20 {
+		g := New(Options{
+			Settings: &settings.Gateway{Listen: freePort(t), Limits: settings.DefaultGatewayLimits()},
+			Logger:   &log.Logger{Level: log.PanicLevel}, Metrics: tally.NoopScope,
+		})
+		ended := make(chan error, 1)
+		go func() { ended <- g.Serve(ctx) }()
+		select {
+		case err := <-ended:
+			assert.NilError(t, err)
+		case <-time.After(5 * time.Second):
+			t.Fatal("the listener is open")
+		}
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -78,7 +78,7 @@
 			if err := g.server.engine.Stop(context.Background()); err != nil {
 				g.opts.Logger.Warn().Str("event", "listener-stop").Err(err).Msg("")
 			}
-		default:
+		case <-g.server.closed:
 		}
 	}()
 	if err := checkUnused(g.opts.Settings.Listen); err != nil {
