gateway: requests that a stop cuts off are not logged as left by their callers

Since a stop that ends at its timeout closed the connections before the process ended, and the requests on them were logged with kind=cancelled and status 499, behind their lines `unfinished` (in 1 of 2 runs of the program). Such a stop now leaves the connections to the end of the process.

--- a/cmd/gentiantrail-gateway/main.go
+++ b/cmd/gentiantrail-gateway/main.go
@@ -49,11 +49,11 @@
 		return err
 	case <-daemon.StopSignals():
 	}
-	whole := g.Stop(ctx)
-	cancel()
-	g.WaitClosed()
-	if !whole {
+	if whole := g.Stop(ctx); !whole {
+		// The connections stay open: requests that are cut off by closing them would be logged as left by their callers.
 		return errors.Join(daemon.ErrStopTimeout, telemetry.Close())
 	}
+	cancel()
+	g.WaitClosed()
 	return telemetry.Close()
 }
--- a/cmd/gentiantrail-gateway/main_test.go
+++ b/cmd/gentiantrail-gateway/main_test.go
@@ -185,6 +185,9 @@
 	assert.Assert(t, errors.As(p.cmd.Wait(), &exit))
 	assert.Equal(t, exit.ExitCode(), daemon.ExitForced)
 	assert.Equal(t, p.countLines("unfinished"), 1)
+	log, err := os.ReadFile(p.logPath)
+	assert.NilError(t, err)
+	assert.Check(t, !strings.Contains(string(log), "kind=cancelled"), "a request that the stop has cut off is logged as left by its caller")
 }
 
 // TestListenerIsClosedBeforeTheProcessEnds guards against callers who connect to a process that only waits for its
