--- a/internal/gateway/in_flight.go
+++ b/internal/gateway/in_flight.go
@@ -61,7 +61,8 @@
 		x.progress.update(func(p *progress) {
 			line := g.opts.Logger.Warn().Str("event", "unfinished").Str("request", p.id).Str("route", p.route).
 				Str("target", p.target).Int("attempts", p.attempts).Int64("age_ms", time.Since(x.arrived).Milliseconds()).
-				Int64("stop_ms", g.timeSinceSignal().Milliseconds()).Bool("handled", p.handled)
+				Int64("stop_ms", g.timeSinceSignal().Milliseconds()).Bool("handled", p.handled).
+				Bool("read_ahead", x.readAhead.Load())
 			if !p.lastEventAt.IsZero() {
 				line = line.Int64("last_event", p.lastEvent).Int64("last_event_ms_ago", time.Since(p.lastEventAt).Milliseconds())
 			}
