observe: a stop does not wait forever for a reader of the log

A gateway or mapper whose standard output nobody reads never ended after its stop: BoundedLogger.Close waited for the reader of the log without a bound, and the process was killed. Its exit code was lost, and with it whether the stop had left requests unfinished. Close now waits 1 s and gives up the lines that have not been taken.

TestBoundedLoggerCloseDoesNotWaitForever: Close had not returned after 10 s before.

TestListenerIsClosedBeforeTheProcessEnds looked whether the process still ran once its listener was closed. That no longer tells a listener that the program closes from one that ends with the process a second later. It now reads the full pipe only once the listener is closed, and expects the last line of the log: nothing but a process without its listener can write it then.

--- a/cmd/gentiantrail-gateway/main_test.go
+++ b/cmd/gentiantrail-gateway/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -187,19 +188,41 @@
 	assert.Equal(t, p.countLines("unfinished"), 1)
 }
 
-// TestListenerIsClosedBeforeTheProcessEnds guards against callers who connect to a process that only waits for its
-// log to be read or for its own end, and get no answer when it is gone.
-func TestListenerIsClosedBeforeTheProcessEnds(t *testing.T) {
+// unreadLog returns the two ends of a pipe that takes no more bytes.
+func unreadLog(t *testing.T) (out, log *os.File) {
+	t.Helper()
 	out, log, err := os.Pipe()
 	assert.NilError(t, err)
-	defer func() { _ = log.Close() }()
+	t.Cleanup(func() { _, _ = out.Close(), log.Close() })
 	assert.NilError(t, log.SetWriteDeadline(time.Now().Add(200*time.Millisecond)))
-	_, err = log.Write(make([]byte, 1<<20)) // nobody reads the log, and the pipe is full
+	_, err = log.Write(make([]byte, 1<<20))
 	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	return out, log
+}
+
+// TestProcessEndsAlthoughNobodyReadsItsLog guards against a stopped process that waits for a reader of its log until
+// it is killed.
+func TestProcessEndsAlthoughNobodyReadsItsLog(t *testing.T) {
+	_, log := unreadLog(t)
 	p := startWithOutput(t, "", log)
 	ended := make(chan error, 1)
 	go func() { ended <- p.cmd.Wait() }()
 	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case err := <-ended:
+		assert.NilError(t, err)
+	case <-time.After(20 * time.Second):
+		t.Fatal("the process runs 20 s after the signal")
+	}
+}
+
+// TestListenerIsClosedBeforeTheProcessEnds guards against callers who connect to a process that only waits for its
+// log to be read or for its own end, and get no answer when it is gone.
+func TestListenerIsClosedBeforeTheProcessEnds(t *testing.T) {
+	out, log := unreadLog(t)
+	p := startWithOutput(t, "", log)
+	assert.NilError(t, log.Close())
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
 	p.waitFor("the listener is closed", func() bool {
 		c, err := net.Dial("tcp4", p.addr)
 		if err != nil {
@@ -208,11 +231,9 @@
 		_ = c.Close()
 		return false
 	})
-	select {
-	case <-ended:
-		t.Error("the listener was open until the end of the process")
-	default:
-	}
-	go func() { _, _ = io.Copy(io.Discard, out) }()
-	assert.NilError(t, <-ended)
+	// The pipe was full until now: only a process that runs without its listener can still write its last line.
+	content, err := io.ReadAll(out)
+	assert.NilError(t, err)
+	assert.Check(t, bytes.Contains(content, []byte("event=stopped ")), "the listener was open until the end of the process")
+	assert.NilError(t, p.cmd.Wait())
 }
--- a/internal/observe/bounded.go
+++ b/internal/observe/bounded.go
@@ -14,6 +14,9 @@
 	maxLinesPerSecond = 400
 	// queuedLines is the largest number of lines that wait for a slow reader of the log.
 	queuedLines = 2048
+	// closeTimeout bounds how long Close waits for the reader of the log: a process must end
+	// although nobody reads its log.
+	closeTimeout = time.Second
 )
 
 // BoundedLogger is a logger that never blocks: lines above its rate limit, and lines for
@@ -34,10 +37,14 @@
 // Dropped returns the number of lines that were not written.
 func (l *BoundedLogger) Dropped() int64 { return l.writer.dropped.Load() }
 
-// Close writes the queued lines and stops the logger.
+// Close writes the queued lines and stops the logger. It gives up the lines that the reader of
+// the log has not taken after closeTimeout.
 func (l *BoundedLogger) Close() error {
 	l.writer.stopOnce.Do(func() { close(l.writer.stopped) })
-	<-l.writer.done
+	select {
+	case <-l.writer.done:
+	case <-time.After(closeTimeout):
+	}
 	return nil
 }
 
--- a/internal/observe/bounded_test.go
+++ b/internal/observe/bounded_test.go
@@ -70,3 +70,19 @@
 	assert.Equal(t, bytes.Count(w.b.Bytes(), []byte("\n")), lines)
 	assert.NilError(t, l.Close()) // a second Close has no effect
 }
+
+// TestBoundedLoggerCloseDoesNotWaitForever guards against a process that never ends because nobody reads its log.
+func TestBoundedLoggerCloseDoesNotWaitForever(t *testing.T) {
+	w := stuckWriter{release: make(chan struct{})}
+	defer close(w.release)
+	l := NewBoundedLogger(w, "info", "p", "i")
+	l.Info().Str("event", "x").Msg("")
+	closed := make(chan error, 1)
+	go func() { closed <- l.Close() }()
+	select {
+	case err := <-closed:
+		assert.NilError(t, err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("Close waits for a reader that does not read")
+	}
+}
