entry: repeat idempotent requests whose short answer fails in its body

A caller of an idempotent request got 502 although nothing of an answer had been sent to it, when the body of a short answer (known length, up to 64 KiB) was cut off at the target or with the link: the entry reads such answers whole before it passes their heads on, but the attempt counted as successful with the head.

The body of a short answer is now read as a part of the attempt, so that its failure is repeated within the same limits as a failure before the head: attempts, retry budget, deadline, quarantine. Longer answers and those without a length are passed on while they arrive, their callers have a part of them, and they are not repeated. Entries that forward for a peer pass all heads on at once; the entry of the caller repeats.

A failure behind a head whose kind means "not run" counts as unknown: the target has begun its answer. Before, callers were told not run, and of a request that is not idempotent.

TestFailedBodyOfAShortAnswerIsRepeated: 502 instead of 200 before. TestBegunAnswersAreNotRepeated: "draining", not run, instead of "truncated", unknown, before.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -17,8 +17,10 @@
 	exchange *exchange
 	head     *message.ResponseHead
 	call     *call
-	// release frees the resources of the dispatch; Close calls it once.
+	// release frees the resources of the dispatch; it is called once, by end.
 	release func(*apierr.Error)
+	// ended ends the exchange; Close calls it once.
+	ended func(*apierr.Error)
 
 	timer    *time.Timer
 	pending  []byte
@@ -59,6 +61,24 @@
 	return n, nil
 }
 
+// isShort reports whether the whole answer is read before its head is passed on to a caller.
+func (a *answer) isShort() bool { return a.head.Length >= 0 && a.head.Length <= maxBufferedBody }
+
+// readAll reads the body of a short answer to its end and keeps it in pending.
+func (a *answer) readAll() *apierr.Error {
+	if a.complete {
+		return nil
+	}
+	body := make([]byte, 0, a.head.Length)
+	for a.err == nil && !a.complete {
+		a.pending = nil
+		a.receive()
+		body = append(body, a.pending...)
+	}
+	a.pending = body
+	return a.err
+}
+
 // receive waits for the next message of the body.
 func (a *answer) receive() {
 	m, err := a.call.next(a.timer.C)
@@ -109,11 +129,17 @@
 	}
 }
 
-// Close releases the dispatch. It cancels an answer that is not complete.
+// Close releases the dispatch and ends the exchange.
 func (a *answer) Close() error {
-	if a.closed {
-		return nil
+	if !a.closed {
+		a.ended(a.end())
 	}
+	return nil
+}
+
+// end releases the dispatch and returns why the answer is not whole, or nil. It cancels an answer
+// that is not complete.
+func (a *answer) end() *apierr.Error {
 	a.closed = true
 	a.timer.Stop()
 	if !a.complete {
@@ -124,7 +150,7 @@
 		err = apierr.New(apierr.KindCancelled, "the caller did not read the whole answer")
 	}
 	a.release(err)
-	return nil
+	return err
 }
 
 // fromFailure converts the link form of a failure to an error.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -30,8 +30,8 @@
 	return a, err
 }
 
-// tryDestinations sends x to one destination after another until an answer's head
-// has arrived or no further attempt is allowed.
+// tryDestinations sends x to one destination after another until an answer's head, or the
+// whole of a short answer to a caller, has arrived or no further attempt is allowed.
 func (e *Entry) tryDestinations(x *exchange) (*answer, *apierr.Error) {
 	var last *apierr.Error
 	for {
@@ -45,6 +45,9 @@
 		e.requests.record(x)
 		a, err := e.attempt(x, choice)
 		e.tryPost(dispatchFinished{name: x.target, answered: err == nil || !isUnanswered(err.Kind)})
+		if err == nil {
+			err = e.completeShort(x, a)
+		}
 		if err == nil {
 			return a, nil
 		}
@@ -118,14 +121,6 @@
 		return nil, apierr.Wrap(apierr.KindTargetUnreachable, x.target, err)
 	}
 	a, err := e.awaitHead(x, c)
-	release := func(err *apierr.Error) {
-		requests.End()
-		e.calls.close(c)
-		if err == nil && a.head.Status < 500 {
-			e.recordAnswered(x)
-		}
-		e.finishAnswered(x, err)
-	}
 	if err != nil {
 		e.recordTargetEnd(x, err, false)
 		x.recordFailure(err)
@@ -133,10 +128,32 @@
 		e.calls.close(c)
 		return nil, err
 	}
-	a.release = release
+	a.release = func(err *apierr.Error) {
+		requests.End()
+		e.calls.close(c)
+		if err == nil && a.head.Status < 500 {
+			e.recordAnswered(x)
+		}
+		e.recordTargetEnd(x, err, true)
+	}
+	a.ended = func(err *apierr.Error) { e.finishAnswered(x, err) }
 	return a, nil
 }
 
+// completeShort reads a short answer to a caller to its end. Nothing of it has been passed on yet,
+// so that the request may be tried again if that fails.
+func (e *Entry) completeShort(x *exchange, a *answer) *apierr.Error {
+	if !x.fromCaller() || !a.isShort() || a.readAll() == nil {
+		return nil
+	}
+	err := a.end()
+	if err.Answer().Outcome == apierr.OutcomeNotRun {
+		err = apierr.Wrap(apierr.KindTruncated, "the answer had begun", err) // so it ran
+	}
+	x.recordFailure(err)
+	return err
+}
+
 // attemptFrame returns the request frame of one attempt.
 func attemptFrame(x *exchange, choice routing.Choice, c *call) *message.Request {
 	req := x.req
@@ -240,6 +257,5 @@
 	if err == nil {
 		e.recordSuccess()
 	}
-	e.recordTargetEnd(x, err, true)
 	e.finish(x, err)
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -61,6 +61,9 @@
 	}
 }
 
+// fromCaller reports whether the request came over HTTP and not from a peer entry.
+func (x *exchange) fromCaller() bool { return x.abort == nil }
+
 // filter is one step of the pipeline. A non-nil error ends the exchange with the
 // answer that the table of error kinds defines for it.
 type filter func(e *Entry, x *exchange) *apierr.Error
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -4,7 +4,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -21,7 +20,8 @@
 	headerOutcome   = "Gentiantrail-Outcome"
 	headerError     = "Gentiantrail-Error"
 	// maxBufferedBody is the size in bytes of the largest body that is read completely
-	// before the answer starts, so that a failure can still be answered with an error.
+	// before the answer starts, so that after a failure the request can still be tried again
+	// or answered with an error.
 	maxBufferedBody = 64 << 10
 	// eventStreamType is the content type of a stream of server-sent events.
 	eventStreamType = "text/event-stream"
@@ -81,45 +81,20 @@
 	return hex.EncodeToString(raw[:])
 }
 
-// relay writes an answer whose head has arrived. A body of known length up to
-// maxBufferedBody bytes is read completely first.
+// relay writes an answer whose head has arrived, and the whole body of a short one.
 func (e *Entry) relay(ctx *fasthttp.RequestCtx, x *exchange, a *answer) {
-	length := a.head.Length
-	if length >= 0 && length <= maxBufferedBody {
-		e.relayBuffered(ctx, x, a)
-		return
-	}
 	writeHead(ctx, x, a)
-	if length >= 0 {
-		ctx.SetBodyStream(a, int(length))
-		return
-	}
-	if strings.HasPrefix(string(ctx.Response.Header.ContentType()), eventStreamType) {
+	switch {
+	case a.isShort():
+		ctx.SetBody(a.pending)
+		_ = a.Close()
+	case a.head.Length >= 0:
+		ctx.SetBodyStream(a, int(a.head.Length))
+	case strings.HasPrefix(string(ctx.Response.Header.ContentType()), eventStreamType):
 		ctx.SetBodyStream(&eventBody{answer: a}, -1)
-		return
-	}
-	ctx.SetBodyStream(a, -1)
-}
-
-func (e *Entry) relayBuffered(ctx *fasthttp.RequestCtx, x *exchange, a *answer) {
-	body := make([]byte, 0, a.head.Length)
-	buf := make([]byte, min(int(a.head.Length)+1, 4<<10))
-	for {
-		n, err := a.Read(buf)
-		body = append(body, buf[:n]...)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			cause := a.err
-			_ = a.Close()
-			e.writeError(ctx, x, cause)
-			return
-		}
+	default:
+		ctx.SetBodyStream(a, -1)
 	}
-	writeHead(ctx, x, a)
-	ctx.SetBody(body)
-	_ = a.Close()
 }
 
 // writeHead writes the status and the headers of a target's answer.
