entry: a stop answers the callers whose connections wait to be accepted

Callers that connected to an entry at the end of its stop could be reset, or get no answer: closing the listener resets the connections that the system has accepted for the process and Accept has not returned yet, and Shutdown could return beside one that Accept had just returned, which then ended with the process. Shutdown now closes the listener once no connection waits there (for at most 1 s), and counts connections once Serve accepts no more.

Between the last look and the close, and for handshakes that are under way, a reset is still possible.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -19,12 +19,18 @@
 	stopIdleTime = 500 * time.Millisecond
 	// shutdownPollInterval is the interval at which Shutdown looks at the connections.
 	shutdownPollInterval = 20 * time.Millisecond
+	// acceptTimeout bounds the time in which Shutdown accepts the connections that callers have opened.
+	acceptTimeout = time.Second
+	// acceptPollInterval is the interval at which Shutdown looks for them.
+	acceptPollInterval = time.Millisecond
 )
 
 // Server accepts callers' connections. Once the entry is stopping, each answer says that the
 // connection is closed behind it.
 type Server struct {
 	http *fasthttp.Server
+	// served is closed when Serve returns, and accepts no more connections.
+	served chan struct{}
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -43,7 +49,7 @@
 
 // NewServer returns the HTTP server for callers.
 func (e *Entry) NewServer(limits settings.EntryLimits) *Server {
-	s := &Server{conns: make(map[net.Conn]callerConn)}
+	s := &Server{served: make(chan struct{}), conns: make(map[net.Conn]callerConn)}
 	s.http = &fasthttp.Server{
 		Handler:               e.Handle,
 		ErrorHandler:          e.handleReadError,
@@ -68,8 +74,9 @@
 	return s.Serve(ln)
 }
 
-// Serve accepts connections from ln until Shutdown; then it returns nil.
+// Serve accepts connections from ln until Shutdown; then it returns nil. It must be called only once.
 func (s *Server) Serve(ln net.Listener) error {
+	defer close(s.served)
 	s.mu.Lock()
 	closed := s.closed
 	s.listener = ln
@@ -96,7 +103,7 @@
 // part, has been answered and the connections are closed. The entry must be stopping. It
 // returns an *OpenConnectionsError if ctx ends first, and the error of the listener's end.
 func (s *Server) Shutdown(ctx context.Context) error {
-	listenerErr := s.closeListener()
+	listenerErr := s.closeListener(ctx)
 	ticker := time.NewTicker(shutdownPollInterval)
 	defer ticker.Stop()
 	for {
@@ -112,14 +119,25 @@
 	}
 }
 
-func (s *Server) closeListener() error {
+// closeListener accepts the connections that callers have opened, as closing the listener resets
+// the others, and returns once none is accepted any more.
+func (s *Server) closeListener(ctx context.Context) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.closed = true
-	if s.listener == nil {
+	ln := s.listener
+	s.mu.Unlock()
+	if ln == nil {
 		return nil
 	}
-	return s.listener.Close()
+	for end := time.Now().Add(acceptTimeout); sockopt.HasUnaccepted(ln) && time.Now().Before(end); {
+		time.Sleep(acceptPollInterval)
+	}
+	err := ln.Close()
+	select {
+	case <-s.served:
+	case <-ctx.Done():
+	}
+	return err
 }
 
 // endIdle ends the connections that have been idle for stopIdleTime, and returns the number
--- a/internal/sockopt/idle.go
+++ b/internal/sockopt/idle.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -26,3 +27,23 @@
 	})
 	return err == nil && quiet
 }
+
+// HasUnaccepted reports whether a TCP listener has connections that no call of Accept has returned. It is
+// false for other kinds of listeners.
+func HasUnaccepted(ln net.Listener) bool {
+	c, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		waiting = err == nil && n > 0
+	})
+	return err == nil && waiting
+}
