link: bytes that have not been read are not the peer's silence

A process whose event loop stood still for the idle timeout of a link, busy or waiting for its control state, closed the link when it went on, and callers lost all answers on it, although the peer had sent all the time: keepalive counts ticks on a goroutine of its own, and the bytes lay unread in the socket. A link is now closed for silence on its event loop, and only if its socket has nothing to read. A pause of the whole process was no fault: the ticks stand still with it.

--- a/internal/link/keepalive.go
+++ b/internal/link/keepalive.go
@@ -1,9 +1,11 @@
 package link
 
 import (
+	"errors"
 	"time"
 
 	"github.com/gobwas/ws"
+	"golang.org/x/sys/unix"
 )
 
 // ticksPerIdleTimeout is the number of keepalive ticks in an idle timeout.
@@ -39,12 +41,29 @@
 	silent := l.silentTicks.Add(1)
 	switch {
 	case silent > ticksPerIdleTimeout:
-		l.closeWith(ErrIdle)
+		l.closeIdle()
 	case silent%2 == 0:
 		_ = l.enqueueFrame(ws.OpPing, nil)
 	}
 }
 
+// closeIdle closes a link whose peer is silent. It decides that on the event loop, which may have stood
+// still and not have read what has arrived.
+func (l *link) closeIdle() {
+	_ = l.execute(func() {
+		if !l.connClosed() && l.silentTicks.Load() > ticksPerIdleTimeout && !l.hasUnread() {
+			l.closeWith(ErrIdle)
+		}
+	})
+}
+
+// hasUnread reports whether the socket has bytes, or the end of the connection, for the event loop to read.
+func (l *link) hasUnread() bool {
+	var probe [1]byte
+	_, _, err := unix.Recvfrom(l.conn.Fd(), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return !errors.Is(err, unix.EAGAIN)
+}
+
 // refreshBuffered makes the event loop update connBuffered.
 func (l *link) refreshBuffered() {
 	l.mu.Lock()
