link: a link that is slow in one direction stays open

A link over which one side sent more than the network carried in 2 s was closed with all answers on it, although its peer was reading them: the sender's pings wait behind its own output, and the receiver, which hears something all the time, had no reason to send. A side that has queued nothing for a quarter of the idle timeout now sends a pong, which a peer of either version takes for a sign of life and does not answer. A frozen process sends none and is found as before.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -38,6 +38,7 @@
 	closed        atomic.Bool  // no more output is accepted
 	openTicks     atomic.Int32 // keepalive ticks since the connection was opened
 	silentTicks   atomic.Int32 // keepalive ticks since the last inbound byte
+	quietTicks    atomic.Int32 // keepalive ticks since the last frame was queued
 
 	mu             sync.Mutex
 	pending        []byte       // framed output that the event loop has not taken; guarded by mu
@@ -98,6 +99,7 @@
 		return ErrQueueFull
 	}
 	l.pending = appendFrame(l.pending, op, payload, l.dialled)
+	l.quietTicks.Store(0)
 	l.scheduleFlush()
 	return nil
 }
--- a/internal/link/keepalive.go
+++ b/internal/link/keepalive.go
@@ -11,8 +11,12 @@
 // ticksPerIdleTimeout is the number of keepalive ticks in an idle timeout.
 const ticksPerIdleTimeout = 8
 
-// keepalive pings silent peers and closes links that stay silent or do not complete the
-// handshake in time. It counts its own ticks instead of reading a clock, so that a pause
+// pingTicks is the number of ticks without input after which a side pings its peer, and without
+// output after which it shows the peer that it is alive.
+const pingTicks = 2
+
+// keepalive pings silent peers, shows the others that this side is alive, and closes links that
+// stay silent or do not complete the handshake in time. It counts its own ticks instead of reading a clock, so that a pause
 // of this process does not count as silence of its peers.
 func (n *Node) keepalive() {
 	tick := max(n.cfg.IdleTimeout/ticksPerIdleTimeout, time.Millisecond)
@@ -38,12 +42,15 @@
 		}
 		return
 	}
-	silent := l.silentTicks.Add(1)
+	silent, quiet := l.silentTicks.Add(1), l.quietTicks.Add(1)
 	switch {
 	case silent > ticksPerIdleTimeout:
 		l.closeIdle()
-	case silent%2 == 0:
+	case silent%pingTicks == 0:
 		_ = l.enqueueFrame(ws.OpPing, nil)
+	case quiet >= pingTicks:
+		// The peer's ping may wait behind much output, which this side is reading.
+		_ = l.enqueueFrame(ws.OpPong, nil)
 	}
 }
 
--- a/internal/link/keepalive_test.go
+++ b/internal/link/keepalive_test.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -42,3 +44,62 @@
 	_, _, downs := b.counts()
 	assert.Equal(t, downs, 0, "the link was closed")
 }
+
+// slowProxy forwards all bytes, those of the dialler with the given rate in bytes per second.
+func slowProxy(t *testing.T, to string, rate int) (addr string) {
+	t.Helper()
+	const chunk = 4 << 10
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			in, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = in.Close() }()
+				_, _ = io.Copy(in, out)
+			}()
+			go func() {
+				defer func() { _ = out.Close() }()
+				for {
+					time.Sleep(time.Second * chunk / time.Duration(rate))
+					if _, err := io.CopyN(out, in, chunk); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestLinkThatIsSlowInOneDirectionStaysOpen guards against a link that is closed with all its answers while its peer
+// reads them: a ping waits behind them, and a peer that hears something had no reason to send.
+func TestLinkThatIsSlowInOneDirectionStaysOpen(t *testing.T) {
+	const frames, size = 32, 64 << 10
+	shortIdle := func(c *Config) { c.IdleTimeout = 800 * time.Millisecond }
+	a, b := new(recorder), new(recorder)
+	acceptor := newNode(t, "acceptor", b, shortIdle)
+	assert.NilError(t, acceptor.Listen("127.0.0.1:0"))
+	dialler := newNode(t, "dialler", a, shortIdle)
+	dialler.Dial(slowProxy(t, acceptor.Addr(), frames*size/3)) // all frames take 3 s
+	eventually(t, func() bool { ups, _, _ := a.counts(); return ups == 1 })
+	for range frames {
+		assert.NilError(t, a.peers[0].Send(&message.ResponseData{ID: 1, Data: make([]byte, size)}))
+	}
+	eventually(t, func() bool {
+		_, received, downs := b.counts()
+		return received == frames || downs > 0
+	})
+	for name, r := range map[string]*recorder{"dialler": a, "acceptor": b} {
+		_, _, downs := r.counts()
+		assert.Check(t, downs == 0, "%s: %v", name, r.downs)
+	}
+}
