link: test that a process that was stopped keeps its links

A process that stood still as a whole does not close its links when it goes on: keepalive counts ticks, of which a pause leaves one.

--- a/internal/link/keepalive_test.go
+++ b/internal/link/keepalive_test.go
@@ -3,6 +3,9 @@
 import (
 	"io"
 	"net"
+	"os"
+	"os/exec"
+	"syscall"
 	"testing"
 	"time"
 
@@ -103,3 +106,26 @@
 		assert.Check(t, downs == 0, "%s: %v", name, r.downs)
 	}
 }
+
+// TestPausedProcessKeepsItsLinks guards against a process that takes the time for which it was stopped for the silence
+// of its peers.
+func TestPausedProcessKeepsItsLinks(t *testing.T) {
+	r := new(recorder)
+	n := newNode(t, "peer", r, nil) // waits longer for the process
+	assert.NilError(t, n.Listen("127.0.0.1:0"))
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), pausedAddress+"="+n.Addr())
+	in, err := cmd.StdinPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, cmd.Start())
+	t.Cleanup(func() { _, _ = in.Close(), cmd.Wait() })
+	eventually(t, func() bool { ups, _, _ := r.counts(); return ups == 1 })
+	for range 3 {
+		assert.NilError(t, cmd.Process.Signal(syscall.SIGSTOP))
+		time.Sleep(time.Second)
+		assert.NilError(t, cmd.Process.Signal(syscall.SIGCONT))
+		time.Sleep(500 * time.Millisecond) // longer than a silent link is kept
+	}
+	_, _, downs := r.counts()
+	assert.Equal(t, downs, 0, "the link was closed")
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"net"
 	"os"
@@ -27,14 +26,6 @@
 	waitTimeout = 20 * time.Second
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
-
 // recorder is a Handler that records its calls; onMsg, if not nil, is called instead of
 // recording a message.
 type recorder struct {
