daemon: a failure ends the process although nobody reads it

A program that ended with a failure, such as a stop that left requests unfinished, waited without a bound for a reader of its standard error, which is often the pipe of its log. It was killed instead, and its exit code was lost. The line is now given up after 1 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 )
@@ -68,9 +69,20 @@
 	os.Exit(code)
 }
 
-// Fail ends the program with one line on standard error.
+// failTimeout bounds how long Fail waits for a reader of standard error.
+const failTimeout = time.Second
+
+// Fail ends the program with one line on standard error, unless nobody reads it.
 func Fail(code int, err error) {
-	fmt.Fprintln(os.Stderr, err)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		fmt.Fprintln(os.Stderr, err)
+	}()
+	select {
+	case <-written:
+	case <-time.After(failTimeout):
+	}
 	os.Exit(code)
 }
 
--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -21,6 +21,8 @@
 		Main(loadDuring(syscall.SIGHUP), awaitReload)
 	case "stop":
 		Main(loadDuring(syscall.SIGTERM), awaitStop)
+	case "fail":
+		Exit(ErrStopTimeout)
 	default:
 		os.Exit(m.Run())
 	}
