entry: a stop that was forced closes the listener before the process ends

After a stop whose timeout had ended, an entry went on accepting callers while it closed its links (for up to 5 s) and ended: those that came last were reset without an answer. The listener is now closed before the links, as in a stop that ends by itself.

--- a/cmd/gentiantrail-entry/main.go
+++ b/cmd/gentiantrail-entry/main.go
@@ -66,12 +66,13 @@
 // read, has been answered; it fails if the stop timeout ends first, once what has been answered
 // is sent.
 func stop(s *settings.Entry, p *daemon.Process, e *entry.Entry, server *entry.Server) error {
-	if err := p.Stop(e, s.Limits.StopTimeout); err != nil {
-		return errors.Join(err, p.Close())
-	}
+	stopErr := p.Stop(e, s.Limits.StopTimeout)
 	// A caller has the read timeout for the rest of its request, and then takes the answer.
 	ctx, cancel := context.WithTimeout(context.Background(), s.Limits.ReadTimeout+daemon.FlushTimeout)
 	defer cancel()
+	if stopErr != nil {
+		return errors.Join(stopErr, server.StopAccepting(ctx), p.Close())
+	}
 	err := server.Shutdown(ctx)
 	if open := (*entry.OpenConnectionsError)(nil); errors.As(err, &open) {
 		p.Logger.Warn().Str("event", "closed-unanswered").Int("connections", open.Count).Msg("")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -103,7 +103,7 @@
 // part, has been answered and the connections are closed. The entry must be stopping. It
 // returns an *OpenConnectionsError if ctx ends first, and the error of the listener's end.
 func (s *Server) Shutdown(ctx context.Context) error {
-	listenerErr := s.closeListener(ctx)
+	listenerErr := s.StopAccepting(ctx)
 	ticker := time.NewTicker(shutdownPollInterval)
 	defer ticker.Stop()
 	for {
@@ -119,9 +119,9 @@
 	}
 }
 
-// closeListener accepts the connections that callers have opened, as closing the listener resets
-// the others, and returns once none is accepted any more.
-func (s *Server) closeListener(ctx context.Context) error {
+// StopAccepting closes the listener, which resets the connections that wait there: it first accepts
+// those that callers have opened. It returns once none is accepted any more.
+func (s *Server) StopAccepting(ctx context.Context) error {
 	s.mu.Lock()
 	s.closed = true
 	ln := s.listener
