gateway: callers that read slowly get their whole answers

A caller that read its answer slowly but steadily lost the end of it: the connection was closed 15 s after the last byte had been written, whatever the caller had read meanwhile. The limit was on the time to the end of the answer.

It is now on the time in which the caller takes no byte. Bytes that the system holds count too, since it takes more from the event loop only when a third of its buffer, up to some megabytes, is free. There is no limit on the whole time: the callers' budget bounds the memory, and a stop ends in its own time.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -316,13 +316,6 @@
 	}
 }
 
-// unacknowledged reports whether the caller's system has not confirmed all bytes of the last response. It is called
-// on the event loop or while server.mu is held, so that the descriptor is not closed meanwhile.
-func (cc *callerConn) unacknowledged() bool {
-	n, err := unix.IoctlGetInt(cc.conn.Fd(), unix.TIOCOUTQ)
-	return err == nil && n > 0
-}
-
 // dropInput releases the bytes that have arrived.
 func (cc *callerConn) dropInput() {
 	cc.reader = http1.RequestReader{}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -199,7 +199,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for cc := range s.conns {
-		if w := cc.waiting.Load(); w != nil && (w.partial || w.lingering && cc.unacknowledged()) {
+		if w := cc.waiting.Load(); w != nil && (w.partial || w.lingering && cc.unacknowledged() > 0) {
 			return true
 		}
 	}
@@ -233,7 +233,7 @@
 	}
 	switch {
 	case w.lingering:
-		return now.Sub(w.since) > sendTimeout || now.Sub(w.since) > lingerTime && !cc.unacknowledged()
+		return now.Sub(w.since) > sendTimeout || now.Sub(w.since) > lingerTime && cc.unacknowledged() == 0
 	case w.partial:
 		return now.Sub(w.since) > header
 	}
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -21,12 +21,8 @@
 	finish(keepAlive bool)
 }
 
-const (
-	// sendTimeout is how long the end of a response may wait for a caller that does not read.
-	sendTimeout = 15 * time.Second
-	// sendPollInterval is the interval at which such a response is checked.
-	sendPollInterval = 20 * time.Millisecond
-)
+// sendPollInterval is the interval at which a response that waits for its caller is checked.
+const sendPollInterval = 20 * time.Millisecond
 
 // connWriter passes the bytes of a response to the event loop.
 type connWriter struct {
@@ -86,7 +82,7 @@
 		if err != nil {
 			w.end(false)
 		} else {
-			w.endWhenSent(keepAlive, time.Now().Add(sendTimeout))
+			w.endWhenSent(keepAlive, &sendProgress{})
 		}
 		return nil
 	})
@@ -96,22 +92,22 @@
 	}
 }
 
-// endWhenSent ends the exchange once no bytes of the response are left to send, or at the
-// deadline. It runs on the event loop.
-func (w *connWriter) endWhenSent(keepAlive bool, deadline time.Time) {
+// endWhenSent ends the exchange once no bytes of the response are left to send, or the caller
+// takes none of them. It runs on the event loop.
+func (w *connWriter) endWhenSent(keepAlive bool, p *sendProgress) {
 	switch {
 	case w.cc.closed:
 		w.end(false)
-	case time.Now().After(deadline):
-		w.logCut(reasonSendTimeout, int64(w.cc.conn.OutboundBuffered()))
-		w.end(false)
 	case w.cc.conn.OutboundBuffered() == 0:
 		w.end(keepAlive)
+	case p.stalled(w.cc.untaken(), time.Now()):
+		w.logCut(reasonSendTimeout, int64(w.cc.conn.OutboundBuffered()))
+		w.end(false)
 	default:
 		w.cc.s.budget.refreshUnsent(w.cc)
 		time.AfterFunc(sendPollInterval, func() {
 			err := w.cc.conn.Wake(func(gnet.Conn, error) error {
-				w.endWhenSent(keepAlive, deadline)
+				w.endWhenSent(keepAlive, p)
 				return nil
 			})
 			if err != nil { // the event loop has ended
