gateway: a connection stays open while its last answer is read

A caller that read the last answer of a connection slowly, and sent more meanwhile, could lose the end of the answer: 15 s after the answer had been passed to the system the connection was closed, which resets it while bytes arrive. The time of 15 s counted from the end of the answer, also for a caller that went on reading what the system held.

The time now counts from the last byte that the caller's system has confirmed, as for the bytes that have not been passed to the system. A stop waits for these connections as before, within its own time.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -15,17 +15,9 @@
 	"github.com/gentiantrail/gentiantrail/internal/http1"
 )
 
-const (
-	// framingBytes and framingShare allow for the framing of a pipelined request: a number of bytes,
-	// and a fraction of the largest body. Chunks of at least 64 bytes without extensions fit.
-	framingBytes, framingShare = 64 << 10, 8
-	// lingerTime and lingerBytes bound what is read and dropped behind the last response of a
-	// connection. The time is up to sendTimeout until the caller's system has all of the response.
-	// Closing a connection whose caller sends bytes resets it, and the caller might lose the
-	// response.
-	lingerTime  = 2 * time.Second
-	lingerBytes = 8 << 20
-)
+// framingBytes and framingShare allow for the framing of a pipelined request: a number of bytes,
+// and a fraction of the largest body. Chunks of at least 64 bytes without extensions fit.
+const framingBytes, framingShare = 64 << 10, 8
 
 // callerConn is one connection of a caller. Its fields except waiting and account are owned by
 // the event loop.
@@ -67,8 +59,10 @@
 	since time.Time
 	// partial is true if a part of a request has been received.
 	partial bool
-	// lingering is true if the connection waits for its caller to read a refusal.
+	// lingering is true if the connection waits for its caller to read the last response.
 	lingering bool
+	// sent follows the bytes of that response that the caller's system has not confirmed.
+	sent *sendProgress
 }
 
 // expire closes the connection if its wait is still overdue. It runs on the event loop.
@@ -303,19 +297,6 @@
 	cc.linger()
 }
 
-// linger closes the connection once its caller has had the time to read the last response.
-func (cc *callerConn) linger() {
-	if cc.closed || cc.closing {
-		return
-	}
-	cc.closing = true
-	cc.dropInput()
-	cc.waiting.Store(&wait{since: time.Now(), lingering: true})
-	if cc.conn.OutboundBuffered() > 0 || unix.Shutdown(cc.conn.Fd(), unix.SHUT_WR) != nil {
-		_ = cc.conn.Close()
-	}
-}
-
 // dropInput releases the bytes that have arrived.
 func (cc *callerConn) dropInput() {
 	cc.reader = http1.RequestReader{}
--- a/internal/gateway/send_progress.go
+++ b/internal/gateway/send_progress.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -12,6 +13,8 @@
 // sendProgress tells a caller that reads slowly from one that does not read. The time for the whole response is not
 // bounded: a stop ends without it, and its memory counts in the callers' budget.
 type sendProgress struct {
+	// mu is needed since ticks do not run on the event loop.
+	mu sync.Mutex
 	// left is the number of bytes that the caller had not taken at since, when it last took some.
 	left  int
 	since time.Time
@@ -19,6 +22,8 @@
 
 // stalled records the number of bytes left and reports whether the caller has taken none for sendTimeout.
 func (p *sendProgress) stalled(left int, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.since.IsZero() || left < p.left {
 		p.left, p.since = left, now
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -233,7 +233,7 @@
 	}
 	switch {
 	case w.lingering:
-		return now.Sub(w.since) > sendTimeout || now.Sub(w.since) > lingerTime && cc.unacknowledged() == 0
+		return cc.lingered(w, now)
 	case w.partial:
 		return now.Sub(w.since) > header
 	}
