gateway: a refusal behind an unread answer arrives

A caller whose connection was closed with a refusal (a request that is too large, too slow, malformed or late in a stop) could lose it while it had yet to read an answer before it: the system had no room for the refusal, and the connection was closed at once, with it.

The connection is now closed for sending once the system has taken all bytes, or closed when the caller takes none of them for sendTimeout, by the same measure as the end of an answer. A stop waits for that within its time.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -61,7 +61,8 @@
 	partial bool
 	// lingering is true if the connection waits for its caller to read the last response.
 	lingering bool
-	// sent follows the bytes of that response that the caller's system has not confirmed.
+	// sent follows the bytes of that response that the caller's system has not confirmed; nil while the
+	// event loop has bytes left to send.
 	sent *sendProgress
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -199,7 +199,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for cc := range s.conns {
-		if w := cc.waiting.Load(); w != nil && (w.partial || w.lingering && cc.unacknowledged() > 0) {
+		if w := cc.waiting.Load(); w != nil && (w.partial || w.lingering && (w.sent == nil || cc.unacknowledged() > 0)) {
 			return true
 		}
 	}
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -44,7 +44,7 @@
 	}
 	size := int64(len(b))
 	if held := w.pending.Add(size); held > maxUnsentBytes {
-		w.logCut(reasonQueued, held)
+		w.cc.logCut(reasonQueued, held)
 		w.abort()
 		return
 	}
@@ -101,7 +101,7 @@
 	case w.cc.conn.OutboundBuffered() == 0:
 		w.end(keepAlive)
 	case p.stalled(w.cc.untaken(), time.Now()):
-		w.logCut(reasonSendTimeout, int64(w.cc.conn.OutboundBuffered()))
+		w.cc.cutUnread()
 		w.end(false)
 	default:
 		w.cc.s.budget.refreshUnsent(w.cc)
@@ -125,9 +125,9 @@
 )
 
 // logCut writes the log line of a response that is broken off because its caller does not read it.
-func (w *connWriter) logCut(reason string, bytes int64) {
-	w.cc.s.g.opts.Logger.Warn().Str("event", "caller-cut-off").Str("reason", reason).Int64("bytes", bytes).
-		Str("peer", w.cc.conn.RemoteAddr().String()).Msg("")
+func (cc *callerConn) logCut(reason string, bytes int64) {
+	cc.s.g.opts.Logger.Warn().Str("event", "caller-cut-off").Str("reason", reason).Int64("bytes", bytes).
+		Str("peer", cc.conn.RemoteAddr().String()).Msg("")
 }
 
 // end makes the connection ready for the next request, or closes it. It runs on the event
