gateway: the first of the dropped pipelined requests is refused

A caller that sent more behind a request than is kept lost whole requests: they were dropped for the limit of the connection or the callers' budget, and the connection was closed behind the answer, which had not announced that.

The first of the dropped requests now gets 503 (not run) with its id, in its order, and "Connection: close". The ones behind it stay without an answer, as HTTP says of requests behind an announced close: a refusal for each would take several times the bytes that the limit has just freed. Nothing is sent if the answer before has announced the close.

TestPipelinedBytesAreCutOff required that nothing follows the first answer, which is the fault; it now requires one refusal that says "not run", and nothing behind it.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -47,6 +47,8 @@
 	// discarding is true once bytes of the caller are dropped: the connection is closed
 	// after the response.
 	discarding bool
+	// dropped is the field with the id of the first request that was dropped behind another one.
+	dropped http1.Header
 	// discarded is the number of bytes dropped since the response.
 	discarded int
 	// closing is true once no further request is read, and closed once the connection has
@@ -287,14 +289,7 @@
 // refuse sends an error response to a request that has not arrived completely, and closes the
 // connection.
 func (cc *callerConn) refuse(err *apierr.Error) {
-	var fields http1.Header
-	name := cc.s.g.opts.Headers.Attempt
-	if head := cc.reader.Head(); head != nil {
-		if id, ok := head.Header.Lookup(name); ok {
-			fields = http1.Header{{Name: name, Value: id}}
-		}
-	}
-	cc.send(errorAnswer(err, fields))
+	cc.send(errorAnswer(err, cc.attemptField(cc.reader.Head())))
 	cc.linger()
 }
 
@@ -313,7 +308,7 @@
 	case callerbuf.Incomplete:
 		cc.refuse(apierr.New(apierr.KindOverloaded, ""))
 	case callerbuf.Pipelined:
-		cc.discarding = true
+		cc.dropPipelined()
 	default:
 		cc.s.budget.close(cc.account)
 		if cc.out != nil {
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -196,7 +196,7 @@
 }
 
 // Guards against requests behind one that is being handled that use up the memory. The request
-// itself is answered.
+// itself is answered, and no more than one of the others.
 func TestPipelinedBytesAreCutOff(t *testing.T) {
 	slow := func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(300 * time.Millisecond)
@@ -209,6 +209,9 @@
 	br := bufio.NewReader(c)
 	status, _ := readAnswer(t, br)
 	assert.Equal(t, status, 200)
+	status, body := readAnswer(t, br)
+	assert.Equal(t, status, 503)
+	assert.Assert(t, strings.Contains(body, `"outcome":"not-run"`), body)
 	_, err := http.ReadResponse(br, nil)
 	assert.Assert(t, err != nil)
 	assert.Equal(t, len(gw.targets[0].requests()), 1)
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -145,6 +145,8 @@
 	w.done()
 	switch {
 	case cc.closed:
+	case cc.discarding && keepAlive: // the response has not announced the close
+		cc.refuseDropped()
 	case cc.discarding:
 		cc.linger()
 	case !keepAlive:
