--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -15,17 +15,9 @@
 	"github.com/gentiantrail/gentiantrail/internal/http1"
 )
 
-const (
-	// framingBytes and framingShare allow for the framing of a pipelined request: a number of bytes,
-	// and a fraction of the largest body. Chunks of at least 64 bytes without extensions fit.
-	framingBytes, framingShare = 64 << 10, 8
-	// lingerTime and lingerBytes bound what is read and dropped behind the last response of a
-	// connection. The time is up to sendTimeout until the caller's system has all of the response.
-	// Closing a connection whose caller sends bytes resets it, and the caller might lose the
-	// response.
-	lingerTime  = 2 * time.Second
-	lingerBytes = 8 << 20
-)
+// framingBytes and framingShare allow for the framing of a pipelined request: a number of bytes,
+// and a fraction of the largest body. Chunks of at least 64 bytes without extensions fit.
+const framingBytes, framingShare = 64 << 10, 8
 
 // callerConn is one connection of a caller. Its fields except waiting and account are owned by
 // the event loop.
@@ -55,6 +47,8 @@
 	// discarding is true once bytes of the caller are dropped: the connection is closed
 	// after the response.
 	discarding bool
+	// dropped is the field with the id of the first request that was dropped behind another one.
+	dropped http1.Header
 	// discarded is the number of bytes dropped since the response.
 	discarded int
 	// closing is true once no further request is read, and closed once the connection has
@@ -67,8 +61,11 @@
 	since time.Time
 	// partial is true if a part of a request has been received.
 	partial bool
-	// lingering is true if the connection waits for its caller to read a refusal.
+	// lingering is true if the connection waits for its caller to read the last response.
 	lingering bool
+	// sent follows the bytes of the last response that the caller's system has not confirmed; nil while the
+	// event loop has bytes of it left to send, and before the first response.
+	sent *sendProgress
 }
 
 // expire closes the connection if its wait is still overdue. It runs on the event loop.
@@ -288,8 +285,7 @@
 // request that took too long to arrive, and closes the connection.
 func (cc *callerConn) reject(err *apierr.Error) {
 	cc.s.g.requestMetrics.Count(err.Kind)
-	id, _ := cc.attemptID()
-	cc.s.g.opts.Logger.Info().Str("event", "request-rejected").Str("request", id).Str("kind", err.Answer().Name).
+	cc.s.g.opts.Logger.Info().Str("event", "request-rejected").Str("request", cc.attemptID(cc.reader.Head())).Str("kind", err.Answer().Name).
 		Str("peer", cc.conn.RemoteAddr().String()).Str("detail", err.Error()).Msg("")
 	cc.refuse(err)
 }
@@ -297,36 +293,10 @@
 // refuse sends an error response to a request that has not arrived completely, and closes the
 // connection.
 func (cc *callerConn) refuse(err *apierr.Error) {
-	var fields http1.Header
-	if id, ok := cc.attemptID(); ok {
-		fields = http1.Header{{Name: cc.s.g.opts.Headers.Attempt, Value: id}}
-	}
-	cc.send(errorAnswer(err, fields))
+	cc.send(errorAnswer(err, cc.attemptField(cc.reader.Head())))
 	cc.linger()
 }
 
-// attemptID returns the id of the request that is arriving, if its head has arrived and has one.
-func (cc *callerConn) attemptID() (id string, ok bool) {
-	head := cc.reader.Head()
-	if head == nil {
-		return "", false
-	}
-	return head.Header.Lookup(cc.s.g.opts.Headers.Attempt)
-}
-
-// linger closes the connection once its caller has had the time to read the last response.
-func (cc *callerConn) linger() {
-	if cc.closed || cc.closing {
-		return
-	}
-	cc.closing = true
-	cc.dropInput()
-	cc.waiting.Store(&wait{since: time.Now(), lingering: true})
-	if cc.conn.OutboundBuffered() > 0 || unix.Shutdown(cc.conn.Fd(), unix.SHUT_WR) != nil {
-		_ = cc.conn.Close()
-	}
-}
-
 // unread reports whether bytes have arrived that the event loop has not read. It is called on the event loop or
 // while server.mu is held, so that the descriptor is not closed meanwhile.
 func (cc *callerConn) unread() bool {
@@ -334,13 +304,6 @@
 	return err == nil && n > 0
 }
 
-// unacknowledged reports whether the caller's system has not confirmed all bytes of the last response. It is called
-// like unread.
-func (cc *callerConn) unacknowledged() bool {
-	n, err := unix.IoctlGetInt(cc.conn.Fd(), unix.TIOCOUTQ)
-	return err == nil && n > 0
-}
-
 // dropInput releases the bytes that have arrived.
 func (cc *callerConn) dropInput() {
 	cc.reader = http1.RequestReader{}
@@ -356,7 +319,7 @@
 	case callerbuf.Incomplete:
 		cc.refuse(apierr.New(apierr.KindOverloaded, ""))
 	case callerbuf.Pipelined:
-		cc.discarding = true
+		cc.dropPipelined()
 	default:
 		cc.s.budget.close(cc.account)
 		if cc.out != nil {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -236,10 +236,12 @@
 	gw.t.Helper()
 	poll.WaitOn(gw.t, func(poll.LogT) poll.Result {
 		c, err := net.Dial("tcp4", gw.addr)
-		if err != nil || gw.g.Ready() != nil {
-			return poll.Continue("not ready")
+		if err == nil {
+			err = errors.Join(gw.g.Ready(), c.Close())
+		}
+		if err != nil {
+			return poll.Continue("not ready: %v", err)
 		}
-		_ = c.Close()
 		return poll.Success()
 	}, poll.WithDelay(5*time.Millisecond))
 	return gw
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -196,8 +196,8 @@
 // overdue reports whether a wait has exceeded its timeout: the header timeout from the first
 // part of a request until the whole request has arrived, the time for which a caller may read its
 // last response, or else the idle timeout. During a stop, idle connections are overdue after
-// admissionTime, once they have had requestTime. None is overdue as long as its caller may still get the end
-// of the last response, since a reset would lose it.
+// admissionTime, once they have had requestTime. None is overdue as long as its caller goes on
+// reading the last response, since a reset would lose the end of it.
 func (s *server) overdue(cc *callerConn, w *wait, now time.Time) bool {
 	header, idle := defaultHeaderTimeout, defaultIdleTimeout
 	if v := s.g.view.Load(); v.index != nil {
@@ -207,10 +207,10 @@
 	switch {
 	case w.partial:
 		return waited > header
-	case waited <= sendTimeout && cc.unacknowledged():
-		return false
 	case w.lingering:
-		return waited > lingerTime
+		return cc.lingered(w, now)
+	case w.sent != nil && cc.unacknowledged() > 0:
+		return w.sent.stalled(cc.unacknowledged(), now)
 	}
 	return waited > idle || waited > requestTime && s.g.timeSinceSignal() > admissionTime
 }
--- a/internal/gateway/server_end.go
+++ b/internal/gateway/server_end.go
@@ -27,7 +27,7 @@
 	defer s.mu.Unlock()
 	n := 0
 	for cc := range s.conns {
-		if w := cc.waiting.Load(); w != nil && (w.partial || cc.unacknowledged()) {
+		if w := cc.waiting.Load(); w != nil && (w.partial || w.lingering && w.sent == nil || cc.unacknowledged() > 0) {
 			n++
 		}
 	}
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -21,12 +21,8 @@
 	finish(keepAlive bool)
 }
 
-const (
-	// sendTimeout is how long the end of a response may wait for a caller that does not read.
-	sendTimeout = 15 * time.Second
-	// sendPollInterval is the interval at which such a response is checked.
-	sendPollInterval = 20 * time.Millisecond
-)
+// sendPollInterval is the interval at which a response that waits for its caller is checked.
+const sendPollInterval = 20 * time.Millisecond
 
 // connWriter passes the bytes of a response to the event loop.
 type connWriter struct {
@@ -48,7 +44,7 @@
 	}
 	size := int64(len(b))
 	if held := w.pending.Add(size); held > maxUnsentBytes {
-		w.logCut(reasonQueued, held)
+		w.cc.logCut(reasonQueued, held)
 		w.abort()
 		return
 	}
@@ -86,7 +82,7 @@
 		if err != nil {
 			w.end(false)
 		} else {
-			w.endWhenSent(keepAlive, time.Now().Add(sendTimeout))
+			w.endWhenSent(keepAlive, &sendProgress{})
 		}
 		return nil
 	})
@@ -96,22 +92,22 @@
 	}
 }
 
-// endWhenSent ends the exchange once no bytes of the response are left to send, or at the
-// deadline. It runs on the event loop.
-func (w *connWriter) endWhenSent(keepAlive bool, deadline time.Time) {
+// endWhenSent ends the exchange once no bytes of the response are left to send, or the caller
+// takes none of them. It runs on the event loop.
+func (w *connWriter) endWhenSent(keepAlive bool, p *sendProgress) {
 	switch {
 	case w.cc.closed:
 		w.end(false)
-	case time.Now().After(deadline):
-		w.logCut(reasonSendTimeout, int64(w.cc.conn.OutboundBuffered()))
-		w.end(false)
 	case w.cc.conn.OutboundBuffered() == 0:
 		w.end(keepAlive)
+	case p.stalled(w.cc.untaken(), time.Now()):
+		w.cc.cutUnread()
+		w.end(false)
 	default:
 		w.cc.s.budget.refreshUnsent(w.cc)
 		time.AfterFunc(sendPollInterval, func() {
 			err := w.cc.conn.Wake(func(gnet.Conn, error) error {
-				w.endWhenSent(keepAlive, deadline)
+				w.endWhenSent(keepAlive, p)
 				return nil
 			})
 			if err != nil { // the event loop has ended
@@ -129,9 +125,9 @@
 )
 
 // logCut writes the log line of a response that is broken off because its caller does not read it.
-func (w *connWriter) logCut(reason string, bytes int64) {
-	w.cc.s.g.opts.Logger.Warn().Str("event", "caller-cut-off").Str("reason", reason).Int64("bytes", bytes).
-		Str("peer", w.cc.conn.RemoteAddr().String()).Msg("")
+func (cc *callerConn) logCut(reason string, bytes int64) {
+	cc.s.g.opts.Logger.Warn().Str("event", "caller-cut-off").Str("reason", reason).Int64("bytes", bytes).
+		Str("peer", cc.conn.RemoteAddr().String()).Msg("")
 }
 
 // end makes the connection ready for the next request, or closes it. It runs on the event
@@ -145,10 +141,12 @@
 	w.buffered.Store(0)
 	cc.s.budget.setUnsent(w)
 	cc.busy, cc.out = false, nil
-	cc.waiting.Store(&wait{since: time.Now()})
+	cc.waiting.Store(&wait{since: time.Now(), sent: &sendProgress{}})
 	w.done()
 	switch {
 	case cc.closed:
+	case cc.discarding && keepAlive: // the response has not announced the close
+		cc.refuseDropped()
 	case cc.discarding:
 		cc.linger()
 	case !keepAlive:
