gateway: a wait for a lock-step group ends in time

A request whose groups are all down was refused up to 25 ms later than it had to be: its wait went on to the next poll, beyond its end. That time was missing at its caller, for whom 600 ms are to be left, and in Retry-After, a third of the time left. The last pause now ends with the wait.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -92,7 +92,8 @@
 	until := time.Now().Add(min(groupWait, x.remaining()-groupWait))
 	for {
 		choice, refusal := g.choose(x)
-		if refusal != placement.GroupDown || !time.Now().Before(until) || !x.sleep(groupPollInterval) {
+		left := time.Until(until)
+		if refusal != placement.GroupDown || left <= 0 || !x.sleep(min(groupPollInterval, left)) {
 			return choice, refusal
 		}
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/placement"
 	"github.com/gentiantrail/gentiantrail/internal/settings"
 	"github.com/gentiantrail/gentiantrail/internal/testaddr"
 )
@@ -309,6 +310,22 @@
 	assert.Equal(t, len(gw.targets[0].requests()), 1)
 }
 
+// TestWaitForAGroupEndsInTime guards against a wait that goes on to the next poll, and leaves less time to the
+// deadline than its caller needs to try again.
+func TestWaitForAGroupEndsInTime(t *testing.T) {
+	const wait, slack = groupPollInterval / 5, groupPollInterval / 2
+	gw := newTestGateway(t, respond(200, "x")).waitReady()
+	late := time.Hour
+	for range 10 { // the process itself may be late in some of them
+		gw.reportGroup(1, false)
+		x := &exchange{ctx: t.Context(), service: "s", route: &fleet.Route{}, deadline: time.Now().Add(groupWait + wait)}
+		_, refusal := gw.g.chooseOrWait(x)
+		assert.Equal(t, refusal, placement.GroupDown)
+		late = min(late, groupWait-x.remaining())
+	}
+	assert.Assert(t, late < slack, "%v late", late)
+}
+
 // TestStreamStaysWithStalledGroupWithoutAlternative makes the only lock-step group pause
 // for longer than its stall timeout and then continue. Without another group the stream
 // must not be cancelled.
