entry: close a connection only after its caller has the answer

Callers that sent further bytes lost the end of an answer with "Connection: close", as all answers in a stop have: fasthttp closes the socket once the kernel has taken the last byte, and unread bytes of the caller then reset the connection. What the kernel had not sent yet was dropped, and a stop did not wait for it.

Behind a last answer or an error, the connection is now shut down for writing and read, as the gateway does it: until the caller ends it, for 2 s, or up to 15 s until the caller's system has confirmed all bytes, and up to 8 MiB. This runs in Close on the connection's own goroutine, so that the connection counts against limits.connections and Shutdown waits for it. Connections that end while they wait for a request are closed at once as before.

sockopt.IsQuiet takes every connection that has a socket, since callers' connections are no *net.TCPConn any more.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -52,7 +52,7 @@
 	s := &Server{served: make(chan struct{}), conns: make(map[net.Conn]callerConn)}
 	s.http = &fasthttp.Server{
 		Handler:               e.Handle,
-		ErrorHandler:          e.handleReadError,
+		ErrorHandler:          s.answeringReadError(e.handleReadError),
 		ReadBufferSize:        int(limits.Header),
 		MaxRequestBodySize:    int(limits.Body),
 		ReadTimeout:           limits.ReadTimeout,
@@ -84,7 +84,7 @@
 	if closed {
 		return ln.Close()
 	}
-	return s.http.Serve(ln)
+	return s.http.Serve(lingeringListener{Listener: ln, server: s})
 }
 
 // OpenConnectionsError means that callers had not sent the rest of a request, or not taken its
@@ -157,6 +157,24 @@
 	return len(s.conns)
 }
 
+// answeringReadError returns an error handler whose answers count like those to requests, also on
+// a connection that never became active.
+func (s *Server) answeringReadError(h func(*fasthttp.RequestCtx, error)) func(*fasthttp.RequestCtx, error) {
+	return func(ctx *fasthttp.RequestCtx, cause error) {
+		s.recordState(ctx.Conn(), fasthttp.StateActive)
+		h(ctx, cause)
+	}
+}
+
+// closesBehindAnswer reports whether a connection that is being closed does not wait for a
+// request: its last answer said that it is closed, or could not be sent.
+func (s *Server) closesBehindAnswer(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, ok := s.conns[c]
+	return ok && state.idleSince.IsZero()
+}
+
 // recordState follows the state of a connection; the HTTP library calls it on the
 // connection's goroutine, before it sets deadlines of its own.
 func (s *Server) recordState(c net.Conn, state fasthttp.ConnState) {
--- a/internal/sockopt/idle.go
+++ b/internal/sockopt/idle.go
@@ -8,14 +8,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// IsQuiet reports whether a TCP connection is open and has no unread bytes. It is true for other
-// kinds of connections. Another goroutine may be reading from the connection.
+// IsQuiet reports whether the socket of a connection is open and has no unread bytes. It is true for
+// connections without one. Another goroutine may be reading from the connection.
 func IsQuiet(c net.Conn) bool {
-	tcp, ok := c.(*net.TCPConn)
+	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
