agent: a test closes connections only behind the first answer

TestClosedProbeConnectionTriggersHealthCheck failed once under the race detector at load 35: it closed the connection when its target had counted the first check, which then could be before the answer had been written, and a check that fails is followed by the next one after the interval of an hour. It requires the same of the agent.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -224,7 +224,8 @@
 			return poll.Continue("the condition does not hold yet")
 		}, poll.WithTimeout(waitTimeout), poll.WithDelay(time.Millisecond))
 	}
-	await(func() bool { n, open := counts(); return n == 1 && open == 1 })
+	// The connection is closed behind the answer of the first check, once the agent has got it.
+	await(func() bool { n, open := counts(); return n == 1 && open == 1 && len(a.events) == 1 })
 	mu.Lock()
 	for _, conn := range conns {
 		_ = conn.Close()
