--- a/internal/gateway/server_end.go
+++ b/internal/gateway/server_end.go
@@ -1,8 +1,6 @@
 package gateway
 
-import (
-	"golang.org/x/sys/unix"
-)
+import "golang.org/x/sys/unix"
 
 // end makes the server refuse the requests that still arrive.
 func (s *server) end() {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -11,6 +11,8 @@
 	// stopPollInterval is the interval at which a stop checks whether all requests have
 	// ended.
 	stopPollInterval = 100 * time.Millisecond
+	// quietPollInterval is the interval at which its end checks whether anything is left to read.
+	quietPollInterval = 20 * time.Millisecond
 	// stopLogInterval is the interval of the log lines of a stop that waits, which show how far it has
 	// come if the process is killed.
 	stopLogInterval = time.Second
@@ -106,7 +108,7 @@
 func (g *Gateway) awaitQuiet() {
 	ended := time.Now()
 	for g.timeToKill() > 0 && (time.Since(ended) < requestTime || !g.server.quiet()) {
-		time.Sleep(stopPollInterval / 5)
+		time.Sleep(quietPollInterval)
 	}
 }
 
