gateway: tests whose stops and budgets do not depend on the machine's speed

TestRequestThatABusyLoopHasNotReadAtTheEndOfAStopIsRefused: its connection was idle for over half a second before the stop ended, so that the gateway closed it as it should. The connection is now kept, and the requests are sent while the event loop is busy, before the end of the stop.

TestStreamThatPausesIsNotEndedWithoutABudget set the limits of the budget itself, and the gateway's next view set them back 0.5 s later, so that a repeat was granted. The limits now come with a reload of the settings, also in the other test that set them.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -247,6 +247,13 @@
 	return gw
 }
 
+// limitRepeats changes the limits of the retry budgets by a reload of the settings, so that they stay in force.
+func (gw *testGateway) limitRepeats(ratio float64, slack int) {
+	changed := *gw.g.opts.Settings
+	changed.Limits.RetryRatio, changed.Limits.RetrySlack = ratio, slack
+	gw.g.Reload(gw.t.Context(), &changed)
+}
+
 // dialPeer returns a socket for messages of other gateways, once the gateway receives them: it is ready for callers
 // before.
 func (gw *testGateway) dialPeer() net.Conn {
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -97,16 +97,12 @@
 func TestStalledRequestIsSentToAnotherTargetOnceTheBudgetAllowsIt(t *testing.T) {
 	h := inTurn(startAndStandStill, streamEvents(6, 0))
 	gw := newTestGatewayWith(t, patientConfig(), h, h).waitReady()
-	gw.g.mu.Lock()
-	limits := gw.g.view.Load().shares.retries
-	none := limits
-	none.Ratio, none.Slack = 0, 0
-	gw.g.budget("s").SetLimits(gw.g.now(), none)
-	gw.g.mu.Unlock()
+	limits := gw.g.opts.Settings.Limits
+	gw.limitRepeats(0, 0)
 	c := gw.call("budget", "/stream/")
 	gw.waitForLog("event=hedge", "outcome=refused", "reason=budget")
+	gw.limitRepeats(limits.RetryRatio, limits.RetrySlack)
 	gw.g.mu.Lock()
-	gw.g.budget("s").SetLimits(gw.g.now(), limits)
 	for range 5 {
 		gw.g.budget("s").RecordRequest(gw.g.now(), gw.g.now())
 	}
--- a/internal/gateway/kept_run_test.go
+++ b/internal/gateway/kept_run_test.go
@@ -139,11 +139,7 @@
 	h := pausingStream(3, 6)
 	gw := newTestGatewayWith(t, patientConfig(), h, h).waitReady()
 	gw.reportTwoGroups()
-	gw.g.mu.Lock()
-	limits := gw.g.view.Load().shares.retries
-	limits.Ratio, limits.Slack = 0, 0
-	gw.g.budget("s").SetLimits(gw.g.now(), limits)
-	gw.g.mu.Unlock()
+	gw.limitRepeats(0, 0)
 	gw.call("no budget", "/stream/").expect(eventsUpTo(6))
 	assert.Equal(t, len(gw.targets[0].requests())+len(gw.targets[1].requests()), 1)
 }
--- a/internal/gateway/stop_end_test.go
+++ b/internal/gateway/stop_end_test.go
@@ -31,11 +31,14 @@
 // waitForEnd waits until the gateway refuses all requests.
 func (gw *testGateway) waitForEnd() {
 	gw.t.Helper()
-	gw.waitUntil("the stop is at its end", func() bool {
-		gw.g.server.gate.Lock()
-		defer gw.g.server.gate.Unlock()
-		return gw.g.server.ending
-	})
+	gw.waitUntil("the stop is at its end", gw.ending)
+}
+
+// ending reports whether the gateway refuses all requests.
+func (gw *testGateway) ending() bool {
+	gw.g.server.gate.Lock()
+	defer gw.g.server.gate.Unlock()
+	return gw.g.server.ending
 }
 
 // expectRefusal sends a request and requires that it is refused as not run.
@@ -43,19 +46,35 @@
 	t.Helper()
 	_, err := io.WriteString(c, strings.Join(get("/safe/"), "\r\n")+"\r\n\r\n")
 	assert.NilError(t, err, name)
+	expectRefused(t, name, c)
+}
+
+// expectRefused requires that the request that was sent is refused as not run.
+func expectRefused(t *testing.T, name string, c net.Conn) {
+	t.Helper()
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	assert.NilError(t, err, name)
 	assert.Equal(t, resp.StatusCode, 503, name)
 	assert.Check(t, resp.Close, name)
 }
 
+// keepOpen connects a caller, and keeps its idle connection from being closed before the end of a stop.
+func (gw *testGateway) keepOpen() (net.Conn, *callerConn) {
+	gw.t.Helper()
+	c := gw.write("")
+	gw.waitUntil("the connection is open", func() bool { return len(gw.connections()) == 1 })
+	cc := gw.connections()[0]
+	cc.waiting.Store(&wait{since: time.Now().Add(time.Hour)})
+	return c, cc
+}
+
 // TestRequestOnItsWayAtTheEndOfAStopIsRefused guards against a connection that is closed under a request of a caller
 // who has just connected, or whose last answer has just ended.
 func TestRequestOnItsWayAtTheEndOfAStopIsRefused(t *testing.T) {
 	gw := newTestGateway(t, respond(200, "x")).waitReady()
 	gw.stopAndClose()
-	time.Sleep(stopIdleTime + sweepInterval - requestTime/5)
-	c := gw.write("")
+	time.Sleep(stopIdleTime)
+	c, _ := gw.keepOpen()
 	gw.waitForEnd()
 	time.Sleep(requestTime / 5)
 	expectRefusal(t, "the caller who connected before the end", c)
@@ -67,18 +86,27 @@
 	gw := newTestGateway(t, respond(200, "x")).waitReady()
 	gw.stopAndClose()
 	time.Sleep(stopIdleTime)
-	kept := gw.write("")
-	gw.waitUntil("the connection is open", func() bool { return len(gw.connections()) == 1 })
-	loop := gw.connections()[0].conn
-	gw.waitForEnd()
-	assert.NilError(t, loop.Wake(func(gnet.Conn, error) error {
+	kept, cc := gw.keepOpen()
+	busy, sent := make(chan struct{}), make(chan struct{})
+	assert.NilError(t, cc.conn.Wake(func(gnet.Conn, error) error {
+		close(busy)
+		<-sent
+		for !gw.ending() {
+			time.Sleep(time.Millisecond)
+		}
 		time.Sleep(requestTime + 200*time.Millisecond)
 		return nil
 	}))
-	time.Sleep(20 * time.Millisecond)
+	<-busy
 	fresh := gw.write("")
-	expectRefusal(t, "a kept connection", kept)
-	expectRefusal(t, "a connection that was not accepted yet", fresh)
+	request := strings.Join(get("/safe/"), "\r\n") + "\r\n\r\n"
+	for _, c := range []net.Conn{kept, fresh} {
+		_, err := io.WriteString(c, request)
+		assert.NilError(t, err)
+	}
+	close(sent)
+	expectRefused(t, "a kept connection", kept)
+	expectRefused(t, "a connection that was not accepted yet", fresh)
 }
 
 // TestEndOfAnAnswerOnAKeptConnectionArrivesInAStop guards against the end of an answer that is reset with its idle
