--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -124,12 +124,13 @@
 // OnOpen implements gnet.EventHandler. It refuses connections above the limit.
 func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	cc := &callerConn{s: s, conn: c}
+	cc.account = s.budget.open(cc)
+	cc.waiting.Store(&wait{since: time.Now()})
 	if !s.add(cc) {
+		s.budget.close(cc.account)
 		s.budget.recordCut(reasonConnections, 0, c.RemoteAddr())
 		return errorAnswer(apierr.New(apierr.KindOverloaded, ""), nil), gnet.Close
 	}
-	cc.account = s.budget.open(cc)
-	cc.waiting.Store(&wait{since: time.Now()})
 	c.SetContext(cc)
 	// gnet's option for keep-alive would hide a failure to listen behind an error of
 	// setsockopt.
