--- a/internal/gateway/server_end.go
+++ b/internal/gateway/server_end.go
@@ -47,7 +47,7 @@
 	return true
 }
 
-// waitingToBeAccepted reports whether the event loop has connections to accept.
+// waitingToBeAccepted reports whether the event loop has connections to accept. Closing the listener resets them.
 func (s *server) waitingToBeAccepted() bool {
 	select {
 	case <-s.booted:
