review: case 7, a cold server gets more than its bound after a gateway's restart

Cause: a new gateway waits until the requests of the process before it are a second old only if the target's entry says that it is cold. A server that turns cold says so in its entry up to a heartbeat later.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -26,6 +26,7 @@
 // cases are the cases by their names.
 var cases = map[string]func(targets, folder string, trouble bool, rec *recorder) (int, error){
 	"maps": mapsCase,
+	"cold": coldCase,
 }
 
 func main() { os.Exit(run()) }
