--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,11 +4,11 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
-if [ ! -x target/gentiantrail-gateway ] || [ ! -x target/review/standin-3 ]; then
+if [ ! -x target/gentiantrail-gateway ] || [ ! -x review/standin-3/bin/standin-3 ]; then
 	echo "not built" >&2
 	exit 2
 fi
-timeout 110 target/review/standin-3 garbled-status-line "$folder/record.txt" &
+timeout 110 review/standin-3/bin/standin-3 garbled-status-line "$folder/record.txt" &
 trap 'kill $! 2>/dev/null; wait; exit 2' INT TERM
 wait $!
 code=$?
