--- a/review/standin-3/grace.go
+++ b/review/standin-3/grace.go
@@ -207,12 +207,10 @@
 	grace := shortGrace
 	if w.trouble {
 		grace = gracePeriod
-		for _, g := range gateways {
-			if err := g.reload(grace); err != nil {
-				return false, err
-			}
-			w.note("the settings of %s have gracePeriodS %v now; SIGHUP", g.name, grace.Seconds())
+		if err := gateways[0].reload(grace); err != nil {
+			return false, err
 		}
+		w.note("the settings of %s have gracePeriodS %v now; SIGHUP", gateways[0].name, grace.Seconds())
 	}
 	time.Sleep(6 * time.Second)
 	signalled := time.Now()
