--- a/review/standin-3/again.go
+++ b/review/standin-3/again.go
@@ -51,7 +51,7 @@
 
 	var returning []*coldServer
 	for _, s := range servers[2:] {
-		returning = append(returning, &coldServer{plainServer: s})
+		returning = append(returning, &coldServer{plainServer: s, load: load})
 	}
 	if w.trouble {
 		w.note("the servers of zone sk-c crash")
--- a/review/standin-3/grace.go
+++ b/review/standin-3/grace.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -211,6 +213,12 @@
 			return false, err
 		}
 		w.note("the settings of %s have gracePeriodS %v now; SIGHUP", gateways[0].name, grace.Seconds())
+		time.Sleep(time.Second)
+		log, err := os.ReadFile(gateways[0].log)
+		if err != nil || !bytes.Contains(log, []byte("event=reloaded")) {
+			return false, fmt.Errorf("%s has not reloaded its settings", gateways[0].name)
+		}
+		w.note("%s has logged that it has reloaded its settings", gateways[0].name)
 	}
 	time.Sleep(6 * time.Second)
 	signalled := time.Now()
@@ -239,6 +247,8 @@
 			whole++
 		case r.whole && r.status == "503":
 			refused++
+		case r.whole || r.ended.Before(signalled):
+			w.note("%s: another answer, or an end before SIGTERM", r.id)
 		case !ran:
 			w.note("%s ended without an answer, not passed on", r.id)
 		case r.sent.Sub(signalled) <= lateSend && work.ended.After(signalled.Add(grace*5/6)):
