mapper: log the orders that a round sends and those it leaves out

When a group ran a pass with two maps, the log had each order as the rank received it, but not what the leader had sent. An order that was lost on its way, one that the engine rejected and one that was never sent looked alike.

Adds round-order lines (round, operation, version, pass, ranks) at the leader, the round to the order lines of the ranks, and order-withheld where startRound leaves an order out.

--- a/internal/mapper/round.go
+++ b/internal/mapper/round.go
@@ -31,15 +31,39 @@
 	r := &round{id: rand.Uint64(), orders: map[int]mapswitch.Order{}, answers: map[int]mapswitch.State{}, size: m.local.Size}
 	for _, c := range l.commands {
 		if c.Order.Op == mapswitch.Prepare && c.Order.Map == nil {
-			continue // the active map is not known yet; the next round tries again
+			m.opts.Logger.Info().Str("event", "order-withheld").Uint64("round", r.id).Int("to_rank", c.Rank).
+				Str("operation", c.Order.Op.String()).Int64("version", c.Order.Version).Str("detail", "the active map is not known").Msg("")
+			continue // the next round tries again
 		}
 		r.sendsPrepare = r.sendsPrepare || c.Order.Op == mapswitch.Prepare
 		r.orders[c.Rank] = c.Order
 	}
 	l.round = r
+	m.logOrders(r)
 	return m.sendRound(ctx, now)
 }
 
+// logOrders logs the orders that a round sends: one line for the ranks that receive the same order.
+func (m *Mapper) logOrders(r *round) {
+	ranks := map[loggedOrder][]int{}
+	for rank := range r.size {
+		if o, ok := r.orders[rank]; ok {
+			key := loggedOrder{o.Op, o.Version, o.Pass}
+			ranks[key] = append(ranks[key], rank)
+		}
+	}
+	for o, to := range ranks {
+		m.opts.Logger.Info().Str("event", "round-order").Uint64("round", r.id).Str("operation", o.op.String()).
+			Int64("version", o.version).Int64("pass", o.pass).Ints("to_ranks", to).Msg("")
+	}
+}
+
+// loggedOrder is the part of an order that identifies it in the log.
+type loggedOrder struct {
+	op            mapswitch.Op
+	version, pass int64
+}
+
 // sendRound sends requests to the ranks that have not answered. It returns the time after which
 // it must be called again.
 func (m *Mapper) sendRound(ctx context.Context, now time.Time) time.Duration {
@@ -147,7 +171,7 @@
 			m.opts.Logger.Warn().Str("event", "order-refused").Err(err).Msg("")
 			return mapswitch.State{}, false
 		}
-		result = m.sendOrder(ctx, request.Order)
+		result = m.sendOrder(ctx, request)
 	}
 	reading, err := m.readEngine(ctx)
 	if err != nil || reading.Group == "" {
@@ -161,12 +185,13 @@
 // orderTimeout is the timeout of one order; the engine is on the same instance.
 const orderTimeout = 60 * time.Millisecond
 
-// sendOrder sends an order to the local engine and logs its result.
-func (m *Mapper) sendOrder(ctx context.Context, o *mapswitch.Order) mapswitch.Result {
+// sendOrder sends a request's order to the local engine and logs its result.
+func (m *Mapper) sendOrder(ctx context.Context, request *roundRequest) mapswitch.Result {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	o := request.Order
 	result, err := m.opts.Engine.Order(ctx, *o)
-	line := m.opts.Logger.Info().Str("event", "order").Str("operation", o.Op.String()).Int64("epoch", o.Epoch).
+	line := m.opts.Logger.Info().Str("event", "order").Uint64("round", request.Round).Str("operation", o.Op.String()).Int64("epoch", o.Epoch).
 		Int64("version", o.Version).Int64("pass", o.Pass).Int("result", int(result))
 	if err != nil {
 		line = line.Str("detail", err.Error())
