mapper: fences carry no map, and a request without an order is no answer to one

Cause: a fence is a prepare order and so needed a whole map, which a process that has just started does not know. startRound left the order out; the rank's answer to the request without an order had the result Accepted, and the coordinator, which had recorded the order as it returned it, took the rank for fenced.

A fence now has no map. The rank's mapper makes one around its own active experts, which the engine accepts whatever the other ranks have; nobody switches to it. startRound leaves no order out. A request without an order has the result NoOrder, which the coordinator never counts.

--- a/internal/mapper/leader.go
+++ b/internal/mapper/leader.go
@@ -163,7 +163,7 @@
 	}
 	l.round = nil
 	before := l.coordinator.Phase()
-	l.commands = l.coordinator.Round(states, l.activeMap(states))
+	l.commands = l.coordinator.Round(states)
 	after := l.coordinator.Phase()
 	if before != after {
 		m.logPhase(before, after)
--- a/internal/mapper/mapper_test.go
+++ b/internal/mapper/mapper_test.go
@@ -104,6 +104,8 @@
 	period int
 	// shift is the number of experts by which the demand has moved.
 	shift int
+	// idle is true while there are no requests, so that no pass begins.
+	idle bool
 }
 
 type fakeRank struct {
@@ -133,6 +135,9 @@
 func (g *fakeGroup) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.idle {
+		return
+	}
 	for i := range g.ranks {
 		if g.ranks[i].held == g.pass+1 {
 			return
--- a/internal/mapper/maps.go
+++ b/internal/mapper/maps.go
@@ -1,6 +1,8 @@
 package mapper
 
 import (
+	"context"
+	"errors"
 	"slices"
 
 	"github.com/gentiantrail/gentiantrail/internal/rebalance"
@@ -82,3 +84,42 @@
 	}
 	return most
 }
+
+// errNoCounts means that the number of the engine's experts has not been read yet.
+var errNoCounts = errors.New("the engine's experts are not known yet")
+
+// fenceMap returns the map that a fence prepares at the local rank.
+func (m *Mapper) fenceMap(ctx context.Context) ([][][]uint16, error) {
+	reading, err := m.readEngine(ctx)
+	if err != nil {
+		return nil, err
+	}
+	m.recordReading(reading)
+	active, n := m.rows.active.Experts, len(m.counts.readings)
+	if n == 0 || len(active) == 0 {
+		return nil, errNoCounts
+	}
+	return mapAroundRank(active, m.local.Rank, m.local.Size, len(m.counts.readings[n-1].counts)/len(active)), nil
+}
+
+// mapAroundRank returns a valid map in which a rank has the given experts by layer, so that it copies
+// none to prepare the map. The other ranks share the remaining experts evenly, which fit wherever
+// there is a map in which the rank has these experts.
+func mapAroundRank(own [][]uint16, rank, ranks, experts int) [][][]uint16 {
+	rows := make([][][]uint16, len(own))
+	for layer := range own {
+		rows[layer] = make([][]uint16, ranks)
+		rows[layer][rank] = own[layer]
+		next := rank
+		for e := range experts {
+			if ranks == 1 || slices.Contains(own[layer], uint16(e)) {
+				continue
+			}
+			if next = (next + 1) % ranks; next == rank {
+				next = (next + 1) % ranks
+			}
+			rows[layer][next] = append(rows[layer][next], uint16(e))
+		}
+	}
+	return rows
+}
--- a/internal/mapper/round.go
+++ b/internal/mapper/round.go
@@ -17,7 +17,7 @@
 	// answers contains the state of each rank that has answered.
 	answers map[int]mapswitch.State
 	size    int
-	// sendsPrepare is true if the round contains a prepare order.
+	// sendsPrepare is true if the round contains a prepare order of a change.
 	sendsPrepare bool
 	// packedMap is the encoded map of the round's orders, if they have one.
 	packedMap []byte
@@ -30,12 +30,7 @@
 	l := m.leaderState
 	r := &round{id: rand.Uint64(), orders: map[int]mapswitch.Order{}, answers: map[int]mapswitch.State{}, size: m.local.Size}
 	for _, c := range l.commands {
-		if c.Order.Op == mapswitch.Prepare && c.Order.Map == nil {
-			m.opts.Logger.Info().Str("event", "order-withheld").Uint64("round", r.id).Int("to_rank", c.Rank).
-				Str("operation", c.Order.Op.String()).Int64("version", c.Order.Version).Str("detail", "the active map is not known").Msg("")
-			continue // the next round tries again
-		}
-		r.sendsPrepare = r.sendsPrepare || c.Order.Op == mapswitch.Prepare
+		r.sendsPrepare = r.sendsPrepare || c.Order.Map != nil
 		r.orders[c.Rank] = c.Order
 	}
 	l.round = r
@@ -154,20 +149,27 @@
 // errUnknownOrder means that a request has an order that this version does not know.
 var errUnknownOrder = errors.New("the order is not known")
 
+// completeOrder checks the request's order and sets the map of a prepare order.
+func (m *Mapper) completeOrder(ctx context.Context, request *roundRequest) (err error) {
+	o := request.Order
+	switch {
+	case !o.Op.IsKnown():
+		return errUnknownOrder
+	case len(request.Map) > 0:
+		o.Map, err = unpackMap(request.Map)
+	case o.Op == mapswitch.Prepare && o.Map == nil:
+		o.Map, err = m.fenceMap(ctx)
+	}
+	return err
+}
+
 // carryOutRequest passes the request's order to the local engine and reads the engine's
-// state afterwards. It returns false if the order is unknown, the map is malformed or the state
+// state afterwards. It returns false if the order is unknown or has no valid map, or if the state
 // can't be read.
 func (m *Mapper) carryOutRequest(ctx context.Context, request *roundRequest) (mapswitch.State, bool) {
-	result := mapswitch.Accepted
+	result := mapswitch.NoOrder
 	if request.Order != nil {
-		var err error
-		if len(request.Map) > 0 {
-			request.Order.Map, err = unpackMap(request.Map)
-		}
-		if err == nil && !request.Order.Op.IsKnown() {
-			err = errUnknownOrder
-		}
-		if err != nil {
+		if err := m.completeOrder(ctx, request); err != nil {
 			m.opts.Logger.Warn().Str("event", "order-refused").Err(err).Msg("")
 			return mapswitch.State{}, false
 		}
--- a/internal/mapswitch/coordinator_test.go
+++ b/internal/mapswitch/coordinator_test.go
@@ -66,7 +66,7 @@
 		return
 	}
 	before := c.Phase()
-	unsent[rank].commands = c.Round(states, mapOf(sim.engines[rank].number, len(sim.engines)))
+	unsent[rank].commands = c.Round(states)
 	if before == Releasing && c.Phase() == Idle {
 		sim.changes++
 	}
@@ -255,7 +255,7 @@
 	begin := func(n uint16) int64 {
 		c := New(1, size, 3)
 		for !c.Begin(mapOf(n, size), digestsOf(n, size), 0) {
-			c.Round(states(), mapOf(0, size))
+			c.Round(states())
 			pass++
 		}
 		return c.Version()
@@ -287,7 +287,7 @@
 func TestVersionsGoOnWherePassesAreCountedAnew(t *testing.T) {
 	c := New(0, 1, 0)
 	for i, pass := range []int64{1 << 30, 3} {
-		c.Round([]State{{Open: true, Epoch: int64(i + 1), Pass: pass, HeldPass: NoPass}}, nil)
+		c.Round([]State{{Open: true, Epoch: int64(i + 1), Pass: pass, HeldPass: NoPass}})
 		assert.Assert(t, c.Begin(mapOf(1, 1), digestsOf(1, 1), 0), "pass %d", pass)
 	}
 }
@@ -300,12 +300,12 @@
 	idle := func() []State {
 		return []State{{Open: true, Epoch: 2, Pass: 9, HeldPass: NoPass, Result: Accepted}, {Open: true, Epoch: 2, Pass: 9, HeldPass: NoPass, Result: Accepted}}
 	}
-	c.Round(idle(), nil)
+	c.Round(idle())
 	assert.Assert(t, c.Begin(mapOf(1, 2), digestsOf(1, 2), 0))
-	assert.Equal(t, len(c.Round(idle(), nil)), 2) // both ranks receive a prepare order
+	assert.Equal(t, len(c.Round(idle())), 2) // both ranks receive a prepare order
 	c.Abandon()
 	assert.Assert(t, c.Begin(mapOf(2, 2), digestsOf(2, 2), 0))
-	assert.Equal(t, len(c.Round(idle(), nil)), 2, "want a prepare order to each rank: answers to the abandoned change must not count")
+	assert.Equal(t, len(c.Round(idle())), 2, "want a prepare order to each rank: answers to the abandoned change must not count")
 }
 
 // TestUnansweredOrderDelaysTheHeldPass guards against a pause of the group: ranks that leave orders
@@ -324,12 +324,33 @@
 			return []State{a, b}
 		}
 		none, digests := []uint64{0, 0}, digestsOf(1, 2)
-		c.Round(states(0, none, Accepted), nil)
+		c.Round(states(0, none, Accepted))
 		assert.Assert(t, c.Begin(mapOf(1, 2), digests, 0))
-		c.Round(states(0, none, Accepted), nil) // sends the prepare orders
-		c.Round(states(0, none, test.answer), nil)
-		commands := c.Round(states(c.Version(), digests, Accepted), nil)
+		c.Round(states(0, none, Accepted)) // sends the prepare orders
+		c.Round(states(0, none, test.answer))
+		commands := c.Round(states(c.Version(), digests, Accepted))
 		assert.Equal(t, len(commands), 1)
 		assert.DeepEqual(t, commands[0].Order, Order{Op: Hold, Epoch: 2, Pass: pass + test.lead})
 	}
 }
+
+// TestRequestWithoutOrderIsNoFence guards against a hold that is released although a rank was sent no
+// fence: it has received a request without the order that the coordinator returned.
+func TestRequestWithoutOrderIsNoFence(t *testing.T) {
+	const version, pass = 4, 11
+	c := New(0, 2, 1)
+	states := func() []State {
+		s := State{Open: true, Epoch: 2, Pass: 9, HeldPass: NoPass, Prepared: version, Result: NoOrder}
+		held := s
+		held.HeldPass = pass
+		return []State{held, s}
+	}
+	for range 4 {
+		commands := c.Round(states())
+		assert.Equal(t, len(commands), 2)
+		for _, command := range commands {
+			assert.Equal(t, command.Order.Op, Prepare)
+			assert.Assert(t, command.Order.Version > version)
+		}
+	}
+}
--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -66,7 +66,8 @@
 	Version int64 `cbor:"3,keyasint"`
 	// Pass is set for Hold, Arm and Go.
 	Pass int64 `cbor:"4,keyasint"`
-	// Map is set for Prepare: the experts by layer and rank.
+	// Map is set for the Prepare of a change: the experts by layer and rank. A Prepare without a
+	// map is a fence: the rank prepares the experts of its active map again.
 	Map [][][]uint16 `cbor:"5,keyasint"`
 }
 
@@ -81,6 +82,8 @@
 	Accepted
 	// Rejected means that the order was not valid in the rank's state.
 	Rejected
+	// NoOrder means that the rank received a request without an order.
+	NoOrder
 )
 
 // NoPass stands for no pass; it is the value of State.HeldPass for a rank that holds none.
@@ -103,7 +106,7 @@
 	ArmedPass    int64 `cbor:"8,keyasint,omitempty"`
 	// HeldPass is the pass that the rank keeps the group from beginning, or NoPass.
 	HeldPass int64 `cbor:"9,keyasint"`
-	// Result is the outcome of the round's order; Accepted if there was none.
+	// Result is the outcome of the round's order, or NoOrder.
 	Result Result `cbor:"10,keyasint"`
 }
 
@@ -184,8 +187,6 @@
 	prepareUnanswered bool
 	// highestVersion is the highest version that was observed or issued.
 	highestVersion int64
-	// activeMap is sent with the prepare orders for fenceVersion.
-	activeMap [][][]uint16
 	// fenceVersion is the version that ranks prepare while a hold is settled, so that they
 	// reject late arm orders; fenced is true for the ranks that reject them.
 	fenceVersion int64
@@ -268,13 +269,12 @@
 	return s.ArmedVersion != 0 && s.ArmedVersion%int64(c.size) == int64(c.holder) && s.ArmedPass == c.holdPass
 }
 
-// Round processes the states of all ranks and the active map, and returns the next orders.
-// The states must have been read after the previous round's orders.
-func (c *Coordinator) Round(states []State, activeMap [][][]uint16) []Command {
+// Round processes the states of all ranks and returns the next orders. The states must have been
+// read after the previous round's orders.
+func (c *Coordinator) Round(states []State) []Command {
 	if !c.observe(states) {
 		return nil
 	}
-	c.activeMap = activeMap
 	c.recordPrepareResults(states)
 	if rank := c.unownedHold(states); rank >= 0 {
 		c.startSettling(rank, states[rank].HeldPass)
@@ -309,7 +309,7 @@
 // follows shows in their states only once it is complete.
 func (c *Coordinator) recordPrepareResults(states []State) {
 	for r, s := range states {
-		if c.lastOps[r] != Prepare {
+		if c.lastOps[r] != Prepare || s.Result == NoOrder {
 			continue
 		}
 		if s.Result == Unknown {
--- a/internal/mapswitch/phases.go
+++ b/internal/mapswitch/phases.go
@@ -150,7 +150,7 @@
 		case s.Prepared >= c.fenceVersion:
 			c.fenced[r] = true
 		case !c.fenced[r]:
-			commands = append(commands, c.newCommand(r, Order{Op: Prepare, Version: c.fenceVersion, Map: c.activeMap}))
+			commands = append(commands, c.newCommand(r, Order{Op: Prepare, Version: c.fenceVersion}))
 		}
 	}
 	return commands
--- a/internal/mapswitch/simulation_test.go
+++ b/internal/mapswitch/simulation_test.go
@@ -68,7 +68,9 @@
 			return Rejected
 		}
 		e.highest, e.prepared, e.copyTicks = o.Version, o.Version, sim.rng.IntN(3)
-		e.preparedMap = numberOf(o.Map)
+		if e.preparedMap = e.number; o.Map != nil {
+			e.preparedMap = numberOf(o.Map)
+		}
 	case Hold:
 		if o.Pass <= sim.pass || e.held != NoPass && e.held != o.Pass {
 			return Rejected
@@ -179,7 +181,7 @@
 	states := make([]State, len(sim.engines))
 	results := make([]Result, len(sim.engines))
 	for i := range results {
-		results[i] = Accepted
+		results[i] = NoOrder
 	}
 	for _, c := range commands {
 		results[c.Rank] = sim.send(c)
