mapper: a leader whose rank changes ends its round

Cause: carryOutRequest may discard the state for leading, since recordReading does so when the rank changes; sendRequest then wrote the answer into the state that was gone.

sendRequest now writes into the round that it was called for, and sendRound ends when the state has changed. TestLeaderEndsItsRoundsWhenItsRankChanges ended with the nil dereference before.

--- a/internal/mapper/round.go
+++ b/internal/mapper/round.go
@@ -62,7 +62,8 @@
 // sendRound sends requests to the ranks that have not answered. It returns the time after which
 // it must be called again.
 func (m *Mapper) sendRound(ctx context.Context, now time.Time) time.Duration {
-	r := m.leaderState.round
+	l := m.leaderState
+	r := l.round
 	pause := retryInterval
 	if r.mapsOutstanding() {
 		pause = mapRetryInterval
@@ -79,17 +80,20 @@
 			}
 			request.Order = &o
 		}
-		m.sendRequest(ctx, rank, request)
+		m.sendRequest(ctx, r, rank, request)
+		if m.leaderState != l {
+			return idleRoundPause // the local engine has another rank, with which this process does not lead yet
+		}
 	}
 	r.dueAt = now.Add(pause)
 	return pause
 }
 
-// sendRequest sends a request to a rank, or carries it out if the rank is the local one.
-func (m *Mapper) sendRequest(ctx context.Context, rank int, request *roundRequest) {
+// sendRequest sends a round's request to a rank, or carries it out if the rank is the local one.
+func (m *Mapper) sendRequest(ctx context.Context, r *round, rank int, request *roundRequest) {
 	if rank == m.local.Rank {
 		if state, ok := m.carryOutRequest(ctx, request); ok {
-			m.leaderState.round.answers[rank] = state
+			r.answers[rank] = state
 		}
 		return
 	}
