mapper: test a fence that goes to a process whose rank has changed

The second path on which a request without an order counted as the answer to a fence: two servers have changed their ranks when the group forms again, and the leader still knows each rank under the other one's address. The fence goes to an armed rank, which rejects it, and the unarmed rank answers a request without an order.

No change of the product: the result NoOrder covers it.

--- a/internal/mapper/large_group_test.go
+++ b/internal/mapper/large_group_test.go
@@ -146,6 +146,7 @@
 	*fakeGroup
 	network *simNetwork
 	mappers []*Mapper
+	engines []*movableEngine
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 }
@@ -173,9 +174,11 @@
 		fleet.TopicTargets: {Changes: targets},
 	}}
 	for r := range ranks {
+		l.engines = append(l.engines, &movableEngine{g: l.fakeGroup})
+		l.engines[r].rank.Store(int32(r))
 		m := New(Options{
 			PeerAddress: "10.0.0." + strconv.Itoa(1+r) + ":7340", Metrics: tally.NoopScope, Service: "s",
-			Engine: fakeEngine{l.fakeGroup, r}, Source: source, DemandStore: emptyDemandStore{},
+			Engine: l.engines[r], Source: source, DemandStore: emptyDemandStore{},
 			Logger: &log.Logger{Level: log.PanicLevel}, Listen: l.network.listen,
 		})
 		l.mappers = append(l.mappers, m)
