mapswitch: settle a hold by states that were read after it was found

Cause: a coordinator that found a hold settled it with the states of the same round. A state may be as old as the round, which a leader that pauses goes on with. A rank that is shown armed for an earlier change then counts as rejecting late arm orders of the settled one, although it has long prepared it; the holder is disarmed without a fence and the others switch alone.

The round that finds a hold, or gives up a change, now sends no order; the settling begins with the next states.

TestRanksNeverDifferWithStatesOfDifferentAge plays rounds in which each rank answers at its own moment and leaders pause.

--- a/internal/mapswitch/coordinator_test.go
+++ b/internal/mapswitch/coordinator_test.go
@@ -345,6 +345,7 @@
 		held.HeldPass = pass
 		return []State{held, s}
 	}
+	c.Round(states()) // finds the hold
 	for range 4 {
 		commands := c.Round(states())
 		assert.Equal(t, len(commands), 2)
--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -278,6 +278,8 @@
 	c.recordPrepareResults(states)
 	if rank := c.unownedHold(states); rank >= 0 {
 		c.startSettling(rank, states[rank].HeldPass)
+		clear(c.lastOps)
+		return nil
 	}
 	commands := c.nextCommands(states)
 	clear(c.lastOps)
--- a/internal/mapswitch/phases.go
+++ b/internal/mapswitch/phases.go
@@ -51,7 +51,7 @@
 	if states[c.rank].HeldPass != c.holdPass {
 		// The hold has ended although no go order was sent: no rank may stay armed.
 		c.startSettling(c.rank, c.holdPass)
-		return c.continueSettling(states)
+		return nil
 	}
 	var commands []Command
 	for r, s := range states {
@@ -59,7 +59,7 @@
 		case s.ArmedVersion == c.version && s.ArmedPass == c.holdPass:
 		case s.ArmedVersion != 0 || s.Prepared != c.version || s.Digest != c.digests[r]:
 			c.startSettling(c.rank, c.holdPass)
-			return c.continueSettling(states)
+			return nil
 		default:
 			commands = append(commands, c.newCommand(r, Order{Op: Arm, Version: c.version, Pass: c.holdPass}))
 		}
@@ -82,7 +82,9 @@
 	return nil
 }
 
-// startSettling begins to disarm the ranks that may be armed for a pass that a rank holds.
+// startSettling begins to disarm the ranks that may be armed for a pass that a rank holds. No order of
+// the same round may follow: a rank's state may have been read long before the hold was found, and then
+// does not show whether the rank rejects arm orders of the change that is settled.
 func (c *Coordinator) startSettling(holder int, pass int64) {
 	c.phase = Settling
 	c.holder, c.holdPass = holder, pass
