http1: refuse answers with control characters in the reason phrase

Cause: readHead took all bytes between the status code and CRLF for the reason phrase, and the gateway passes it on. A line feed in it ends the status line for most clients.

A control character other than HTAB there is now a syntax error, like any other wrong byte of a head: the request may have run, and is repeated where it may be.

--- a/internal/http1/header.go
+++ b/internal/http1/header.go
@@ -143,3 +143,14 @@
 	}
 	return len(s) > 0
 }
+
+// isText reports whether s has no control character but HTAB, as RFC 9112, section 4, requires of a
+// reason phrase.
+func isText[T string | []byte](s T) bool {
+	for i := range len(s) {
+		if s[i] < ' ' && s[i] != '\t' || s[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -101,7 +101,10 @@
 }
 
 func TestMalformedResponsesAreRejected(t *testing.T) {
-	for _, text := range []string{"garbage\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"} {
+	for _, text := range []string{
+		"HTTP/1.1 200 O\nK\r\n\r\n", "HTTP/1.1 200 O\rK\r\n\r\n", "HTTP/1.1 200 \x00\r\n\r\n", "HTTP/1.1 200 OK\x7f\r\n\r\n", "garbage\r\n\r\n",
+		"HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+	} {
 		_, err := ReadResponse(bufio.NewReader(strings.NewReader(text)), "GET")
 		var syntax *SyntaxError
 		assert.Assert(t, errors.As(err, &syntax), text)
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -65,6 +65,9 @@
 	if err != nil || len(code) != 3 || status < 100 {
 		return nil, &SyntaxError{Reason: "the status code is not a number from 100 to 999"}
 	}
+	if !isText(reason) {
+		return nil, &SyntaxError{Reason: "the reason phrase contains a control character"}
+	}
 	h, err := parseFields(block)
 	if err != nil {
 		return nil, err
