http1: refuse control characters in field values

Cause: parseField checked only for what two readers could frame differently. RFC 9110, section 5.5, calls all control characters but HTAB invalid.

They are syntax errors now: an answer counts as one whose request may have run, and a request is answered with 400 before it is sent anywhere.

TestUnreadableFieldReachesNoCaller, TestAnswersWithOneWrongByteStayReadable and FuzzAnswer failed before with 'malformed MIME header line'. The latter two read again with net/http what a caller gets for answers with wrong bytes. TestUnreadableFieldsAreErrors shows that the agent's library refuses them.

--- a/internal/gateway/garbled_head_test.go
+++ b/internal/gateway/garbled_head_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/fleet"
+	"github.com/gentiantrail/gentiantrail/internal/http1"
+	"github.com/gentiantrail/gentiantrail/internal/upstream"
 )
 
 // unreadableBytes are control characters that RFC 9110 and RFC 9112 allow nowhere in a head.
@@ -46,6 +52,12 @@
 	expectUnreadableRefused(t, "HTTP/1.1 200 %cK\r\nT-Sign: signed\r\nContent-Length: 4")
 }
 
+// Guards against an answer that its caller can't read: a control character in a field of a target's answer
+// was passed on.
+func TestUnreadableFieldReachesNoCaller(t *testing.T) {
+	expectUnreadableRefused(t, "HTTP/1.1 200 OK\r\nT-Sign: signed\r\nX-A: a%cb\r\nContent-Length: 4")
+}
+
 // Guards against heads that are odd but legal and must be passed on as they are.
 func TestOddReasonIsPassedOn(t *testing.T) {
 	var reason atomic.Pointer[string]
@@ -77,3 +89,71 @@
 	}
 	t.Fatal("no request was sent to the first target")
 }
+
+// passedOn returns the bytes that a caller gets for an answer with the given bytes, or false if the answer
+// is not passed on.
+func passedOn(raw []byte) ([]byte, bool) {
+	resp, err := http1.ReadResponse(bufio.NewReader(bytes.NewReader(raw)), "POST")
+	if err != nil {
+		return nil, false
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, false
+	}
+	g := &Gateway{}
+	g.view.Store(&view{})
+	x := &exchange{req: &http1.Request{KeepAlive: true}, route: &fleet.Route{}}
+	return http1.AppendLengthAndBody(g.answerHead(x, &upstream.Answer{Response: resp}), body), true
+}
+
+// checkReadable fails if a strict client can't read what a caller gets for an answer.
+func checkReadable(t *testing.T, raw []byte) {
+	t.Helper()
+	passed, ok := passedOn(raw)
+	if !ok {
+		return
+	}
+	line, _, _ := bytes.Cut(passed, []byte("\n"))
+	for _, b := range bytes.TrimSuffix(line, []byte("\r")) {
+		assert.Assert(t, b >= ' ' && b != 0x7f || b == '\t', "%q is passed on as %q", raw, passed)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(passed)), &http.Request{Method: "POST"})
+	assert.NilError(t, err, "%q is passed on as %q", raw, passed)
+	_, err = io.ReadAll(resp.Body)
+	assert.NilError(t, err, "%q is passed on as %q", raw, passed)
+}
+
+// soundAnswers are answers into which the tests put wrong bytes.
+var soundAnswers = []string{
+	"HTTP/1.1 200 OK\r\nT-Id: a1\r\nT-Sign: signed\r\nContent-Type: application/json\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 200 OK\r\nT-Sign: s\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n4\r\nbody\r\n0\r\nX: y\r\n\r\n",
+	"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 503 Full\r\nT-Not-Run: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nT-Sign: s\r\nConnection: close, X-A\r\nX-A: b\r\n\r\nbody",
+	"HTTP/1.1 204 No Content\r\nT-Sign: s\r\n\r\n",
+}
+
+// TestAnswersWithOneWrongByteStayReadable replaces and inserts every byte at every place of sound
+// answers. It guards against an answer that is passed on although its caller can't read it.
+func TestAnswersWithOneWrongByteStayReadable(t *testing.T) {
+	for _, sound := range soundAnswers {
+		for at := range len(sound) {
+			for b := range 256 {
+				checkReadable(t, []byte(sound[:at]+string([]byte{byte(b)})+sound[at+1:]))
+				checkReadable(t, []byte(sound[:at]+string([]byte{byte(b)})+sound[at:]))
+			}
+		}
+	}
+}
+
+// FuzzAnswer guards against an answer that is passed on although its caller can't read it.
+func FuzzAnswer(f *testing.F) {
+	for _, sound := range soundAnswers {
+		f.Add([]byte(sound))
+		for _, b := range unreadableBytes {
+			f.Add([]byte(strings.Replace(sound, "O", string([]byte{b}), 1)))
+			f.Add([]byte(strings.Replace(sound, "s", string([]byte{b}), 1)))
+		}
+	}
+	f.Fuzz(checkReadable)
+}
--- a/internal/http1/header.go
+++ b/internal/http1/header.go
@@ -123,10 +123,8 @@
 		return Field{}, &SyntaxError{Reason: "a header line has no valid field name"}
 	}
 	value := bytes.Trim(line[colon+1:], " \t")
-	for _, c := range value {
-		if c == '\r' || c == '\n' || c == 0 {
-			return Field{}, &SyntaxError{Reason: "a header value contains CR, LF or NUL"}
-		}
+	if !isText(value) {
+		return Field{}, &SyntaxError{Reason: "a header value contains a control character"}
 	}
 	return Field{Name: string(line[:colon]), Value: string(value)}, nil
 }
@@ -145,7 +143,7 @@
 }
 
 // isText reports whether s has no control character but HTAB, as RFC 9112, section 4, requires of a
-// reason phrase.
+// reason phrase and RFC 9110, section 5.5, of a field value.
 func isText[T string | []byte](s T) bool {
 	for i := range len(s) {
 		if s[i] < ' ' && s[i] != '\t' || s[i] == 0x7f {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -52,6 +52,7 @@
 		"no host":               "GET / HTTP/1.1\r\nX: y\r\n\r\n",
 		"two hosts":             "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
 		"absolute target":       "GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n",
+		"control in value":      "GET / HTTP/1.1\r\nHost: h\r\nX: a\x1bb\r\n\r\n",
 		"control in target":     "GET /\x01 HTTP/1.1\r\nHost: h\r\n\r\n",
 		"old protocol":          "GET / HTTP/1.0\r\nHost: h\r\n\r\n",
 		"chunk without its end": "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n",
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -266,3 +266,12 @@
 		}
 	}
 }
+
+// Guards against an answer that an entry's caller can't read: a control character in a field.
+func TestUnreadableFieldsAreErrors(t *testing.T) {
+	for _, b := range []byte{0, 1, '\b', '\v', '\r', 0x1b, 0x1f, 0x7f} {
+		var accepted int
+		_, err := do(t, serve(t, "HTTP/1.1 200 OK\r\nX: a"+string([]byte{b})+"b\r\nContent-Length: 3\r\n\r\nabc", &accepted))
+		assert.Assert(t, err != nil, "byte %#x", b)
+	}
+}
