http1: refuse a 204 that declares a body

Its caller got a success with the signature and without the body.

Cause: setBody reads no body of a 204 and ignored what the fields say.

TestNoContentWithABodyIsRefused failed before with 'status 204'.

--- a/internal/gateway/garbled_head_test.go
+++ b/internal/gateway/garbled_head_test.go
@@ -58,6 +58,21 @@
 	expectUnreadableRefused(t, "HTTP/1.1 200 OK\r\nT-Sign: signed\r\nX-A: a%cb\r\nContent-Length: 4")
 }
 
+// Guards against a success without its body: a wrong digit makes a 204, which has none, of a target's
+// status.
+func TestNoContentWithABodyIsRefused(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 4" + testID + "\r\nbody", "Transfer-Encoding: chunked" + testID + "\r\n4\r\nbody\r\n0\r\n\r\n"} {
+		gw := newTestGateway(t, answerRaw(func() string { return "HTTP/1.1 204 OK\r\nT-Sign: signed\r\n" + framing })).waitReady()
+		for _, path := range answerPaths {
+			status, _, _, whole := gw.do(get(path)...)
+			assert.Assert(t, status >= 500 && whole, "%s: status %d", path, status)
+		}
+	}
+	gw := newTestGateway(t, answerRaw(func() string { return "HTTP/1.1 204 No Content\r\nT-Sign: signed" + testID + "\r\n" })).waitReady()
+	status, _, _, whole := gw.do(get("/once/x")...)
+	assert.Assert(t, status == 204 && whole, "status %d", status)
+}
+
 // Guards against heads that are odd but legal and must be passed on as they are.
 func TestOddReasonIsPassedOn(t *testing.T) {
 	var reason atomic.Pointer[string]
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -103,6 +103,9 @@
 	if err != nil {
 		return err
 	}
+	if resp.Status == 204 && (f.chunked || f.length > 0) {
+		return &SyntaxError{Reason: "an answer without content declares a body"}
+	}
 	resp.Length = f.length
 	switch {
 	case method == "HEAD" || resp.Status == 204 || resp.Status == 304:
