gateway: a stop goes by the stop timeout of the last reload

Cause: the stop read the settings with which the process had started; a reload reached the control goroutine only.

The gateway keeps the settings that are in force. A stop takes its timeout from them when it begins.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,8 @@
 	// inFlight counts the requests whose responses have not been sent yet, and requests contains them.
 	inFlight atomic.Int64
 	requests *requestTable
+	// inForce are the settings after the last reload; opts.Settings are those of the start.
+	inForce atomic.Pointer[settings.Gateway]
 	// stopTimes are the times of the stop signal, or nil.
 	stopTimes atomic.Pointer[stopTimes]
 	server    *server
@@ -169,6 +171,7 @@
 		answerTimes:      newAnswerTimes(),
 	}
 	g.view.Store(&view{})
+	g.inForce.Store(opts.Settings)
 	g.server = newServer(g)
 	g.records = newQuarantineRecords(g)
 	return g
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -59,7 +59,7 @@
 	g.opts.Logger.Info().Str("event", "stopping").Int64("requests", g.inFlight.Load()).
 		Int64("signal_age_ms", times.noticed.Sub(times.signalled).Milliseconds()).
 		Int64("refuses_in_ms", max(0, admissionTime-g.timeSinceSignal()).Milliseconds()).
-		Int64("ends_in_ms", max(0, times.timeToEnd(g.opts.Settings.Limits.StopTimeout)).Milliseconds()).Msg("")
+		Int64("ends_in_ms", max(0, times.timeToEnd()).Milliseconds()).Msg("")
 }
 
 // logAttempt writes the log line of a failed attempt with the inputs that decided its
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -33,6 +33,8 @@
 	// signalled is the earliest time at which the signal may have been sent, apart from delays below
 	// pauseThreshold.
 	signalled time.Time
+	// timeout is the stop timeout that is in force for this stop.
+	timeout time.Duration
 }
 
 // beginStop records the times of a signal that is noticed now.
@@ -41,7 +43,7 @@
 	g.mu.Lock()
 	signalled := g.pauses.EarliestSignal(noticed.Sub(g.start))
 	g.mu.Unlock()
-	s := &stopTimes{noticed: noticed, signalled: g.start.Add(signalled)}
+	s := &stopTimes{noticed: noticed, signalled: g.start.Add(signalled), timeout: g.inForce.Load().Limits.StopTimeout}
 	g.stopTimes.Store(s)
 	return s
 }
@@ -56,15 +58,20 @@
 	return time.Since(s.signalled)
 }
 
-// timeToKill returns the least time that is left until the process may be killed, less stopMargin.
+// timeToKill returns the least time that is left until the process may be killed, less stopMargin. While no stop has
+// begun, it is that of a stop that begins now.
 func (g *Gateway) timeToKill() time.Duration {
-	return g.opts.Settings.Limits.StopTimeout - stopMargin - g.timeSinceSignal()
+	timeout := g.inForce.Load().Limits.StopTimeout
+	if s := g.stopTimes.Load(); s != nil {
+		timeout = s.timeout
+	}
+	return timeout - stopMargin - g.timeSinceSignal()
 }
 
 // timeToEnd returns the time that is left until the process ends whatever is in flight. It counts from when the
 // signal was noticed: an answer that a kill may cut off goes on until then, as it may as well be whole before.
-func (s *stopTimes) timeToEnd(timeout time.Duration) time.Duration {
-	return timeout - stopMargin - time.Since(s.noticed)
+func (s *stopTimes) timeToEnd() time.Duration {
+	return s.timeout - stopMargin - time.Since(s.noticed)
 }
 
 // Stop makes Ready fail at once and goes on serving requests that still arrive. It returns
@@ -73,10 +80,10 @@
 // What Stop may leave unfinished is logged before the process may be killed. It reports whether no request was in
 // flight or partly read at its end, and all callers had got their answers.
 func (g *Gateway) Stop(ctx context.Context) (whole bool) {
-	times, timeout := g.beginStop(), g.opts.Settings.Limits.StopTimeout
+	times := g.beginStop()
 	g.post(ctx, stopRequested{})
 	nextLine, logged := stopLogInterval, false
-	for times.timeToEnd(timeout) > 0 {
+	for times.timeToEnd() > 0 {
 		failing := time.Since(times.noticed)
 		if failing > stopIdleTime+sweepInterval && g.server.endIfIdle() {
 			break
@@ -90,7 +97,7 @@
 			logged = true
 			g.logUnfinished()
 		}
-		time.Sleep(min(stopPollInterval, times.timeToEnd(timeout)))
+		time.Sleep(min(stopPollInterval, times.timeToEnd()))
 	}
 	g.server.end()
 	if !logged {
@@ -130,8 +137,10 @@
 	return g.inFlight.Load() == 0 && g.server.unfinished() == 0 && g.inFlight.Load() == 0
 }
 
-// Reload applies the limits and the routing between zones of changed settings.
+// Reload applies the limits and the routing between zones of changed settings. A stop that has begun goes on with its
+// timeout.
 func (g *Gateway) Reload(ctx context.Context, s *settings.Gateway) {
+	g.inForce.Store(s)
 	r := settingsReloaded{limits: s.Limits, zones: s.ZoneRouting, done: make(chan struct{})}
 	g.post(ctx, r)
 	select {
