fleet: a reload changes the drain timeout of the follower

SetDrainTimeout changes it while the follower runs.

TestEveryLiveSettingIsInForceAfterAReload checks each setting that a reload changes.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 )
 
@@ -55,7 +56,8 @@
 	Self Gateway
 	// OnEvent is called with each event, from several goroutines.
 	OnEvent func(Event)
-	// DrainTimeout is the time within which a gateway must act on a change.
+	// DrainTimeout is the time within which a gateway must act on a change. SetDrainTimeout changes it once the
+	// follower runs.
 	DrainTimeout time.Duration
 	// History is the time for which the store keeps the changes; zero if that is not known.
 	History time.Duration
@@ -68,10 +70,11 @@
 	// is nil, there are none.
 	LivePeers func() int
 
-	backoff outageBackoff
-	watches openWatches
-	eras    *eraTracker
-	relays  *relayTracker
+	drainTimeout atomic.Int64
+	backoff      outageBackoff
+	watches      openWatches
+	eras         *eraTracker
+	relays       *relayTracker
 	// watchOpened triggers a ping soon after the call of a watch, and laterEra one at once.
 	watchOpened, laterEra chan struct{}
 }
@@ -80,6 +83,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.eras, f.relays = newEraTracker(ctx), newRelayTracker(f.Self.Name)
 	f.watchOpened, f.laterEra = make(chan struct{}, 1), make(chan struct{}, 1)
+	f.SetDrainTimeout(f.DrainTimeout)
 	for t := Topic(0); t < TopicGateways; t++ {
 		go f.follow(ctx, t)
 	}
@@ -87,6 +91,12 @@
 	go f.ping(ctx)
 }
 
+// SetDrainTimeout changes the time within which a gateway must act on a change.
+func (f *Follower) SetDrainTimeout(d time.Duration) { f.drainTimeout.Store(int64(d)) }
+
+// CurrentDrainTimeout returns the time within which a gateway must act on a change.
+func (f *Follower) CurrentDrainTimeout() time.Duration { return time.Duration(f.drainTimeout.Load()) }
+
 // Positions returns the position of the newest change of each watched topic that this gateway
 // has read, for the other gateways; nil if there is no recent one.
 func (f *Follower) Positions() []Position { return f.watches.positions(time.Now()) }
@@ -199,7 +209,7 @@
 		f.apply(topic, after, batch, resumed)
 		f.passOn(topic, batch)
 		after.Revision = max(after.Revision, batch.Position.Revision)
-		pause = nextWatchPause(pause, time.Since(began), f.DrainTimeout)
+		pause = nextWatchPause(pause, time.Since(began), f.CurrentDrainTimeout())
 		sleep(ctx, pause)
 	}
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -168,6 +168,9 @@
 // SetDrainTimeout changes the time within which a target that has left must get no more work.
 func (r *Registry) SetDrainTimeout(d time.Duration) { r.drainTimeout = d }
 
+// DrainTimeout returns the time within which a target that has left must get no more work.
+func (r *Registry) DrainTimeout() time.Duration { return r.drainTimeout }
+
 // afterOutage reports whether entries that are found missing may have lapsed during an
 // outage of the store, or may be younger than the copy that it was restored from.
 func (r *Registry) afterOutage(now time.Duration) bool {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -307,6 +307,7 @@
 func (r settingsReloaded) apply(c *control) {
 	c.limits, c.zoneSettings = r.limits, r.zones
 	c.registry.SetDrainTimeout(r.limits.DrainTimeout)
+	c.peers.store.SetDrainTimeout(r.limits.DrainTimeout)
 	c.publish()
 	close(r.done)
 }
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/gentiantrail/gentiantrail/internal/settings"
 )
 
 // reloadStopTimeout changes the stop timeout by a reload of the settings.
@@ -65,3 +67,36 @@
 		t.Error("the stop goes on by the earlier timeout")
 	}
 }
+
+// inspection is an event that reads the state of the control goroutine.
+type inspection func(c *control)
+
+func (i inspection) apply(c *control) { i(c) }
+
+// Guards against a setting of which a part of the gateway goes on using the value of the start. Each live setting
+// has a row; TestEverySettingIsLiveOrNeedsARestart in package settings fails for one that is added.
+func TestEveryLiveSettingIsInForceAfterAReload(t *testing.T) {
+	gw := newTestGateway(t).waitReady()
+	changed := *gw.g.opts.Settings
+	changed.Limits = settings.GatewayLimits{
+		RetryRatio: 0.5, RetrySlack: 640, RetryWindow: 7 * time.Second, ColdFactor: 3, ColdSlack: 9,
+		DrainTimeout: 5 * time.Second, StopTimeout: 17 * time.Second,
+	}
+	changed.ZoneRouting = settings.ZoneRouting{Enabled: true, CostMs: 7}
+	gw.g.Reload(t.Context(), &changed)
+	shares := gw.g.view.Load().shares
+	assert.Equal(t, shares.retries.Ratio, 0.5)
+	assert.Equal(t, shares.retries.Slack, 640.0/assumedGateways)
+	assert.Equal(t, shares.retries.Span, 7*time.Second)
+	assert.Equal(t, shares.coldFactor, 3.0)
+	assert.Equal(t, shares.coldSlack, 9.0)
+	inspected := make(chan struct{})
+	gw.g.post(t.Context(), inspection(func(c *control) {
+		defer close(inspected)
+		assert.Check(t, c.registry.DrainTimeout() == 5*time.Second)
+		assert.Check(t, c.peers.store.CurrentDrainTimeout() == 5*time.Second)
+		assert.Check(t, c.zoneSettings == changed.ZoneRouting)
+	}))
+	<-inspected
+	assert.Equal(t, gw.g.timeToKill(), 17*time.Second-stopMargin)
+}
