settings: a reload names changed settings that need a restart

Operators who changed an address, a name or a size saw only 'reloaded'.

Fields of the settings say whether they are live; NeedRestart lists those that differ and are not, and gateway and mapper log them in a line restart-needed. TestEverySettingIsLiveOrNeedsARestart goes through the fields by reflection, so that a new one can't be left out.

--- a/cmd/gentiantrail-gateway/main.go
+++ b/cmd/gentiantrail-gateway/main.go
@@ -41,6 +41,7 @@
 		changed, err := settings.LoadGateway(path)
 		if err == nil {
 			g.Reload(ctx, changed)
+			daemon.LogNeedRestart(logger.Logger, settings.NeedRestart(s, changed))
 		}
 		return err
 	})
--- a/cmd/gentiantrail-mapper/main.go
+++ b/cmd/gentiantrail-mapper/main.go
@@ -32,7 +32,10 @@
 	failed := make(chan error, 1)
 	go func() { failed <- m.Run(ctx) }()
 	go daemon.WatchSettings(ctx, path, logger.Logger, func() error {
-		_, err := settings.LoadMapper(path) // only checked: addresses are fixed while the process runs
+		changed, err := settings.LoadMapper(path)
+		if err == nil {
+			daemon.LogNeedRestart(logger.Logger, settings.NeedRestart(s, changed))
+		}
 		return err
 	})
 	select {
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -45,3 +45,10 @@
 	}
 	return info.ModTime()
 }
+
+// LogNeedRestart logs the names of changed settings that take effect only at the next start.
+func LogNeedRestart(logger *log.Logger, names []string) {
+	if len(names) > 0 {
+		logger.Warn().Str("event", "restart-needed").Strs("settings", names).Msg("")
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -29,10 +29,11 @@
 	// Memory is the process's memory in MiB; the garbage collector aims to stay below it.
 	// Range 16 to 65536.
 	Memory int `yaml:"memory"`
-	// Limits bound retries, cold targets and the graceful stop.
-	Limits GatewayLimits `yaml:"limits"`
-	// ZoneRouting configures which requests are sent to other availability zones.
-	ZoneRouting ZoneRouting `yaml:"zone_routing"`
+	// Limits bound retries, cold targets and the graceful stop. Changes apply at a reload.
+	Limits GatewayLimits `yaml:"limits" reload:"live"`
+	// ZoneRouting configures which requests are sent to other availability zones. Changes apply at a
+	// reload.
+	ZoneRouting ZoneRouting `yaml:"zone_routing" reload:"live"`
 	// Callers bounds the resources that callers may use. Changes apply at the next start.
 	Callers GatewayCallers `yaml:"callers"`
 }
