mapper: plan for groups with more ranks than a layer has experts

The leader's process ended at its first plan in a group in which some ranks have no experts of a layer ('slices.MinFunc: empty list').

Cause: mapFromRows fills the free slots of a rank with its least demanded expert, and there is none.

Such a rank counts as having the layer's least demanded expert, which is taken out of the plan again where another rank has it.

--- a/internal/mapper/leader.go
+++ b/internal/mapper/leader.go
@@ -300,7 +300,7 @@
 	if plan.Moved == 0 {
 		return
 	}
-	rows := rowsFromMap(plan.Map)
+	rows := withoutFillers(rowsFromMap(plan.Map), active, from)
 	if !l.coordinator.Begin(rows, rankDigests(rows, l.shape.Ranks), 1) {
 		return
 	}
--- a/internal/mapper/mapper_test.go
+++ b/internal/mapper/mapper_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -104,6 +105,8 @@
 	period int
 	// shift is the number of experts by which the demand has moved.
 	shift int
+	// maxCopies is the number of new experts of a layer above which a rank rejects a map; zero means none.
+	maxCopies int
 	// idle is true while there are no requests, so that no pass begins.
 	idle bool
 }
@@ -201,7 +204,7 @@
 	r := &e.g.ranks[e.rank]
 	switch o.Op {
 	case mapswitch.Prepare:
-		if o.Version <= r.highest || r.armed != 0 {
+		if o.Version <= r.highest || r.armed != 0 || e.g.maxCopies > 0 && e.newExperts(o.Map) > e.g.maxCopies {
 			return mapswitch.Rejected, nil
 		}
 		r.highest, r.prepared, r.preparedRows = o.Version, o.Version, nil
@@ -228,6 +231,16 @@
 	return mapswitch.Accepted, nil
 }
 
+// newExperts returns the largest number of experts of a layer that a map adds to the rank.
+func (e fakeEngine) newExperts(m [][][]uint16) int {
+	most := 0
+	for layer, active := range e.g.ranks[e.rank].rows {
+		added := slices.DeleteFunc(slices.Clone(m[layer][e.rank]), func(expert uint16) bool { return slices.Contains(active, expert) })
+		most = max(most, len(added))
+	}
+	return most
+}
+
 // fakeSource returns fixed batches.
 type fakeSource struct {
 	fleet.Source
--- a/internal/mapper/maps.go
+++ b/internal/mapper/maps.go
@@ -1,6 +1,7 @@
 package mapper
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -10,23 +11,26 @@
 
 // mapFromRows returns the map with the given experts by layer and rank. Every slot is
 // filled: a rank with free slots holds its least demanded expert several times, which has
-// no effect on the load.
+// no effect on the load. A rank without experts counts as having the least demanded expert of the layer;
+// see withoutFillers.
 func mapFromRows(s rebalance.Shape, rows [][][]uint16, demand rebalance.Popularity) rebalance.Map {
 	m := rebalance.Map{Shape: s, Slots: make([]uint16, 0, s.Layers*s.LayerSlots())}
+	all := make([]uint16, s.Experts)
+	for e := range all {
+		all[e] = uint16(e)
+	}
 	for layer, ranks := range rows {
 		load := demand.Layer(layer)
+		leastDemanded := func(experts []uint16) uint16 {
+			return slices.MinFunc(experts, func(a, b uint16) int { return cmp.Compare(load[a], load[b]) })
+		}
 		for _, experts := range ranks {
 			m.Slots = append(m.Slots, experts...)
-			filler := slices.MinFunc(experts, func(a, b uint16) int {
-				switch {
-				case load[a] < load[b]:
-					return -1
-				case load[a] > load[b]:
-					return 1
-				default:
-					return 0
-				}
-			})
+			candidates := experts
+			if len(experts) == 0 {
+				candidates = all
+			}
+			filler := leastDemanded(candidates)
 			for range s.SlotsPerRank - len(experts) {
 				m.Slots = append(m.Slots, filler)
 			}
@@ -35,6 +39,25 @@
 	return m
 }
 
+// withoutFillers returns the rows of a planned map without the experts that ranks only seem to have in from, the
+// map of the active rows: those of ranks without experts. Such an expert stays if no other rank has it.
+func withoutFillers(planned, active [][][]uint16, from rebalance.Map) [][][]uint16 {
+	for layer, ranks := range planned {
+		copies := make([]int, from.Shape.Experts)
+		for _, e := range slices.Concat(ranks...) {
+			copies[e]++
+		}
+		for rank := range ranks {
+			filler := from.Layer(layer)[rank*from.Shape.SlotsPerRank]
+			if i := slices.Index(ranks[rank], filler); i >= 0 && len(active[layer][rank]) == 0 && copies[filler] > 1 {
+				ranks[rank] = slices.Delete(ranks[rank], i, i+1)
+				copies[filler]--
+			}
+		}
+	}
+	return planned
+}
+
 // rowsFromMap returns the experts of a map by layer and rank, without duplicates.
 func rowsFromMap(m rebalance.Map) [][][]uint16 {
 	n := m.Shape.SlotsPerRank
