mapper: no plan with experts that do not fit the engine's description

A rank that reported an unknown expert, or more experts than it has places, ended the leader's process by an index out of range: activeMap checked the number of layers only. The map counts as unknown now.

TestOddExpertsAreNotPlannedWith failed before ('unknown expert').

--- a/internal/mapper/leader.go
+++ b/internal/mapper/leader.go
@@ -243,7 +243,7 @@
 }
 
 // activeMap returns the active map, or nil while the versions in the ranks' heartbeats
-// differ from those in their states.
+// differ from those in their states, or a rank's experts do not fit the engine's description.
 func (l *leaderState) activeMap(states []mapswitch.State) [][][]uint16 {
 	if l.lastMap.activeIn(states) {
 		return l.lastMap.rows
@@ -251,7 +251,7 @@
 	rows := make([][][]uint16, l.shape.Layers)
 	for r := range states {
 		mb := l.members[r]
-		if mb == nil || mb.rows.Version != states[r].Version || len(mb.rows.Experts) != l.shape.Layers {
+		if mb == nil || mb.rows.Version != states[r].Version || !fitsShape(l.shape, mb.rows.Experts) {
 			return nil
 		}
 		for layer, experts := range mb.rows.Experts {
--- a/internal/mapper/maps.go
+++ b/internal/mapper/maps.go
@@ -146,3 +146,16 @@
 	}
 	return rows
 }
+
+// fitsShape reports whether the experts of a rank by layer fit the shape of the group's map.
+func fitsShape(s rebalance.Shape, experts [][]uint16) bool {
+	if len(experts) != s.Layers {
+		return false
+	}
+	for _, row := range experts {
+		if len(row) > s.SlotsPerRank || slices.ContainsFunc(row, func(e uint16) bool { return int(e) >= s.Experts }) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/mapper/maps_test.go
+++ b/internal/mapper/maps_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gentiantrail/gentiantrail/internal/mapswitch"
 	"github.com/gentiantrail/gentiantrail/internal/rebalance"
 )
 
@@ -38,3 +39,20 @@
 	needed := [][][]uint16{{{1}, {1}, {0}}}
 	assert.DeepEqual(t, withoutFillers(needed, active, m), [][][]uint16{{{1}, {1}, {0}}})
 }
+
+// Guards against the end of a leader's process: a rank reports experts that do not fit the engine's description.
+func TestOddExpertsAreNotPlannedWith(t *testing.T) {
+	for name, experts := range map[string][][]uint16{
+		"too few layers": {{0, 1}}, "too many layers": {{0}, {0}, {0}}, "unknown expert": {{0}, {8}}, "too many experts": {{0}, {0, 1, 2, 3, 4}},
+	} {
+		m := newFuzzedLeader(t)
+		l := m.leaderState
+		l.shape.Ranks = 2
+		states := make([]mapswitch.State, 2)
+		l.handleHeartbeat(nil, 0, &heartbeat{Experts: [][]uint16{{0, 2, 4, 6}, {0, 2, 4, 6}}})
+		l.handleHeartbeat(nil, 1, &heartbeat{Experts: [][]uint16{{1, 3, 5, 7}, {1, 3, 5, 7}}})
+		assert.Assert(t, l.activeMap(states) != nil)
+		l.handleHeartbeat(nil, 1, &heartbeat{Experts: experts})
+		assert.Assert(t, l.activeMap(states) == nil, name)
+	}
+}
