--- a/internal/mapper/rank_test.go
+++ b/internal/mapper/rank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -86,3 +87,32 @@
 		assert.Assert(t, !l.versionsDiffer, "ranks with different maps after a late arm order with result %d", result)
 	})
 }
+
+// form starts a new epoch with the first map and the given rank of each engine.
+func (l *largeGroup) form(ranks []int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.epoch++
+	l.switched = 0
+	l.ranks = newFakeGroup(len(ranks), largeGroupLayers, largeGroupExperts).ranks
+	for i, rank := range ranks {
+		l.engines[i].rank.Store(int32(rank))
+	}
+}
+
+// Guards against a process that ends, or a group that changes no map any more, when servers crash and the group forms
+// again with other ranks, at any moment of a change.
+func TestMappersSurviveChangesOfRanks(t *testing.T) {
+	const ranks, crashes = 70, 20
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(7, 8))
+		l := startLargeGroup(ranks)
+		defer l.stop()
+		for range crashes {
+			time.Sleep(time.Duration(rng.Int64N(int64(3 * time.Second))))
+			l.form(rng.Perm(ranks))
+		}
+		_, ok := l.waitSwitched(20 * time.Second)
+		assert.Assert(t, ok, "the group changes no map, or its ranks have different maps")
+	})
+}
