mapswitch: choose a fence above the versions that states after the hold show

Cause: the version of the fence was chosen when a hold was found, above the versions that the states of that round showed. A leader that had paused did not know the settled change by them, and its fence (1605) was below the change (1986). A rank that had prepared the change then counted as fenced.

The fence is chosen by the first states that were read after the hold was found. All ranks have prepared the change before that, so that a rank shows it or has prepared a higher version.

--- a/internal/mapswitch/mapswitch.go
+++ b/internal/mapswitch/mapswitch.go
@@ -188,7 +188,8 @@
 	// highestVersion is the highest version that was observed or issued.
 	highestVersion int64
 	// fenceVersion is the version that ranks prepare while a hold is settled, so that they
-	// reject late arm orders; fenced is true for the ranks that reject them.
+	// reject late arm orders, or zero before it is chosen; fenced is true for the ranks that reject
+	// them.
 	fenceVersion int64
 	fenced       []bool
 }
--- a/internal/mapswitch/phases.go
+++ b/internal/mapswitch/phases.go
@@ -89,7 +89,7 @@
 	c.phase = Settling
 	c.holder, c.holdPass = holder, pass
 	c.lastHoldPass = max(c.lastHoldPass, pass)
-	c.raiseFence()
+	c.fenceVersion = 0 // chosen above the versions that the next states show
 	clear(c.fenced)
 }
 
@@ -105,6 +105,9 @@
 // a higher version, so that they reject late arm orders. Only then are the other ranks
 // disarmed, so that a disarm order is never in transit while all ranks are armed.
 func (c *Coordinator) continueSettling(states []State) []Command {
+	if c.fenceVersion == 0 {
+		c.raiseFence()
+	}
 	if version := commonArmedVersion(states, c.holdPass); version != 0 {
 		c.version, c.phase = version, Releasing
 		return c.release(states)
--- a/internal/mapswitch/stale_round_test.go
+++ b/internal/mapswitch/stale_round_test.go
@@ -127,3 +127,21 @@
 	t.Logf("%d changes", changes)
 	assert.Assert(t, changes > 3000, "only %d changes were made", changes)
 }
+
+// TestFenceIsAboveTheSettledChange guards against a fence that is lower than the version of the change that it is to
+// end: when the hold is found, the state of a rank is older than the change. The rank, which has prepared the change,
+// would then count as fenced.
+func TestFenceIsAboveTheSettledChange(t *testing.T) {
+	const change, pass = 1986, 46
+	c := New(1, 2, 0)
+	holder := State{Open: true, Epoch: 1, Pass: 45, HeldPass: pass, Result: NoOrder}
+	old := State{Open: true, Epoch: 1, Pass: 25, HeldPass: NoPass, Result: NoOrder}
+	now := State{Open: true, Epoch: 1, Pass: 45, HeldPass: NoPass, Prepared: change, Result: NoOrder}
+	c.Round([]State{holder, old})
+	commands := c.Round([]State{holder, now})
+	assert.Equal(t, len(commands), 2)
+	for _, command := range commands {
+		assert.Equal(t, command.Order.Op, Prepare)
+		assert.Assert(t, command.Order.Version > change, "rank %d: fence %d", command.Rank, command.Order.Version)
+	}
+}
