upstream: an answer without a length that is reset is incomplete

Callers: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as the whole answer (MIXED).

Cause: a large request is written on a goroutine beside the one that reads the answer. Linux reports the error of a socket once, to the call that asks first. When the write gets the ECONNRESET, the next read returns 0 bytes, which package net turns into io.EOF, and the end of such a body is the end of its connection. The error of the write was looked at only for the reuse of the connection. All bodies that end with the connection went this way: successes, failures, events of streams, and resumed streams.

Evidence: strace of the test on this machine shows 'write = -1 ECONNRESET' followed by 'read = 0' on the same descriptor. With a single thread the order is the same: after a reset a write fails with ECONNRESET and a read gets 0 bytes; after the target's FIN and a reset the write fails with EPIPE.

The body now ends with the error of the write if the connection was reset. A write that has not returned yet is waited for only if the socket has hung up in both directions, where it fails at once; otherwise the target may read on after its answer. EPIPE means that the target had closed its side first, so that the body is whole. Bodies with a length or in chunks are not concerned: io.EOF inside them is an error anyway.

Weighed: to wait for the end of the write in every case. A target that closes its sending side and leaves the rest of the upload unread would then be answered at the deadline.

--- a/internal/sockopt/idle.go
+++ b/internal/sockopt/idle.go
@@ -30,20 +30,32 @@
 
 // HasUnaccepted reports whether a TCP listener has connections that no call of Accept has returned. It is
 // false for other kinds of listeners.
-func HasUnaccepted(ln net.Listener) bool {
-	c, ok := ln.(syscall.Conn)
+func HasUnaccepted(ln net.Listener) bool { return poll(ln, unix.POLLIN) != 0 }
+
+// HasHungUp reports whether a connection that this side has not closed has ended in both directions: it was
+// reset or has timed out. It is false for connections without a socket.
+func HasHungUp(c net.Conn) bool { return poll(c, 0)&unix.POLLHUP != 0 }
+
+// poll returns which of the events are pending at the socket of v, with those that are always reported. It
+// returns zero if v has no open socket.
+func poll(v any, events int16) int16 {
+	socket, ok := v.(syscall.Conn)
 	if !ok {
-		return false
+		return 0
 	}
-	raw, err := c.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
-	waiting := false
+	fds := []unix.PollFd{{Events: events}}
 	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(fds, 0)
-		waiting = err == nil && n > 0
+		fds[0].Fd = int32(fd)
+		if _, err := unix.Poll(fds, 0); err != nil {
+			fds[0].Revents = 0
+		}
 	})
-	return err == nil && waiting
+	if err != nil {
+		return 0
+	}
+	return fds[0].Revents
 }
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -22,10 +22,26 @@
 	client *Client
 	conn   *conn
 	stop   func() bool
-	// writeResult receives the result of writing the request while the answer is read;
-	// it is nil if the request was written before.
-	writeResult chan error
-	ended       bool
+	// write is the write of the request while the answer is read; it is nil if the request
+	// was written before.
+	write *requestWrite
+	ended bool
+}
+
+// requestWrite is the write of a request on a goroutine of its own.
+type requestWrite struct {
+	// done is closed at the end of the write. err is its result and is set before.
+	done chan struct{}
+	err  error
+}
+
+func (w *requestWrite) ended() bool {
+	select {
+	case <-w.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // send writes the request. A large request is written concurrently with reading the
@@ -42,10 +58,11 @@
 	if err := a.conn.setUserTimeout(0); err != nil {
 		return err
 	}
-	a.writeResult = make(chan error, 1)
+	write := &requestWrite{done: make(chan struct{})}
+	a.write = write
 	go func() {
-		_, err := a.conn.Write(wire)
-		a.writeResult <- err
+		_, write.err = a.conn.Write(wire)
+		close(write.done)
 	}()
 	return nil
 }
@@ -59,6 +76,9 @@
 			return err
 		}
 		if a.answersCall(resp, call) {
+			if resp.EndsWithConnection && a.write != nil {
+				resp.Body = &unframedBody{Reader: resp.Body, conn: a.conn, write: a.write}
+			}
 			a.Response = resp
 			return nil
 		}
@@ -119,7 +139,7 @@
 		return
 	}
 	a.conn.served++
-	if a.writeResult != nil && a.conn.setUserTimeout(userTimeout) != nil {
+	if a.write != nil && a.conn.setUserTimeout(userTimeout) != nil {
 		a.client.closeConn(a.conn)
 		return
 	}
@@ -171,15 +191,7 @@
 
 // requestWritten reports whether the whole request has been sent.
 func (a *Answer) requestWritten() bool {
-	if a.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-a.writeResult:
-		return err == nil
-	default:
-		return false
-	}
+	return a.write == nil || a.write.ended() && a.write.err == nil
 }
 
 // Abort ends the call by resetting its connection, so that the target stops its work.
