gateway: test answers with an invalid status or field name

The gateway reads all answers of targets with internal/http1, which refuses them: the tests pass on the code as it was, and nothing is changed for them here.

With the check of names, or that of the status, taken out of internal/http1, TestInvalidFieldNameReachesNoCaller and TestInvalidStatusReachesNoCaller fail.

expectUnreadableRefused now builds its heads and leaves the requests to expectHeadsRefused, with the same checks.

--- a/internal/gateway/garbled_head_test.go
+++ b/internal/gateway/garbled_head_test.go
@@ -25,22 +25,32 @@
 	return takeConnection(func(w io.Writer) { _, _ = io.WriteString(w, form()) })
 }
 
-// expectUnreadableRefused answers each request with a head that has an unreadable byte in it. The caller
-// must get a readable failure that does not promise that the request was not run.
+// expectUnreadableRefused answers each request with a head that has an unreadable byte in it.
 func expectUnreadableRefused(t *testing.T, head string) {
+	t.Helper()
+	var heads []string
+	for _, b := range unreadableBytes {
+		heads = append(heads, fmt.Sprintf(head, b))
+	}
+	expectHeadsRefused(t, heads...)
+}
+
+// expectHeadsRefused answers each request with one of the heads and a body of four bytes. The caller must get
+// a readable failure that does not promise that the request was not run.
+func expectHeadsRefused(t *testing.T, heads ...string) {
 	t.Helper()
 	var form atomic.Pointer[string]
 	gw := newTestGateway(t, answerRaw(func() string { return *form.Load() })).waitReady()
-	for i, b := range unreadableBytes {
-		text := fmt.Sprintf(head, b) + testID + "\r\nbody"
+	for i, head := range heads {
+		text := head + testID + "\r\nbody"
 		form.Store(&text)
 		for _, path := range answerPaths {
 			resp, err := http.ReadResponse(bufio.NewReader(gw.send(get(path)...)), nil)
-			assert.NilError(t, err, "%s, byte %#x", path, b)
+			assert.NilError(t, err, "%s, %q", path, head)
 			_, err = io.Copy(io.Discard, resp.Body)
-			assert.NilError(t, err, "%s, byte %#x", path, b)
-			assert.Assert(t, resp.StatusCode >= 500, "%s, byte %#x: status %d", path, b, resp.StatusCode)
-			assert.Equal(t, resp.Header.Get(testHeaders.NotExecuted), "", "%s, byte %#x", path, b)
+			assert.NilError(t, err, "%s, %q", path, head)
+			assert.Assert(t, resp.StatusCode >= 500, "%s, %q: status %d", path, head, resp.StatusCode)
+			assert.Equal(t, resp.Header.Get(testHeaders.NotExecuted), "", "%s, %q", path, head)
 		}
 		assert.Assert(t, len(gw.targets[0].requests()) > i, "the target got no request")
 	}
@@ -58,6 +68,30 @@
 	expectUnreadableRefused(t, "HTTP/1.1 200 OK\r\nT-Sign: signed\r\nX-A: a%cb\r\nContent-Length: 4")
 }
 
+// Guards against an answer whose status is none, and against one with a body that is not the target's.
+func TestInvalidStatusReachesNoCaller(t *testing.T) {
+	var heads []string
+	for _, status := range []string{"000", "001", "099", "00", "20", "2000", "-20", "+20", "2 0", "20x", "", " 200", "\t200"} {
+		heads = append(heads, "HTTP/1.1 "+status+" OK\r\nT-Sign: signed\r\nContent-Length: 4")
+	}
+	expectHeadsRefused(t, heads...)
+}
+
+// Guards against an answer whose field has an invalid name: another reader may take the line for a different
+// field, for example one that frames the body.
+func TestInvalidFieldNameReachesNoCaller(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nT-Sign: signed\r\nContent-Length: 4"
+	heads := []string{
+		sound + "\r\nX-A : b", sound + "\r\n X-A: b", sound + "\r\n: b", sound + "\r\nX-A", sound + "\r\nX-A: b\r\n folded",
+		sound + "\r\nContent -Length: 2", sound + "\r\nContent-Length : 2", sound + "\r\nContent\x00-Length: 2",
+		"HTTP/1.1 200 OK\r\n X-A: b\r\nT-Sign: signed\r\nContent-Length: 4",
+	}
+	for _, b := range append([]byte(" \t\"(),/;<=>?@[\\]{}\x80\xff"), unreadableBytes...) {
+		heads = append(heads, sound+"\r\nX"+string([]byte{b})+"A: b")
+	}
+	expectHeadsRefused(t, heads...)
+}
+
 // Guards against a success without its body: a wrong digit makes a 204, which has none, of a target's
 // status.
 func TestNoContentWithABodyIsRefused(t *testing.T) {
