http1: read chunks with padded sizes, long extensions and long trailer lines

Callers: a sound answer in chunks whose target pads the sizes, or sends an extension or a trailer line of more than 256 bytes, failed at the gateway as one that is broken. Not seen at users: it was found while comparing the two readers of answers that the product has; the agent's client reads such answers.

Cause: the limits for the chunk lines of requests were used for answers, too.

The lines of an answer's chunks now have to fit the reader's buffer; the trailer as a whole has the limit of the head, as before. Zeros and blanks around a size are dropped, as net/http does. Requests are read as before.

TestUnusualChunksAreRead failed before with 'a chunk's size is not valid'.

--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -55,7 +55,7 @@
 	return n, nil
 }
 
-// maxChunkLine bounds the size line of a chunk, extensions included, in bytes.
+// maxChunkLine bounds the size line of a chunk of a request, extensions included, in bytes.
 const maxChunkLine = 256
 
 func parseChunkSize(line []byte) (int64, error) {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// Guards against whole answers that are dropped for the form of their chunks or trailers.
+func TestUnusualChunksAreRead(t *testing.T) {
+	long := strings.Repeat("x", 3000)
+	for _, chunks := range []string{
+		"3 \r\nabc\r\n0\r\n\r\n", "3\t;a=b\r\nabc\r\n0;c\r\n\r\n", "0000000000000003\r\nabc\r\n0000000000000000\r\n\r\n",
+		"3;a=" + long + "\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n0\r\nA: " + long + "\r\nB: c\r\n\r\n",
+	} {
+		_, body, err := readAll(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks)
+		assert.NilError(t, err, "%q", chunks)
+		assert.Equal(t, body, "abc", "%q", chunks)
+	}
+}
+
 func TestMalformedResponsesAreRejected(t *testing.T) {
 	for _, text := range []string{
 		"HTTP/1.1 200 O\nK\r\n\r\n", "HTTP/1.1 200 O\rK\r\n\r\n", "HTTP/1.1 200 \x00\r\n\r\n", "HTTP/1.1 200 OK\x7f\r\n\r\n", "garbage\r\n\r\n",
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	size, err := parseChunkSize(line)
+	size, err := parseChunkSize(trimPadding(line))
 	if err != nil {
 		return err
 	}
@@ -194,6 +194,17 @@
 	return c.readTrailer()
 }
 
+// trimPadding returns the digits in the size line of a chunk without the zeros and blanks with which some
+// servers pad them.
+func trimPadding(line []byte) []byte {
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	digits = bytes.TrimRight(digits, " \t")
+	for len(digits) > 1 && digits[0] == '0' {
+		digits = digits[1:]
+	}
+	return digits
+}
+
 // readTrailer reads the trailer fields, which are dropped, and the end of the body.
 func (c *chunkedReader) readTrailer() error {
 	for size := 0; size <= maxResponseHead; {
@@ -218,7 +229,7 @@
 	return err
 }
 
-// readLine reads a line and returns it without its CRLF. It does not return bufio.ErrBufferFull, which
+// readLine reads a line, which must fit the reader's buffer, and returns it without its CRLF. It does not return bufio.ErrBufferFull, which
 // a reader of the body with a buffer of its own would take for its own.
 func (c *chunkedReader) readLine() ([]byte, error) {
 	line, err := c.r.ReadSlice('\n')
@@ -228,7 +239,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(line) > maxChunkLine || !bytes.HasSuffix(line, []byte("\r\n")) {
+	if !bytes.HasSuffix(line, []byte("\r\n")) {
 		return nil, errChunkLine
 	}
 	return line[:len(line)-2], nil
