http1: refuse answers with malformed trailer fields

Callers: an answer in chunks with wrong bytes behind its last chunk, such as a blank in the name of a trailer field, was passed on as a success.

The fields of a head are checked by parseField; those of a trailer were counted and dropped without it.

Trailer fields go through parseField now.

TestMalformedTrailersAreRejected failed before: 'A' was read without an error.

--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -114,6 +114,15 @@
 	}
 }
 
+// Guards against wrong bytes at the end of a body that are taken for trailer fields.
+func TestMalformedTrailersAreRejected(t *testing.T) {
+	for _, trailer := range []string{"A", "A b: c", "A : c", ": c", "A\x00: c", "A: \x01", " folded"} {
+		_, _, err := readAll(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"+trailer+"\r\n\r\n")
+		var syntax *SyntaxError
+		assert.Assert(t, errors.As(err, &syntax), "%q: %v", trailer, err)
+	}
+}
+
 func TestMalformedResponsesAreRejected(t *testing.T) {
 	for _, text := range []string{
 		"HTTP/1.1 200 O\nK\r\n\r\n", "HTTP/1.1 200 O\rK\r\n\r\n", "HTTP/1.1 200 \x00\r\n\r\n", "HTTP/1.1 200 OK\x7f\r\n\r\n", "garbage\r\n\r\n",
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -205,7 +205,7 @@
 	return digits
 }
 
-// readTrailer reads the trailer fields, which are dropped, and the end of the body.
+// readTrailer reads the trailer fields, which are checked and dropped, and the end of the body.
 func (c *chunkedReader) readTrailer() error {
 	for size := 0; size <= maxResponseHead; {
 		line, err := c.readLine()
@@ -216,6 +216,9 @@
 			c.done = true
 			return nil
 		}
+		if _, err := parseField(line); err != nil {
+			return err
+		}
 		size += len(line)
 	}
 	return &TooLargeError{Part: PartHeader, Limit: maxResponseHead}
