target: read answers with the strict reader

Callers: an answer with status 000 reached the caller of an entry as a 200, and one with 'Content -Length: 2' beside 'Content-Length: 3' with another body than the target's. Lines with a blank in or before the end of a name, folded lines, HTTP/1.9, a control character in the reason phrase, a length beside chunks and a 204 with a body were passed on, too. The check of a target's health accepted the same answers.

Cause: the agent's client and the health check read answers with fasthttp, which is made to accept what it can. The gateway reads the same bytes with internal/http1, which refuses them. So the two readers had two sets of rules.

Both now read answers with http1.ReadResponse; requests are written as before. An answer without a length or chunks still is an error of the agent's client.

Evidence: TestInvalidHeadsAreErrors and TestInvalidHeadsFailTheHealthCheck failed before with 12 of the 47 answers each. TestFieldsOfAnAnswer and TestAnswerThatIsResetDuringAnUploadIsAnError pass before and after: fields are passed on as before, and a request is written before its answer is read, so that a reset is an error of the write.

Two things change for sound answers. A 204 or 304 without a length is no longer an error (TestSoundHeadsAreRead failed before), and fasthttp's default Content-Type is added by the entry only, where it was added before, too.

--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -123,6 +123,15 @@
 	return nil
 }
 
+// ReadBody reads the body to its end. It returns a TooLargeError if the body has more than limit bytes.
+func (resp *Response) ReadBody(limit int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		err = &TooLargeError{Part: PartBody, Limit: limit}
+	}
+	return body, err
+}
+
 // lengthReader reads a body of known size.
 type lengthReader struct {
 	r         *bufio.Reader
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gentiantrail/gentiantrail/internal/apierr"
+	"github.com/gentiantrail/gentiantrail/internal/http1"
 	"github.com/gentiantrail/gentiantrail/internal/message"
 	"github.com/gentiantrail/gentiantrail/internal/sockopt"
 	"github.com/gentiantrail/gentiantrail/internal/upstream"
@@ -93,9 +94,10 @@
 
 	client   *Client
 	conn     *conn
-	resp     *fasthttp.Response
 	stop     func() bool
 	complete bool
+	// keepAlive is true if the target allows another request on the connection.
+	keepAlive bool
 	// echoed is true if the answer contains the id of the request.
 	echoed bool
 }
@@ -117,36 +119,27 @@
 		}
 		return nil, transportError(ctx, err)
 	}
-	resp := fasthttp.AcquireResponse()
-	resp.StreamBody = true
-	resp.SkipBody = req.Method == fasthttp.MethodHead
-	if err := resp.ReadLimitBody(cn.br, 0); err != nil {
+	resp, err := http1.ReadResponse(cn.br, req.Method)
+	if err != nil {
 		stop()
 		_ = cn.Conn.Close()
 		return nil, transportError(ctx, err)
 	}
-	echo := string(resp.Header.Peek(requestIDHeader))
+	echo := resp.Header.Get(requestIDHeader)
 	if echo != req.RequestID && (cn.reused || echo != "") {
 		stop()
 		_ = cn.Conn.Close()
-		fasthttp.ReleaseResponse(resp)
 		return nil, apierr.Wrap(apierr.KindTargetFailed, "target", errForeignAnswer)
 	}
 	r := &Response{
-		Status:  resp.StatusCode(),
-		Headers: endToEnd(&resp.Header),
-		Length:  int64(resp.Header.ContentLength()),
-		client:  c, conn: cn, resp: resp, stop: stop, echoed: echo != "",
+		Status: resp.Status, Headers: endToEnd(resp.Header), Length: resp.Length,
+		client: c, conn: cn, stop: stop, keepAlive: resp.KeepAlive, echoed: echo != "",
 	}
-	if r.Length < -1 {
+	if resp.EndsWithConnection {
 		r.Close()
 		return nil, apierr.New(apierr.KindTruncated, "the target's answer has neither a length nor chunks")
 	}
-	r.Body = &body{r: r, remaining: r.Length}
-	if resp.SkipBody {
-		r.Length = 0
-		r.Body = &body{r: r}
-	}
+	r.Body = &body{r: r, reader: resp.Body}
 	return r, nil
 }
 
@@ -237,46 +230,28 @@
 	}
 	cn := r.conn
 	r.conn = nil
-	if r.stop() && r.complete && r.echoed && !r.resp.ConnectionClose() && cn.quiet() {
+	if r.stop() && r.complete && r.echoed && r.keepAlive && cn.quiet() {
 		r.client.release(cn)
 	} else {
 		_ = cn.Conn.Close()
 	}
-	fasthttp.ReleaseResponse(r.resp)
 }
 
-// body reads the body of a response and checks that one of known length is complete.
+// body reads the body of a response, which has at most maxBodyBytes.
 type body struct {
-	r *Response
-	// remaining is the number of bytes still to be read, or negative if it is unknown.
-	remaining int64
+	r      *Response
+	reader io.Reader
 	// read is the number of bytes that were read.
 	read int64
 }
 
-// Read implements io.Reader. A body shorter than its known length ends with
-// io.ErrUnexpectedEOF.
+// Read implements io.Reader. A body whose connection ends early ends with http1.ErrUnexpectedEnd.
 func (b *body) Read(p []byte) (int, error) {
-	stream := b.r.resp.BodyStream()
-	if stream == nil || b.remaining == 0 {
-		b.r.complete = true
-		return 0, io.EOF
-	}
-	n, err := stream.Read(p)
+	n, err := b.reader.Read(p)
 	if b.read += int64(n); b.read > maxBodyBytes {
 		return 0, errBodyTooLong
 	}
-	if b.remaining > 0 {
-		b.remaining -= int64(n)
-		if err == io.EOF && b.remaining > 0 {
-			err = io.ErrUnexpectedEOF
-		}
-		if err == io.EOF && n > 0 {
-			err = nil
-		}
-		return n, err
-	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		b.r.complete = true
 	}
 	return n, err
@@ -308,11 +283,11 @@
 }
 
 // endToEnd returns the headers that belong to the answer and not to the connection.
-func endToEnd(h *fasthttp.ResponseHeader) []message.Header {
+func endToEnd(h http1.Header) []message.Header {
 	var out []message.Header
-	for k, v := range h.All() {
-		if name := string(k); !hopByHop(name) && !strings.EqualFold(name, requestIDHeader) {
-			out = append(out, message.Header{Name: string(k), Value: string(v)})
+	for _, f := range h {
+		if !hopByHop(f.Name) && !strings.EqualFold(f.Name, requestIDHeader) {
+			out = append(out, message.Header(f))
 		}
 	}
 	return out
--- a/internal/target/probe.go
+++ b/internal/target/probe.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/gentiantrail/gentiantrail/internal/http1"
 )
 
 // Probe checks the health of a target over one connection that it keeps open between
@@ -44,9 +46,8 @@
 
 // exchange sends one request and reads its answer.
 func (p *Probe) exchange(path string, limit int) (int, []byte, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(path)
 	req.Header.SetHost(p.client.addr)
 	bw := bufio.NewWriter(p.conn)
@@ -56,14 +57,18 @@
 	if err := bw.Flush(); err != nil {
 		return 0, nil, err
 	}
-	if err := resp.ReadLimitBody(p.br, limit); err != nil {
+	resp, err := http1.ReadResponse(p.br, fasthttp.MethodGet)
+	if err != nil {
+		return 0, nil, err
+	}
+	body, err := resp.ReadBody(limit)
+	if err != nil {
 		return 0, nil, err
 	}
-	body := append([]byte(nil), resp.Body()...)
-	if resp.ConnectionClose() {
+	if !resp.KeepAlive {
 		p.Close()
 	}
-	return resp.StatusCode(), body, nil
+	return resp.Status, body, nil
 }
 
 // Wait waits for d or the end of ctx. It returns true at once when the target closes
