--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -123,13 +123,18 @@
 	return nil
 }
 
+// maxBodyAllocation bounds the memory that is allocated for a body before its bytes have arrived, in bytes.
+const maxBodyAllocation = 64 << 10
+
 // ReadBody reads the body to its end. It returns a TooLargeError if the body has more than limit bytes.
 func (resp *Response) ReadBody(limit int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
-	if err == nil && len(body) > limit {
+	var body bytes.Buffer
+	body.Grow(int(min(max(0, resp.Length), maxBodyAllocation)) + bytes.MinRead)
+	_, err := body.ReadFrom(io.LimitReader(resp.Body, int64(limit)+1))
+	if err == nil && body.Len() > limit {
 		err = &TooLargeError{Part: PartBody, Limit: limit}
 	}
-	return body, err
+	return body.Bytes(), err
 }
 
 // lengthReader reads a body of known size.
