tests: one server that answers with given bytes

The tests of broken answers in platform and internal/target had a copy each, and those of other readers need it, too. The checks are as before.

--- a/internal/target/head_test.go
+++ b/internal/target/head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gentiantrail/gentiantrail/internal/message"
+	"github.com/gentiantrail/gentiantrail/internal/testserver"
 )
 
 // invalidAnswers returns answers whose status or the name of one of whose fields is invalid, and answers that
@@ -40,8 +40,7 @@
 // the target's.
 func TestInvalidHeadsAreErrors(t *testing.T) {
 	for _, answer := range invalidAnswers() {
-		var accepted int
-		_, err := do(t, serve(t, answer, &accepted))
+		_, err := do(t, testserver.Answering(t, answer))
 		assert.Check(t, err != nil, "%q", answer)
 	}
 }
@@ -49,8 +48,7 @@
 // Guards against a target that counts as up by an answer that is none.
 func TestInvalidHeadsFailTheHealthCheck(t *testing.T) {
 	for _, answer := range invalidAnswers() {
-		var accepted int
-		probe := New(serve(t, answer, &accepted)).NewProbe()
+		probe := New(testserver.Answering(t, answer)).NewProbe()
 		status, _, err := probe.Get(t.Context(), "/load", time.Second, 1<<10)
 		assert.Check(t, err != nil, "%q: status %d", answer, status)
 		probe.Close()
@@ -73,8 +71,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n0003 ;x=y\r\nabc\r\n0\r\nT: 1\r\n\r\n":             {200, "abc"},
 		"HTTP/1.1 200 OK\r\nConnection: X-A, close\r\nX-A: 1\r\nVary: \r\nContent-Length: 3\r\n\r\nabc and more": {200, "abc"},
 	} {
-		var accepted int
-		addr := serve(t, answer, &accepted)
+		addr := testserver.Answering(t, answer)
 		r, e := New(addr).Do(t.Context(), request(false))
 		assert.Assert(t, e == nil, "%q: %v", answer, e)
 		body, err := io.ReadAll(r.Body)
@@ -91,9 +88,8 @@
 
 // Guards against fields of an answer that are lost, and against those of the connection that are passed on.
 func TestFieldsOfAnAnswer(t *testing.T) {
-	var accepted int
-	addr := serve(t, "HTTP/1.1 200 OK\r\ncontent-type: a/b\r\nSet-Cookie: a=b; Path=/\r\nset-cookie: c=d\r\nServer: s\r\nDate: d\r\n"+
-		requestIDHeader+": id\r\nX-A: 1\r\nX-A: 2\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", &accepted)
+	addr := testserver.Answering(t, "HTTP/1.1 200 OK\r\ncontent-type: a/b\r\nSet-Cookie: a=b; Path=/\r\nset-cookie: c=d\r\nServer: s\r\nDate: d\r\n"+
+		requestIDHeader+": id\r\nX-A: 1\r\nX-A: 2\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 	req := request(false)
 	req.RequestID = "id"
 	r, e := New(addr).Do(t.Context(), req)
@@ -111,23 +107,9 @@
 // Guards against a partial answer that is taken for the whole: its target answers while the request is still
 // being written, and resets the connection.
 func TestAnswerThatIsResetDuringAnUploadIsAnError(t *testing.T) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = c.Read(make([]byte, 1024))
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nabc")
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-		}
-	}()
+	addr := testserver.Resetting(t, "HTTP/1.1 200 OK\r\n\r\nabc")
 	for range 5 {
-		_, e := New(ln.Addr().String()).Do(t.Context(), &message.Request{Method: "POST", Path: "/x", Body: make([]byte, 12<<20)})
+		_, e := New(addr).Do(t.Context(), &message.Request{Method: "POST", Path: "/x", Body: make([]byte, 12<<20)})
 		assert.Assert(t, e != nil)
 	}
 }
