platform client: read answers of the object API with the strict reader

Seen by entries, agents and operators: a write that was answered with status 000, or with 200 and a wrong byte in the name of a field, counted as done, and what such an answer held counted as an object, a list or a watch's events.

Cause: as in the agent's client, fasthttp's lenient reader of answers. The client now has httpclient.Transport.

Evidence: TestInvalidAnswersOfTheStoreAreErrors failed before for 7 of 10 heads. Such a write is indeterminate now, a read unavailable.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/gentiantrail/gentiantrail/internal/httpclient"
 )
 
 // Options are the limits of a Client. Zero fields take the defaults.
@@ -65,6 +67,7 @@
 		http: fasthttp.HostClient{
 			Addr:                      addr,
 			Dial:                      dial,
+			Transport:                 httpclient.Transport{},
 			MaxConns:                  opts.MaxCalls,
 			MaxIdleConnDuration:       maxIdleDuration,
 			MaxResponseBodySize:       64 << 20,
