ctl: read the state of processes with the strict reader

Seen by operators: status and dump showed a state from an answer with status 000 or a wrong byte in the name of a field. TestInvalidAnswersOfAProcessAreErrors failed before at its first head.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -15,6 +15,7 @@
 	"github.com/gentiantrail/gentiantrail/internal/config"
 	"github.com/gentiantrail/gentiantrail/internal/platform"
 	"github.com/gentiantrail/gentiantrail/internal/standin/objectstore"
+	"github.com/gentiantrail/gentiantrail/internal/testserver"
 )
 
 // serve serves h on a loopback port until the test ends.
@@ -139,6 +140,14 @@
 	runCtl(t, ExitUnreachable, "status", "--admin", admin, "--admin", "127.0.0.1:1")
 }
 
+// Guards against a state dump that is shown although the process has sent none: the status of its answer or the name
+// of a field is invalid.
+func TestInvalidAnswersOfAProcessAreErrors(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK", "HTTP/1.9 200 OK", "HTTP/1.1 200 OK\r\nX A: b", "HTTP/1.1 200 OK\r\nContent -Length: 1"} {
+		runCtl(t, ExitUnreachable, "dump", testserver.Answering(t, head+"\r\nContent-Length: 2\r\n\r\n{}"))
+	}
+}
+
 // loseHeadWriteResponse serves store. It accepts the first write of the head, loses the
 // response, and is unavailable from then on.
 func loseHeadWriteResponse(store *objectstore.Memory) fasthttp.RequestHandler {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gentiantrail/gentiantrail/internal/config"
+	"github.com/gentiantrail/gentiantrail/internal/httpclient"
 )
 
 // statePath is the path of the state dump on the admin address.
@@ -91,7 +92,7 @@
 // fetchState returns the state dump of the process at addr.
 func fetchState(ctx context.Context, addr string) (json.RawMessage, error) {
 	client := fasthttp.HostClient{
-		Addr: addr, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxStateSize,
+		Addr: addr, Transport: httpclient.Transport{}, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxStateSize,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 	defer client.CloseIdleConnections()
