--- a/internal/httpclient/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gentiantrail/gentiantrail/internal/http1"
+	"github.com/gentiantrail/gentiantrail/internal/testserver"
 )
 
 const maxBody = 100 // bytes
@@ -28,39 +29,25 @@
 
 func serve(t *testing.T, answer string) *server {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	s := &server{addr: ln.Addr().String()}
-	go func() {
+	s := &server{}
+	s.addr = testserver.Serving(t, func(c *net.TCPConn) {
+		s.conns.Add(1)
+		br := bufio.NewReader(c)
 		for {
-			c, err := ln.Accept()
+			req, err := http.ReadRequest(br)
 			if err != nil {
 				return
 			}
-			s.conns.Add(1)
-			go s.serve(c, answer)
+			_, _ = io.Copy(io.Discard, req.Body)
+			s.calls.Add(1)
+			if _, err := io.WriteString(c, answer); err != nil {
+				return
+			}
 		}
-	}()
+	})
 	return s
 }
 
-func (s *server) serve(c net.Conn, answer string) {
-	defer func() { _ = c.Close() }()
-	br := bufio.NewReader(c)
-	for {
-		req, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		s.calls.Add(1)
-		if _, err := io.WriteString(c, answer); err != nil {
-			return
-		}
-	}
-}
-
 func (s *server) client() *fasthttp.HostClient {
 	return &fasthttp.HostClient{Addr: s.addr, Transport: Transport{}, MaxResponseBodySize: maxBody, MaxIdemponentCallAttempts: 1}
 }
--- a/internal/testserver/testserver.go
+++ b/internal/testserver/testserver.go
@@ -12,7 +12,7 @@
 // Answering returns the address of a server that answers each call with the same bytes and closes the
 // connection. It ends with the test.
 func Answering(t testing.TB, answer string) (addr string) {
-	return serve(t, func(c *net.TCPConn) {
+	return Serving(t, func(c *net.TCPConn) {
 		req, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
@@ -26,7 +26,7 @@
 // Resetting returns the address of a server that answers each call with the same bytes once a part of it has
 // arrived, and resets the connection. It ends with the test.
 func Resetting(t testing.TB, answer string) (addr string) {
-	return serve(t, func(c *net.TCPConn) {
+	return Serving(t, func(c *net.TCPConn) {
 		if _, err := c.Read(make([]byte, 1<<10)); err == nil {
 			_, _ = io.WriteString(c, answer)
 		}
@@ -34,8 +34,9 @@
 	})
 }
 
-// serve calls handle for each connection and closes it afterwards.
-func serve(t testing.TB, handle func(c *net.TCPConn)) (addr string) {
+// Serving returns the address of a server that calls handle for each connection, on a goroutine of its own, and
+// closes the connection afterwards. It ends with the test.
+func Serving(t testing.TB, handle func(c *net.TCPConn)) (addr string) {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gentiantrail/gentiantrail/internal/http1"
+	"github.com/gentiantrail/gentiantrail/internal/testserver"
 )
 
 // uploadBytes is more than the buffers of both sockets hold, so that the request is still being written
@@ -19,26 +20,13 @@
 
 // startEarlyTarget starts a target that calls serve for each connection once a part of a request has arrived,
 // and closes the connection afterwards.
-func startEarlyTarget(t *testing.T, serve func(c *net.TCPConn)) string {
+func startEarlyTarget(t *testing.T, serve func(c *net.TCPConn)) (addr string) {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := c.Read(make([]byte, 1024)); err == nil {
-					serve(c.(*net.TCPConn))
-				}
-			}()
+	return testserver.Serving(t, func(c *net.TCPConn) {
+		if _, err := c.Read(make([]byte, 1024)); err == nil {
+			serve(c)
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 // startUpload makes a call with a large body.
