--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -246,8 +246,8 @@
 	return err
 }
 
-// readLine reads a line, which must fit the reader's buffer, and returns it without its CRLF. It does not return bufio.ErrBufferFull, which
-// a reader of the body with a buffer of its own would take for its own.
+// readLine reads a line, which must fit the reader's buffer, and returns it without its CRLF. It does not return
+// bufio.ErrBufferFull, which a reader of the body with a buffer of its own would take for its own.
 func (c *chunkedReader) readLine() ([]byte, error) {
 	line, err := c.r.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
