--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -1,10 +1,12 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -18,13 +20,20 @@
 // when the target answers.
 const uploadBytes = 12 << 20
 
+// targetConn is a connection at a target whose request has begun to arrive.
+type targetConn struct {
+	*net.TCPConn
+	request *bufio.Reader
+}
+
 // startEarlyTarget starts a target that calls serve for each connection once a part of a request has arrived,
 // and closes the connection afterwards.
-func startEarlyTarget(t *testing.T, serve func(c *net.TCPConn)) (addr string) {
+func startEarlyTarget(t *testing.T, serve func(c targetConn)) (addr string) {
 	t.Helper()
 	return testserver.Serving(t, func(c *net.TCPConn) {
-		if _, err := c.Read(make([]byte, 1024)); err == nil {
-			serve(c)
+		request := bufio.NewReader(c)
+		if _, err := request.Peek(1); err == nil {
+			serve(targetConn{c, request})
 		}
 	})
 }
@@ -54,9 +63,9 @@
 	return string(body), err
 }
 
-func send(c net.Conn, answer string) { _, _ = io.WriteString(c, answer) }
+func send(c targetConn, answer string) { _, _ = io.WriteString(c, answer) }
 
-func reset(c *net.TCPConn) {
+func reset(c targetConn) {
 	_ = c.SetLinger(0)
 	_ = c.Close()
 }
@@ -67,19 +76,19 @@
 // being written, without a length, and resets the connection. The system may report the reset to the write
 // only, and then the read gets the end of the connection.
 func TestUnframedAnswerThatIsResetIsIncomplete(t *testing.T) {
-	resetAfter := func(d time.Duration) func(*net.TCPConn) {
-		return func(c *net.TCPConn) {
+	resetAfter := func(d time.Duration) func(targetConn) {
+		return func(c targetConn) {
 			send(c, unframed)
 			time.Sleep(d)
 			reset(c)
 		}
 	}
-	for name, serve := range map[string]func(c *net.TCPConn){
+	for name, serve := range map[string]func(c targetConn){
 		"at once":             resetAfter(0),
 		"soon":                resetAfter(5 * time.Millisecond),
 		"later":               resetAfter(50 * time.Millisecond),
-		"closed while unread": func(c *net.TCPConn) { send(c, unframed) },
-		"failure": func(c *net.TCPConn) {
+		"closed while unread": func(c targetConn) { send(c, unframed) },
+		"failure": func(c targetConn) {
 			send(c, "HTTP/1.1 413 Too Large\r\nX-Id: 1\r\n\r\npart")
 			reset(c)
 		},
@@ -101,35 +110,35 @@
 // Guards against whole answers that are dropped because their request is still being written, or because the
 // connection is reset after their end.
 func TestWholeAnswerBesideAnUploadIsDelivered(t *testing.T) {
-	closeWrite := func(c *net.TCPConn) {
+	closeWrite := func(c targetConn) {
 		send(c, unframed)
 		_ = c.CloseWrite()
 	}
-	for name, serve := range map[string]func(c *net.TCPConn){
-		"length, reset": func(c *net.TCPConn) {
+	for name, serve := range map[string]func(c targetConn){
+		"length, reset": func(c targetConn) {
 			send(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\npart")
 			time.Sleep(5 * time.Millisecond)
 			reset(c)
 		},
-		"upload read, then closed": func(c *net.TCPConn) {
-			_, _ = io.CopyN(io.Discard, c, uploadBytes-1024)
-			_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
-			_, _ = io.Copy(io.Discard, c)
-			send(c, unframed)
+		"upload read, then closed": func(c targetConn) {
+			if req, err := http.ReadRequest(c.request); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+				send(c, unframed)
+			}
 		},
-		"half closed, rest read": func(c *net.TCPConn) {
+		"half closed, rest read": func(c targetConn) {
 			closeWrite(c)
 			_, _ = io.Copy(io.Discard, c)
 		},
-		"half closed, rest unread": func(c *net.TCPConn) {
+		"half closed, rest unread": func(c targetConn) {
 			closeWrite(c)
 			<-t.Context().Done()
 		},
-		"half closed, reset at once": func(c *net.TCPConn) {
+		"half closed, reset at once": func(c targetConn) {
 			closeWrite(c)
 			reset(c)
 		},
-		"half closed, reset later": func(c *net.TCPConn) {
+		"half closed, reset later": func(c targetConn) {
 			closeWrite(c)
 			time.Sleep(5 * time.Millisecond)
 			reset(c)
@@ -149,7 +158,7 @@
 
 // Guards against an error that ends a body being taken for its end.
 func TestResetIsNoEndOfAStream(t *testing.T) {
-	addr := startEarlyTarget(t, func(c *net.TCPConn) {
+	addr := startEarlyTarget(t, func(c targetConn) {
 		send(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nid: 1\ndata: x\n\n")
 		reset(c)
 	})
