--- a/internal/gateway/reset_answer_test.go
+++ b/internal/gateway/reset_answer_test.go
@@ -20,6 +20,11 @@
 	const uploadBytes = 8 << 20
 	config := testConfig(1)
 	config.Limits.BodyBytes = uploadBytes
+	// On a busy machine an upload takes longer than the usual limits of the tests.
+	config.Limits.HeaderTimeout = 8 * time.Second
+	for i := range config.Routes {
+		config.Routes[i].Timeout = 8 * time.Second
+	}
 	gw := newTestGatewayWith(t, []fleet.Change{{Name: "main", Config: config}}, func(w http.ResponseWriter, _ *http.Request) {
 		conn, _, err := w.(http.Hijacker).Hijack()
 		if err != nil {
