review: case 11, a lost answer hides the removals of servers

Cause: a gateway whose watch of the servers got no answer is told of it by other gateways only if they have read a change that is not a removal. Change: a script with three gateways and stand-ins of the store, the servers and the clients; no code of the project is changed.

--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Two servers leave without saying so, and the store loses one answer to one gateway in between.
+cd "$(dirname "$0")" || exit 2
+exec ../standin-4/bin/standin-4 lost-removal "$(cd ../.. && pwd)" record.txt
