--- a/review/standin-4/server.go
+++ b/review/standin-4/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -82,6 +83,7 @@
 		return
 	}
 	s.arrivals.add(arrival{server: s.id, attempt: id, at: time.Now(), run: true})
+	_, _ = io.Copy(io.Discard, r.Body)
 	time.Sleep(s.work)
 	h.Set("Response-Signature", "stand-in."+s.id)
 	h.Set("Server-Load", "1,0,6")
