--- a/review/standin-4/client.go
+++ b/review/standin-4/client.go
@@ -17,6 +17,10 @@
 	path    string
 	record  *record
 	next    atomic.Int64
+	// quiet leaves the answers out of the record. onSend and onEnd, if set, are called for each request.
+	quiet  bool
+	onSend func(id string, at time.Time)
+	onEnd  func(id string, status int)
 	// statuses counts the answers by status; 0 stands for a connection without an answer.
 	mu       sync.Mutex
 	statuses map[int]int
@@ -58,6 +62,9 @@
 	req.Host = c.host
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Deadline-Milliseconds", "1500")
+	if c.onSend != nil {
+		c.onSend(id, time.Now())
+	}
 	status := 0
 	resp, err := client.Do(req)
 	if err == nil {
@@ -66,7 +73,10 @@
 		}
 		_ = resp.Body.Close()
 	}
-	if status != http.StatusOK {
+	if c.onEnd != nil {
+		c.onEnd(id, status)
+	}
+	if status != http.StatusOK && !c.quiet {
 		c.record.linef("client: %s is answered %d", id, status)
 	}
 	c.mu.Lock()
--- a/review/standin-4/gateway.go
+++ b/review/standin-4/gateway.go
@@ -13,9 +13,10 @@
 
 // process is a program of the project that a script has started.
 type process struct {
-	name, listen, ready string
-	cmd                 *exec.Cmd
-	log                 *os.File
+	name, listen, ready, peer string
+
+	cmd *exec.Cmd
+	log *os.File
 }
 
 // freePorts returns n addresses on loopback that are free for TCP and UDP.
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{name: name, listen: a[0], ready: a[1], log: log}
+	p := &process{name: name, listen: a[0], ready: a[1], peer: a[3], log: log}
 	p.cmd = exec.Command(filepath.Join(root, "target", "gentiantrail-gateway"), "--settings", settings)
 	p.cmd.Dir = root
 	p.cmd.Stderr, p.cmd.Stdout = log, log
--- a/review/standin-4/server.go
+++ b/review/standin-4/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,11 @@
 	work        time.Duration
 	server      http.Server
 	arrivals    *arrivals
+	// crashAt is the number of requests in a second at which the server crashes; zero means that it does not.
+	crashAt int
+	crashed atomic.Bool
+	mu      sync.Mutex
+	recent  []time.Time
 }
 
 // arrivals contains all requests that reached servers.
@@ -57,6 +63,17 @@
 	return s, nil
 }
 
+// overloaded records a request and reports whether the server crashes on its rate.
+func (s *plainServer) overloaded(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recent = append(s.recent, now)
+	for now.Sub(s.recent[0]) >= time.Second {
+		s.recent = s.recent[1:]
+	}
+	return s.crashAt > 0 && len(s.recent) >= s.crashAt
+}
+
 // stop ends the server with its connections.
 func (s *plainServer) stop() { _ = s.server.Close() }
 
@@ -84,6 +101,11 @@
 	}
 	s.arrivals.add(arrival{server: s.id, attempt: id, at: time.Now(), run: true})
 	_, _ = io.Copy(io.Discard, r.Body)
+	if s.overloaded(time.Now()) {
+		s.crashed.Store(true)
+		s.stop()
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(s.work)
 	h.Set("Response-Signature", "stand-in."+s.id)
 	h.Set("Server-Load", "1,0,6")
--- a/review/standin-4/store.go
+++ b/review/standin-4/store.go
@@ -41,6 +41,8 @@
 	// loseFor names the machine whose next answer with events to a watch of the kind loseKind is lost.
 	loseFor, loseKind string
 	lost              int
+	// rewrite, if set, returns the specification of an object as a machine sees it.
+	rewrite func(machine string, o *object) json.RawMessage
 }
 
 func newStore(r *record) *store {
@@ -127,6 +129,9 @@
 		items := []string{}
 		for _, o := range s.objects {
 			if o.kind == kind {
+				if s.rewrite != nil {
+					o.specification = s.rewrite(machine, &o)
+				}
 				items = append(items, o.encode())
 			}
 		}
