--- a/review/standin-4/prompt_memory.go
+++ b/review/standin-4/prompt_memory.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// edgeMemory is memoryMb of an edge machine of a small deployment, in MiB.
-	edgeMemory = 284
+	// edgeMemory is memoryMb of an edge machine of a small deployment, in bytes.
+	edgeMemory = 284_000_000
 	// headerLimit is headerBytes of the configuration.
 	headerLimit = 16384
 	// memoryTime is how long the callers send.
@@ -89,12 +89,12 @@
 		if err != nil {
 			return false, err
 		}
-		if used/20 > most/20 {
-			s.record.linef("edge-1 uses %d MiB; %d requests sent, %d answered whole, %d not", used, sent.Load(), whole.Load(), other.Load())
+		if used/mb/20 > most/mb/20 {
+			s.record.linef("edge-1 uses %d MB; %d requests sent, %d answered whole, %d not", used/mb, sent.Load(), whole.Load(), other.Load())
 		}
 		most = max(most, used)
 		if used > edgeMemory {
-			s.record.linef("edge-1 exceeds memoryMb, %d MiB: the platform kills it", edgeMemory)
+			s.record.linef("edge-1 exceeds memoryMb, %d MB: the platform kills it", edgeMemory/mb)
 			killed = true
 			before := other.Load()
 			_ = p.cmd.Process.Kill()
@@ -104,15 +104,15 @@
 	}
 	close(done)
 	wg.Wait()
-	s.record.linef("requests sent %d, answered whole %d, not %d; most memory %d MiB of %d", sent.Load(), whole.Load(), other.Load(), most, edgeMemory)
+	s.record.linef("requests sent %d, answered whole %d, not %d; most memory %d MB of %d", sent.Load(), whole.Load(), other.Load(), most/mb, edgeMemory/mb)
 	if whole.Load() == 0 {
 		return false, fmt.Errorf("no request was answered")
 	}
 	return killed, nil
 }
 
-// promptText is the body of a request, the text of some 40,000 tokens.
-var promptText = strings.Repeat("convoy ", 28000)
+// promptText is the body of a request, the text of some 60,000 tokens.
+var promptText = strings.Repeat("convoy ", 42000)
 
 // sendPrompt sends a streaming request and reports whether its whole answer has arrived.
 func sendPrompt(client *http.Client, p *process, n int64, long bool) bool {
@@ -124,7 +124,7 @@
 	req.Header.Set("Attempt-Id", fmt.Sprintf("%016x", n))
 	req.Header.Set("Deadline-Milliseconds", "8000")
 	req.Header.Set("Model", "m")
-	req.Header.Set("Token-Usage", "40000,80")
+	req.Header.Set("Token-Usage", "60000,80")
 	req.Header.Set("Prompt-Prefix", promptPrefix(n, long))
 	resp, err := client.Do(req)
 	if err != nil {
@@ -150,7 +150,10 @@
 	return b.String()
 }
 
-// memory returns the resident memory of the process in MiB.
+// mb is the number of bytes of a megabyte.
+const mb = 1_000_000
+
+// memory returns the resident memory of the process in bytes.
 func (p *process) memory() (int, error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
@@ -159,7 +162,7 @@
 	for line := range strings.Lines(string(status)) {
 		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmRSS:" {
 			kib, err := strconv.Atoi(fields[1])
-			return kib >> 10, err
+			return kib << 10, err
 		}
 	}
 	return 0, fmt.Errorf("%s has ended", p.name)
